--- /dev/null
+++ b/bin/tamarack/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' command line.
+
+fn main() {}
--- /dev/null
+++ b/bin/tamarackbank/src/args.rs
@@ -0,0 +1,79 @@
+//! The command line.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use argh::FromArgs;
+
+/// tamarackbank serves language-model prompts that come back after long gaps.
+#[derive(FromArgs, Debug)]
+pub struct Args {
+    #[argh(subcommand)]
+    pub command: Command,
+}
+
+#[derive(FromArgs, Debug)]
+#[argh(subcommand)]
+pub enum Command {
+    Run(Run),
+    Check(Check),
+    Dev(Dev),
+    Fake(Fake),
+}
+
+/// Run the process that a settings file describes.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "run")]
+pub struct Run {
+    /// settings file
+    #[argh(positional)]
+    pub settings: PathBuf,
+}
+
+/// Check a settings file and print every mistake in it.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "check")]
+pub struct Check {
+    /// settings file
+    #[argh(positional)]
+    pub settings: PathBuf,
+}
+
+/// Run entry, keeper, agents and stand-in servers in one process, without settings.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "dev")]
+pub struct Dev {
+    /// callers' address (default 127.0.0.1:7400)
+    #[argh(option, default = "SocketAddr::from(([127, 0, 0, 1], 7400))")]
+    pub callers: SocketAddr,
+    /// operators' address (default 127.0.0.1:7401)
+    #[argh(option, default = "SocketAddr::from(([127, 0, 0, 1], 7401))")]
+    pub operators: SocketAddr,
+}
+
+/// Run one stand-in server, for trials and tests.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "fake")]
+pub struct Fake {
+    /// engine, plain or store
+    #[argh(positional)]
+    pub kind: String,
+    /// address to listen on
+    #[argh(option)]
+    pub addr: SocketAddr,
+    /// microseconds of one engine step or one plain call
+    #[argh(option, default = "6000")]
+    pub step_us: u64,
+    /// runs in one engine batch
+    #[argh(option, default = "16")]
+    pub slots: usize,
+    /// prompt tokens an engine computes in one step
+    #[argh(option, default = "256")]
+    pub prefill: u64,
+    /// weight version that an engine holds
+    #[argh(option, default = "String::from(\"v1\")")]
+    pub version: String,
+    /// whether an engine refuses old fencing tokens
+    #[argh(switch)]
+    pub checks_tokens: bool,
+}
--- /dev/null
+++ b/bin/tamarackbank/src/main.rs
@@ -0,0 +1,79 @@
+//! The process on a VM; its roles come from its settings.
+
+mod args;
+mod dev;
+
+use std::fs;
+use std::path::Path;
+use std::process::ExitCode;
+
+use args::{Args, Command};
+use conf::Settings;
+use eyre::{WrapErr, bail};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+
+fn main() -> ExitCode {
+    let args: Args = argh::from_env();
+    edge::log_to_stderr();
+    let result = match args.command {
+        Command::Run(run) => run_file(&run.settings),
+        Command::Check(check) => check_file(&check.settings),
+        Command::Dev(dev) => dev::run(&dev),
+        Command::Fake(fake) => dev::fake(&fake),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("tamarackbank: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn check_file(path: &Path) -> eyre::Result<()> {
+    read(path)?;
+    println!("{}: no mistakes", path.display());
+    Ok(())
+}
+
+fn read(path: &Path) -> eyre::Result<Settings> {
+    let text = fs::read_to_string(path).wrap_err_with(|| path.display().to_string())?;
+    match Settings::parse(&text) {
+        Ok(settings) => Ok(settings),
+        Err(mistakes) => {
+            for mistake in &mistakes {
+                eprintln!("{}: {mistake}", path.display());
+            }
+            bail!("{} mistakes in {}", mistakes.len(), path.display());
+        }
+    }
+}
+
+fn run_file(path: &Path) -> eyre::Result<()> {
+    run(&read(path)?)
+}
+
+/// Runs a process until it may leave.
+pub(crate) fn run(settings: &Settings) -> eyre::Result<()> {
+    let running = edge::start(settings).wrap_err("cannot start")?;
+    log::info!(
+        name:% = settings.name, link:% = running.link, operators:% = running.operators,
+        callers = running.callers.map_or_else(String::new, |addr| addr.to_string());
+        "started"
+    );
+    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    let inputs = running.stopper();
+    std::thread::spawn(move || {
+        for _ in signals.forever() {
+            inputs.stop();
+        }
+    });
+    let cut = running.wait();
+    if cut > 0 {
+        log::warn!(cut; "stopped before every request had ended");
+    } else {
+        log::info!("stopped");
+    }
+    Ok(())
+}
--- /dev/null
+++ b/bin/tamarackbank/tests/bed/mod.rs
@@ -0,0 +1,196 @@
+//! Real processes on loopback, each ended by its own id.
+#![allow(dead_code, reason = "each test file uses a part of the bed")]
+
+use std::io::{BufRead, BufReader};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{Receiver, channel};
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+
+/// Longest wait for anything that must happen; generous, since nothing is timed here.
+pub const PATIENCE: Duration = Duration::from_secs(60);
+
+/// One process and the lines it prints.
+#[derive(Debug)]
+pub struct Process {
+    pub child: Child,
+    lines: Receiver<String>,
+}
+
+impl Process {
+    fn spawn(args: &[&str]) -> Self {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_tamarackbank"))
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the binary starts");
+        let (sender, lines) = channel();
+        let out: Box<dyn std::io::Read + Send> = Box::new(child.stdout.take().expect("piped"));
+        let err: Box<dyn std::io::Read + Send> = Box::new(child.stderr.take().expect("piped"));
+        for pipe in [out, err] {
+            let sender = sender.clone();
+            std::thread::spawn(move || {
+                for line in BufReader::new(pipe).lines().map_while(Result::ok) {
+                    let _ = sender.send(line);
+                }
+            });
+        }
+        Self { child, lines }
+    }
+
+    /// The first line that holds a text.
+    pub fn line(&self, text: &str) -> String {
+        let end = Instant::now() + PATIENCE;
+        loop {
+            let left = end.saturating_duration_since(Instant::now());
+            let line = self.lines.recv_timeout(left);
+            let line = line.unwrap_or_else(|_| panic!("no line with '{text}'"));
+            if line.contains(text) {
+                return line;
+            }
+        }
+    }
+
+    /// Ends the process without a word.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Sends a signal by name.
+    pub fn signal(&self, name: &str) {
+        let status = Command::new("kill")
+            .args([&format!("-{name}"), &self.child.id().to_string()])
+            .status();
+        assert!(status.is_ok_and(|status| status.success()));
+    }
+
+    /// Waits for the end and gives the exit code.
+    pub fn code(&mut self) -> Option<i32> {
+        let end = Instant::now() + PATIENCE;
+        while Instant::now() < end {
+            if let Some(status) = self.child.try_wait().expect("own child") {
+                return status.code();
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        panic!("the process did not end");
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// A stand-in and its address.
+pub fn fake(kind: &str, more: &[&str]) -> (Process, String) {
+    let mut args = vec!["fake", kind, "--addr", "127.0.0.1:0"];
+    args.extend(more);
+    let process = Process::spawn(&args);
+    let line = process.line("listening on ");
+    let addr = line.rsplit(' ').next().expect("an address").to_owned();
+    (process, addr)
+}
+
+/// A process of the system and its addresses.
+#[derive(Debug)]
+pub struct Member {
+    pub process: Process,
+    pub link: String,
+    pub operators: String,
+    pub callers: String,
+    pub settings: PathBuf,
+}
+
+/// A folder of this test, empty.
+pub fn folder(name: &str) -> PathBuf {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let _ = std::fs::remove_dir_all(&path);
+    std::fs::create_dir_all(&path).expect("a folder");
+    path
+}
+
+/// Starts a process with settings; addresses default to any free port of loopback.
+pub fn member(folder: &std::path::Path, name: &str, settings: &str) -> Member {
+    let path = folder.join(format!("{name}.ini"));
+    std::fs::write(&path, settings).expect("settings are written");
+    start(path)
+}
+
+/// Starts a process again with settings that were written before.
+pub fn start(settings: PathBuf) -> Member {
+    let process = Process::spawn(&["run", settings.to_str().expect("a plain path")]);
+    let line = process.line("\"message\":\"started\"");
+    let value: Value = serde_json::from_str(&line).expect("JSON lines");
+    let text = |key: &str| value[key].as_str().unwrap_or_default().to_owned();
+    let (link, operators, callers) = (text("link"), text("operators"), text("callers"));
+    Member {
+        process,
+        link,
+        operators,
+        callers,
+        settings,
+    }
+}
+
+/// A client that gives every status back.
+pub fn client() -> ureq::Agent {
+    let config = ureq::Agent::config_builder()
+        .http_status_as_error(false)
+        .build();
+    config.into()
+}
+
+/// The body of a completion request.
+pub fn completion(prompt: &str, tokens: u32, stream: bool) -> String {
+    json!({ "model": "demo", "prompt": prompt, "max_tokens": tokens, "stream": stream }).to_string()
+}
+
+/// Sends a completion, again until a server is there; gives status and body.
+pub fn complete(callers: &str, body: &str) -> (u16, String) {
+    let end = Instant::now() + PATIENCE;
+    loop {
+        let (status, text) = post(callers, "/v1/completions", body, &[]);
+        if status != 503 || Instant::now() > end {
+            return (status, text);
+        }
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
+
+/// One POST; gives status and body.
+pub fn post(callers: &str, path: &str, body: &str, headers: &[(&str, &str)]) -> (u16, String) {
+    let mut request = client()
+        .post(format!("http://{callers}{path}"))
+        .header("authorization", "Bearer demo");
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let mut response = request.send(body).expect("an answer");
+    let text = response
+        .body_mut()
+        .read_to_string()
+        .unwrap_or_else(|error| error.to_string());
+    (response.status().as_u16(), text)
+}
+
+/// The text of a streamed answer, and whether its end mark came.
+pub fn streamed(body: &str) -> (String, bool) {
+    let mut text = String::new();
+    let mut done = false;
+    for data in body.lines().filter_map(|line| line.strip_prefix("data: ")) {
+        if data == "[DONE]" {
+            done = true;
+        } else {
+            let value: Value = serde_json::from_str(data).expect("JSON events");
+            text.push_str(value["choices"][0]["text"].as_str().unwrap_or_default());
+        }
+    }
+    (text, done)
+}
--- /dev/null
+++ b/bin/tamarackbank/tests/path.rs
@@ -0,0 +1,106 @@
+//! The whole path as separate processes.
+
+mod bed;
+
+use bed::{complete, completion, fake, folder, member, post, streamed};
+
+const ANY: &str = "link = 127.0.0.1:0\noperators = 127.0.0.1:0\n";
+
+fn entry(folder: &std::path::Path) -> bed::Member {
+    let text =
+        format!("[process]\nname = entry-1\nroles = entry\n{ANY}[entry]\ncallers = 127.0.0.1:0\n");
+    member(folder, "entry-1", &text)
+}
+
+fn agent(
+    folder: &std::path::Path,
+    name: &str,
+    server: &str,
+    more: &str,
+    peer: &str,
+) -> bed::Member {
+    let text = format!(
+        "[process]\nname = {name}\nroles = agent\n{ANY}[agent]\nserver = {server}\n{more}\n\
+         [peers]\nentry-1 = {peer}\n"
+    );
+    member(folder, name, &text)
+}
+
+#[test]
+fn a_streamed_answer_comes_whole() {
+    let folder = folder("streamed");
+    let entry = entry(&folder);
+    let (_engine, addr) = fake("engine", &["--step-us", "1000"]);
+    let _agent = agent(&folder, "agent-1", &addr, "serves = demo", &entry.link);
+    let (status, body) = complete(
+        &entry.callers,
+        &completion("why does my mint wilt?", 40, true),
+    );
+    assert_eq!(status, 200, "{body}");
+    assert_eq!(
+        streamed(&body),
+        (fake::answer("why does my mint wilt?", 40), true)
+    );
+}
+
+#[test]
+fn a_plain_call_comes_back() {
+    let folder = folder("plain");
+    let entry = entry(&folder);
+    let (_plain, addr) = fake("plain", &[]);
+    let _agent = agent(
+        &folder,
+        "agent-1",
+        &addr,
+        "kind = plain\nserves = probes",
+        &entry.link,
+    );
+    let end = std::time::Instant::now() + bed::PATIENCE;
+    let (status, body) = loop {
+        let (status, body) = post(&entry.callers, "/svc/probes/schedule?x=1", "{}", &[]);
+        if status != 503 || std::time::Instant::now() > end {
+            break (status, body);
+        }
+        std::thread::sleep(std::time::Duration::from_millis(50));
+    };
+    assert_eq!(status, 200, "{body}");
+    assert!(body.contains("/schedule?x=1"), "{body}");
+}
+
+#[test]
+fn an_answer_goes_on_elsewhere_when_its_agent_dies() {
+    let folder = folder("agent-dies");
+    let entry = entry(&folder);
+    let (_engine, addr) = fake("engine", &["--step-us", "10000"]);
+    let first = agent(&folder, "agent-1", &addr, "serves = demo", &entry.link);
+    let callers = entry.callers.clone();
+    complete(&callers, &completion("warm", 1, false));
+    let body = completion("a long history", 100, true);
+    let caller = std::thread::spawn(move || post(&callers, "/v1/completions", &body, &[]));
+    let _second = agent(&folder, "agent-2", &addr, "serves = demo", &entry.link);
+    std::thread::sleep(std::time::Duration::from_millis(300));
+    drop(first);
+    let (status, body) = caller.join().expect("the caller ends");
+    assert_eq!(status, 200);
+    assert_eq!(streamed(&body), (fake::answer("a long history", 100), true));
+}
+
+#[test]
+fn a_stop_cuts_no_request() {
+    let folder = folder("stop");
+    let mut entry = entry(&folder);
+    let (_engine, addr) = fake("engine", &["--step-us", "10000"]);
+    let mut agent = agent(&folder, "agent-1", &addr, "serves = demo", &entry.link);
+    complete(&entry.callers, &completion("warm", 1, false));
+    let callers = entry.callers.clone();
+    let body = completion("a long history", 100, true);
+    let caller = std::thread::spawn(move || post(&callers, "/v1/completions", &body, &[]));
+    std::thread::sleep(std::time::Duration::from_millis(300));
+    agent.process.signal("TERM");
+    entry.process.signal("TERM");
+    let (status, body) = caller.join().expect("the caller ends");
+    assert_eq!(status, 200);
+    assert_eq!(streamed(&body), (fake::answer("a long history", 100), true));
+    assert_eq!(entry.process.code(), Some(0));
+    assert_eq!(agent.process.code(), Some(0));
+}
--- /dev/null
+++ b/crates/base/src/code.rs
@@ -0,0 +1,138 @@
+//! Numbered result codes.
+//!
+//! One closed enum for every result a caller or an operator can meet. docs/CODES.md holds the same
+//! table for people, and a test checks that the two agree.
+
+use serde::{Deserialize, Serialize};
+
+/// What became of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Fate {
+    /// It ran.
+    Ran,
+    /// It has not run and will not.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
+
+impl Fate {
+    /// The text of the `x-tamarack-fate` header.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Ran => "ran",
+            Self::NotRun => "not-run",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+macro_rules! codes {
+    ($($(#[$doc:meta])* $name:ident = $number:literal, $text:literal, $status:literal, $fate:ident;)*) => {
+        /// A numbered result code; docs/CODES.md has the table.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        pub enum Code {
+            $($(#[$doc])* $name = $number,)*
+        }
+
+        impl Code {
+            /// Every code, in the order of their numbers.
+            pub const ALL: &'static [Self] = &[$(Self::$name,)*];
+
+            /// The short text of the code.
+            pub const fn as_str(self) -> &'static str {
+                match self { $(Self::$name => $text,)* }
+            }
+
+            /// The HTTP status that carries the code.
+            pub const fn status(self) -> u16 {
+                match self { $(Self::$name => $status,)* }
+            }
+
+            /// What became of the request that got the code.
+            pub const fn fate(self) -> Fate {
+                match self { $(Self::$name => Fate::$fate,)* }
+            }
+        }
+    };
+}
+
+codes! {
+    /// Success.
+    Ok = 0, "ok", 200, Ran;
+    /// The body is not the JSON that the path takes.
+    BadBody = 1001, "bad body", 400, NotRun;
+    /// The body is over the set size.
+    BodyTooLarge = 1002, "body too large", 413, NotRun;
+    /// A header holds a value that is not allowed.
+    BadHeader = 1003, "bad header", 400, NotRun;
+    /// No such path.
+    NoSuchPath = 1004, "no such path", 404, NotRun;
+    /// The bearer key belongs to no workspace.
+    BadKey = 1005, "bad key", 401, NotRun;
+    /// The workspace has no such model.
+    NoSuchModel = 1006, "no such model", 404, NotRun;
+    /// The idempotency key was used with another body.
+    KeyReused = 1007, "idempotency key reused with another body", 409, NotRun;
+    /// The request did not arrive whole in time.
+    SlowCaller = 1008, "request did not arrive in time", 408, NotRun;
+    /// Every fitting backend server is full.
+    Overloaded = 2001, "overloaded", 503, NotRun;
+    /// No backend server fits.
+    NoServer = 2002, "no backend server", 503, NotRun;
+    /// The deadline cannot be met or has passed before the start.
+    Late = 2003, "deadline passed before the start", 504, NotRun;
+    /// The workspace is over its limit.
+    WorkspaceLimit = 2004, "workspace over its limit", 429, NotRun;
+    /// This process is stopping.
+    Draining = 2005, "draining", 503, NotRun;
+    /// This process has not read the agreed configuration yet.
+    NotReady = 2006, "not ready", 503, NotRun;
+    /// The claim could not be agreed, and nothing was sent.
+    NoClaim = 2007, "claim not agreed", 503, NotRun;
+    /// The caller went away before the start.
+    Cancelled = 2008, "cancelled before the start", 499, NotRun;
+    /// The run was sent and its end is not known.
+    Unknown = 3001, "may have run", 502, Unknown;
+    /// The run was cut before its end and could not be continued.
+    Cut = 3002, "answer cut", 502, Ran;
+    /// The deadline passed while the request ran.
+    DeadlineRunning = 3003, "deadline passed while running", 504, Ran;
+    /// The backend server answered with an error of its own.
+    ServerError = 3004, "backend server error", 502, Ran;
+    /// Another change won; the winner is shown.
+    Conflict = 4001, "conflict", 409, NotRun;
+    /// The record is not valid.
+    BadRecord = 4002, "bad record", 400, NotRun;
+    /// Other records still refer to it.
+    Referenced = 4003, "still referenced", 409, NotRun;
+    /// No such record.
+    NoSuchRecord = 4004, "no such record", 404, NotRun;
+    /// No leader is known or a majority cannot be reached.
+    NoQuorum = 4005, "no quorum", 503, Unknown;
+    /// The order carries an old fencing token.
+    Fenced = 4006, "fenced", 409, NotRun;
+    /// A bug in this process.
+    Internal = 5001, "internal error", 500, Unknown;
+}
+
+impl Code {
+    /// The number of the code.
+    pub const fn number(self) -> u16 {
+        self as u16
+    }
+
+    /// Whether a caller may send the same request again later.
+    pub const fn retryable(self) -> bool {
+        matches!(
+            self,
+            Self::Overloaded
+                | Self::NoServer
+                | Self::WorkspaceLimit
+                | Self::Draining
+                | Self::NotReady
+                | Self::NoClaim
+                | Self::NoQuorum
+        )
+    }
+}
--- /dev/null
+++ b/crates/base/src/lib.rs
@@ -0,0 +1,21 @@
+//! What every other crate stands on: names, time, identifiers and result codes.
+//!
+//! Nothing here touches I/O or reads a clock. A [`Time`] is always handed in by the caller, so that
+//! every decision can be replayed from a list of events.
+//!
+//! ```
+//! use base::prelude::*;
+//! let start = Time::ZERO;
+//! assert_eq!((start + Duration::from_millis(3)).since(start), Duration::from_millis(3));
+//! ```
+
+mod code;
+mod id;
+mod name;
+pub mod prelude;
+mod time;
+
+pub use code::{Code, Fate};
+pub use id::{Incarnation, Revision, RunId};
+pub use name::Name;
+pub use time::Time;
--- /dev/null
+++ b/crates/base/src/time.rs
@@ -0,0 +1,35 @@
+//! Monotonic time as a plain value.
+
+use std::ops::Add;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// Microseconds on one process's monotonic clock.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Time(pub u64);
+
+impl Time {
+    /// The start of the clock.
+    pub const ZERO: Self = Self(0);
+
+    /// A time this many milliseconds after the start of the clock.
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis * 1_000)
+    }
+
+    /// The time since `earlier`, zero when it lies ahead.
+    pub fn since(self, earlier: Self) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Time {
+    type Output = Self;
+
+    fn add(self, rhs: Duration) -> Self {
+        Self(self.0.saturating_add(rhs.as_micros() as u64))
+    }
+}
--- /dev/null
+++ b/crates/conf/src/settings.rs
@@ -0,0 +1,416 @@
+//! The settings of one process.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::str::FromStr;
+use std::time::Duration;
+
+use base::Name;
+use ini_core::{Item, Parser};
+
+use crate::Mistake;
+
+/// A role that a process plays.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Role {
+    /// Speaks HTTP to callers and routes their requests.
+    Entry,
+    /// Holds the agreed durable state.
+    Keeper,
+    /// The one door to a backend server.
+    Agent,
+}
+
+/// What kind of backend server an agent stands beside.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServerKind {
+    /// A model engine.
+    Engine,
+    /// A plain service.
+    Plain,
+}
+
+/// The weights of the brief's three measures.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Presets {
+    /// Weight of time to first token.
+    pub first_token: f64,
+    /// Weight of prompt work recomputed.
+    pub recompute: f64,
+    /// Weight of bytes over cache links.
+    pub link: f64,
+}
+
+/// A process to dial at the start.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Seed {
+    /// Name of the process.
+    pub name: Name,
+    /// Address of its link listener.
+    pub addr: SocketAddr,
+}
+
+/// The whole settings of one process.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Name of the process, unique in the deployment.
+    pub name: Name,
+    /// Availability zone.
+    pub zone: Name,
+    /// Roles it plays.
+    pub roles: Vec<Role>,
+    /// Address on which other processes reach it.
+    pub link: SocketAddr,
+    /// Address of the operators' HTTP listener.
+    pub operators: SocketAddr,
+    /// Bearer key that operators show; empty allows everyone.
+    pub operator_key: String,
+    /// The one data folder.
+    pub data: PathBuf,
+    /// Longest wait for streams to finish after SIGTERM.
+    pub drain: Duration,
+    /// Processes to dial at the start.
+    pub seeds: Vec<Seed>,
+    /// Address of the callers' HTTP listener.
+    pub callers: SocketAddr,
+    /// Most caller connections open at once.
+    pub max_connections: usize,
+    /// Largest body of a caller's request, bytes.
+    pub max_body: usize,
+    /// Longest wait for a request to arrive whole.
+    pub arrival: Duration,
+    /// Most requests waiting in one entry.
+    pub max_waiting: usize,
+    /// Deadline of a request that names none.
+    pub deadline: Duration,
+    /// Weights of the three measures.
+    pub weights: Presets,
+    /// Voting keepers at the first start of the deployment.
+    pub voters: Vec<Name>,
+    /// What the agent stands beside.
+    pub server_kind: ServerKind,
+    /// HTTP address of the backend server.
+    pub server_addr: SocketAddr,
+    /// Model that the engine serves, or name of the plain service.
+    pub serves: Name,
+    /// Weight version that the engine holds at the start.
+    pub version: Name,
+    /// Most runs the backend server takes at once.
+    pub slots: usize,
+    /// Whether the backend server checks fencing tokens itself.
+    pub checks_tokens: bool,
+    /// Store VMs: name and HTTP address.
+    pub stores: Vec<Seed>,
+}
+
+const KEYS: &[(&str, &[&str])] = &[
+    (
+        "process",
+        &[
+            "name",
+            "zone",
+            "roles",
+            "link",
+            "operators",
+            "operator_key",
+            "data",
+            "drain_ms",
+        ],
+    ),
+    ("peers", &[]),
+    (
+        "entry",
+        &[
+            "callers",
+            "max_connections",
+            "max_body_bytes",
+            "arrival_ms",
+            "max_waiting",
+            "deadline_ms",
+            "weights",
+        ],
+    ),
+    ("keeper", &["voters"]),
+    (
+        "agent",
+        &[
+            "kind",
+            "server",
+            "serves",
+            "version",
+            "slots",
+            "checks_tokens",
+        ],
+    ),
+    ("stores", &[]),
+];
+
+#[derive(Default)]
+struct Table {
+    values: BTreeMap<(String, String), (u32, String)>,
+    mistakes: Vec<Mistake>,
+}
+
+impl Settings {
+    /// Reads and checks the text of a settings file.
+    ///
+    /// # Errors
+    /// Every mistake found, in the order of their lines.
+    pub fn parse(text: &str) -> Result<Self, Vec<Mistake>> {
+        let mut table = Table::read(text);
+        let settings = table.settings();
+        if table.mistakes.is_empty() {
+            return Ok(settings);
+        }
+        table.mistakes.sort_by_key(|mistake| mistake.line);
+        Err(table.mistakes)
+    }
+
+    /// Whether the process plays this role.
+    pub fn plays(&self, role: Role) -> bool {
+        self.roles.contains(&role)
+    }
+}
+
+impl Table {
+    fn read(text: &str) -> Self {
+        let mut table = Self::default();
+        let mut section = String::new();
+        let mut parser = Parser::new(text).auto_trim(true);
+        loop {
+            let line = parser.line() + 1;
+            let Some(item) = parser.next() else { break };
+            match item {
+                Item::Section(name) => section = table.section(line, name),
+                Item::Property(key, value) => table.property(line, &section, key, value),
+                Item::Error(found) => table.mistake(line, found, "not a section, key or comment"),
+                Item::SectionEnd | Item::Comment(_) | Item::Blank => {}
+            }
+        }
+        table
+    }
+
+    fn section(&mut self, line: u32, name: &str) -> String {
+        if !KEYS.iter().any(|(known, _)| *known == name) {
+            let known: Vec<&str> = KEYS.iter().map(|(known, _)| *known).collect();
+            self.mistake(
+                line,
+                name,
+                &format!("unknown section; allowed: {}", known.join(", ")),
+            );
+        }
+        name.to_owned()
+    }
+
+    fn property(&mut self, line: u32, section: &str, key: &str, value: Option<&str>) {
+        let full = format!("{section}.{key}");
+        let Some(value) = value else {
+            self.mistake(line, &full, "no value; write key = value");
+            return;
+        };
+        let Some((_, known)) = KEYS.iter().find(|(known, _)| *known == section) else {
+            return;
+        };
+        if !known.is_empty() && !known.contains(&key) {
+            self.mistake(
+                line,
+                &full,
+                &format!("unknown key; allowed: {}", known.join(", ")),
+            );
+            return;
+        }
+        let place = (section.to_owned(), key.to_owned());
+        if let Some((first, _)) = self.values.insert(place, (line, value.to_owned())) {
+            self.mistake(line, &full, &format!("given twice, first in line {first}"));
+        }
+    }
+
+    fn mistake(&mut self, line: u32, key: &str, text: &str) {
+        self.mistakes.push(Mistake {
+            line,
+            key: key.to_owned(),
+            text: text.to_owned(),
+        });
+    }
+
+    fn get(&self, section: &str, key: &str) -> Option<(u32, String)> {
+        self.values
+            .get(&(section.to_owned(), key.to_owned()))
+            .cloned()
+    }
+
+    fn text(&mut self, section: &str, key: &str, default: Option<&str>) -> String {
+        if let Some((line, value)) = self.get(section, key) {
+            if value.is_empty() {
+                self.mistake(line, &format!("{section}.{key}"), "must not be empty");
+            }
+            return value;
+        }
+        let Some(default) = default else {
+            self.mistake(0, &format!("{section}.{key}"), "missing");
+            return String::new();
+        };
+        default.to_owned()
+    }
+
+    fn parsed<T: FromStr>(&mut self, section: &str, key: &str, default: T, allowed: &str) -> T {
+        let Some((line, value)) = self.get(section, key) else {
+            return default;
+        };
+        let Ok(parsed) = value.parse() else {
+            let text = format!("'{value}' is not allowed; {allowed}");
+            self.mistake(line, &format!("{section}.{key}"), &text);
+            return default;
+        };
+        parsed
+    }
+
+    fn number(&mut self, section: &str, key: &str, default: u64, low: u64, high: u64) -> u64 {
+        let allowed = format!("a whole number from {low} to {high}");
+        let value = self.parsed(section, key, default, &allowed);
+        if !(low..=high).contains(&value) {
+            let line = self.get(section, key).map_or(0, |(line, _)| line);
+            let text = format!("'{value}' is not allowed; {allowed}");
+            self.mistake(line, &format!("{section}.{key}"), &text);
+        }
+        value
+    }
+
+    fn addr(&mut self, section: &str, key: &str, default: &str) -> SocketAddr {
+        let fallback = default
+            .parse()
+            .unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0)));
+        self.parsed(
+            section,
+            key,
+            fallback,
+            "an IP number and a port, such as 10.0.0.4:7410",
+        )
+    }
+
+    fn millis(&mut self, section: &str, key: &str, default: u64, high: u64) -> Duration {
+        Duration::from_millis(self.number(section, key, default, 1, high))
+    }
+
+    fn seeds(&mut self, section: &str) -> Vec<Seed> {
+        let keys: Vec<String> = self
+            .values
+            .keys()
+            .filter(|(found, _)| found == section)
+            .map(|(_, key)| key.clone())
+            .collect();
+        keys.iter()
+            .map(|key| Seed {
+                name: Name::new(key),
+                addr: self.addr(section, key, ""),
+            })
+            .collect()
+    }
+
+    fn roles(&mut self) -> Vec<Role> {
+        let text = self.text("process", "roles", None);
+        let line = self.get("process", "roles").map_or(0, |(line, _)| line);
+        let mut roles = Vec::new();
+        for word in text
+            .split(',')
+            .map(str::trim)
+            .filter(|word| !word.is_empty())
+        {
+            match word {
+                "entry" => roles.push(Role::Entry),
+                "keeper" => roles.push(Role::Keeper),
+                "agent" => roles.push(Role::Agent),
+                _ => {
+                    let text = format!("'{word}' is not allowed; entry, keeper, agent");
+                    self.mistake(line, "process.roles", &text);
+                }
+            }
+        }
+        roles
+    }
+
+    fn kind(&mut self) -> ServerKind {
+        let Some((line, value)) = self.get("agent", "kind") else {
+            return ServerKind::Engine;
+        };
+        match value.as_str() {
+            "engine" => ServerKind::Engine,
+            "plain" => ServerKind::Plain,
+            _ => {
+                let text = format!("'{value}' is not allowed; engine, plain");
+                self.mistake(line, "agent.kind", &text);
+                ServerKind::Engine
+            }
+        }
+    }
+
+    fn weights(&mut self) -> Presets {
+        let first_token = Presets {
+            first_token: 1.0,
+            recompute: 0.2,
+            link: 0.1,
+        };
+        let narrow_links = Presets {
+            first_token: 0.4,
+            recompute: 1.0,
+            link: 1.0,
+        };
+        let Some((line, value)) = self.get("entry", "weights") else {
+            return first_token;
+        };
+        match value.as_str() {
+            "first-token" => first_token,
+            "narrow-links" => narrow_links,
+            _ => {
+                let text = format!("'{value}' is not allowed; first-token, narrow-links");
+                self.mistake(line, "entry.weights", &text);
+                first_token
+            }
+        }
+    }
+
+    fn settings(&mut self) -> Settings {
+        let roles = self.roles();
+        let voters = self.text("keeper", "voters", Some(""));
+        let settings = Settings {
+            name: self.text("process", "name", None).into(),
+            zone: self.text("process", "zone", Some("zone-1")).into(),
+            link: self.addr("process", "link", "127.0.0.1:7410"),
+            operators: self.addr("process", "operators", "127.0.0.1:7401"),
+            operator_key: self.text("process", "operator_key", Some("")),
+            data: self.text("process", "data", Some("data")).into(),
+            drain: self.millis("process", "drain_ms", 30_000, 3_600_000),
+            seeds: self.seeds("peers"),
+            callers: self.addr("entry", "callers", "127.0.0.1:7400"),
+            max_connections: self.number("entry", "max_connections", 4_000, 1, 60_000) as usize,
+            max_body: self.number("entry", "max_body_bytes", 4 << 20, 1_024, 64 << 20) as usize,
+            arrival: self.millis("entry", "arrival_ms", 10_000, 600_000),
+            max_waiting: self.number("entry", "max_waiting", 2_000, 1, 100_000) as usize,
+            deadline: self.millis("entry", "deadline_ms", 120_000, 3_600_000),
+            weights: self.weights(),
+            voters: voters
+                .split(',')
+                .map(str::trim)
+                .filter(|v| !v.is_empty())
+                .map(Name::new)
+                .collect(),
+            server_kind: self.kind(),
+            server_addr: self.addr("agent", "server", "127.0.0.1:7500"),
+            serves: self.text("agent", "serves", Some("demo")).into(),
+            version: self.text("agent", "version", Some("v1")).into(),
+            slots: self.number("agent", "slots", 16, 1, 4_096) as usize,
+            checks_tokens: self.parsed("agent", "checks_tokens", false, "true, false"),
+            stores: self.seeds("stores"),
+            roles,
+        };
+        if settings.roles.contains(&Role::Keeper) && settings.voters.is_empty() {
+            self.mistake(
+                0,
+                "keeper.voters",
+                "missing; a keeper names the first voters",
+            );
+        }
+        settings
+    }
+}
--- /dev/null
+++ b/crates/edge/src/net.rs
@@ -0,0 +1,311 @@
+//! Links to other processes: h2 streams on the tokio thread.
+//!
+//! One long stream in each direction per link. A link without a frame for [`SILENCE`] is dead,
+//! whatever TCP says, so a frozen or cut peer is found by its heartbeats alone.
+
+use std::collections::HashMap;
+use std::future::poll_fn;
+use std::net::SocketAddr;
+use std::sync::mpsc::Sender;
+use std::time::Duration;
+
+use base::Name;
+use bytes::Bytes;
+use h2::{RecvStream, SendStream};
+use http::{Request, Response};
+use node::Event;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::time::{sleep, timeout};
+use wire::{Decoder, Frame, Hello};
+
+use crate::Input;
+
+const CONNECT: Duration = Duration::from_secs(1);
+const REDIAL: Duration = Duration::from_millis(200);
+const SILENCE: Duration = Duration::from_secs(2);
+const WINDOW: u32 = 4 << 20;
+/// Most bytes gathered into one write.
+const GATHER: usize = 64 << 10;
+/// Most frames that wait for a peer before its link is cut.
+const MAX_QUEUE: usize = 200_000;
+
+type Error = Box<dyn std::error::Error + Send + Sync>;
+
+/// What the host asks of the links.
+#[derive(Debug)]
+pub enum Command {
+    /// Send a frame to a peer.
+    Send {
+        /// Name of the peer.
+        to: Name,
+        /// The frame.
+        frame: Frame,
+    },
+    /// Keep a link to an address.
+    Dial {
+        /// The address.
+        addr: SocketAddr,
+    },
+}
+
+enum News {
+    Up {
+        hello: Hello,
+        number: u64,
+        frames: UnboundedSender<Frame>,
+    },
+    Down {
+        peer: Name,
+        number: u64,
+    },
+}
+
+#[derive(Clone)]
+struct Shared {
+    hello: Hello,
+    inputs: Sender<Input>,
+    news: UnboundedSender<News>,
+}
+
+/// Serves the links until the host is gone.
+pub async fn run(
+    hello: Hello,
+    listener: TcpListener,
+    mut commands: UnboundedReceiver<Command>,
+    inputs: Sender<Input>,
+) {
+    let (news, mut news_in) = unbounded_channel();
+    let shared = Shared {
+        hello,
+        inputs,
+        news,
+    };
+    tokio::spawn(accept(shared.clone(), listener));
+    let mut links: HashMap<Name, Vec<(u64, UnboundedSender<Frame>)>> = HashMap::new();
+    let mut dialled = Vec::new();
+    loop {
+        tokio::select! {
+            command = commands.recv() => match command {
+                None => return,
+                Some(Command::Dial { addr }) => {
+                    if !dialled.contains(&addr) {
+                        dialled.push(addr);
+                        tokio::spawn(dial(shared.clone(), addr));
+                    }
+                }
+                Some(Command::Send { to, frame }) => send(&mut links, &to, frame),
+            },
+            Some(news) = news_in.recv() => match news {
+                News::Up { hello, number, frames } => {
+                    links.entry(hello.name.clone()).or_default().push((number, frames));
+                    let _ = shared.inputs.send(Input::Event(Event::Linked(hello)));
+                }
+                News::Down { peer, number } => down(&shared, &mut links, &peer, number),
+            },
+        }
+    }
+}
+
+fn send(links: &mut HashMap<Name, Vec<(u64, UnboundedSender<Frame>)>>, to: &Name, frame: Frame) {
+    let Some(list) = links.get_mut(to) else {
+        return;
+    };
+    if let Some((_, last)) = list.last() {
+        let _ = last.send(frame);
+    }
+}
+
+fn down(
+    shared: &Shared,
+    links: &mut HashMap<Name, Vec<(u64, UnboundedSender<Frame>)>>,
+    peer: &Name,
+    number: u64,
+) {
+    let Some(list) = links.get_mut(peer) else {
+        return;
+    };
+    list.retain(|(found, _)| *found != number);
+    if list.is_empty() {
+        links.remove(peer);
+        let event = Event::Unlinked { peer: peer.clone() };
+        let _ = shared.inputs.send(Input::Event(event));
+    }
+}
+
+async fn accept(shared: Shared, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((socket, _)) => {
+                tokio::spawn(serve(shared.clone(), socket));
+            }
+            Err(error) => {
+                log::warn!("link listener: {error}");
+                sleep(REDIAL).await;
+            }
+        }
+    }
+}
+
+async fn serve(shared: Shared, socket: TcpStream) {
+    let _ = socket.set_nodelay(true);
+    let mut builder = h2::server::Builder::new();
+    builder
+        .initial_window_size(WINDOW)
+        .initial_connection_window_size(WINDOW);
+    let handshake = timeout(CONNECT, builder.handshake::<_, Bytes>(socket)).await;
+    let Ok(Ok(mut connection)) = handshake else {
+        return;
+    };
+    let Ok(Some(Ok((request, mut respond)))) = timeout(CONNECT, connection.accept()).await else {
+        return;
+    };
+    let Ok(sender) = respond.send_response(Response::new(()), false) else {
+        return;
+    };
+    let link = tokio::spawn(exchange(shared, sender, request.into_body()));
+    // Polling for further streams also drives the connection.
+    let driver = async { while connection.accept().await.is_some() {} };
+    tokio::select! {
+        _ = link => {}
+        () = driver => {}
+    }
+}
+
+async fn dial(shared: Shared, addr: SocketAddr) {
+    loop {
+        if let Err(error) = dial_once(&shared, addr).await {
+            log::debug!("link to {addr}: {error}");
+        }
+        sleep(REDIAL).await;
+    }
+}
+
+async fn dial_once(shared: &Shared, addr: SocketAddr) -> Result<(), Error> {
+    let socket = timeout(CONNECT, TcpStream::connect(addr)).await??;
+    socket.set_nodelay(true)?;
+    let mut builder = h2::client::Builder::new();
+    builder
+        .initial_window_size(WINDOW)
+        .initial_connection_window_size(WINDOW);
+    let (requests, connection) = timeout(CONNECT, builder.handshake::<_, Bytes>(socket)).await??;
+    let driver = tokio::spawn(connection);
+    let result = dial_stream(shared, requests).await;
+    driver.abort();
+    result
+}
+
+async fn dial_stream(
+    shared: &Shared,
+    requests: h2::client::SendRequest<Bytes>,
+) -> Result<(), Error> {
+    let mut requests = timeout(CONNECT, requests.ready()).await??;
+    let request = Request::post("http://link/").body(())?;
+    let (response, sender) = requests.send_request(request, false)?;
+    let response = timeout(CONNECT, response).await??;
+    exchange(shared.clone(), sender, response.into_body()).await;
+    Ok(())
+}
+
+async fn exchange(shared: Shared, mut sender: SendStream<Bytes>, mut receiver: RecvStream) {
+    let mut decoder = Decoder::default();
+    let first = wire::encode(&Frame::Hello(shared.hello.clone()));
+    if write(&mut sender, first.into()).await.is_err() {
+        return;
+    }
+    let Ok(Ok(Some(Frame::Hello(peer)))) =
+        timeout(CONNECT, read(&mut receiver, &mut decoder)).await
+    else {
+        return;
+    };
+    let (frames, queue) = unbounded_channel();
+    let number = link_number();
+    let name = peer.name.clone();
+    if shared
+        .news
+        .send(News::Up {
+            hello: peer,
+            number,
+            frames,
+        })
+        .is_err()
+    {
+        return;
+    }
+    tokio::select! {
+        () = write_all(&mut sender, queue) => {}
+        () = read_all(&shared, &name, &mut receiver, &mut decoder) => {}
+    }
+    let _ = shared.news.send(News::Down { peer: name, number });
+    sender.send_reset(h2::Reason::CANCEL);
+}
+
+fn link_number() -> u64 {
+    use std::sync::atomic::{AtomicU64, Ordering};
+    static NEXT: AtomicU64 = AtomicU64::new(1);
+    NEXT.fetch_add(1, Ordering::Relaxed)
+}
+
+async fn write_all(sender: &mut SendStream<Bytes>, mut queue: UnboundedReceiver<Frame>) {
+    while let Some(frame) = queue.recv().await {
+        if queue.len() > MAX_QUEUE {
+            log::warn!("link cut: too many frames wait for the peer");
+            return;
+        }
+        let mut bytes = wire::encode(&frame);
+        while bytes.len() < GATHER {
+            let Ok(frame) = queue.try_recv() else { break };
+            bytes.extend(wire::encode(&frame));
+        }
+        if write(sender, bytes.into()).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn read_all(shared: &Shared, name: &Name, receiver: &mut RecvStream, decoder: &mut Decoder) {
+    loop {
+        match timeout(SILENCE, read(receiver, decoder)).await {
+            Ok(Ok(Some(frame))) => {
+                let event = Event::Frame {
+                    peer: name.clone(),
+                    frame,
+                };
+                if shared.inputs.send(Input::Event(event)).is_err() {
+                    return;
+                }
+            }
+            Ok(Err(error)) => {
+                log::warn!(peer:% = name; "link cut: {error}");
+                return;
+            }
+            Ok(Ok(None)) | Err(_) => return,
+        }
+    }
+}
+
+async fn read(receiver: &mut RecvStream, decoder: &mut Decoder) -> Result<Option<Frame>, Error> {
+    loop {
+        if let Some(frame) = decoder.next_frame()? {
+            return Ok(Some(frame));
+        }
+        let Some(bytes) = receiver.data().await else {
+            return Ok(None);
+        };
+        let bytes = bytes?;
+        receiver.flow_control().release_capacity(bytes.len())?;
+        decoder.push(&bytes);
+    }
+}
+
+async fn write(sender: &mut SendStream<Bytes>, mut bytes: Bytes) -> Result<(), Error> {
+    while !bytes.is_empty() {
+        sender.reserve_capacity(bytes.len());
+        let Some(room) = poll_fn(|cx| sender.poll_capacity(cx)).await else {
+            return Err("stream closed".into());
+        };
+        let chunk = bytes.split_to(room?.min(bytes.len()));
+        sender.send_data(chunk, false)?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/edge/src/server.rs
@@ -0,0 +1,246 @@
+//! The client of the backend server beside an agent: ureq on bounded threads.
+//!
+//! The agent admits no more runs than the server has slots, so there are no more threads either.
+
+use std::io::{BufRead, BufReader, Read};
+use std::net::SocketAddr;
+use std::sync::mpsc::Sender;
+use std::thread;
+use std::time::Duration;
+
+use base::{Code, Name, RunId};
+use node::{Event, Server};
+use serde_json::{Value, json};
+use ureq::Agent;
+use wire::{Call, Load, Part, Prompt, Work};
+
+use crate::Input;
+
+const CONNECT: Duration = Duration::from_secs(1);
+const LOAD_EVERY: Duration = Duration::from_millis(100);
+const STACK: usize = 256 << 10;
+const CHUNK: usize = 64 << 10;
+
+/// The client.
+#[derive(Clone, Debug)]
+pub struct Client {
+    agent: Agent,
+    base: String,
+    inputs: Sender<Input>,
+}
+
+enum Failure {
+    /// Nothing reached the server.
+    Unsent,
+    /// The server may have run it.
+    Sent(Code),
+}
+
+impl Client {
+    /// A client of the server at this address.
+    pub fn new(addr: SocketAddr, inputs: Sender<Input>) -> Self {
+        let config = Agent::config_builder()
+            .timeout_connect(Some(CONNECT))
+            .http_status_as_error(false)
+            .max_idle_connections_per_host(64)
+            .build();
+        Self {
+            agent: config.into(),
+            base: format!("http://{addr}"),
+            inputs,
+        }
+    }
+
+    /// Starts a run.
+    pub fn serve(&self, run: RunId, work: Work) {
+        let client = self.clone();
+        let spawned = spawn(move || client.work(run, &work));
+        if spawned.is_err() {
+            self.send(Server::Failed {
+                run,
+                sent: false,
+                code: Code::Overloaded,
+            });
+        }
+    }
+
+    /// Tells the server to stop a run.
+    pub fn abort(&self, run: RunId) {
+        let client = self.clone();
+        let _ = spawn(move || {
+            let url = format!("{}/v1/cancel", client.base);
+            let body = json!({ "request_id": request_id(run) }).to_string();
+            let _ = client.agent.post(&url).send(&body);
+        });
+    }
+
+    /// Reads the server's load again and again.
+    pub fn watch_load(&self) {
+        let client = self.clone();
+        let _ = spawn(move || {
+            loop {
+                if let Some(load) = client.load() {
+                    client.send(Server::Load(load));
+                }
+                thread::sleep(LOAD_EVERY);
+            }
+        });
+    }
+
+    fn load(&self) -> Option<Load> {
+        let mut response = self.agent.get(&format!("{}/load", self.base)).call().ok()?;
+        let value: Value = serde_json::from_reader(response.body_mut().as_reader()).ok()?;
+        Some(Load {
+            running: value["running"].as_u64()? as u32,
+            waiting: value["waiting"].as_u64()? as u32,
+            prefill: value["prefill_tokens"].as_u64()?,
+            version: Name::new(value["version"].as_str()?),
+        })
+    }
+
+    fn send(&self, news: Server) {
+        let _ = self.inputs.send(Input::Event(Event::Server(news)));
+    }
+
+    fn work(&self, run: RunId, work: &Work) {
+        let result = match work {
+            Work::Prompt(prompt) => self.prompt(run, prompt),
+            Work::Call(call) => self.call(run, call),
+        };
+        match result {
+            Ok((computed, cached)) => self.send(Server::Done {
+                run,
+                computed,
+                cached,
+            }),
+            Err(Failure::Unsent) => {
+                self.send(Server::Failed {
+                    run,
+                    sent: false,
+                    code: Code::NoServer,
+                });
+            }
+            Err(Failure::Sent(code)) => self.send(Server::Failed {
+                run,
+                sent: true,
+                code,
+            }),
+        }
+    }
+
+    fn prompt(&self, run: RunId, prompt: &Prompt) -> Result<(u32, u32), Failure> {
+        let keys: Vec<String> = prompt.keys.iter().map(|key| hex(key)).collect();
+        let body = json!({
+            "model": &*prompt.model,
+            "version": &*prompt.version,
+            "prompt": &*prompt.text,
+            "max_tokens": prompt.max_tokens,
+            "resume_from": prompt.resume_from,
+            "cache_keys": keys,
+            "request_id": request_id(run),
+            "stream": true,
+        });
+        let url = format!("{}/v1/completions", self.base);
+        let response = self
+            .agent
+            .post(&url)
+            .content_type("application/json")
+            .send(body.to_string());
+        let mut response = response.map_err(|error| failure(&error))?;
+        if response.status().as_u16() != 200 {
+            return Err(Failure::Sent(Code::ServerError));
+        }
+        self.tokens(run, response.body_mut().as_reader())
+    }
+
+    fn tokens(&self, run: RunId, body: impl Read) -> Result<(u32, u32), Failure> {
+        let mut usage = (0, 0);
+        for line in BufReader::new(body).lines() {
+            let Ok(line) = line else { break };
+            let Some(data) = line.strip_prefix("data: ") else {
+                continue;
+            };
+            if data == "[DONE]" {
+                return Ok(usage);
+            }
+            let Ok(value) = serde_json::from_str::<Value>(data) else {
+                break;
+            };
+            let choice = &value["choices"][0];
+            if let Some(text) = choice["text"].as_str().filter(|text| !text.is_empty()) {
+                let count = choice["tokens"].as_u64().unwrap_or(1) as u32;
+                let part = Part::Tokens {
+                    text: text.to_owned(),
+                    count,
+                };
+                self.send(Server::Part { run, part });
+            }
+            if let Some(computed) = value["usage"]["computed_tokens"].as_u64() {
+                let cached = value["usage"]["cached_tokens"].as_u64().unwrap_or(0);
+                usage = (computed as u32, cached as u32);
+            }
+        }
+        Err(Failure::Sent(Code::Cut))
+    }
+
+    fn call(&self, run: RunId, call: &Call) -> Result<(u32, u32), Failure> {
+        let request = http::Request::builder()
+            .method(call.method.as_str())
+            .uri(format!("{}{}", self.base, call.path))
+            .header("content-type", &call.kind)
+            .header("x-request-id", request_id(run))
+            .body(call.body.clone());
+        // A method or path that no request can hold never leaves this process.
+        let request = request.map_err(|_| Failure::Unsent)?;
+        let mut response = self.agent.run(request).map_err(|error| failure(&error))?;
+        let kind = response
+            .headers()
+            .get("content-type")
+            .and_then(|kind| kind.to_str().ok());
+        let head = Part::Head {
+            status: response.status().as_u16(),
+            kind: kind.unwrap_or_default().to_owned(),
+        };
+        self.send(Server::Part { run, part: head });
+        let mut reader = response.body_mut().as_reader();
+        let mut chunk = vec![0; CHUNK];
+        loop {
+            match reader.read(&mut chunk) {
+                Ok(0) => return Ok((0, 0)),
+                Ok(count) => {
+                    let part = Part::Bytes(chunk[..count].to_vec());
+                    self.send(Server::Part { run, part });
+                }
+                Err(_) => return Err(Failure::Sent(Code::Cut)),
+            }
+        }
+    }
+}
+
+fn failure(error: &ureq::Error) -> Failure {
+    match error {
+        ureq::Error::ConnectionFailed
+        | ureq::Error::HostNotFound
+        | ureq::Error::Timeout(ureq::Timeout::Connect) => Failure::Unsent,
+        ureq::Error::Io(error) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
+            Failure::Unsent
+        }
+        _ => Failure::Sent(Code::Cut),
+    }
+}
+
+fn request_id(run: RunId) -> String {
+    format!("{run}-{}", run.attempt)
+}
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+fn spawn(work: impl FnOnce() + Send + 'static) -> std::io::Result<()> {
+    thread::Builder::new()
+        .name("server".to_owned())
+        .stack_size(STACK)
+        .spawn(work)
+        .map(|_| ())
+}
--- /dev/null
+++ b/crates/edge/src/start.rs
@@ -0,0 +1,155 @@
+//! Starts a process: binds every listener, then runs the reducer.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::thread;
+
+use conf::{Role, ServerKind, Settings};
+use node::{Config, Event, Me, Node};
+use tokio::net::TcpListener;
+use tokio::sync::mpsc::unbounded_channel;
+use wire::{Engine, Hello};
+
+use crate::host::{self, Sinks};
+use crate::{Clock, Input, callers, clock, net, operators, server};
+
+/// A process that runs.
+#[derive(Debug)]
+pub struct Running {
+    /// Address of the links.
+    pub link: SocketAddr,
+    /// Address of the operators' HTTP.
+    pub operators: SocketAddr,
+    /// Address of the callers' HTTP, for an entry.
+    pub callers: Option<SocketAddr>,
+    /// Takes events.
+    pub inputs: Sender<Input>,
+    exit: Receiver<usize>,
+}
+
+/// A handle that asks a process to stop.
+#[derive(Clone, Debug)]
+pub struct Stopper {
+    inputs: Sender<Input>,
+}
+
+impl Stopper {
+    /// Asks the process to stop; a second time, to stop at once.
+    pub fn stop(&self) {
+        let _ = self.inputs.send(Input::Event(Event::Stop));
+    }
+}
+
+impl Running {
+    /// A handle that asks the process to stop.
+    pub fn stopper(&self) -> Stopper {
+        Stopper {
+            inputs: self.inputs.clone(),
+        }
+    }
+
+    /// Waits until the process may leave; gives the number of requests cut.
+    pub fn wait(&self) -> usize {
+        self.exit.recv().unwrap_or(0)
+    }
+}
+
+/// The next number for an HTTP exchange.
+pub(crate) fn call_number() -> u64 {
+    static NEXT: AtomicU64 = AtomicU64::new(1);
+    NEXT.fetch_add(1, Ordering::Relaxed)
+}
+
+/// Starts a process with these settings.
+///
+/// # Errors
+/// A listener cannot be bound or a thread cannot be started.
+pub fn start(settings: &Settings) -> io::Result<Running> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let link = runtime.block_on(TcpListener::bind(settings.link))?;
+    let callers = if settings.plays(Role::Entry) {
+        Some(runtime.block_on(TcpListener::bind(settings.callers))?)
+    } else {
+        None
+    };
+    let (inputs, inputs_out) = channel();
+    let (commands, commands_out) = unbounded_channel();
+    let (exit, exit_out) = channel();
+    let link_addr = link.local_addr()?;
+    let callers_addr = callers.as_ref().map(TcpListener::local_addr).transpose()?;
+    let operators_addr = operators::run(settings.operators, &inputs)?;
+
+    let me = me(settings, link_addr);
+    let server = settings.plays(Role::Agent).then(|| {
+        let client = server::Client::new(settings.server_addr, inputs.clone());
+        if settings.server_kind == ServerKind::Engine {
+            client.watch_load();
+        }
+        client
+    });
+    for seed in &settings.seeds {
+        let _ = commands.send(net::Command::Dial { addr: seed.addr });
+    }
+
+    let limits = callers::Limits {
+        connections: settings.max_connections,
+        body: settings.max_body,
+        arrival: settings.arrival,
+    };
+    let hello = me.hello.clone();
+    let net_inputs = inputs.clone();
+    thread::Builder::new()
+        .name("net".to_owned())
+        .spawn(move || {
+            runtime.block_on(async move {
+                if let Some(listener) = callers {
+                    tokio::spawn(callers::run(listener, limits, net_inputs.clone()));
+                }
+                net::run(hello, link, commands_out, net_inputs).await;
+            });
+        })?;
+
+    let config = Config::from(settings);
+    let sinks = Sinks {
+        net: commands,
+        server,
+        exit,
+    };
+    thread::Builder::new()
+        .name("reducer".to_owned())
+        .spawn(move || {
+            let node = Node::new(me, config);
+            host::run(node, Clock::default(), sinks, &inputs_out);
+        })?;
+    Ok(Running {
+        link: link_addr,
+        operators: operators_addr,
+        callers: callers_addr,
+        inputs,
+        exit: exit_out,
+    })
+}
+
+fn me(settings: &Settings, addr: SocketAddr) -> Me {
+    let server = settings.plays(Role::Agent).then(|| Engine {
+        serves: settings.serves.clone(),
+        plain: settings.server_kind == ServerKind::Plain,
+        slots: settings.slots as u32,
+    });
+    Me {
+        hello: Hello {
+            name: settings.name.clone(),
+            incarnation: clock::incarnation(),
+            zone: settings.zone.clone(),
+            addr,
+            entry: settings.plays(Role::Entry),
+            keeper: settings.plays(Role::Keeper),
+            server,
+        },
+        version: settings.version.clone(),
+    }
+}
--- /dev/null
+++ b/crates/fake/src/batch.rs
@@ -0,0 +1,296 @@
+//! A model engine's behaviour as a plain value.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+/// Speeds and sizes of an engine.
+#[derive(Clone, Debug)]
+pub struct Profile {
+    /// Time of one step, microseconds.
+    pub step_us: u64,
+    /// Runs in one batch.
+    pub slots: usize,
+    /// Prompt tokens computed in one step.
+    pub prefill: u64,
+    /// Blocks that the accelerator's memory holds.
+    pub blocks: usize,
+    /// Prompt tokens in one block.
+    pub block_tokens: u64,
+    /// Every how many cache events one is lost; 0 for none.
+    pub lose_every: u64,
+}
+
+impl Default for Profile {
+    fn default() -> Self {
+        Self {
+            step_us: 6_000,
+            slots: 16,
+            prefill: 256,
+            blocks: 512,
+            block_tokens: 1_000,
+            lose_every: 0,
+        }
+    }
+}
+
+/// A run for the engine.
+#[derive(Clone, Debug, Default)]
+pub struct Job {
+    /// Number of the run.
+    pub id: u64,
+    /// Prompt tokens.
+    pub prompt_tokens: u64,
+    /// First token to generate.
+    pub from: u32,
+    /// Token after the last one.
+    pub until: u32,
+    /// Keys of the prompt's whole blocks.
+    pub keys: Vec<[u8; 16]>,
+    /// Priority; a higher one goes first.
+    pub priority: u8,
+}
+
+/// What a step brought.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Emit {
+    /// One token of a run.
+    Token {
+        /// Number of the run.
+        id: u64,
+        /// Index of the token.
+        index: u32,
+    },
+    /// The end of a run.
+    End {
+        /// Number of the run.
+        id: u64,
+        /// Prompt tokens computed.
+        computed: u64,
+        /// Prompt tokens taken from the cache.
+        cached: u64,
+    },
+}
+
+/// A numbered cache event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Event {
+    /// Number, without gaps in the engine's own count.
+    pub seq: u64,
+    /// Key of the block.
+    pub key: [u8; 16],
+    /// Stored, or evicted.
+    pub stored: bool,
+}
+
+#[derive(Debug)]
+struct Active {
+    job: Job,
+    next: u32,
+    left: u64,
+    cached: u64,
+}
+
+/// A continuous batch with a prefix cache.
+#[derive(Debug, Default)]
+pub struct Batch {
+    /// Speeds and sizes.
+    pub profile: Profile,
+    active: Vec<Active>,
+    waiting: VecDeque<Job>,
+    cache: HashMap<[u8; 16], u64>,
+    by_use: BTreeMap<u64, [u8; 16]>,
+    uses: u64,
+    events: Vec<Event>,
+    seq: u64,
+}
+
+impl Batch {
+    /// An idle engine.
+    pub fn new(profile: Profile) -> Self {
+        Self {
+            profile,
+            ..Self::default()
+        }
+    }
+
+    /// Whether there is nothing to do.
+    pub fn idle(&self) -> bool {
+        self.active.is_empty() && self.waiting.is_empty()
+    }
+
+    /// Runs in the batch.
+    pub fn running(&self) -> usize {
+        self.active.len()
+    }
+
+    /// Runs that wait for a place.
+    pub fn queued(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Prompt tokens still to compute.
+    pub fn prefill_left(&self) -> u64 {
+        let active: u64 = self.active.iter().map(|active| active.left).sum();
+        let waiting: u64 = self.waiting.iter().map(|job| job.prompt_tokens).sum();
+        active + waiting
+    }
+
+    /// Takes a run.
+    pub fn submit(&mut self, job: Job) {
+        let place = self
+            .waiting
+            .iter()
+            .position(|other| other.priority < job.priority);
+        self.waiting
+            .insert(place.unwrap_or(self.waiting.len()), job);
+    }
+
+    /// Ends a run early; whether it was there.
+    pub fn cancel(&mut self, id: u64) -> bool {
+        let before = self.active.len() + self.waiting.len();
+        self.active.retain(|active| active.job.id != id);
+        self.waiting.retain(|job| job.id != id);
+        before != self.active.len() + self.waiting.len()
+    }
+
+    /// Does one step of the batch.
+    pub fn step(&mut self) -> Vec<Emit> {
+        self.admit();
+        let mut budget = self.profile.prefill;
+        let mut emits = Vec::new();
+        let mut ended = Vec::new();
+        for place in 0..self.active.len() {
+            let active = &mut self.active[place];
+            if active.left > 0 {
+                let part = active.left.min(budget);
+                active.left -= part;
+                budget -= part;
+                if active.left > 0 {
+                    continue;
+                }
+            }
+            let active = &mut self.active[place];
+            if active.next < active.job.until {
+                emits.push(Emit::Token {
+                    id: active.job.id,
+                    index: active.next,
+                });
+                active.next += 1;
+            }
+            if active.next >= active.job.until {
+                ended.push(place);
+            }
+        }
+        for place in ended.into_iter().rev() {
+            let active = self.active.remove(place);
+            self.store(&active.job.keys);
+            emits.push(Emit::End {
+                id: active.job.id,
+                computed: active.job.prompt_tokens.saturating_sub(active.cached),
+                cached: active.cached,
+            });
+        }
+        emits
+    }
+
+    /// Whether a block is in the cache.
+    pub fn holds(&self, key: &[u8; 16]) -> bool {
+        self.cache.contains_key(key)
+    }
+
+    /// Puts a block into the cache, as an import does.
+    pub fn import(&mut self, key: [u8; 16]) {
+        self.touch(key);
+    }
+
+    /// Empties the cache, as a change of weights does.
+    pub fn clear(&mut self) {
+        let keys: Vec<[u8; 16]> = self.cache.keys().copied().collect();
+        for key in keys {
+            self.evict(key);
+        }
+    }
+
+    /// Cache events from a number on; some are lost for good.
+    pub fn events_from(&self, seq: u64) -> Vec<Event> {
+        let lose = self.profile.lose_every;
+        let lost = |event: &Event| lose > 0 && event.seq % lose == lose - 1;
+        self.events
+            .iter()
+            .filter(|event| event.seq >= seq && !lost(event))
+            .copied()
+            .collect()
+    }
+
+    /// The whole cache, and the number of the next event.
+    pub fn snapshot(&self) -> (u64, Vec<[u8; 16]>) {
+        (self.seq, self.cache.keys().copied().collect())
+    }
+
+    fn admit(&mut self) {
+        while self.active.len() < self.profile.slots {
+            let Some(job) = self.waiting.pop_front() else {
+                return;
+            };
+            let hit = job
+                .keys
+                .iter()
+                .take_while(|key| self.cache.contains_key(*key))
+                .count();
+            for key in &job.keys[..hit] {
+                self.touch(*key);
+            }
+            let cached = (hit as u64 * self.profile.block_tokens).min(job.prompt_tokens);
+            // What the caller already has is computed again like a prompt.
+            let left = (job.prompt_tokens - cached) + u64::from(job.from);
+            self.active.push(Active {
+                next: job.from,
+                left: left.max(1),
+                cached,
+                job,
+            });
+        }
+    }
+
+    fn store(&mut self, keys: &[[u8; 16]]) {
+        for key in keys {
+            self.touch(*key);
+        }
+    }
+
+    fn touch(&mut self, key: [u8; 16]) {
+        self.uses += 1;
+        let before = self.cache.insert(key, self.uses);
+        self.by_use.insert(self.uses, key);
+        if let Some(before) = before {
+            self.by_use.remove(&before);
+            return;
+        }
+        self.note(key, true);
+        while self.cache.len() > self.profile.blocks {
+            let Some((_, oldest)) = self.by_use.first_key_value() else {
+                return;
+            };
+            self.evict(*oldest);
+        }
+    }
+
+    fn evict(&mut self, key: [u8; 16]) {
+        if let Some(used) = self.cache.remove(&key) {
+            self.by_use.remove(&used);
+            self.note(key, false);
+        }
+    }
+
+    fn note(&mut self, key: [u8; 16], stored: bool) {
+        const KEPT: usize = 8_192;
+        self.events.push(Event {
+            seq: self.seq,
+            key,
+            stored,
+        });
+        self.seq += 1;
+        if self.events.len() > 2 * KEPT {
+            self.events.drain(..KEPT);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/api.rs
@@ -0,0 +1,290 @@
+//! The callers' HTTP, as plain functions over text.
+//!
+//! Follows the completion and chat conventions that client libraries for language models speak.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::{Code, Name, RunId};
+use serde_json::{Value, json};
+use wire::{Call, Priority};
+
+use crate::{Ask, Caller, Reply, Want};
+
+const DEFAULT_TOKENS: u32 = 128;
+const MAX_TOKENS: u32 = 32_768;
+const JSON: &str = "application/json";
+/// Content type of a streamed answer.
+pub const EVENT_STREAM: &str = "text/event-stream";
+/// Last event of a whole streamed answer.
+pub const DONE: &[u8] = b"data: [DONE]\n\n";
+
+/// A caller's HTTP request as the edge received it.
+#[derive(Clone, Debug, Default)]
+pub struct Request {
+    /// Method.
+    pub method: String,
+    /// Path and query.
+    pub path: String,
+    /// Header names in lower case, and values.
+    pub headers: Vec<(String, String)>,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+impl Request {
+    fn header(&self, name: &str) -> Option<&str> {
+        self.headers
+            .iter()
+            .find(|(found, _)| found == name)
+            .map(|(_, value)| value.as_str())
+    }
+}
+
+/// Reads a request.
+///
+/// # Errors
+/// The code and a text that says what is wrong.
+pub fn parse(request: &Request) -> Result<Ask, (Code, String)> {
+    let caller = caller(request)?;
+    let path = request.path.split('?').next().unwrap_or_default();
+    let want = match (request.method.as_str(), path) {
+        ("POST", "/v1/completions") => prompt(&request.body, false)?,
+        ("POST", "/v1/chat/completions") => prompt(&request.body, true)?,
+        ("GET", "/v1/models") => Want::Models,
+        _ => Want::Call(call(request)?),
+    };
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(request.method.as_bytes());
+    hasher.update(request.path.as_bytes());
+    hasher.update(&request.body);
+    let mut digest = [0; 16];
+    digest.copy_from_slice(&hasher.finalize().as_bytes()[..16]);
+    Ok(Ask {
+        caller,
+        want,
+        digest,
+    })
+}
+
+fn bad_header(name: &str, allowed: &str) -> (Code, String) {
+    (Code::BadHeader, format!("{name}: {allowed}"))
+}
+
+fn caller(request: &Request) -> Result<Caller, (Code, String)> {
+    let key = request.header("authorization").unwrap_or_default();
+    let mut caller = Caller {
+        key: key
+            .strip_prefix("Bearer ")
+            .unwrap_or_default()
+            .trim()
+            .to_owned(),
+        ..Caller::default()
+    };
+    if let Some(once) = request.header("idempotency-key") {
+        if once.is_empty() || once.len() > 200 {
+            return Err(bad_header("idempotency-key", "1 to 200 bytes"));
+        }
+        caller.once = Some(Name::new(once));
+    }
+    caller.repeatable = match request.header("x-tamarack-idempotent") {
+        None => None,
+        Some("true") => Some(true),
+        Some("false") => Some(false),
+        Some(_) => return Err(bad_header("x-tamarack-idempotent", "true, false")),
+    };
+    caller.priority = match request.header("x-tamarack-priority") {
+        None | Some("normal") => Priority::Normal,
+        Some("low") => Priority::Low,
+        Some("high") => Priority::High,
+        Some(_) => return Err(bad_header("x-tamarack-priority", "low, normal, high")),
+    };
+    if let Some(text) = request.header("x-tamarack-deadline-ms") {
+        let millis = text
+            .parse()
+            .ok()
+            .filter(|millis| (1..=3_600_000).contains(millis));
+        let Some(millis) = millis else {
+            return Err(bad_header("x-tamarack-deadline-ms", "1 to 3600000"));
+        };
+        caller.deadline = Some(Duration::from_millis(millis));
+    }
+    Ok(caller)
+}
+
+fn prompt(body: &[u8], chat: bool) -> Result<Want, (Code, String)> {
+    let bad = |text: &str| (Code::BadBody, text.to_owned());
+    let value: Value =
+        serde_json::from_slice(body).map_err(|error| (Code::BadBody, error.to_string()))?;
+    let model = value["model"]
+        .as_str()
+        .ok_or_else(|| bad("model: a string is needed"))?;
+    let text = if chat {
+        messages(&value["messages"])
+    } else {
+        plain_prompt(&value["prompt"])
+    };
+    let what = if chat {
+        "messages: a list of role and content"
+    } else {
+        "prompt: a string"
+    };
+    let text = text.ok_or_else(|| bad(what))?;
+    let max_tokens = match &value["max_tokens"] {
+        Value::Null => DEFAULT_TOKENS,
+        found => found
+            .as_u64()
+            .and_then(|count| u32::try_from(count).ok())
+            .filter(|count| (1..=MAX_TOKENS).contains(count))
+            .ok_or_else(|| bad("max_tokens: 1 to 32768"))?,
+    };
+    let stream = match &value["stream"] {
+        Value::Null => false,
+        Value::Bool(stream) => *stream,
+        _ => return Err(bad("stream: true, false")),
+    };
+    Ok(Want::Prompt {
+        model: Name::new(model),
+        text,
+        max_tokens,
+        stream,
+        chat,
+    })
+}
+
+fn plain_prompt(value: &Value) -> Option<Arc<str>> {
+    value.as_str().map(Arc::from)
+}
+
+fn messages(value: &Value) -> Option<Arc<str>> {
+    let mut text = String::new();
+    for message in value.as_array()? {
+        text.push_str(message["role"].as_str()?);
+        text.push_str(": ");
+        text.push_str(message["content"].as_str()?);
+        text.push('\n');
+    }
+    Some(Arc::from(text))
+}
+
+fn call(request: &Request) -> Result<Call, (Code, String)> {
+    let rest = request.path.strip_prefix("/svc/");
+    let Some(rest) = rest else {
+        return Err((
+            Code::NoSuchPath,
+            format!("{} {}", request.method, request.path),
+        ));
+    };
+    let split = rest.find(['/', '?']).unwrap_or(rest.len());
+    let (service, path) = rest.split_at(split);
+    let path = if path.starts_with('/') {
+        path.to_owned()
+    } else {
+        format!("/{path}")
+    };
+    Ok(Call {
+        service: Name::new(service),
+        method: request.method.clone(),
+        path,
+        kind: request
+            .header("content-type")
+            .unwrap_or_default()
+            .to_owned(),
+        body: request.body.clone(),
+    })
+}
+
+/// Head of an answer with this status, code and content type.
+pub fn head(run: Option<RunId>, code: Code, status: u16, kind: &str) -> Reply {
+    let mut headers = vec![("x-tamarack-fate", code.fate().as_str().to_owned())];
+    if let Some(run) = run {
+        headers.push(("x-request-id", run.to_string()));
+    }
+    Reply {
+        status,
+        kind: kind.to_owned(),
+        headers,
+    }
+}
+
+/// Head and body of a refusal.
+pub fn refusal(run: Option<RunId>, code: Code, text: &str, retry: Duration) -> (Reply, Vec<u8>) {
+    let mut reply = head(run, code, code.status(), JSON);
+    if code.retryable() {
+        let seconds = retry.as_millis().div_ceil(1_000).max(1);
+        reply.headers.push(("retry-after", seconds.to_string()));
+    }
+    let body = error(code, text, retry);
+    (reply, body.to_string().into_bytes())
+}
+
+fn error(code: Code, text: &str, retry: Duration) -> Value {
+    let retry_ms = code.retryable().then_some(retry.as_millis() as u64);
+    json!({ "error": {
+        "code": code.number(),
+        "type": code.as_str(),
+        "message": text,
+        "fate": code.fate().as_str(),
+        "retry_after_ms": retry_ms,
+    }})
+}
+
+/// An event that ends a stream without its end mark.
+pub fn error_event(code: Code, text: &str) -> Vec<u8> {
+    format!("data: {}\n\n", error(code, text, Duration::ZERO)).into_bytes()
+}
+
+/// A streamed piece of text.
+pub fn chunk(run: RunId, model: &Name, chat: bool, text: &str, finish: Option<&str>) -> Vec<u8> {
+    let choice = if chat {
+        json!({ "index": 0, "delta": { "content": text }, "finish_reason": finish })
+    } else {
+        json!({ "index": 0, "text": text, "finish_reason": finish })
+    };
+    let object = if chat {
+        "chat.completion.chunk"
+    } else {
+        "text_completion"
+    };
+    let value = json!({
+        "id": run.to_string(), "object": object, "model": &**model, "choices": [choice],
+    });
+    format!("data: {value}\n\n").into_bytes()
+}
+
+/// A whole answer in one body.
+pub fn whole(run: RunId, model: &Name, chat: bool, text: &str, usage: (u32, u32, u32)) -> Vec<u8> {
+    let choice = if chat {
+        let message = json!({ "role": "assistant", "content": text });
+        json!({ "index": 0, "message": message, "finish_reason": "stop" })
+    } else {
+        json!({ "index": 0, "text": text, "finish_reason": "stop" })
+    };
+    let (computed, cached, generated) = usage;
+    let object = if chat {
+        "chat.completion"
+    } else {
+        "text_completion"
+    };
+    let value = json!({
+        "id": run.to_string(), "object": object, "model": &**model, "choices": [choice],
+        "usage": {
+            "prompt_tokens": computed + cached,
+            "completion_tokens": generated,
+            "total_tokens": computed + cached + generated,
+            "prompt_tokens_details": { "cached_tokens": cached },
+        },
+    });
+    value.to_string().into_bytes()
+}
+
+/// The list of models.
+pub fn models(names: &[Name]) -> Vec<u8> {
+    let data: Vec<Value> = names
+        .iter()
+        .map(|name| json!({ "id": &**name, "object": "model" }))
+        .collect();
+    json!({ "object": "list", "data": data })
+        .to_string()
+        .into_bytes()
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,24 @@
+//! Frames between the system's own processes.
+//!
+//! Every link carries [`Frame`]s over one h2 stream in each direction: a length in four bytes, then
+//! the frame in bincode. [`encode`] writes one, and [`Decoder`] takes bytes as they come and gives
+//! whole frames. Types here belong to the border; the crates above translate them.
+//!
+//! ```
+//! use wire::{Decoder, Frame};
+//! let mut decoder = Decoder::default();
+//! decoder.push(&wire::encode(&Frame::Bye));
+//! assert!(matches!(decoder.next_frame(), Ok(Some(Frame::Bye))));
+//! ```
+
+mod codec;
+mod digest;
+mod frame;
+mod part;
+mod work;
+
+pub use codec::{DecodeError, Decoder, MAX_FRAME, encode};
+pub use digest::Digest;
+pub use frame::{Beat, Engine, Frame, Hello, Load, Output, Start};
+pub use part::Part;
+pub use work::{Call, Priority, Prompt, Work};
