Quorum: the replicated log as a pure reducer, with seeded failure schedules

Cause: records, claims and fenced orders need agreed state, and no outside store is allowed.

Without the mechanism: with syncs confirmed early, or a lost disk that keeps its identity, the same checks fail (a_sync_confirmed_too_early_is_seen, a_lost_disk_that_keeps_its_identity_is_seen).

--- a/crates/fake/src/plain.rs
+++ b/crates/fake/src/edge/plain.rs
@@ -9,7 +9,7 @@
 use serde_json::json;
 use tiny_http::Server;
 
-use crate::engine::reply;
+use super::engine::reply;
 
 /// Starts a stand-in plain service that takes this long for each call; gives its address.
 ///
--- a/crates/fake/src/store.rs
+++ b/crates/fake/src/edge/store.rs
@@ -8,7 +8,7 @@
 
 use tiny_http::{Method, Request, Server};
 
-use crate::engine::reply;
+use super::engine::reply;
 
 type Blocks = Arc<Mutex<HashMap<String, Vec<u8>>>>;
 
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -6,9 +6,8 @@
 
 mod answer;
 mod batch;
-pub mod engine;
-pub mod plain;
-pub mod store;
+mod edge;
 
 pub use answer::{answer, token};
 pub use batch::{Batch, Emit, Event, Job, Profile};
+pub use edge::{engine, plain, store};
--- /dev/null
+++ b/crates/quorum/tests/bed/mod.rs
@@ -0,0 +1,621 @@
+//! A seeded schedule of delays, drops, duplicates, cuts, freezes, crashes and lost disks around
+//! the quorum's reducer, and the checks on the history it leaves.
+#![allow(dead_code, reason = "each test file uses a part of the bed")]
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use base::prelude::*;
+use quorum::{Body, Entry, Founding, Input, Member, Output, Quorum, Role, Saved, Timing};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+const TICK: Duration = Duration::from_millis(10);
+
+/// What goes wrong, each as a chance in ten thousand per tick or message.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Faults {
+    pub drop: u32,
+    pub duplicate: u32,
+    pub crash: u32,
+    pub freeze: u32,
+    pub cut: u32,
+    pub lose_disk: u32,
+}
+
+/// A broken way to run the members, to show that the checks see it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Sabotage {
+    #[default]
+    None,
+    /// Syncs are confirmed before they are done.
+    EarlySync,
+    /// A lost disk keeps its identity.
+    SameIdentity,
+}
+
+#[derive(Debug, Default, Clone)]
+struct Disk {
+    saved: Saved,
+    identity: u64,
+}
+
+#[derive(Debug)]
+struct Node {
+    quorum: Option<Quorum>,
+    disk: Disk,
+    pending: Vec<(Time, u64, Output)>,
+    frozen_until: Time,
+    down_until: Time,
+    applied: Vec<(u64, Arc<[u8]>)>,
+    restored: u64,
+    state: Vec<u64>,
+    waiting: BTreeMap<u64, (u64, u64)>,
+    reads: Vec<(u64, u64)>,
+}
+
+#[derive(Debug)]
+enum Event {
+    Deliver(Name, Input),
+    Synced(Name, u64),
+}
+
+/// One acknowledged command: when it was sent, when acknowledged, its index.
+#[derive(Clone, Copy, Debug)]
+pub struct Acked {
+    pub command: u64,
+    pub sent: Time,
+    pub acked: Time,
+    pub index: u64,
+}
+
+/// One answered read: when it was sent and how many commands it saw.
+#[derive(Clone, Copy, Debug)]
+pub struct Read {
+    pub sent: Time,
+    pub index: u64,
+}
+
+/// The schedule.
+#[derive(Debug)]
+pub struct Bed {
+    pub now: Time,
+    rng: Pcg64Mcg,
+    nodes: BTreeMap<Name, Node>,
+    queue: BTreeMap<(Time, u64), Event>,
+    count: u64,
+    cuts: BTreeSet<(Name, Name)>,
+    faults: Faults,
+    sabotage: Sabotage,
+    pub acked: Vec<Acked>,
+    pub reads: Vec<Read>,
+    sent: BTreeMap<u64, Time>,
+    read_sent: BTreeMap<u64, Time>,
+    pub log: BTreeMap<u64, u64>,
+    leaders: BTreeMap<u64, Name>,
+    pub lost: usize,
+}
+
+impl Bed {
+    pub fn new(seed: u64, names: &[&str], faults: Faults, sabotage: Sabotage) -> Self {
+        let mut bed = Self {
+            now: Time::ZERO,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            nodes: BTreeMap::new(),
+            queue: BTreeMap::new(),
+            count: 0,
+            cuts: BTreeSet::new(),
+            faults,
+            sabotage,
+            acked: Vec::new(),
+            reads: Vec::new(),
+            sent: BTreeMap::new(),
+            read_sent: BTreeMap::new(),
+            log: BTreeMap::new(),
+            leaders: BTreeMap::new(),
+            lost: 0,
+        };
+        for (place, name) in names.iter().enumerate() {
+            let disk = Disk {
+                identity: place as u64 + 1,
+                ..Disk::default()
+            };
+            let node = Node {
+                quorum: None,
+                disk,
+                pending: Vec::new(),
+                frozen_until: Time::ZERO,
+                down_until: Time::ZERO,
+                applied: Vec::new(),
+                restored: 0,
+                state: Vec::new(),
+                waiting: BTreeMap::new(),
+                reads: Vec::new(),
+            };
+            bed.nodes.insert(Name::new(name), node);
+        }
+        for name in bed.names() {
+            bed.boot(&name);
+        }
+        bed
+    }
+
+    pub fn names(&self) -> Vec<Name> {
+        self.nodes.keys().cloned().collect()
+    }
+
+    pub fn set_faults(&mut self, faults: Faults) {
+        self.faults = faults;
+    }
+
+    pub fn heal(&mut self) {
+        self.cuts.clear();
+        self.faults = Faults::default();
+    }
+
+    pub fn quorum(&self, name: &str) -> &Quorum {
+        self.nodes[name].quorum.as_ref().expect("it runs")
+    }
+
+    pub fn leader(&self) -> Option<Name> {
+        let leads = |node: &Node| {
+            node.quorum
+                .as_ref()
+                .is_some_and(|q| *q.role() == Role::Leader && q.lease_holds(self.now))
+        };
+        self.nodes
+            .iter()
+            .find(|(_, node)| leads(node))
+            .map(|(name, _)| name.clone())
+    }
+
+    pub fn cut(&mut self, name: &str) {
+        for other in self.names() {
+            self.cuts.insert((Name::new(name), other.clone()));
+            self.cuts.insert((other, Name::new(name)));
+        }
+    }
+
+    pub fn freeze(&mut self, name: &str, time: Duration) {
+        let until = self.now + time;
+        self.nodes.get_mut(name).expect("known").frozen_until = until;
+    }
+
+    fn boot(&mut self, name: &Name) {
+        let seed = self.rng.random();
+        let founding = Founding {
+            names: self.names(),
+            epoch: 1,
+        };
+        let timing = Timing {
+            heartbeat: Duration::from_millis(50),
+            election: Duration::from_millis(300),
+            snapshot_after: 40,
+            replace_after: Duration::from_millis(1_500),
+            ..Timing::default()
+        };
+        let node = self.nodes.get_mut(name).expect("known");
+        let me = Member {
+            name: name.clone(),
+            disk: node.disk.identity,
+        };
+        let quorum = Quorum::new(me, founding, timing, seed, node.disk.saved.clone());
+        node.state = quorum
+            .initial()
+            .map(|found| decode(&found.data))
+            .unwrap_or_default();
+        node.applied.clear();
+        node.quorum = Some(quorum);
+        self.feed(name, Input::Tick);
+    }
+
+    pub fn crash(&mut self, name: &str, down: Duration) {
+        let until = self.now + down;
+        let node = self.nodes.get_mut(name).expect("known");
+        node.quorum = None;
+        node.pending.clear();
+        node.waiting.clear();
+        node.reads.clear();
+        node.down_until = until;
+        let gone = Name::new(name);
+        self.queue.retain(|_, event| match event {
+            Event::Deliver(to, _) | Event::Synced(to, _) => *to != gone,
+        });
+    }
+
+    pub fn lose_disk(&mut self, name: &str, down: Duration) {
+        self.crash(name, down);
+        let identity = self.rng.random();
+        let node = self.nodes.get_mut(name).expect("known");
+        let keep = node.disk.identity;
+        node.disk = Disk::default();
+        node.disk.identity = if self.sabotage == Sabotage::SameIdentity {
+            keep
+        } else {
+            identity
+        };
+        self.lost += 1;
+    }
+
+    pub fn propose(&mut self, name: &str, command: u64) {
+        if self.nodes[name].quorum.is_none() {
+            return;
+        }
+        self.sent.insert(command, self.now);
+        let data = Arc::from(command.to_be_bytes());
+        self.feed(&Name::new(name), Input::Propose { id: command, data });
+    }
+
+    pub fn read(&mut self, name: &str, id: u64) {
+        if self.nodes[name].quorum.is_none() {
+            return;
+        }
+        self.read_sent.insert(id, self.now);
+        self.feed(&Name::new(name), Input::Read { id });
+    }
+
+    /// Runs for this long, with faults as set.
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            let next_tick = self.now + TICK;
+            self.deliver_until(next_tick);
+            self.now = next_tick;
+            for name in self.names() {
+                self.trouble(&name);
+                self.tick(&name);
+            }
+        }
+    }
+
+    fn chance(&mut self, permyriad: u32) -> bool {
+        permyriad > 0 && self.rng.random_range(0..10_000) < permyriad
+    }
+
+    fn trouble(&mut self, name: &Name) {
+        if self.chance(self.faults.cut) {
+            if self.cuts.is_empty() {
+                self.cut(name);
+            } else {
+                self.cuts.clear();
+            }
+        }
+        if self.nodes[name].quorum.is_none() {
+            return;
+        }
+        let millis = self.rng.random_range(20..2_000);
+        let time = Duration::from_millis(millis);
+        if self.chance(self.faults.freeze) {
+            self.freeze(name, time);
+        }
+        if self.chance(self.faults.crash) {
+            self.crash(name, time);
+        }
+        // A disk is lost only while the others hold everything: one loss at a time.
+        if self.chance(self.faults.lose_disk) && self.repaired() {
+            self.lose_disk(name, time);
+        }
+    }
+
+    /// Whether every disk that is there votes in the agreed configuration.
+    pub fn repaired(&self) -> bool {
+        let leader = self.leader();
+        let Some(leader) = leader
+            .as_ref()
+            .and_then(|name| self.nodes[name].quorum.as_ref())
+        else {
+            return false;
+        };
+        let up = |name: &Name, node: &Node| {
+            let me = Member {
+                name: name.clone(),
+                disk: node.disk.identity,
+            };
+            node.quorum.is_some() && leader.config().votes(&me)
+        };
+        self.nodes.iter().all(|(name, node)| up(name, node))
+            && leader.config().voters.len() == self.nodes.len()
+            && leader.commit() == leader.last_index()
+            && self.nodes.values().all(|node| {
+                node.quorum
+                    .as_ref()
+                    .is_some_and(|quorum| quorum.commit() + 2 >= leader.commit())
+            })
+    }
+
+    fn tick(&mut self, name: &Name) {
+        let node = &self.nodes[name];
+        if node.quorum.is_none() {
+            if self.now >= node.down_until {
+                self.boot(name);
+            }
+            return;
+        }
+        if self.now < node.frozen_until {
+            return;
+        }
+        let announce = node.quorum.as_ref().and_then(Quorum::announce);
+        if let Some(message) = announce {
+            let from = node.quorum.as_ref().expect("it runs").me().clone();
+            for other in self.names().into_iter().filter(|other| other != name) {
+                let input = Input::Message {
+                    from: from.clone(),
+                    message: message.clone(),
+                };
+                self.post(name, &other, input);
+            }
+        }
+        self.feed(name, Input::Tick);
+    }
+
+    fn deliver_until(&mut self, end: Time) {
+        while let Some(entry) = self.queue.first_entry() {
+            if entry.key().0 >= end {
+                return;
+            }
+            let ((at, _), event) = entry.remove_entry();
+            self.now = self.now.max(at);
+            let to = match &event {
+                Event::Deliver(to, _) | Event::Synced(to, _) => to.clone(),
+            };
+            let frozen_until = self.nodes[&to].frozen_until;
+            if self.now < frozen_until {
+                self.schedule(frozen_until, event);
+                continue;
+            }
+            match event {
+                Event::Deliver(to, input) => self.feed(&to, input),
+                Event::Synced(to, seq) => self.synced(&to, seq),
+            }
+        }
+    }
+
+    fn schedule(&mut self, at: Time, event: Event) {
+        self.count += 1;
+        self.queue.insert((at, self.count), event);
+    }
+
+    fn post(&mut self, from: &Name, to: &Name, input: Input) {
+        if self.cuts.contains(&(from.clone(), to.clone())) || self.chance(self.faults.drop) {
+            return;
+        }
+        let copies = if self.chance(self.faults.duplicate) {
+            2
+        } else {
+            1
+        };
+        for _ in 0..copies {
+            let slow = self.faults.drop > 0 && self.chance(300);
+            let most = if slow { 200_000 } else { 5_000 };
+            let delay = Duration::from_micros(self.rng.random_range(200..most));
+            self.schedule(self.now + delay, Event::Deliver(to.clone(), input.clone()));
+        }
+    }
+
+    fn feed(&mut self, name: &Name, input: Input) {
+        let now = self.now;
+        let mut out = Vec::new();
+        let node = self.nodes.get_mut(name).expect("known");
+        let Some(quorum) = &mut node.quorum else {
+            return;
+        };
+        quorum.step(now, input, &mut out);
+        if *quorum.role() == Role::Leader {
+            let term = quorum.term();
+            let other = self.leaders.insert(term, name.clone());
+            assert!(
+                other.is_none_or(|other| other == *name),
+                "two leaders in term {term}"
+            );
+        }
+        for output in out {
+            self.perform(name, output);
+        }
+        self.answer_reads(name);
+    }
+
+    fn perform(&mut self, name: &Name, output: Output) {
+        match output {
+            Output::Send { to, message } => {
+                let node = &self.nodes[name];
+                let from = node.quorum.as_ref().expect("it runs").me().clone();
+                if self
+                    .nodes
+                    .get(&to.name)
+                    .is_some_and(|node| node.disk.identity == to.disk)
+                {
+                    self.post(name, &to.name.clone(), Input::Message { from, message });
+                }
+            }
+            Output::Persist { seq, .. } => {
+                let wait = Duration::from_micros(self.rng.random_range(100..8_000));
+                let at = self.now + wait;
+                let node = self.nodes.get_mut(name).expect("known");
+                // Syncs end in the order of their requests.
+                let at = node.pending.last().map_or(at, |(last, _, _)| at.max(*last));
+                node.pending.push((at, seq, output));
+                let early = self.sabotage == Sabotage::EarlySync;
+                self.schedule(
+                    if early { self.now } else { at },
+                    Event::Synced(name.clone(), seq),
+                );
+                if early {
+                    // The write itself happens much later.
+                    let node = self.nodes.get_mut(name).expect("known");
+                    if let Some(last) = node.pending.last_mut() {
+                        last.0 = at + Duration::from_millis(400);
+                    }
+                }
+            }
+            Output::Apply(entry) => self.apply(name, &entry),
+            Output::Restore(snapshot) => {
+                let node = self.nodes.get_mut(name).expect("known");
+                node.state = decode(&snapshot.data);
+                node.restored = snapshot.index;
+            }
+            Output::Accepted { id, index, term } => {
+                let node = self.nodes.get_mut(name).expect("known");
+                node.waiting.insert(index, (term, id));
+            }
+            Output::Readable { id, index } => {
+                self.nodes
+                    .get_mut(name)
+                    .expect("known")
+                    .reads
+                    .push((id, index));
+            }
+            Output::Snapshot { index } => {
+                let data = encode(&self.nodes[name].state);
+                self.feed(name, Input::Snapshotted { index, data });
+            }
+            Output::Refused { .. } => {}
+        }
+    }
+
+    fn apply(&mut self, name: &Name, entry: &Entry) {
+        let command = match &entry.body {
+            Body::Data(data) => u64::from_be_bytes(data[..8].try_into().expect("eight bytes")),
+            Body::Empty | Body::Config(_) => 0,
+        };
+        let before = self.log.insert(entry.index, command);
+        assert!(
+            before.is_none_or(|before| before == command),
+            "index {} was applied as {before:?} and as {command}",
+            entry.index
+        );
+        let node = self.nodes.get_mut(name).expect("known");
+        if command != 0 {
+            node.state.push(command);
+        }
+        if let Some((term, id)) = node.waiting.remove(&entry.index)
+            && term == entry.term
+        {
+            let sent = self.sent[&id];
+            self.acked.push(Acked {
+                command: id,
+                sent,
+                acked: self.now,
+                index: entry.index,
+            });
+        }
+    }
+
+    fn answer_reads(&mut self, name: &Name) {
+        let node = self.nodes.get_mut(name).expect("known");
+        for (id, index) in std::mem::take(&mut node.reads) {
+            let sent = self.read_sent[&id];
+            self.reads.push(Read { sent, index });
+        }
+    }
+
+    fn synced(&mut self, name: &Name, seq: u64) {
+        let node = self.nodes.get_mut(name).expect("known");
+        let now = self.now;
+        let done: Vec<Output> = {
+            let count = node
+                .pending
+                .iter()
+                .take_while(|(at, _, _)| *at <= now)
+                .count();
+            node.pending
+                .drain(..count)
+                .map(|(_, _, output)| output)
+                .collect()
+        };
+        for output in done {
+            node.disk.write(output);
+        }
+        self.feed(name, Input::Persisted { seq });
+    }
+
+    /// Checks the history: nothing acknowledged is lost, order follows real time, reads are fresh.
+    pub fn check(&self) {
+        let mut place: BTreeMap<u64, u64> = BTreeMap::new();
+        for (index, command) in &self.log {
+            if *command != 0 {
+                assert!(
+                    place.insert(*command, *index).is_none(),
+                    "command {command} twice"
+                );
+            }
+        }
+        let last = *self.log.keys().last().unwrap_or(&0);
+        for acked in &self.acked {
+            assert_eq!(
+                place.get(&acked.command),
+                Some(&acked.index),
+                "an accepted entry was lost"
+            );
+        }
+        for (name, node) in &self.nodes {
+            let Some(quorum) = &node.quorum else { continue };
+            if quorum.commit() == last {
+                let whole: Vec<u64> = self.log.values().copied().filter(|c| *c != 0).collect();
+                assert_eq!(node.state, whole, "{name} holds another state");
+            }
+        }
+        for later in &self.acked {
+            for earlier in &self.acked {
+                if earlier.acked < later.sent {
+                    assert!(
+                        earlier.index < later.index,
+                        "order does not follow real time"
+                    );
+                }
+            }
+        }
+        for read in &self.reads {
+            for acked in self.acked.iter().filter(|acked| acked.acked < read.sent) {
+                assert!(read.index >= acked.index, "a stale read at {:?}", read.sent);
+            }
+        }
+    }
+
+    /// Whether all members are up and hold the same.
+    pub fn converged(&self) -> bool {
+        let mut commits = self
+            .nodes
+            .values()
+            .map(|node| node.quorum.as_ref().map(Quorum::commit));
+        let first = commits.next().flatten();
+        first.is_some() && commits.all(|commit| commit == first)
+    }
+}
+
+impl Disk {
+    fn write(&mut self, output: Output) {
+        let Output::Persist {
+            hard,
+            entries,
+            snapshot,
+            ..
+        } = output
+        else {
+            return;
+        };
+        if let Some(hard) = hard {
+            self.saved.hard = hard;
+        }
+        if let Some(snapshot) = snapshot {
+            self.saved.snapshot = Some(snapshot);
+            self.saved.entries.clear();
+        }
+        for entry in entries {
+            self.saved.entries.retain(|old| old.index < entry.index);
+            self.saved.entries.push(entry);
+        }
+    }
+}
+
+fn encode(state: &[u64]) -> Arc<[u8]> {
+    state
+        .iter()
+        .flat_map(|command| command.to_be_bytes())
+        .collect()
+}
+
+fn decode(data: &[u8]) -> Vec<u64> {
+    data.chunks_exact(8)
+        .map(|c| u64::from_be_bytes(c.try_into().expect("eight bytes")))
+        .collect()
+}
