--- a/bin/tamarackbank/src/dev.rs
+++ b/bin/tamarackbank/src/dev.rs
@@ -24,10 +24,7 @@
     let Ok(settings) = Settings::parse(&text) else {
         bail!("the built-in settings are not valid");
     };
-    eprintln!(
-        "callers on http://{}, operators on http://{}; try:",
-        dev.callers, dev.operators
-    );
+    eprintln!("callers on http://{}, operators on http://{}; try:", dev.callers, dev.operators);
     eprintln!(
         "  curl -N http://{}/v1/completions -H 'Authorization: Bearer demo' \\\n    \
          -d '{{\"model\":\"demo\",\"prompt\":\"why does my mint wilt?\",\"max_tokens\":20,\"stream\":true}}'",
--- a/bin/tamarackbank/tests/bed/mod.rs
+++ b/bin/tamarackbank/tests/bed/mod.rs
@@ -63,9 +63,8 @@
 
     /// Sends a signal by name.
     pub fn signal(&self, name: &str) {
-        let status = Command::new("kill")
-            .args([&format!("-{name}"), &self.child.id().to_string()])
-            .status();
+        let status =
+            Command::new("kill").args([&format!("-{name}"), &self.child.id().to_string()]).status();
         assert!(status.is_ok_and(|status| status.success()));
     }
 
@@ -130,20 +129,12 @@
     let value: Value = serde_json::from_str(&line).expect("JSON lines");
     let text = |key: &str| value[key].as_str().unwrap_or_default().to_owned();
     let (link, operators, callers) = (text("link"), text("operators"), text("callers"));
-    Member {
-        process,
-        link,
-        operators,
-        callers,
-        settings,
-    }
+    Member { process, link, operators, callers, settings }
 }
 
 /// A client that gives every status back.
 pub fn client() -> ureq::Agent {
-    let config = ureq::Agent::config_builder()
-        .http_status_as_error(false)
-        .build();
+    let config = ureq::Agent::config_builder().http_status_as_error(false).build();
     config.into()
 }
 
@@ -166,17 +157,13 @@
 
 /// One POST; gives status and body.
 pub fn post(callers: &str, path: &str, body: &str, headers: &[(&str, &str)]) -> (u16, String) {
-    let mut request = client()
-        .post(format!("http://{callers}{path}"))
-        .header("authorization", "Bearer demo");
+    let mut request =
+        client().post(format!("http://{callers}{path}")).header("authorization", "Bearer demo");
     for (name, value) in headers {
         request = request.header(*name, *value);
     }
     let mut response = request.send(body).expect("an answer");
-    let text = response
-        .body_mut()
-        .read_to_string()
-        .unwrap_or_else(|error| error.to_string());
+    let text = response.body_mut().read_to_string().unwrap_or_else(|error| error.to_string());
     (response.status().as_u16(), text)
 }
 
--- a/bin/tamarackbank/tests/path.rs
+++ b/bin/tamarackbank/tests/path.rs
@@ -32,15 +32,9 @@
     let entry = entry(&folder);
     let (_engine, addr) = fake("engine", &["--step-us", "1000"]);
     let _agent = agent(&folder, "agent-1", &addr, "serves = demo", &entry.link);
-    let (status, body) = complete(
-        &entry.callers,
-        &completion("why does my mint wilt?", 40, true),
-    );
+    let (status, body) = complete(&entry.callers, &completion("why does my mint wilt?", 40, true));
     assert_eq!(status, 200, "{body}");
-    assert_eq!(
-        streamed(&body),
-        (fake::answer("why does my mint wilt?", 40), true)
-    );
+    assert_eq!(streamed(&body), (fake::answer("why does my mint wilt?", 40), true));
 }
 
 #[test]
@@ -48,13 +42,7 @@
     let folder = folder("plain");
     let entry = entry(&folder);
     let (_plain, addr) = fake("plain", &[]);
-    let _agent = agent(
-        &folder,
-        "agent-1",
-        &addr,
-        "kind = plain\nserves = probes",
-        &entry.link,
-    );
+    let _agent = agent(&folder, "agent-1", &addr, "kind = plain\nserves = probes", &entry.link);
     let end = std::time::Instant::now() + bed::PATIENCE;
     let (status, body) = loop {
         let (status, body) = post(&entry.callers, "/svc/probes/schedule?x=1", "{}", &[]);
--- a/crates/base/src/id.rs
+++ b/crates/base/src/id.rs
@@ -10,11 +10,22 @@
 )]
 pub struct Incarnation(pub u64);
 
-/// The number of the latest accepted configuration change.
+/// The place of the latest accepted configuration change; a restore raises the epoch.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
-pub struct Revision(pub u64);
+pub struct Revision {
+    /// Epoch of the log.
+    pub epoch: u64,
+    /// Index in the log.
+    pub index: u64,
+}
+
+impl fmt::Display for Revision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.epoch, self.index)
+    }
+}
 
 /// One run of one request: the entry's incarnation and its own count.
 #[derive(
@@ -33,10 +44,7 @@
     /// The same request at its next dispatch.
     #[must_use]
     pub fn next_attempt(self) -> Self {
-        Self {
-            attempt: self.attempt + 1,
-            ..self
-        }
+        Self { attempt: self.attempt + 1, ..self }
     }
 }
 
--- a/crates/base/tests/codes.rs
+++ b/crates/base/tests/codes.rs
@@ -19,14 +19,8 @@
     let numbers: BTreeSet<u16> = Code::ALL.iter().map(|code| code.number()).collect();
     assert_eq!(numbers.len(), Code::ALL.len(), "each number stands once");
     for code in Code::ALL {
-        assert!(
-            text.contains(&row(code)),
-            "{} is missing or differs",
-            row(code)
-        );
+        assert!(text.contains(&row(code)), "{} is missing or differs", row(code));
     }
-    let rows = text
-        .lines()
-        .filter(|line| line.starts_with("| ") && !line.contains("code |"));
+    let rows = text.lines().filter(|line| line.starts_with("| ") && !line.contains("code |"));
     assert_eq!(rows.count(), Code::ALL.len());
 }
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -107,16 +107,7 @@
 const KEYS: &[(&str, &[&str])] = &[
     (
         "process",
-        &[
-            "name",
-            "zone",
-            "roles",
-            "link",
-            "operators",
-            "operator_key",
-            "data",
-            "drain_ms",
-        ],
+        &["name", "zone", "roles", "link", "operators", "operator_key", "data", "drain_ms"],
     ),
     ("peers", &[]),
     (
@@ -132,17 +123,7 @@
         ],
     ),
     ("keeper", &["voters"]),
-    (
-        "agent",
-        &[
-            "kind",
-            "server",
-            "serves",
-            "version",
-            "slots",
-            "checks_tokens",
-        ],
-    ),
+    ("agent", &["kind", "server", "serves", "version", "slots", "checks_tokens"]),
     ("stores", &[]),
 ];
 
@@ -194,11 +175,7 @@
     fn section(&mut self, line: u32, name: &str) -> String {
         if !KEYS.iter().any(|(known, _)| *known == name) {
             let known: Vec<&str> = KEYS.iter().map(|(known, _)| *known).collect();
-            self.mistake(
-                line,
-                name,
-                &format!("unknown section; allowed: {}", known.join(", ")),
-            );
+            self.mistake(line, name, &format!("unknown section; allowed: {}", known.join(", ")));
         }
         name.to_owned()
     }
@@ -213,11 +190,7 @@
             return;
         };
         if !known.is_empty() && !known.contains(&key) {
-            self.mistake(
-                line,
-                &full,
-                &format!("unknown key; allowed: {}", known.join(", ")),
-            );
+            self.mistake(line, &full, &format!("unknown key; allowed: {}", known.join(", ")));
             return;
         }
         let place = (section.to_owned(), key.to_owned());
@@ -227,17 +200,11 @@
     }
 
     fn mistake(&mut self, line: u32, key: &str, text: &str) {
-        self.mistakes.push(Mistake {
-            line,
-            key: key.to_owned(),
-            text: text.to_owned(),
-        });
+        self.mistakes.push(Mistake { line, key: key.to_owned(), text: text.to_owned() });
     }
 
     fn get(&self, section: &str, key: &str) -> Option<(u32, String)> {
-        self.values
-            .get(&(section.to_owned(), key.to_owned()))
-            .cloned()
+        self.values.get(&(section.to_owned(), key.to_owned())).cloned()
     }
 
     fn text(&mut self, section: &str, key: &str, default: Option<&str>) -> String {
@@ -278,15 +245,8 @@
     }
 
     fn addr(&mut self, section: &str, key: &str, default: &str) -> SocketAddr {
-        let fallback = default
-            .parse()
-            .unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0)));
-        self.parsed(
-            section,
-            key,
-            fallback,
-            "an IP number and a port, such as 10.0.0.4:7410",
-        )
+        let fallback = default.parse().unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0)));
+        self.parsed(section, key, fallback, "an IP number and a port, such as 10.0.0.4:7410")
     }
 
     fn millis(&mut self, section: &str, key: &str, default: u64, high: u64) -> Duration {
@@ -301,10 +261,7 @@
             .map(|(_, key)| key.clone())
             .collect();
         keys.iter()
-            .map(|key| Seed {
-                name: Name::new(key),
-                addr: self.addr(section, key, ""),
-            })
+            .map(|key| Seed { name: Name::new(key), addr: self.addr(section, key, "") })
             .collect()
     }
 
@@ -312,11 +269,7 @@
         let text = self.text("process", "roles", None);
         let line = self.get("process", "roles").map_or(0, |(line, _)| line);
         let mut roles = Vec::new();
-        for word in text
-            .split(',')
-            .map(str::trim)
-            .filter(|word| !word.is_empty())
-        {
+        for word in text.split(',').map(str::trim).filter(|word| !word.is_empty()) {
             match word {
                 "entry" => roles.push(Role::Entry),
                 "keeper" => roles.push(Role::Keeper),
@@ -346,16 +299,8 @@
     }
 
     fn weights(&mut self) -> Presets {
-        let first_token = Presets {
-            first_token: 1.0,
-            recompute: 0.2,
-            link: 0.1,
-        };
-        let narrow_links = Presets {
-            first_token: 0.4,
-            recompute: 1.0,
-            link: 1.0,
-        };
+        let first_token = Presets { first_token: 1.0, recompute: 0.2, link: 0.1 };
+        let narrow_links = Presets { first_token: 0.4, recompute: 1.0, link: 1.0 };
         let Some((line, value)) = self.get("entry", "weights") else {
             return first_token;
         };
@@ -405,11 +350,7 @@
             roles,
         };
         if settings.roles.contains(&Role::Keeper) && settings.voters.is_empty() {
-            self.mistake(
-                0,
-                "keeper.voters",
-                "missing; a keeper names the first voters",
-            );
+            self.mistake(0, "keeper.voters", "missing; a keeper names the first voters");
         }
         settings
     }
--- /dev/null
+++ b/crates/disk/tests/recovery.rs
@@ -0,0 +1,121 @@
+//! What comes back from the files after a crash, a change of bytes or a full disk.
+
+use std::fs;
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use disk::{Error, Store};
+use proptest::prelude::*;
+use quorum::{Body, Config, Entry, Hard, Snapshot, Write};
+
+fn folder(name: &str) -> PathBuf {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let _ = fs::remove_dir_all(&path);
+    path
+}
+
+fn entry(index: u64, term: u64) -> Entry {
+    Entry { index, term, body: Body::Data(Arc::from(vec![index as u8; 40])) }
+}
+
+fn entries(write: impl IntoIterator<Item = Entry>) -> Write {
+    Write { entries: write.into_iter().collect(), ..Write::default() }
+}
+
+fn snapshot(index: u64) -> Snapshot {
+    Snapshot { index, term: 1, epoch: 1, config: Config::default(), data: Arc::from([7; 10]) }
+}
+
+#[test]
+fn what_was_written_comes_back() {
+    let folder = folder("comes-back");
+    let mut store = Store::open(&folder, 9).expect("opens").store;
+    let hard = Hard { term: 3, vote: None };
+    store.write(&[entries((1..=5).map(|i| entry(i, 1)))]).expect("writes");
+    let later = Write { hard: Some(hard.clone()), ..entries([entry(4, 2), entry(5, 2)]) };
+    store.write(&[later, entries([entry(6, 3)])]).expect("writes");
+    assert_eq!(store.syncs(), 2, "one sync for many requests");
+    drop(store);
+    let opened = Store::open(&folder, 10).expect("opens");
+    let terms: Vec<u64> = opened.saved.entries.iter().map(|entry| entry.term).collect();
+    assert_eq!((opened.identity, opened.torn), (9, 0));
+    assert_eq!((opened.saved.hard, terms), (hard, vec![1, 1, 1, 2, 2, 3]));
+}
+
+#[test]
+fn a_snapshot_replaces_what_came_before() {
+    let folder = folder("snapshot");
+    let mut store = Store::open(&folder, 9).expect("opens").store;
+    store.write(&[entries((1..=9).map(|i| entry(i, 1)))]).expect("writes");
+    let base = Write { snapshot: Some(snapshot(7)), ..entries([entry(8, 1), entry(9, 1)]) };
+    store.write(&[base, entries([entry(10, 2)])]).expect("writes");
+    drop(store);
+    let saved = Store::open(&folder, 9).expect("opens").saved;
+    assert_eq!(saved.snapshot, Some(snapshot(7)));
+    assert_eq!(saved.entries.iter().map(|e| e.index).collect::<Vec<_>>(), [8, 9, 10]);
+}
+
+#[test]
+fn two_processes_never_share_a_folder() {
+    let folder = folder("shared");
+    let _first = Store::open(&folder, 1).expect("opens");
+    assert!(matches!(Store::open(&folder, 2), Err(Error::InUse(_))));
+}
+
+#[test]
+fn a_full_disk_is_an_error_and_loses_nothing_written() {
+    let folder = folder("full");
+    let mut store = Store::open(&folder, 1).expect("opens").store;
+    store.write(&[entries([entry(1, 1)])]).expect("writes");
+    // The next segment lies on a device that is always full.
+    std::os::unix::fs::symlink("/dev/full", folder.join("log-1")).expect("a link");
+    let base = Write { snapshot: Some(snapshot(1)), ..Write::default() };
+    let result = store.write(&[base, entries([entry(2, 1)])]);
+    assert!(matches!(result, Err(Error::Io { .. })), "{result:?}");
+}
+
+#[test]
+fn changed_bytes_are_not_taken_for_a_torn_end() {
+    let folder = folder("changed");
+    let mut store = Store::open(&folder, 1).expect("opens").store;
+    store.write(&[entries((1..=5).map(|i| entry(i, 1)))]).expect("writes");
+    drop(store);
+    let path = folder.join("log-0");
+    let mut bytes = fs::read(&path).expect("reads");
+    bytes[70] ^= 1;
+    fs::write(&path, bytes).expect("writes");
+    assert!(matches!(Store::open(&folder, 1), Err(Error::Corrupt { .. })));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 150,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        ..ProptestConfig::default()
+    })]
+
+    /// A torn end loses only what was not synced: records before the cut all come back.
+    #[test]
+    fn a_torn_end_is_cut_off(cut in 0_usize..500, junk in prop::collection::vec(any::<u8>(), 0..30)) {
+        let folder = folder("torn");
+        let mut store = Store::open(&folder, 1).expect("opens").store;
+        let mut ends = vec![0];
+        for index in 1..=8 {
+            store.write(&[entries([entry(index, 1)])]).expect("writes");
+            ends.push(fs::metadata(folder.join("log-0")).expect("exists").len() as usize);
+        }
+        drop(store);
+        let path = folder.join("log-0");
+        let mut bytes = fs::read(&path).expect("reads");
+        bytes.truncate(cut);
+        let whole = ends.iter().filter(|end| **end > 0 && **end <= bytes.len()).count();
+        bytes.extend(junk);
+        fs::write(&path, bytes).expect("writes");
+        let opened = Store::open(&folder, 1).expect("opens");
+        prop_assert_eq!(opened.saved.entries.len(), whole);
+        drop(opened);
+        let again = Store::open(&folder, 1).expect("opens");
+        prop_assert_eq!((again.saved.entries.len(), again.torn), (whole, 0));
+    }
+}
--- a/crates/edge/src/callers.rs
+++ b/crates/edge/src/callers.rs
@@ -75,12 +75,8 @@
 }
 
 async fn turn_away(mut socket: TcpStream) {
-    let (reply, body) = api::refusal(
-        None,
-        Code::Overloaded,
-        "too many connections are open here",
-        RETRY,
-    );
+    let (reply, body) =
+        api::refusal(None, Code::Overloaded, "too many connections are open here", RETRY);
     let mut text = format!("HTTP/1.1 {} Full\r\nconnection: close\r\n", reply.status);
     for (name, value) in &reply.headers {
         text.push_str(&format!("{name}: {value}\r\n"));
@@ -103,9 +99,7 @@
         .max_headers(MAX_HEADERS)
         .max_buf_size(READ_BUFFER)
         .half_close(false);
-    let _ = builder
-        .serve_connection(TokioIo::new(socket), service)
-        .await;
+    let _ = builder.serve_connection(TokioIo::new(socket), service).await;
 }
 
 async fn exchange(
@@ -121,19 +115,12 @@
         .headers
         .iter()
         .map(|(name, value)| {
-            (
-                name.as_str().to_owned(),
-                String::from_utf8_lossy(value.as_bytes()).into_owned(),
-            )
+            (name.as_str().to_owned(), String::from_utf8_lossy(value.as_bytes()).into_owned())
         })
         .collect();
     let request = api::Request {
         method: head.method.as_str().to_owned(),
-        path: head
-            .uri
-            .path_and_query()
-            .map_or("/", |path| path.as_str())
-            .to_owned(),
+        path: head.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned(),
         headers,
         body,
     };
@@ -144,34 +131,19 @@
     let call = super::start::call_number();
     let (outlet, inlet) = outlet::pair();
     let event = Event::Ask { call, ask };
-    if shared
-        .inputs
-        .send(Input::Open {
-            call,
-            outlet,
-            event,
-        })
-        .is_err()
-    {
+    if shared.inputs.send(Input::Open { call, outlet, event }).is_err() {
         return Ok(refuse(Code::Draining, "this entry is stopping"));
     }
-    Ok(answer(Exchange {
-        call,
-        inlet,
-        inputs: shared.inputs.clone(),
-        open: true,
-    })
-    .await)
+    Ok(answer(Exchange { call, inlet, inputs: shared.inputs.clone(), open: true }).await)
 }
 
 async fn collect(limits: &Limits, body: Incoming) -> Result<Vec<u8>, (Code, &'static str)> {
     let limited = Limited::new(body, limits.body);
     match timeout(limits.arrival, limited.collect()).await {
         Ok(Ok(collected)) => Ok(collected.to_bytes().to_vec()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err((
-            Code::BodyTooLarge,
-            "the body is over the size that is set here",
-        )),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            Err((Code::BodyTooLarge, "the body is over the size that is set here"))
+        }
         Ok(Err(_)) => Err((Code::BadBody, "the body ended early")),
         Err(_) => Err((Code::SlowCaller, "the body did not arrive in time")),
     }
@@ -201,9 +173,7 @@
         builder = builder.header(*name, value);
     }
     // Only a plain service's content type is not ours; one that no header can hold is left out.
-    builder
-        .body(body)
-        .unwrap_or_else(|_| Response::new(Answer::Whole(None)))
+    builder.body(body).unwrap_or_else(|_| Response::new(Answer::Whole(None)))
 }
 
 /// One exchange; dropped early, it tells the reducer that the caller went away.
@@ -217,9 +187,7 @@
 impl Drop for Exchange {
     fn drop(&mut self) {
         if self.open {
-            let _ = self
-                .inputs
-                .send(Input::Event(Event::Hangup { call: self.call }));
+            let _ = self.inputs.send(Input::Event(Event::Hangup { call: self.call }));
         }
     }
 }
--- a/crates/edge/src/clock.rs
+++ b/crates/edge/src/clock.rs
@@ -12,9 +12,7 @@
 
 impl Default for Clock {
     fn default() -> Self {
-        Self {
-            start: Instant::now(),
-        }
+        Self { start: Instant::now() }
     }
 }
 
@@ -27,8 +25,6 @@
 
 /// A number for this life of the process, greater than that of its earlier lives.
 pub fn incarnation() -> Incarnation {
-    let since = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     Incarnation(since.as_micros() as u64)
 }
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -61,14 +61,7 @@
     fn init(cx: CX![], node: Node, clock: Clock, sinks: Sinks) -> Option<Self> {
         after!(TICK, [cx], tick());
         let outlets = HashMap::new();
-        Some(Self {
-            node,
-            clock,
-            sinks,
-            outlets,
-            hangups: Vec::new(),
-            effects: Vec::new(),
-        })
+        Some(Self { node, clock, sinks, outlets, hangups: Vec::new(), effects: Vec::new() })
     }
 
     fn tick(&mut self, cx: CX![]) {
@@ -79,11 +72,7 @@
     fn input(&mut self, _cx: CX![], input: Input) {
         match input {
             Input::Event(event) => self.step(event),
-            Input::Open {
-                call,
-                outlet,
-                event,
-            } => {
+            Input::Open { call, outlet, event } => {
                 self.outlets.insert(call, outlet);
                 self.step(event);
             }
@@ -127,12 +116,7 @@
                     server.abort(run);
                 }
             }
-            Effect::Log {
-                run,
-                workspace,
-                code,
-                took_ms,
-            } => log::info!(
+            Effect::Log { run, workspace, code, took_ms } => log::info!(
                 run:% = run, workspace:% = workspace, code = code.number(), took_ms;
                 "request ended"
             ),
--- a/crates/edge/src/logging.rs
+++ b/crates/edge/src/logging.rs
@@ -11,9 +11,7 @@
 
 impl<'kvs> VisitSource<'kvs> for Fields {
     fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
-        let json = value
-            .to_u64()
-            .map_or_else(|| value.to_string().into(), serde_json::Value::from);
+        let json = value.to_u64().map_or_else(|| value.to_string().into(), serde_json::Value::from);
         self.0.insert(key.to_string(), json);
         Ok(())
     }
@@ -23,20 +21,12 @@
 pub fn log_to_stderr() {
     let mut builder = Builder::from_env(Env::default().default_filter_or("info"));
     builder.format(|buffer, record| {
-        let since = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or_default();
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let mut fields = Fields(Map::new());
-        fields
-            .0
-            .insert("ms".to_owned(), (since.as_millis() as u64).into());
-        fields
-            .0
-            .insert("level".to_owned(), record.level().as_str().into());
+        fields.0.insert("ms".to_owned(), (since.as_millis() as u64).into());
+        fields.0.insert("level".to_owned(), record.level().as_str().into());
         fields.0.insert("target".to_owned(), record.target().into());
-        fields
-            .0
-            .insert("message".to_owned(), record.args().to_string().into());
+        fields.0.insert("message".to_owned(), record.args().to_string().into());
         let _ = record.key_values().visit(&mut fields);
         writeln!(buffer, "{}", serde_json::Value::Object(fields.0))
     });
--- a/crates/edge/src/net.rs
+++ b/crates/edge/src/net.rs
@@ -50,15 +50,8 @@
 }
 
 enum News {
-    Up {
-        hello: Hello,
-        number: u64,
-        frames: UnboundedSender<Frame>,
-    },
-    Down {
-        peer: Name,
-        number: u64,
-    },
+    Up { hello: Hello, number: u64, frames: UnboundedSender<Frame> },
+    Down { peer: Name, number: u64 },
 }
 
 #[derive(Clone)]
@@ -76,11 +69,7 @@
     inputs: Sender<Input>,
 ) {
     let (news, mut news_in) = unbounded_channel();
-    let shared = Shared {
-        hello,
-        inputs,
-        news,
-    };
+    let shared = Shared { hello, inputs, news };
     tokio::spawn(accept(shared.clone(), listener));
     let mut links: HashMap<Name, Vec<(u64, UnboundedSender<Frame>)>> = HashMap::new();
     let mut dialled = Vec::new();
@@ -150,9 +139,7 @@
 async fn serve(shared: Shared, socket: TcpStream) {
     let _ = socket.set_nodelay(true);
     let mut builder = h2::server::Builder::new();
-    builder
-        .initial_window_size(WINDOW)
-        .initial_connection_window_size(WINDOW);
+    builder.initial_window_size(WINDOW).initial_connection_window_size(WINDOW);
     let handshake = timeout(CONNECT, builder.handshake::<_, Bytes>(socket)).await;
     let Ok(Ok(mut connection)) = handshake else {
         return;
@@ -185,9 +172,7 @@
     let socket = timeout(CONNECT, TcpStream::connect(addr)).await??;
     socket.set_nodelay(true)?;
     let mut builder = h2::client::Builder::new();
-    builder
-        .initial_window_size(WINDOW)
-        .initial_connection_window_size(WINDOW);
+    builder.initial_window_size(WINDOW).initial_connection_window_size(WINDOW);
     let (requests, connection) = timeout(CONNECT, builder.handshake::<_, Bytes>(socket)).await??;
     let driver = tokio::spawn(connection);
     let result = dial_stream(shared, requests).await;
@@ -221,15 +206,7 @@
     let (frames, queue) = unbounded_channel();
     let number = link_number();
     let name = peer.name.clone();
-    if shared
-        .news
-        .send(News::Up {
-            hello: peer,
-            number,
-            frames,
-        })
-        .is_err()
-    {
+    if shared.news.send(News::Up { hello: peer, number, frames }).is_err() {
         return;
     }
     tokio::select! {
@@ -267,10 +244,7 @@
     loop {
         match timeout(SILENCE, read(receiver, decoder)).await {
             Ok(Ok(Some(frame))) => {
-                let event = Event::Frame {
-                    peer: name.clone(),
-                    frame,
-                };
+                let event = Event::Frame { peer: name.clone(), frame };
                 if shared.inputs.send(Input::Event(event)).is_err() {
                     return;
                 }
--- a/crates/edge/src/operators.rs
+++ b/crates/edge/src/operators.rs
@@ -20,13 +20,11 @@
     for _ in 0..THREADS {
         let server = server.clone();
         let inputs = inputs.clone();
-        thread::Builder::new()
-            .name("operators".to_owned())
-            .spawn(move || {
-                while let Ok(request) = server.recv() {
-                    exchange(request, &inputs);
-                }
-            })?;
+        thread::Builder::new().name("operators".to_owned()).spawn(move || {
+            while let Ok(request) = server.recv() {
+                exchange(request, &inputs);
+            }
+        })?;
     }
     Ok(bound)
 }
--- a/crates/edge/src/outlet.rs
+++ b/crates/edge/src/outlet.rs
@@ -39,13 +39,7 @@
 pub fn pair() -> (Outlet, Inlet) {
     let (sender, receiver) = unbounded_channel();
     let pending = Arc::new(AtomicUsize::new(0));
-    (
-        Outlet {
-            sender,
-            pending: pending.clone(),
-        },
-        Inlet { receiver, pending },
-    )
+    (Outlet { sender, pending: pending.clone() }, Inlet { receiver, pending })
 }
 
 impl Outlet {
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -44,11 +44,7 @@
             .http_status_as_error(false)
             .max_idle_connections_per_host(64)
             .build();
-        Self {
-            agent: config.into(),
-            base: format!("http://{addr}"),
-            inputs,
-        }
+        Self { agent: config.into(), base: format!("http://{addr}"), inputs }
     }
 
     /// Starts a run.
@@ -56,11 +52,7 @@
         let client = self.clone();
         let spawned = spawn(move || client.work(run, &work));
         if spawned.is_err() {
-            self.send(Server::Failed {
-                run,
-                sent: false,
-                code: Code::Overloaded,
-            });
+            self.send(Server::Failed { run, sent: false, code: Code::Overloaded });
         }
     }
 
@@ -108,23 +100,11 @@
             Work::Call(call) => self.call(run, call),
         };
         match result {
-            Ok((computed, cached)) => self.send(Server::Done {
-                run,
-                computed,
-                cached,
-            }),
+            Ok((computed, cached)) => self.send(Server::Done { run, computed, cached }),
             Err(Failure::Unsent) => {
-                self.send(Server::Failed {
-                    run,
-                    sent: false,
-                    code: Code::NoServer,
-                });
+                self.send(Server::Failed { run, sent: false, code: Code::NoServer });
             }
-            Err(Failure::Sent(code)) => self.send(Server::Failed {
-                run,
-                sent: true,
-                code,
-            }),
+            Err(Failure::Sent(code)) => self.send(Server::Failed { run, sent: true, code }),
         }
     }
 
@@ -141,11 +121,8 @@
             "stream": true,
         });
         let url = format!("{}/v1/completions", self.base);
-        let response = self
-            .agent
-            .post(&url)
-            .content_type("application/json")
-            .send(body.to_string());
+        let response =
+            self.agent.post(&url).content_type("application/json").send(body.to_string());
         let mut response = response.map_err(|error| failure(&error))?;
         if response.status().as_u16() != 200 {
             return Err(Failure::Sent(Code::ServerError));
@@ -169,10 +146,7 @@
             let choice = &value["choices"][0];
             if let Some(text) = choice["text"].as_str().filter(|text| !text.is_empty()) {
                 let count = choice["tokens"].as_u64().unwrap_or(1) as u32;
-                let part = Part::Tokens {
-                    text: text.to_owned(),
-                    count,
-                };
+                let part = Part::Tokens { text: text.to_owned(), count };
                 self.send(Server::Part { run, part });
             }
             if let Some(computed) = value["usage"]["computed_tokens"].as_u64() {
@@ -193,10 +167,7 @@
         // A method or path that no request can hold never leaves this process.
         let request = request.map_err(|_| Failure::Unsent)?;
         let mut response = self.agent.run(request).map_err(|error| failure(&error))?;
-        let kind = response
-            .headers()
-            .get("content-type")
-            .and_then(|kind| kind.to_str().ok());
+        let kind = response.headers().get("content-type").and_then(|kind| kind.to_str().ok());
         let head = Part::Head {
             status: response.status().as_u16(),
             kind: kind.unwrap_or_default().to_owned(),
@@ -238,9 +209,5 @@
 }
 
 fn spawn(work: impl FnOnce() + Send + 'static) -> std::io::Result<()> {
-    thread::Builder::new()
-        .name("server".to_owned())
-        .stack_size(STACK)
-        .spawn(work)
-        .map(|_| ())
+    thread::Builder::new().name("server".to_owned()).stack_size(STACK).spawn(work).map(|_| ())
 }
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -45,9 +45,7 @@
 impl Running {
     /// A handle that asks the process to stop.
     pub fn stopper(&self) -> Stopper {
-        Stopper {
-            inputs: self.inputs.clone(),
-        }
+        Stopper { inputs: self.inputs.clone() }
     }
 
     /// Waits until the process may leave; gives the number of requests cut.
@@ -67,9 +65,7 @@
 /// # Errors
 /// A listener cannot be bound or a thread cannot be started.
 pub fn start(settings: &Settings) -> io::Result<Running> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let link = runtime.block_on(TcpListener::bind(settings.link))?;
     let callers = if settings.plays(Role::Entry) {
         Some(runtime.block_on(TcpListener::bind(settings.callers))?)
@@ -102,29 +98,21 @@
     };
     let hello = me.hello.clone();
     let net_inputs = inputs.clone();
-    thread::Builder::new()
-        .name("net".to_owned())
-        .spawn(move || {
-            runtime.block_on(async move {
-                if let Some(listener) = callers {
-                    tokio::spawn(callers::run(listener, limits, net_inputs.clone()));
-                }
-                net::run(hello, link, commands_out, net_inputs).await;
-            });
-        })?;
+    thread::Builder::new().name("net".to_owned()).spawn(move || {
+        runtime.block_on(async move {
+            if let Some(listener) = callers {
+                tokio::spawn(callers::run(listener, limits, net_inputs.clone()));
+            }
+            net::run(hello, link, commands_out, net_inputs).await;
+        });
+    })?;
 
     let config = Config::from(settings);
-    let sinks = Sinks {
-        net: commands,
-        server,
-        exit,
-    };
-    thread::Builder::new()
-        .name("reducer".to_owned())
-        .spawn(move || {
-            let node = Node::new(me, config);
-            host::run(node, Clock::default(), sinks, &inputs_out);
-        })?;
+    let sinks = Sinks { net: commands, server, exit };
+    thread::Builder::new().name("reducer".to_owned()).spawn(move || {
+        let node = Node::new(me, config);
+        host::run(node, Clock::default(), sinks, &inputs_out);
+    })?;
     Ok(Running {
         link: link_addr,
         operators: operators_addr,
--- a/crates/fake/src/batch.rs
+++ b/crates/fake/src/batch.rs
@@ -106,10 +106,7 @@
 impl Batch {
     /// An idle engine.
     pub fn new(profile: Profile) -> Self {
-        Self {
-            profile,
-            ..Self::default()
-        }
+        Self { profile, ..Self::default() }
     }
 
     /// Whether there is nothing to do.
@@ -136,12 +133,8 @@
 
     /// Takes a run.
     pub fn submit(&mut self, job: Job) {
-        let place = self
-            .waiting
-            .iter()
-            .position(|other| other.priority < job.priority);
-        self.waiting
-            .insert(place.unwrap_or(self.waiting.len()), job);
+        let place = self.waiting.iter().position(|other| other.priority < job.priority);
+        self.waiting.insert(place.unwrap_or(self.waiting.len()), job);
     }
 
     /// Ends a run early; whether it was there.
@@ -170,10 +163,7 @@
             }
             let active = &mut self.active[place];
             if active.next < active.job.until {
-                emits.push(Emit::Token {
-                    id: active.job.id,
-                    index: active.next,
-                });
+                emits.push(Emit::Token { id: active.job.id, index: active.next });
                 active.next += 1;
             }
             if active.next >= active.job.until {
@@ -214,11 +204,7 @@
     pub fn events_from(&self, seq: u64) -> Vec<Event> {
         let lose = self.profile.lose_every;
         let lost = |event: &Event| lose > 0 && event.seq % lose == lose - 1;
-        self.events
-            .iter()
-            .filter(|event| event.seq >= seq && !lost(event))
-            .copied()
-            .collect()
+        self.events.iter().filter(|event| event.seq >= seq && !lost(event)).copied().collect()
     }
 
     /// The whole cache, and the number of the next event.
@@ -231,23 +217,14 @@
             let Some(job) = self.waiting.pop_front() else {
                 return;
             };
-            let hit = job
-                .keys
-                .iter()
-                .take_while(|key| self.cache.contains_key(*key))
-                .count();
+            let hit = job.keys.iter().take_while(|key| self.cache.contains_key(*key)).count();
             for key in &job.keys[..hit] {
                 self.touch(*key);
             }
             let cached = (hit as u64 * self.profile.block_tokens).min(job.prompt_tokens);
             // What the caller already has is computed again like a prompt.
             let left = (job.prompt_tokens - cached) + u64::from(job.from);
-            self.active.push(Active {
-                next: job.from,
-                left: left.max(1),
-                cached,
-                job,
-            });
+            self.active.push(Active { next: job.from, left: left.max(1), cached, job });
         }
     }
 
@@ -283,11 +260,7 @@
 
     fn note(&mut self, key: [u8; 16], stored: bool) {
         const KEPT: usize = 8_192;
-        self.events.push(Event {
-            seq: self.seq,
-            key,
-            stored,
-        });
+        self.events.push(Event { seq: self.seq, key, stored });
         self.seq += 1;
         if self.events.len() > 2 * KEPT {
             self.events.drain(..KEPT);
--- a/crates/fake/src/edge/engine.rs
+++ b/crates/fake/src/edge/engine.rs
@@ -98,11 +98,7 @@
         version: settings.version.clone(),
         ..State::default()
     };
-    let shared = Arc::new(Shared {
-        state: Mutex::new(state),
-        wake: Condvar::new(),
-        settings,
-    });
+    let shared = Arc::new(Shared { state: Mutex::new(state), wake: Condvar::new(), settings });
     let stepper = shared.clone();
     thread::spawn(move || step_all(&stepper));
     thread::spawn(move || {
@@ -120,10 +116,7 @@
     loop {
         let mut state = shared.lock();
         while state.batch.idle() {
-            state = shared
-                .wake
-                .wait(state)
-                .unwrap_or_else(PoisonError::into_inner);
+            state = shared.wake.wait(state).unwrap_or_else(PoisonError::into_inner);
         }
         drop(state);
         let next = Instant::now() + step;
@@ -149,11 +142,7 @@
                 state.outputs.remove(id);
             }
         }
-        Emit::End {
-            id,
-            computed,
-            cached,
-        } => {
+        Emit::End { id, computed, cached } => {
             if let Some(output) = state.outputs.remove(id) {
                 let _ = output.send(Line::End(*computed, *cached));
             }
@@ -180,9 +169,7 @@
             reply(request, 200, started.to_string().into_bytes());
         }
         (Method::Get, "/cache/events") => {
-            let from = query
-                .strip_prefix("from=")
-                .and_then(|from| from.parse().ok());
+            let from = query.strip_prefix("from=").and_then(|from| from.parse().ok());
             let value = events(shared, from.unwrap_or(0));
             reply(request, 200, value.to_string().into_bytes());
         }
@@ -214,10 +201,7 @@
         reply(request, 400, Vec::new());
         return;
     };
-    let keys = value["cache_keys"]
-        .as_array()
-        .map(Vec::as_slice)
-        .unwrap_or_default();
+    let keys = value["cache_keys"].as_array().map(Vec::as_slice).unwrap_or_default();
     let (sender, lines) = channel();
     let mut state = shared.lock();
     let wanted = value["version"].as_str().unwrap_or_default();
@@ -275,18 +259,13 @@
 fn event(writer: &mut impl Write, data: &str) -> bool {
     let event = format!("data: {data}\n\n");
     let chunk = format!("{:x}\r\n{event}\r\n", event.len());
-    writer
-        .write_all(chunk.as_bytes())
-        .and_then(|()| writer.flush())
-        .is_ok()
+    writer.write_all(chunk.as_bytes()).and_then(|()| writer.flush()).is_ok()
 }
 
 fn cancel(shared: &Shared, body: &[u8]) {
     let value: Value = serde_json::from_slice(body).unwrap_or_default();
     let mut state = shared.lock();
-    let id = value["request_id"]
-        .as_str()
-        .and_then(|name| state.ids.get(name).copied());
+    let id = value["request_id"].as_str().and_then(|name| state.ids.get(name).copied());
     if let Some(id) = id {
         state.batch.cancel(id);
         state.outputs.remove(&id);
@@ -335,10 +314,7 @@
         let ready = Instant::now() + shared.settings.load;
         state.loading = Some((ready, version.to_owned()));
     }
-    (
-        200,
-        json!({ "epoch": state.token.0, "index": state.token.1 }),
-    )
+    (200, json!({ "epoch": state.token.0, "index": state.token.1 }))
 }
 
 fn settle(state: &mut State) {
--- a/crates/node/src/agent.rs
+++ b/crates/node/src/agent.rs
@@ -51,10 +51,7 @@
             runs: HashMap::new(),
             refused: HashSet::new(),
             refused_order: VecDeque::new(),
-            load: Load {
-                version,
-                ..Load::default()
-            },
+            load: Load { version, ..Load::default() },
             leaving: false,
         }
     }
@@ -102,28 +99,16 @@
         match news {
             Server::Load(load) => self.load = load,
             Server::Part { run, part } => self.part(run, part, out),
-            Server::Done {
-                run,
-                computed,
-                cached,
-            } => {
+            Server::Done { run, computed, cached } => {
                 self.finish(run, Code::Ok, computed, cached, out);
             }
-            Server::Failed {
-                run,
-                sent: false,
-                code,
-            } => {
+            Server::Failed { run, sent: false, code } => {
                 let Some(held) = self.runs.remove(&run) else {
                     return;
                 };
                 self.refuse(&held.entry, run, code, out);
             }
-            Server::Failed {
-                run,
-                sent: true,
-                code,
-            } => self.finish(run, code, 0, 0, out),
+            Server::Failed { run, sent: true, code } => self.finish(run, code, 0, 0, out),
         }
     }
 
@@ -181,10 +166,7 @@
             orphan: None,
         };
         self.runs.insert(run, held);
-        out.push(Effect::Serve {
-            run,
-            work: start.work,
-        });
+        out.push(Effect::Serve { run, work: start.work });
     }
 
     fn refuse(&mut self, peer: &Name, run: RunId, code: Code, out: &mut Effects) {
@@ -196,15 +178,8 @@
         {
             self.refused.remove(&oldest);
         }
-        let frame = Frame::Refused {
-            run,
-            code,
-            retry_ms: FULL_RETRY_MS,
-        };
-        out.push(Effect::Send {
-            to: peer.clone(),
-            frame,
-        });
+        let frame = Frame::Refused { run, code, retry_ms: FULL_RETRY_MS };
+        out.push(Effect::Send { to: peer.clone(), frame });
     }
 
     fn part(&mut self, run: RunId, part: Part, out: &mut Effects) {
@@ -219,23 +194,14 @@
         held.next_seq += 1;
         held.kept.push_back((seq, part.clone()));
         let frame = Frame::Output(Output { run, seq, part });
-        out.push(Effect::Send {
-            to: held.entry.clone(),
-            frame,
-        });
+        out.push(Effect::Send { to: held.entry.clone(), frame });
     }
 
     fn finish(&mut self, run: RunId, code: Code, computed: u32, cached: u32, out: &mut Effects) {
         let Some(held) = self.runs.get(&run) else {
             return;
         };
-        let end = Part::End {
-            code,
-            parts: held.next_seq,
-            digest: held.digest,
-            computed,
-            cached,
-        };
+        let end = Part::End { code, parts: held.next_seq, digest: held.digest, computed, cached };
         self.part(run, end, out);
         if let Some(held) = self.runs.get_mut(&run) {
             held.done = true;
@@ -257,24 +223,14 @@
     fn resume(&mut self, peer: &Name, run: RunId, seq: u64, out: &mut Effects) {
         let Some(held) = self.runs.get_mut(&run) else {
             let frame = Frame::Gone { run };
-            out.push(Effect::Send {
-                to: peer.clone(),
-                frame,
-            });
+            out.push(Effect::Send { to: peer.clone(), frame });
             return;
         };
         held.orphan = None;
         held.entry = peer.clone();
         for (kept, part) in held.kept.iter().filter(|(kept, _)| *kept >= seq) {
-            let output = Output {
-                run,
-                seq: *kept,
-                part: part.clone(),
-            };
-            out.push(Effect::Send {
-                to: peer.clone(),
-                frame: Frame::Output(output),
-            });
+            let output = Output { run, seq: *kept, part: part.clone() };
+            out.push(Effect::Send { to: peer.clone(), frame: Frame::Output(output) });
         }
     }
 
--- a/crates/node/src/api.rs
+++ b/crates/node/src/api.rs
@@ -34,10 +34,7 @@
 
 impl Request {
     fn header(&self, name: &str) -> Option<&str> {
-        self.headers
-            .iter()
-            .find(|(found, _)| found == name)
-            .map(|(_, value)| value.as_str())
+        self.headers.iter().find(|(found, _)| found == name).map(|(_, value)| value.as_str())
     }
 }
 
@@ -60,11 +57,7 @@
     hasher.update(&request.body);
     let mut digest = [0; 16];
     digest.copy_from_slice(&hasher.finalize().as_bytes()[..16]);
-    Ok(Ask {
-        caller,
-        want,
-        digest,
-    })
+    Ok(Ask { caller, want, digest })
 }
 
 fn bad_header(name: &str, allowed: &str) -> (Code, String) {
@@ -74,11 +67,7 @@
 fn caller(request: &Request) -> Result<Caller, (Code, String)> {
     let key = request.header("authorization").unwrap_or_default();
     let mut caller = Caller {
-        key: key
-            .strip_prefix("Bearer ")
-            .unwrap_or_default()
-            .trim()
-            .to_owned(),
+        key: key.strip_prefix("Bearer ").unwrap_or_default().trim().to_owned(),
         ..Caller::default()
     };
     if let Some(once) = request.header("idempotency-key") {
@@ -100,10 +89,7 @@
         Some(_) => return Err(bad_header("x-tamarack-priority", "low, normal, high")),
     };
     if let Some(text) = request.header("x-tamarack-deadline-ms") {
-        let millis = text
-            .parse()
-            .ok()
-            .filter(|millis| (1..=3_600_000).contains(millis));
+        let millis = text.parse().ok().filter(|millis| (1..=3_600_000).contains(millis));
         let Some(millis) = millis else {
             return Err(bad_header("x-tamarack-deadline-ms", "1 to 3600000"));
         };
@@ -116,19 +102,9 @@
     let bad = |text: &str| (Code::BadBody, text.to_owned());
     let value: Value =
         serde_json::from_slice(body).map_err(|error| (Code::BadBody, error.to_string()))?;
-    let model = value["model"]
-        .as_str()
-        .ok_or_else(|| bad("model: a string is needed"))?;
-    let text = if chat {
-        messages(&value["messages"])
-    } else {
-        plain_prompt(&value["prompt"])
-    };
-    let what = if chat {
-        "messages: a list of role and content"
-    } else {
-        "prompt: a string"
-    };
+    let model = value["model"].as_str().ok_or_else(|| bad("model: a string is needed"))?;
+    let text = if chat { messages(&value["messages"]) } else { plain_prompt(&value["prompt"]) };
+    let what = if chat { "messages: a list of role and content" } else { "prompt: a string" };
     let text = text.ok_or_else(|| bad(what))?;
     let max_tokens = match &value["max_tokens"] {
         Value::Null => DEFAULT_TOKENS,
@@ -143,13 +119,7 @@
         Value::Bool(stream) => *stream,
         _ => return Err(bad("stream: true, false")),
     };
-    Ok(Want::Prompt {
-        model: Name::new(model),
-        text,
-        max_tokens,
-        stream,
-        chat,
-    })
+    Ok(Want::Prompt { model: Name::new(model), text, max_tokens, stream, chat })
 }
 
 fn plain_prompt(value: &Value) -> Option<Arc<str>> {
@@ -170,26 +140,16 @@
 fn call(request: &Request) -> Result<Call, (Code, String)> {
     let rest = request.path.strip_prefix("/svc/");
     let Some(rest) = rest else {
-        return Err((
-            Code::NoSuchPath,
-            format!("{} {}", request.method, request.path),
-        ));
+        return Err((Code::NoSuchPath, format!("{} {}", request.method, request.path)));
     };
     let split = rest.find(['/', '?']).unwrap_or(rest.len());
     let (service, path) = rest.split_at(split);
-    let path = if path.starts_with('/') {
-        path.to_owned()
-    } else {
-        format!("/{path}")
-    };
+    let path = if path.starts_with('/') { path.to_owned() } else { format!("/{path}") };
     Ok(Call {
         service: Name::new(service),
         method: request.method.clone(),
         path,
-        kind: request
-            .header("content-type")
-            .unwrap_or_default()
-            .to_owned(),
+        kind: request.header("content-type").unwrap_or_default().to_owned(),
         body: request.body.clone(),
     })
 }
@@ -200,11 +160,7 @@
     if let Some(run) = run {
         headers.push(("x-request-id", run.to_string()));
     }
-    Reply {
-        status,
-        kind: kind.to_owned(),
-        headers,
-    }
+    Reply { status, kind: kind.to_owned(), headers }
 }
 
 /// Head and body of a refusal.
@@ -241,11 +197,7 @@
     } else {
         json!({ "index": 0, "text": text, "finish_reason": finish })
     };
-    let object = if chat {
-        "chat.completion.chunk"
-    } else {
-        "text_completion"
-    };
+    let object = if chat { "chat.completion.chunk" } else { "text_completion" };
     let value = json!({
         "id": run.to_string(), "object": object, "model": &**model, "choices": [choice],
     });
@@ -261,11 +213,7 @@
         json!({ "index": 0, "text": text, "finish_reason": "stop" })
     };
     let (computed, cached, generated) = usage;
-    let object = if chat {
-        "chat.completion"
-    } else {
-        "text_completion"
-    };
+    let object = if chat { "chat.completion" } else { "text_completion" };
     let value = json!({
         "id": run.to_string(), "object": object, "model": &**model, "choices": [choice],
         "usage": {
@@ -280,11 +228,7 @@
 
 /// The list of models.
 pub fn models(names: &[Name]) -> Vec<u8> {
-    let data: Vec<Value> = names
-        .iter()
-        .map(|name| json!({ "id": &**name, "object": "model" }))
-        .collect();
-    json!({ "object": "list", "data": data })
-        .to_string()
-        .into_bytes()
+    let data: Vec<Value> =
+        names.iter().map(|name| json!({ "id": &**name, "object": "model" })).collect();
+    json!({ "object": "list", "data": data }).to_string().into_bytes()
 }
--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -97,12 +97,7 @@
                 self.list(call, out);
                 return;
             }
-            Want::Prompt {
-                model,
-                text,
-                max_tokens,
-                ..
-            } => Work::Prompt(Prompt {
+            Want::Prompt { model, text, max_tokens, .. } => Work::Prompt(Prompt {
                 model: model.clone(),
                 version: Name::default(),
                 text: text.clone(),
@@ -120,11 +115,7 @@
         self.next_number += 1;
         let idempotent = ask.caller.repeatable.unwrap_or(true);
         let run = Run {
-            id: RunId {
-                entry: self.incarnation,
-                number,
-                attempt: 0,
-            },
+            id: RunId { entry: self.incarnation, number, attempt: 0 },
             call,
             workspace: Name::new(&ask.caller.key),
             work,
@@ -162,11 +153,7 @@
         if !run.idempotent && run.stage != Stage::Waiting {
             return;
         }
-        let code = if run.stage == Stage::Waiting {
-            Code::Cancelled
-        } else {
-            Code::Cut
-        };
+        let code = if run.stage == Stage::Waiting { Code::Cancelled } else { Code::Cut };
         self.cancel(number, out);
         self.end(now, number, code, out);
         self.place(now, out);
@@ -178,15 +165,9 @@
             return;
         }
         let old = self.agents.remove(&hello.name);
-        let same = old
-            .as_ref()
-            .is_some_and(|old| old.hello.incarnation == hello.incarnation);
+        let same = old.as_ref().is_some_and(|old| old.hello.incarnation == hello.incarnation);
         let agent = match old {
-            Some(old) if same => Agent {
-                lost: None,
-                hello: hello.clone(),
-                ..old
-            },
+            Some(old) if same => Agent { lost: None, hello: hello.clone(), ..old },
             _ => Agent {
                 hello: hello.clone(),
                 lost: None,
@@ -202,14 +183,8 @@
                 continue;
             };
             if *incarnation == hello.incarnation {
-                let frame = Frame::Resume {
-                    run: run.id,
-                    seq: run.next_seq,
-                };
-                out.push(Effect::Send {
-                    to: hello.name.clone(),
-                    frame,
-                });
+                let frame = Frame::Resume { run: run.id, seq: run.next_seq };
+                out.push(Effect::Send { to: hello.name.clone(), frame });
             } else {
                 self.lost(now, number, out);
             }
@@ -240,11 +215,7 @@
     pub fn frame(&mut self, now: Time, peer: &Name, frame: Frame, out: &mut Effects) {
         match frame {
             Frame::Output(output) => self.output(now, peer, output, out),
-            Frame::Refused {
-                run,
-                code,
-                retry_ms,
-            } => {
+            Frame::Refused { run, code, retry_ms } => {
                 self.refused(now, peer, run, code, Duration::from_millis(retry_ms), out);
             }
             Frame::Gone { run } if self.current(peer, run).is_some() => {
@@ -277,14 +248,7 @@
         for number in &numbers {
             let code = self.give_up_code(*number, Code::Draining);
             self.cancel(*number, out);
-            self.fail(
-                now,
-                *number,
-                code,
-                "this entry had to stop",
-                RETRY_AFTER,
-                out,
-            );
+            self.fail(now, *number, code, "this entry had to stop", RETRY_AFTER, out);
         }
         numbers.len()
     }
@@ -301,10 +265,7 @@
         names.dedup();
         let reply = api::head(None, Code::Ok, 200, "application/json");
         out.push(Effect::Begin { call, reply });
-        out.push(Effect::Body {
-            call,
-            bytes: api::models(&names),
-        });
+        out.push(Effect::Body { call, bytes: api::models(&names) });
         out.push(Effect::Finish { call, whole: true });
     }
 
@@ -359,10 +320,7 @@
             return;
         };
         agent.own += 1;
-        run.stage = Stage::Sent {
-            agent: name.clone(),
-            incarnation: agent.hello.incarnation,
-        };
+        run.stage = Stage::Sent { agent: name.clone(), incarnation: agent.hello.incarnation };
         let start = Start {
             run: run.id,
             to: agent.hello.incarnation,
@@ -372,10 +330,7 @@
             idempotent: run.idempotent,
             work: run.work.clone(),
         };
-        out.push(Effect::Send {
-            to: name.clone(),
-            frame: Frame::Start(Box::new(start)),
-        });
+        out.push(Effect::Send { to: name.clone(), frame: Frame::Start(Box::new(start)) });
     }
 
     fn current(&mut self, peer: &Name, id: RunId) -> Option<&mut Run> {
@@ -387,26 +342,14 @@
     fn output(&mut self, now: Time, peer: &Name, output: Output, out: &mut Effects) {
         let Some(run) = self.current(peer, output.run) else {
             // A late frame of a run that is over or has moved on: free the agent's copy.
-            let frame = Frame::Ack {
-                run: output.run,
-                seq: u64::MAX,
-            };
-            out.push(Effect::Send {
-                to: peer.clone(),
-                frame,
-            });
+            let frame = Frame::Ack { run: output.run, seq: u64::MAX };
+            out.push(Effect::Send { to: peer.clone(), frame });
             return;
         };
         if output.seq != run.next_seq {
             if output.seq > run.next_seq {
-                let frame = Frame::Resume {
-                    run: run.id,
-                    seq: run.next_seq,
-                };
-                out.push(Effect::Send {
-                    to: peer.clone(),
-                    frame,
-                });
+                let frame = Frame::Resume { run: run.id, seq: run.next_seq };
+                out.push(Effect::Send { to: peer.clone(), frame });
             }
             return;
         }
@@ -414,34 +357,16 @@
         run.digest.add(&output.part);
         let number = output.run.number;
         if run.next_seq % ACK_EVERY == 0 {
-            let frame = Frame::Ack {
-                run: run.id,
-                seq: run.next_seq,
-            };
-            out.push(Effect::Send {
-                to: peer.clone(),
-                frame,
-            });
+            let frame = Frame::Ack { run: run.id, seq: run.next_seq };
+            out.push(Effect::Send { to: peer.clone(), frame });
         }
         match output.part {
             Part::Tokens { text, count } => tokens(now, run, &text, count, out),
             Part::Head { status, kind } => run.head = Some((status, kind)),
             Part::Bytes(bytes) => run.bytes.extend_from_slice(&bytes),
-            Part::End {
-                code,
-                parts,
-                digest,
-                computed,
-                cached,
-            } => {
-                let frame = Frame::Ack {
-                    run: run.id,
-                    seq: u64::MAX,
-                };
-                out.push(Effect::Send {
-                    to: peer.clone(),
-                    frame,
-                });
+            Part::End { code, parts, digest, computed, cached } => {
+                let frame = Frame::Ack { run: run.id, seq: u64::MAX };
+                out.push(Effect::Send { to: peer.clone(), frame });
                 let whole = parts + 1 == run.next_seq && digest == run.digest;
                 if code == Code::Ok && whole {
                     self.complete(now, number, (computed, cached), out);
@@ -461,19 +386,11 @@
         };
         let (call, id) = (run.call, run.id);
         match &run.ask.want {
-            Want::Prompt {
-                model,
-                stream: true,
-                chat,
-                ..
-            } => {
+            Want::Prompt { model, stream: true, chat, .. } => {
                 begin_stream(run.begun, call, id, out);
                 let last = api::chunk(id, model, *chat, "", Some("stop"));
                 out.push(Effect::Body { call, bytes: last });
-                out.push(Effect::Body {
-                    call,
-                    bytes: api::DONE.to_vec(),
-                });
+                out.push(Effect::Body { call, bytes: api::DONE.to_vec() });
             }
             Want::Prompt { model, chat, .. } => {
                 let usage = (prompt.0, prompt.1, run.delivered);
@@ -486,10 +403,7 @@
                 let (status, kind) = run.head.take().unwrap_or((200, String::new()));
                 let reply = api::head(Some(id), Code::Ok, status, &kind);
                 out.push(Effect::Begin { call, reply });
-                out.push(Effect::Body {
-                    call,
-                    bytes: std::mem::take(&mut run.bytes),
-                });
+                out.push(Effect::Body { call, bytes: std::mem::take(&mut run.bytes) });
             }
         }
         out.push(Effect::Finish { call, whole: true });
@@ -514,14 +428,7 @@
         let (tries, begun) = (run.tries, run.begun);
         self.release(peer);
         if tries >= MAX_TRIES && !begun {
-            self.fail(
-                now,
-                id.number,
-                code,
-                "every server tried was full",
-                retry,
-                out,
-            );
+            self.fail(now, id.number, code, "every server tried was full", retry, out);
         } else {
             self.waiting.push_front(id.number);
         }
@@ -537,14 +444,7 @@
             self.lost(now, number, out);
         } else {
             let code = if run.idempotent { code } else { Code::Unknown };
-            self.fail(
-                now,
-                number,
-                code,
-                "the backend server failed",
-                RETRY_AFTER,
-                out,
-            );
+            self.fail(now, number, code, "the backend server failed", RETRY_AFTER, out);
         }
     }
 
@@ -581,14 +481,7 @@
             self.deadlines.pop_first();
             let code = self.give_up_code(number, Code::Late);
             self.cancel(number, out);
-            self.fail(
-                now,
-                number,
-                code,
-                "the deadline has passed",
-                RETRY_AFTER,
-                out,
-            );
+            self.fail(now, number, code, "the deadline has passed", RETRY_AFTER, out);
         }
     }
 
@@ -609,10 +502,7 @@
         };
         if let Stage::Sent { agent, .. } = &run.stage {
             let frame = Frame::Cancel { run: run.id };
-            out.push(Effect::Send {
-                to: agent.clone(),
-                frame,
-            });
+            out.push(Effect::Send { to: agent.clone(), frame });
         }
     }
 
@@ -630,10 +520,7 @@
         };
         let call = run.call;
         if run.begun {
-            out.push(Effect::Body {
-                call,
-                bytes: api::error_event(code, text),
-            });
+            out.push(Effect::Body { call, bytes: api::error_event(code, text) });
             out.push(Effect::Finish { call, whole: false });
         } else {
             let (reply, bytes) = api::refusal(Some(run.id), code, text, retry);
@@ -698,10 +585,7 @@
         return;
     };
     let bytes = api::chunk(run.id, model, *chat, text, None);
-    out.push(Effect::Body {
-        call: run.call,
-        bytes,
-    });
+    out.push(Effect::Body { call: run.call, bytes });
 }
 
 fn begin_stream(begun: bool, call: u64, id: RunId, out: &mut Effects) {
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -37,10 +37,7 @@
     /// A process that has just started.
     pub fn new(me: Me, config: Config) -> Self {
         let incarnation = me.hello.incarnation;
-        let entry = me
-            .hello
-            .entry
-            .then(|| Entry::new(config.clone(), incarnation));
+        let entry = me.hello.entry.then(|| Entry::new(config.clone(), incarnation));
         let agent = me
             .hello
             .server
@@ -124,10 +121,7 @@
             entry.linked(now, &hello, out);
         }
         let frame = Frame::Beat(self.heartbeat());
-        out.push(Effect::Send {
-            to: hello.name.clone(),
-            frame,
-        });
+        out.push(Effect::Send { to: hello.name.clone(), frame });
         self.peers.insert(hello.name.clone(), hello);
     }
 
@@ -178,7 +172,7 @@
 
     fn heartbeat(&self) -> Beat {
         Beat {
-            revision: Revision(0),
+            revision: Revision::default(),
             leaving: self.agent.as_ref().is_some_and(Agent::leaving),
             load: self.agent.as_ref().map(|agent| agent.load().clone()),
             held: 0,
@@ -188,10 +182,7 @@
     fn beat_all(&self, out: &mut Effects) {
         let beat = self.heartbeat();
         for name in self.peers.keys() {
-            out.push(Effect::Send {
-                to: name.clone(),
-                frame: Frame::Beat(beat.clone()),
-            });
+            out.push(Effect::Send { to: name.clone(), frame: Frame::Beat(beat.clone()) });
         }
     }
 
--- a/crates/quorum/src/election.rs
+++ b/crates/quorum/src/election.rs
@@ -30,8 +30,7 @@
     pub(crate) fn tick_fresh(&mut self, now: Time, out: &mut Vec<Output>) {
         let leader = self.founding.names.iter().min() == Some(&self.me.name);
         if leader && !self.exists {
-            self.fresh
-                .insert(self.me.name.clone(), (self.me.clone(), now));
+            self.fresh.insert(self.me.name.clone(), (self.me.clone(), now));
             let all: Option<Vec<Member>> = self
                 .founding
                 .names
@@ -46,10 +45,7 @@
                     index: FIRST_INDEX,
                     term: FIRST_TERM,
                     epoch: self.founding.epoch,
-                    config: Config {
-                        voters,
-                        learners: Vec::new(),
-                    },
+                    config: Config { voters, learners: Vec::new() },
                     data: Arc::from([]),
                 };
                 self.form_from(now, snapshot, out);
@@ -62,10 +58,7 @@
         if !self.is_fresh() || !snapshot.config.votes(&self.me) {
             return;
         }
-        self.hard = Hard {
-            term: self.hard.term.max(FIRST_TERM),
-            vote: self.hard.vote.clone(),
-        };
+        self.hard = Hard { term: self.hard.term.max(FIRST_TERM), vote: self.hard.vote.clone() };
         self.replace_with(snapshot, out);
         self.reset_election(now);
     }
@@ -81,10 +74,7 @@
             self.role = Role::PreCandidate;
         } else {
             self.role = Role::Candidate;
-            self.hard = Hard {
-                term,
-                vote: Some(self.me.clone()),
-            };
+            self.hard = Hard { term, vote: Some(self.me.clone()) };
             self.persist(Some(self.hard.clone()), Vec::new(), None, out);
         }
         let ask = Message::Ask {
@@ -101,16 +91,10 @@
             // A founder that missed the first configuration is given it with the request.
             if self.log.base_index == FIRST_INDEX
                 && let Some(snapshot) = &self.snapshot
-                && self
-                    .fresh
-                    .get(&voter.name)
-                    .is_some_and(|(found, _)| *found == voter)
+                && self.fresh.get(&voter.name).is_some_and(|(found, _)| *found == voter)
             {
                 let message = Message::Form(snapshot.clone());
-                out.push(Output::Send {
-                    to: voter.clone(),
-                    message,
-                });
+                out.push(Output::Send { to: voter.clone(), message });
             }
             self.send_after_persist(voter, ask.clone(), out);
         }
@@ -137,11 +121,7 @@
             return;
         }
         if sticky || term < self.hard.term || !may_vote {
-            let message = Message::Vote {
-                term: self.hard.term,
-                pre,
-                granted: false,
-            };
+            let message = Message::Vote { term: self.hard.term, pre, granted: false };
             out.push(Output::Send { to: from, message });
             return;
         }
@@ -155,11 +135,7 @@
             self.persist(Some(self.hard.clone()), Vec::new(), None, out);
             self.reset_election(now);
         }
-        let message = Message::Vote {
-            term: self.hard.term,
-            pre,
-            granted,
-        };
+        let message = Message::Vote { term: self.hard.term, pre, granted };
         self.send_after_persist(from, message, out);
     }
 
@@ -188,11 +164,7 @@
     }
 
     fn count_votes(&mut self, now: Time, out: &mut Vec<Output>) {
-        let votes = self
-            .votes
-            .iter()
-            .filter(|member| self.config.votes(member))
-            .count();
+        let votes = self.votes.iter().filter(|member| self.config.votes(member)).count();
         if votes < self.config.majority() {
             return;
         }
@@ -227,9 +199,7 @@
         if self.role == Role::Leader {
             return self.lease_holds(now);
         }
-        let heard = self
-            .heard
-            .is_some_and(|at| now.since(at) < self.timing.election);
+        let heard = self.heard.is_some_and(|at| now.since(at) < self.timing.election);
         (heard && self.leader_member.as_ref() != Some(candidate)) || now < self.blocked_until
     }
 
@@ -247,9 +217,7 @@
         let Some(best) = best.cloned() else {
             return;
         };
-        let message = Message::Lead {
-            term: self.hard.term,
-        };
+        let message = Message::Lead { term: self.hard.term };
         out.push(Output::Send { to: best, message });
         self.become_follower(now, self.hard.term, None, out);
     }
--- a/crates/quorum/src/leader.rs
+++ b/crates/quorum/src/leader.rs
@@ -39,9 +39,7 @@
 
 impl Leader {
     pub fn matched(&self, member: &Member) -> u64 {
-        self.progress
-            .get(member)
-            .map_or(0, |progress| progress.matched)
+        self.progress.get(member).map_or(0, |progress| progress.matched)
     }
 }
 
@@ -49,11 +47,7 @@
     pub(crate) fn become_leader(&mut self, now: Time, out: &mut Vec<Output>) {
         self.role = Role::Leader;
         self.leader_member = Some(self.me.clone());
-        self.leading = Leader {
-            since: now,
-            next_heartbeat: now,
-            ..Leader::default()
-        };
+        self.leading = Leader { since: now, next_heartbeat: now, ..Leader::default() };
         self.leading.first_index = self.log.last_index() + 1;
         self.add_entry(Body::Empty, out);
         self.send_to_all(now, out);
@@ -62,29 +56,18 @@
 
     pub(crate) fn propose(&mut self, now: Time, id: u64, data: Arc<[u8]>, out: &mut Vec<Output>) {
         if self.role != Role::Leader {
-            out.push(Output::Refused {
-                id,
-                leader: self.leader_member.clone(),
-            });
+            out.push(Output::Refused { id, leader: self.leader_member.clone() });
             return;
         }
         let index = self.add_entry(Body::Data(data), out);
-        out.push(Output::Accepted {
-            id,
-            index,
-            term: self.hard.term,
-        });
+        out.push(Output::Accepted { id, index, term: self.hard.term });
         self.send_to_all(now, out);
         self.commit_what_is_agreed(now, out);
     }
 
     fn add_entry(&mut self, body: Body, out: &mut Vec<Output>) -> u64 {
         let index = self.log.last_index() + 1;
-        let entry = Entry {
-            index,
-            term: self.hard.term,
-            body,
-        };
+        let entry = Entry { index, term: self.hard.term, body };
         self.log.push(entry.clone());
         if matches!(entry.body, Body::Config(_)) {
             self.refresh_config();
@@ -110,12 +93,8 @@
 
     /// Sends each member what it lacks, or a heartbeat.
     pub(crate) fn send_to_all(&mut self, now: Time, out: &mut Vec<Output>) {
-        let members: Vec<Member> = self
-            .config
-            .all()
-            .filter(|member| **member != self.me)
-            .cloned()
-            .collect();
+        let members: Vec<Member> =
+            self.config.all().filter(|member| **member != self.me).cloned().collect();
         for member in members {
             self.send_to(now, &member, out);
         }
@@ -127,10 +106,7 @@
             .leading
             .progress
             .entry(member.clone())
-            .or_insert_with(|| Progress {
-                next: last,
-                ..Progress::default()
-            });
+            .or_insert_with(|| Progress { next: last, ..Progress::default() });
         let prev_index = progress.next.saturating_sub(1);
         let Some(prev_term) = self.log.term(prev_index).filter(|_| progress.next > 0) else {
             self.send_snapshot(now, member, out);
@@ -147,10 +123,7 @@
             commit: self.commit,
             sent: now,
         };
-        out.push(Output::Send {
-            to: member.clone(),
-            message,
-        });
+        out.push(Output::Send { to: member.clone(), message });
     }
 
     fn send_snapshot(&mut self, now: Time, member: &Member, out: &mut Vec<Output>) {
@@ -174,17 +147,11 @@
         let message = Message::Install {
             term: self.hard.term,
             total: snapshot.data.len() as u64,
-            part: Snapshot {
-                data,
-                ..snapshot.clone()
-            },
+            part: Snapshot { data, ..snapshot.clone() },
             offset,
             sent: now,
         };
-        out.push(Output::Send {
-            to: member.clone(),
-            message,
-        });
+        out.push(Output::Send { to: member.clone(), message });
     }
 
     pub(crate) fn appended(
@@ -248,18 +215,18 @@
     }
 
     pub(crate) fn commit_what_is_agreed(&mut self, now: Time, out: &mut Vec<Output>) {
-        let mut matched: Vec<u64> = self
-            .config
-            .voters
-            .iter()
-            .map(|voter| {
-                if *voter == self.me {
-                    self.persisted_index
-                } else {
-                    self.leading.matched(voter)
-                }
-            })
-            .collect();
+        let mut matched: Vec<u64> =
+            self.config
+                .voters
+                .iter()
+                .map(|voter| {
+                    if *voter == self.me {
+                        self.persisted_index
+                    } else {
+                        self.leading.matched(voter)
+                    }
+                })
+                .collect();
         matched.sort_unstable_by(|a, b| b.cmp(a));
         let Some(agreed) = matched.get(self.config.majority() - 1).copied() else {
             return;
@@ -308,10 +275,7 @@
             if !self.caught_up(now, learner) {
                 continue;
             }
-            let old = config
-                .voters
-                .iter()
-                .position(|voter| voter.name == learner.name);
+            let old = config.voters.iter().position(|voter| voter.name == learner.name);
             if let Some(old) = old {
                 // The old disk goes first; the new one follows once that is committed.
                 config.voters.remove(old);
@@ -321,11 +285,7 @@
             config.voters.push(learner.clone());
             return Some(config);
         }
-        let seen: Vec<Member> = self
-            .fresh
-            .values()
-            .map(|(member, _)| member.clone())
-            .collect();
+        let seen: Vec<Member> = self.fresh.values().map(|(member, _)| member.clone()).collect();
         for member in seen {
             let known = config.all().any(|other| *other == member);
             let voter = config.voters.iter().find(|voter| voter.name == member.name);
@@ -350,11 +310,7 @@
     }
 
     fn silent(&self, now: Time, voter: &Member) -> bool {
-        let echoed = self
-            .leading
-            .progress
-            .get(voter)
-            .and_then(|progress| progress.echoed);
+        let echoed = self.leading.progress.get(voter).and_then(|progress| progress.echoed);
         let last = echoed.unwrap_or(self.leading.since).max(self.leading.since);
         now.since(last) >= self.timing.replace_after
     }
@@ -363,9 +319,7 @@
         let Some(progress) = self.leading.progress.get(learner) else {
             return false;
         };
-        let recent = progress
-            .echoed
-            .is_some_and(|at| now.since(at) < self.timing.election);
+        let recent = progress.echoed.is_some_and(|at| now.since(at) < self.timing.election);
         recent && progress.matched > 0 && progress.matched + CLOSE >= self.log.last_index()
     }
 }
--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -20,7 +20,7 @@
 mod read;
 mod replica;
 
-pub use log::{Body, Entry, Hard, Snapshot};
+pub use log::{Body, Entry, Hard, Snapshot, Write};
 pub use member::{Config, Member};
 pub use message::Message;
 pub use replica::{Founding, Input, Output, Quorum, Role, Saved, Timing};
--- a/crates/quorum/src/log.rs
+++ b/crates/quorum/src/log.rs
@@ -53,6 +53,17 @@
     pub data: Arc<[u8]>,
 }
 
+/// One request to the disk.
+#[derive(Clone, Debug, Default)]
+pub struct Write {
+    /// Term and vote, when they changed.
+    pub hard: Option<Hard>,
+    /// Entries; one at an index written before replaces all from there on.
+    pub entries: Vec<Entry>,
+    /// A snapshot that, with the entries beside it, replaces all before.
+    pub snapshot: Option<Snapshot>,
+}
+
 /// The entries after the last snapshot.
 #[derive(Debug, Default)]
 pub(crate) struct Log {
@@ -63,11 +74,7 @@
 
 impl Log {
     pub fn new(base_index: u64, base_term: u64, entries: Vec<Entry>) -> Self {
-        Self {
-            base_index,
-            base_term,
-            entries: entries.into(),
-        }
+        Self { base_index, base_term, entries: entries.into() }
     }
 
     pub fn last_index(&self) -> u64 {
@@ -75,9 +82,7 @@
     }
 
     pub fn last_term(&self) -> u64 {
-        self.entries
-            .back()
-            .map_or(self.base_term, |entry| entry.term)
+        self.entries.back().map_or(self.base_term, |entry| entry.term)
     }
 
     pub fn term(&self, index: u64) -> Option<u64> {
--- a/crates/quorum/src/member.rs
+++ b/crates/quorum/src/member.rs
@@ -39,16 +39,8 @@
 
     /// Whether the two differ by at most one voter, so that their majorities overlap.
     pub fn follows(&self, before: &Self) -> bool {
-        let added = self
-            .voters
-            .iter()
-            .filter(|voter| !before.votes(voter))
-            .count();
-        let removed = before
-            .voters
-            .iter()
-            .filter(|voter| !self.votes(voter))
-            .count();
+        let added = self.voters.iter().filter(|voter| !before.votes(voter)).count();
+        let removed = before.voters.iter().filter(|voter| !self.votes(voter)).count();
         added + removed <= 1 && !self.voters.is_empty()
     }
 }
--- a/crates/quorum/src/read.rs
+++ b/crates/quorum/src/read.rs
@@ -11,10 +11,7 @@
 impl Quorum {
     pub(crate) fn read(&mut self, now: Time, id: u64, out: &mut Vec<Output>) {
         if self.role != Role::Leader {
-            out.push(Output::Refused {
-                id,
-                leader: self.leader_member.clone(),
-            });
+            out.push(Output::Refused { id, leader: self.leader_member.clone() });
             return;
         }
         self.leading.reads.push((now, id));
@@ -56,8 +53,7 @@
         if self.config.voters.len() == 1 && self.config.votes(&self.me) {
             return true;
         }
-        self.majority_echo()
-            .is_some_and(|echoed| now.since(echoed) < time)
+        self.majority_echo().is_some_and(|echoed| now.since(echoed) < time)
     }
 
     /// The latest sending time that a majority, this member included, has answered.
--- a/crates/quorum/src/replica.rs
+++ b/crates/quorum/src/replica.rs
@@ -10,7 +10,7 @@
 use crate::election::Ballot;
 use crate::leader::Leader;
 use crate::log::Log;
-use crate::{Body, Config, Entry, Hard, Member, Message, Snapshot};
+use crate::{Body, Config, Entry, Hard, Member, Message, Snapshot, Write};
 
 /// Times of the protocol.
 #[derive(Clone, Debug)]
@@ -135,12 +135,8 @@
     Persist {
         /// Number of the request.
         seq: u64,
-        /// Term and vote, when they changed.
-        hard: Option<Hard>,
-        /// Entries; one at an index that was written before replaces all from there on.
-        entries: Vec<Entry>,
-        /// A snapshot; it and the entries beside it replace all that was written before.
-        snapshot: Option<Snapshot>,
+        /// What to write.
+        write: Write,
     },
     /// Apply a committed entry.
     Apply(Entry),
@@ -212,16 +208,9 @@
 impl Quorum {
     /// A member with what its disk held.
     pub fn new(me: Member, founding: Founding, timing: Timing, seed: u64, saved: Saved) -> Self {
-        let base = saved
-            .snapshot
-            .as_ref()
-            .map_or((0, 0), |found| (found.index, found.term));
+        let base = saved.snapshot.as_ref().map_or((0, 0), |found| (found.index, found.term));
         let log = Log::new(base.0, base.1, saved.entries);
-        let config = saved
-            .snapshot
-            .as_ref()
-            .map(|found| found.config.clone())
-            .unwrap_or_default();
+        let config = saved.snapshot.as_ref().map(|found| found.config.clone()).unwrap_or_default();
         let epoch = saved.snapshot.as_ref().map_or(0, |found| found.epoch);
         let last = log.last_index();
         let mut quorum = Self {
@@ -309,9 +298,7 @@
             Role::Leader => self.lease_holds(now),
             _ => {
                 self.leader_member.is_some()
-                    && self
-                        .heard
-                        .is_some_and(|at| now.since(at) < self.timing.election)
+                    && self.heard.is_some_and(|at| now.since(at) < self.timing.election)
             }
         }
     }
@@ -359,56 +346,27 @@
                 self.fresh.insert(from.name.clone(), (from, now));
             }
             Message::Form(snapshot) => self.form_from(now, snapshot, out),
-            Message::Ask {
-                term,
-                pre,
-                transfer,
-                last_index,
-                last_term,
-            } => {
+            Message::Ask { term, pre, transfer, last_index, last_term } => {
                 let last = (last_term, last_index);
                 self.asked(now, from, term, (pre, transfer), last, out);
             }
             Message::Vote { term, pre, granted } => self.voted(now, from, term, pre, granted, out),
-            Message::Append {
-                term,
-                prev_index,
-                prev_term,
-                entries,
-                commit,
-                sent,
-            } => {
+            Message::Append { term, prev_index, prev_term, entries, commit, sent } => {
                 if self.follow(now, &from, term, sent, out) {
                     self.append(&from, (prev_index, prev_term), entries, commit, sent, out);
                 }
             }
-            Message::Appended {
-                term,
-                ok,
-                index,
-                sent,
-            } => {
+            Message::Appended { term, ok, index, sent } => {
                 if self.is_answer(now, term, out) {
                     self.appended(now, &from, ok, index, sent, out);
                 }
             }
-            Message::Install {
-                term,
-                part,
-                offset,
-                total,
-                sent,
-            } => {
+            Message::Install { term, part, offset, total, sent } => {
                 if self.follow(now, &from, term, sent, out) {
                     self.install(&from, part, offset, total, sent, out);
                 }
             }
-            Message::Installed {
-                term,
-                index,
-                offset,
-                sent,
-            } => {
+            Message::Installed { term, index, offset, sent } => {
                 if self.is_answer(now, term, out) {
                     self.installed(now, &from, index, offset, sent, out);
                 }
@@ -439,16 +397,8 @@
         out: &mut Vec<Output>,
     ) -> bool {
         if term < self.hard.term {
-            let message = Message::Appended {
-                term: self.hard.term,
-                ok: false,
-                index: 0,
-                sent,
-            };
-            out.push(Output::Send {
-                to: from.clone(),
-                message,
-            });
+            let message = Message::Appended { term: self.hard.term, ok: false, index: 0, sent };
+            out.push(Output::Send { to: from.clone(), message });
             return false;
         }
         if term > self.hard.term || self.role != Role::Follower {
@@ -473,27 +423,14 @@
         let (prev_index, prev_term) = prev;
         if prev_index < self.log.base_index {
             // What the snapshot holds is committed, so it agrees.
-            let message = Message::Appended {
-                term,
-                ok: true,
-                index: self.log.base_index,
-                sent,
-            };
+            let message = Message::Appended { term, ok: true, index: self.log.base_index, sent };
             self.send_after_persist(from.clone(), message, out);
             return;
         }
         if self.log.term(prev_index) != Some(prev_term) {
             let index = prev_index.saturating_sub(1).min(self.log.last_index());
-            let message = Message::Appended {
-                term,
-                ok: false,
-                index,
-                sent,
-            };
-            out.push(Output::Send {
-                to: from.clone(),
-                message,
-            });
+            let message = Message::Appended { term, ok: false, index, sent };
+            out.push(Output::Send { to: from.clone(), message });
             return;
         }
         let last = prev_index + entries.len() as u64;
@@ -503,10 +440,7 @@
                 continue;
             }
             if new.is_empty() {
-                debug_assert!(
-                    entry.index > self.commit,
-                    "a committed entry is never replaced"
-                );
+                debug_assert!(entry.index > self.commit, "a committed entry is never replaced");
                 self.log.truncate(entry.index);
                 self.persisted_index = self.persisted_index.min(entry.index - 1);
                 self.persist_indexes.retain(|_, index| *index < entry.index);
@@ -518,12 +452,7 @@
             self.refresh_config();
             self.persist(None, new, None, out);
         }
-        let message = Message::Appended {
-            term,
-            ok: true,
-            index: last,
-            sent,
-        };
+        let message = Message::Appended { term, ok: true, index: last, sent };
         self.send_after_persist(from.clone(), message, out);
         self.advance(commit.min(last), out);
     }
@@ -552,12 +481,8 @@
         if let Some(last) = entries.last() {
             self.persist_indexes.insert(self.persist_seq, last.index);
         }
-        out.push(Output::Persist {
-            seq: self.persist_seq,
-            hard,
-            entries,
-            snapshot,
-        });
+        let write = Write { hard, entries, snapshot };
+        out.push(Output::Persist { seq: self.persist_seq, write });
     }
 
     /// Asks for a new base on the disk: everything that is needed besides the snapshot goes along.
@@ -602,9 +527,7 @@
         let since = self.applied - self.log.base_index;
         if since >= self.timing.snapshot_after && !self.snapshotting {
             self.snapshotting = true;
-            out.push(Output::Snapshot {
-                index: self.applied,
-            });
+            out.push(Output::Snapshot { index: self.applied });
         }
     }
 
@@ -614,13 +537,7 @@
             return;
         };
         let config = self.config_at(index);
-        let snapshot = Snapshot {
-            index,
-            term,
-            epoch: self.epoch,
-            config,
-            data,
-        };
+        let snapshot = Snapshot { index, term, epoch: self.epoch, config, data };
         self.log.compact(index, term);
         self.snapshot = Some(snapshot.clone());
         self.persist_snapshot(snapshot, out);
@@ -638,19 +555,11 @@
         let term = self.hard.term;
         let index = part.index;
         if index <= self.commit && !self.is_fresh() {
-            let message = Message::Installed {
-                term,
-                index,
-                offset: total,
-                sent,
-            };
+            let message = Message::Installed { term, index, offset: total, sent };
             self.send_after_persist(from.clone(), message, out);
             return;
         }
-        let known = self
-            .incoming
-            .as_ref()
-            .is_some_and(|(found, _)| found.index == index);
+        let known = self.incoming.as_ref().is_some_and(|(found, _)| found.index == index);
         if !known {
             self.incoming = Some((part.clone(), Vec::new()));
         }
@@ -666,12 +575,7 @@
             self.incoming = None;
             self.replace_with(Snapshot { data, ..part }, out);
         }
-        let message = Message::Installed {
-            term,
-            index,
-            offset: have,
-            sent,
-        };
+        let message = Message::Installed { term, index, offset: have, sent };
         self.send_after_persist(from.clone(), message, out);
     }
 
@@ -679,9 +583,7 @@
     pub(crate) fn replace_with(&mut self, snapshot: Snapshot, out: &mut Vec<Output>) {
         self.log.compact(snapshot.index, snapshot.term);
         self.persist_indexes.clear();
-        self.persisted_index = self
-            .persisted_index
-            .clamp(snapshot.index, self.log.last_index());
+        self.persisted_index = self.persisted_index.clamp(snapshot.index, self.log.last_index());
         self.commit = self.commit.max(snapshot.index);
         self.applied = snapshot.index;
         self.epoch = snapshot.epoch;
@@ -698,21 +600,15 @@
     }
 
     fn config_at(&self, index: u64) -> Config {
-        let found = self
-            .log
-            .iter()
-            .rev()
-            .filter(|entry| entry.index <= index)
-            .find_map(|entry| match &entry.body {
-                Body::Config(config) => Some(config.clone()),
-                _ => None,
-            });
+        let found =
+            self.log.iter().rev().filter(|entry| entry.index <= index).find_map(
+                |entry| match &entry.body {
+                    Body::Config(config) => Some(config.clone()),
+                    _ => None,
+                },
+            );
         found
-            .or_else(|| {
-                self.snapshot
-                    .as_ref()
-                    .map(|snapshot| snapshot.config.clone())
-            })
+            .or_else(|| self.snapshot.as_ref().map(|snapshot| snapshot.config.clone()))
             .unwrap_or_default()
     }
 
--- a/crates/quorum/tests/bed/mod.rs
+++ b/crates/quorum/tests/bed/mod.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use base::prelude::*;
-use quorum::{Body, Entry, Founding, Input, Member, Output, Quorum, Role, Saved, Timing};
+use quorum::{Body, Entry, Founding, Input, Member, Output, Quorum, Role, Saved, Timing, Write};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -116,10 +116,7 @@
             lost: 0,
         };
         for (place, name) in names.iter().enumerate() {
-            let disk = Disk {
-                identity: place as u64 + 1,
-                ..Disk::default()
-            };
+            let disk = Disk { identity: place as u64 + 1, ..Disk::default() };
             let node = Node {
                 quorum: None,
                 disk,
@@ -163,10 +160,7 @@
                 .as_ref()
                 .is_some_and(|q| *q.role() == Role::Leader && q.lease_holds(self.now))
         };
-        self.nodes
-            .iter()
-            .find(|(_, node)| leads(node))
-            .map(|(name, _)| name.clone())
+        self.nodes.iter().find(|(_, node)| leads(node)).map(|(name, _)| name.clone())
     }
 
     pub fn cut(&mut self, name: &str) {
@@ -183,10 +177,7 @@
 
     fn boot(&mut self, name: &Name) {
         let seed = self.rng.random();
-        let founding = Founding {
-            names: self.names(),
-            epoch: 1,
-        };
+        let founding = Founding { names: self.names(), epoch: 1 };
         let timing = Timing {
             heartbeat: Duration::from_millis(50),
             election: Duration::from_millis(300),
@@ -195,15 +186,9 @@
             ..Timing::default()
         };
         let node = self.nodes.get_mut(name).expect("known");
-        let me = Member {
-            name: name.clone(),
-            disk: node.disk.identity,
-        };
+        let me = Member { name: name.clone(), disk: node.disk.identity };
         let quorum = Quorum::new(me, founding, timing, seed, node.disk.saved.clone());
-        node.state = quorum
-            .initial()
-            .map(|found| decode(&found.data))
-            .unwrap_or_default();
+        node.state = quorum.initial().map(|found| decode(&found.data)).unwrap_or_default();
         node.applied.clear();
         node.quorum = Some(quorum);
         self.feed(name, Input::Tick);
@@ -229,11 +214,7 @@
         let node = self.nodes.get_mut(name).expect("known");
         let keep = node.disk.identity;
         node.disk = Disk::default();
-        node.disk.identity = if self.sabotage == Sabotage::SameIdentity {
-            keep
-        } else {
-            identity
-        };
+        node.disk.identity = if self.sabotage == Sabotage::SameIdentity { keep } else { identity };
         self.lost += 1;
     }
 
@@ -300,26 +281,18 @@
     /// Whether every disk that is there votes in the agreed configuration.
     pub fn repaired(&self) -> bool {
         let leader = self.leader();
-        let Some(leader) = leader
-            .as_ref()
-            .and_then(|name| self.nodes[name].quorum.as_ref())
-        else {
+        let Some(leader) = leader.as_ref().and_then(|name| self.nodes[name].quorum.as_ref()) else {
             return false;
         };
         let up = |name: &Name, node: &Node| {
-            let me = Member {
-                name: name.clone(),
-                disk: node.disk.identity,
-            };
+            let me = Member { name: name.clone(), disk: node.disk.identity };
             node.quorum.is_some() && leader.config().votes(&me)
         };
         self.nodes.iter().all(|(name, node)| up(name, node))
             && leader.config().voters.len() == self.nodes.len()
             && leader.commit() == leader.last_index()
             && self.nodes.values().all(|node| {
-                node.quorum
-                    .as_ref()
-                    .is_some_and(|quorum| quorum.commit() + 2 >= leader.commit())
+                node.quorum.as_ref().is_some_and(|quorum| quorum.commit() + 2 >= leader.commit())
             })
     }
 
@@ -338,10 +311,7 @@
         if let Some(message) = announce {
             let from = node.quorum.as_ref().expect("it runs").me().clone();
             for other in self.names().into_iter().filter(|other| other != name) {
-                let input = Input::Message {
-                    from: from.clone(),
-                    message: message.clone(),
-                };
+                let input = Input::Message { from: from.clone(), message: message.clone() };
                 self.post(name, &other, input);
             }
         }
@@ -379,11 +349,7 @@
         if self.cuts.contains(&(from.clone(), to.clone())) || self.chance(self.faults.drop) {
             return;
         }
-        let copies = if self.chance(self.faults.duplicate) {
-            2
-        } else {
-            1
-        };
+        let copies = if self.chance(self.faults.duplicate) { 2 } else { 1 };
         for _ in 0..copies {
             let slow = self.faults.drop > 0 && self.chance(300);
             let most = if slow { 200_000 } else { 5_000 };
@@ -403,10 +369,7 @@
         if *quorum.role() == Role::Leader {
             let term = quorum.term();
             let other = self.leaders.insert(term, name.clone());
-            assert!(
-                other.is_none_or(|other| other == *name),
-                "two leaders in term {term}"
-            );
+            assert!(other.is_none_or(|other| other == *name), "two leaders in term {term}");
         }
         for output in out {
             self.perform(name, output);
@@ -419,11 +382,7 @@
             Output::Send { to, message } => {
                 let node = &self.nodes[name];
                 let from = node.quorum.as_ref().expect("it runs").me().clone();
-                if self
-                    .nodes
-                    .get(&to.name)
-                    .is_some_and(|node| node.disk.identity == to.disk)
-                {
+                if self.nodes.get(&to.name).is_some_and(|node| node.disk.identity == to.disk) {
                     self.post(name, &to.name.clone(), Input::Message { from, message });
                 }
             }
@@ -435,10 +394,7 @@
                 let at = node.pending.last().map_or(at, |(last, _, _)| at.max(*last));
                 node.pending.push((at, seq, output));
                 let early = self.sabotage == Sabotage::EarlySync;
-                self.schedule(
-                    if early { self.now } else { at },
-                    Event::Synced(name.clone(), seq),
-                );
+                self.schedule(if early { self.now } else { at }, Event::Synced(name.clone(), seq));
                 if early {
                     // The write itself happens much later.
                     let node = self.nodes.get_mut(name).expect("known");
@@ -458,11 +414,7 @@
                 node.waiting.insert(index, (term, id));
             }
             Output::Readable { id, index } => {
-                self.nodes
-                    .get_mut(name)
-                    .expect("known")
-                    .reads
-                    .push((id, index));
+                self.nodes.get_mut(name).expect("known").reads.push((id, index));
             }
             Output::Snapshot { index } => {
                 let data = encode(&self.nodes[name].state);
@@ -491,12 +443,7 @@
             && term == entry.term
         {
             let sent = self.sent[&id];
-            self.acked.push(Acked {
-                command: id,
-                sent,
-                acked: self.now,
-                index: entry.index,
-            });
+            self.acked.push(Acked { command: id, sent, acked: self.now, index: entry.index });
         }
     }
 
@@ -512,15 +459,8 @@
         let node = self.nodes.get_mut(name).expect("known");
         let now = self.now;
         let done: Vec<Output> = {
-            let count = node
-                .pending
-                .iter()
-                .take_while(|(at, _, _)| *at <= now)
-                .count();
-            node.pending
-                .drain(..count)
-                .map(|(_, _, output)| output)
-                .collect()
+            let count = node.pending.iter().take_while(|(at, _, _)| *at <= now).count();
+            node.pending.drain(..count).map(|(_, _, output)| output).collect()
         };
         for output in done {
             node.disk.write(output);
@@ -533,19 +473,12 @@
         let mut place: BTreeMap<u64, u64> = BTreeMap::new();
         for (index, command) in &self.log {
             if *command != 0 {
-                assert!(
-                    place.insert(*command, *index).is_none(),
-                    "command {command} twice"
-                );
+                assert!(place.insert(*command, *index).is_none(), "command {command} twice");
             }
         }
         let last = *self.log.keys().last().unwrap_or(&0);
         for acked in &self.acked {
-            assert_eq!(
-                place.get(&acked.command),
-                Some(&acked.index),
-                "an accepted entry was lost"
-            );
+            assert_eq!(place.get(&acked.command), Some(&acked.index), "an accepted entry was lost");
         }
         for (name, node) in &self.nodes {
             let Some(quorum) = &node.quorum else { continue };
@@ -557,10 +490,7 @@
         for later in &self.acked {
             for earlier in &self.acked {
                 if earlier.acked < later.sent {
-                    assert!(
-                        earlier.index < later.index,
-                        "order does not follow real time"
-                    );
+                    assert!(earlier.index < later.index, "order does not follow real time");
                 }
             }
         }
@@ -573,10 +503,7 @@
 
     /// Whether all members are up and hold the same.
     pub fn converged(&self) -> bool {
-        let mut commits = self
-            .nodes
-            .values()
-            .map(|node| node.quorum.as_ref().map(Quorum::commit));
+        let mut commits = self.nodes.values().map(|node| node.quorum.as_ref().map(Quorum::commit));
         let first = commits.next().flatten();
         first.is_some() && commits.all(|commit| commit == first)
     }
@@ -584,15 +511,10 @@
 
 impl Disk {
     fn write(&mut self, output: Output) {
-        let Output::Persist {
-            hard,
-            entries,
-            snapshot,
-            ..
-        } = output
-        else {
+        let Output::Persist { write, .. } = output else {
             return;
         };
+        let Write { hard, entries, snapshot } = write;
         if let Some(hard) = hard {
             self.saved.hard = hard;
         }
@@ -608,14 +530,9 @@
 }
 
 fn encode(state: &[u64]) -> Arc<[u8]> {
-    state
-        .iter()
-        .flat_map(|command| command.to_be_bytes())
-        .collect()
+    state.iter().flat_map(|command| command.to_be_bytes()).collect()
 }
 
 fn decode(data: &[u8]) -> Vec<u64> {
-    data.chunks_exact(8)
-        .map(|c| u64::from_be_bytes(c.try_into().expect("eight bytes")))
-        .collect()
+    data.chunks_exact(8).map(|c| u64::from_be_bytes(c.try_into().expect("eight bytes"))).collect()
 }
--- a/crates/quorum/tests/schedule.rs
+++ b/crates/quorum/tests/schedule.rs
@@ -14,10 +14,7 @@
 const FIVE: &[&str] = &["a", "b", "c", "d", "e"];
 
 fn seeds() -> u64 {
-    std::env::var("SEEDS")
-        .ok()
-        .and_then(|text| text.parse().ok())
-        .unwrap_or(SEEDS)
+    std::env::var("SEEDS").ok().and_then(|text| text.parse().ok()).unwrap_or(SEEDS)
 }
 
 fn schedule(seed: u64, names: &[&str], faults: Faults, sabotage: Sabotage) -> Bed {
@@ -41,14 +38,7 @@
 }
 
 fn all() -> Faults {
-    Faults {
-        drop: 300,
-        duplicate: 300,
-        crash: 8,
-        freeze: 8,
-        cut: 6,
-        lose_disk: 0,
-    }
+    Faults { drop: 300, duplicate: 300, crash: 8, freeze: 8, cut: 6, lose_disk: 0 }
 }
 
 #[test_case(THREE, Faults { drop: 500, duplicate: 500, ..Faults::default() }; "bad links")]
@@ -62,21 +52,12 @@
     for seed in 0..seeds() {
         let bed = schedule(seed, names, faults, Sabotage::None);
         assert!(bed.converged(), "seed {seed}: members differ after healing");
-        assert!(
-            bed.leader().is_some(),
-            "seed {seed}: no leader after healing"
-        );
+        assert!(bed.leader().is_some(), "seed {seed}: no leader after healing");
         acked += bed.acked.len();
         lost += bed.lost;
     }
-    assert!(
-        faults.lose_disk == 0 || lost as u64 > seeds() / 2,
-        "only {lost} disks were lost"
-    );
-    assert!(
-        acked as u64 > seeds() * ROUNDS / 4,
-        "only {acked} commands were accepted"
-    );
+    assert!(faults.lose_disk == 0 || lost as u64 > seeds() / 2, "only {lost} disks were lost");
+    assert!(acked as u64 > seeds() * ROUNDS / 4, "only {acked} commands were accepted");
 }
 
 /// One disk is lost, and another VM is lost while or right after the first is repaired.
@@ -84,11 +65,7 @@
     let mut bed = Bed::new(seed, THREE, Faults::default(), sabotage);
     bed.run(Duration::from_secs(2));
     let leader = bed.leader().expect("a first leader");
-    let others: Vec<_> = bed
-        .names()
-        .into_iter()
-        .filter(|name| *name != leader)
-        .collect();
+    let others: Vec<_> = bed.names().into_iter().filter(|name| *name != leader).collect();
     bed.cut(&others[0]);
     for command in 1..=70 {
         bed.propose(&leader, command);
@@ -122,10 +99,7 @@
 /// The checks see a member that breaks a promise.
 #[test]
 fn a_sync_confirmed_too_early_is_seen() {
-    let faults = Faults {
-        crash: 60,
-        ..Faults::default()
-    };
+    let faults = Faults { crash: 60, ..Faults::default() };
     let run = |seed| {
         schedule(seed, THREE, faults, Sabotage::EarlySync);
     };
@@ -134,8 +108,5 @@
 
 #[test]
 fn a_lost_disk_that_keeps_its_identity_is_seen() {
-    assert!(
-        fails(|seed| second_loss(seed, Sabotage::SameIdentity), 200),
-        "not shown"
-    );
+    assert!(fails(|seed| second_loss(seed, Sabotage::SameIdentity), 200), "not shown");
 }
--- /dev/null
+++ b/crates/record/src/lib.rs
@@ -0,0 +1,15 @@
+//! Configuration records and their schema versions.
+//!
+//! A [`Record`] has a kind, a name, a version and a body in JSON. The body is kept as it was
+//! written, so fields that this build does not know survive. [`schema`] knows the fields of each
+//! kind by schema version, carries a newer record's fields through an older writer, and upgrades
+//! old bodies; the typed views ([`Workspace`], [`Service`], …) read only records they understand.
+
+mod kind;
+mod record;
+pub mod schema;
+mod view;
+
+pub use kind::Kind;
+pub use record::{Change, Record};
+pub use view::{Rollout, Rule, Server, View, Workspace};
--- /dev/null
+++ b/crates/record/src/schema.rs
@@ -0,0 +1,156 @@
+//! Fields by kind and schema version.
+
+use serde_json::{Map, Value};
+
+use crate::Kind;
+
+/// The newest schema version of a kind that this build knows.
+pub const fn newest(kind: Kind) -> u32 {
+    match kind {
+        Kind::Workspace => 2,
+        _ => 1,
+    }
+}
+
+/// The fields that a kind has in a schema version; later versions add to earlier ones.
+pub fn fields(kind: Kind, schema: u32) -> &'static [&'static str] {
+    match (kind, schema) {
+        (Kind::Model, _) => &["max_tokens", "description"],
+        (Kind::Version | Kind::Adapter, _) => &["model", "digest"],
+        (Kind::Workspace, 1) => &["key", "models", "concurrency", "share", "description"],
+        (Kind::Workspace, _) => &["keys", "models", "concurrency", "share", "description"],
+        (Kind::Priority, _) => &["class"],
+        (Kind::Role, _) => &["models", "description"],
+        (Kind::Service, _) => &["once", "description"],
+        (Kind::Server, _) => &["drain", "checks_tokens", "role"],
+        (Kind::Rollout, _) => &["model", "version", "parallel", "floor", "paused"],
+    }
+}
+
+/// The body that results when a writer of `schema` replaces `old`, written with `old_schema`.
+///
+/// Fields that the writer's schema does not know are kept, and the higher schema stays.
+pub fn carry(
+    kind: Kind,
+    schema: u32,
+    new: Map<String, Value>,
+    old_schema: u32,
+    old: &Map<String, Value>,
+) -> (u32, Map<String, Value>) {
+    if old_schema <= schema {
+        return (schema, new);
+    }
+    let known = fields(kind, schema);
+    let mut body = upgrade(kind, schema, old_schema, new);
+    for (key, value) in old {
+        if !known.contains(&key.as_str()) && !body.contains_key(key) {
+            body.insert(key.clone(), value.clone());
+        }
+    }
+    (old_schema, body)
+}
+
+/// Turns a body of one schema version into that of a later one, as far as this build knows it.
+pub fn upgrade(kind: Kind, from: u32, to: u32, mut body: Map<String, Value>) -> Map<String, Value> {
+    if kind == Kind::Workspace
+        && from < 2
+        && to >= 2
+        && let Some(key) = body.remove("key")
+    {
+        body.insert("keys".to_owned(), Value::Array(vec![key]));
+    }
+    body
+}
+
+/// What is wrong with a body; empty if nothing is. Unknown fields are wrong only in a schema that
+/// this build knows.
+pub fn mistakes(kind: Kind, schema: u32, body: &Map<String, Value>) -> Vec<String> {
+    let mut found = Vec::new();
+    if schema == 0 {
+        found.push("schema: 1 or more".to_owned());
+    }
+    if schema <= newest(kind) {
+        let known = fields(kind, schema);
+        for key in body.keys().filter(|key| !known.contains(&key.as_str())) {
+            found.push(format!("{key}: unknown field; allowed: {}", known.join(", ")));
+        }
+    }
+    for (key, value) in body {
+        let allowed = allowed(key);
+        if let Some((text, good)) = allowed
+            && !good(value)
+        {
+            found.push(format!("{key}: {text}"));
+        }
+    }
+    for key in required(kind) {
+        if !body.contains_key(*key) {
+            found.push(format!("{key}: missing"));
+        }
+    }
+    found
+}
+
+type Check = fn(&Value) -> bool;
+
+fn allowed(key: &str) -> Option<(&'static str, Check)> {
+    let texts: Check =
+        |value| value.as_array().is_some_and(|list| list.iter().all(Value::is_string));
+    let count: Check = |value| value.as_u64().is_some_and(|count| (1..=1_000_000).contains(&count));
+    match key {
+        "model" | "version" | "digest" | "role" | "description" | "key" => {
+            Some(("a string", Value::is_string))
+        }
+        "models" | "keys" => Some(("a list of strings", texts)),
+        "concurrency" | "share" | "max_tokens" | "parallel" => Some(("1 to 1000000", count)),
+        "floor" => Some(("a whole number", Value::is_u64)),
+        "drain" | "checks_tokens" | "paused" => Some(("true, false", Value::is_boolean)),
+        "class" => Some(("low, normal, high", |value| {
+            value.as_str().is_some_and(|class| ["low", "normal", "high"].contains(&class))
+        })),
+        "once" => Some(("a list of {method, prefix}", |value| {
+            value.as_array().is_some_and(|list| {
+                list.iter().all(|rule| rule["method"].is_string() && rule["prefix"].is_string())
+            })
+        })),
+        _ => None,
+    }
+}
+
+fn required(kind: Kind) -> &'static [&'static str] {
+    match kind {
+        Kind::Version | Kind::Adapter => &["model"],
+        Kind::Priority => &["class"],
+        Kind::Rollout => &["model", "version"],
+        _ => &[],
+    }
+}
+
+/// The records that a body refers to.
+pub fn references(kind: Kind, body: &Map<String, Value>) -> Vec<(Kind, String)> {
+    let mut found = Vec::new();
+    let mut one = |kind: Kind, value: &Value| {
+        if let Some(name) = value.as_str() {
+            found.push((kind, name.to_owned()));
+        }
+    };
+    match kind {
+        Kind::Version | Kind::Adapter => one(Kind::Model, &body["model"]),
+        Kind::Rollout => {
+            one(Kind::Model, &body["model"]);
+            one(Kind::Version, &body["version"]);
+        }
+        Kind::Workspace | Kind::Role => {
+            for model in body.get("models").and_then(Value::as_array).into_iter().flatten() {
+                one(Kind::Model, model);
+            }
+        }
+        Kind::Server => {
+            if let Some(role) = body.get("role") {
+                one(Kind::Role, role);
+            }
+        }
+        Kind::Model | Kind::Priority | Kind::Service => {}
+    }
+    found
+}
--- /dev/null
+++ b/crates/record/src/view.rs
@@ -0,0 +1,229 @@
+//! Typed views of records.
+
+use std::collections::{BTreeMap, HashMap};
+
+use base::{Name, Revision};
+use serde_json::{Map, Value};
+
+use crate::{Change, Kind, Record, schema};
+
+/// A workspace.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Workspace {
+    /// Name.
+    pub name: Name,
+    /// Models it may use; empty for all.
+    pub models: Vec<Name>,
+    /// Most requests under way at once, over all entries.
+    pub concurrency: usize,
+    /// Weight in fair queues.
+    pub share: u32,
+    /// Goes into the keys of its cache blocks.
+    pub salt: [u8; 16],
+}
+
+/// A call of a plain service that may run at most once.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Rule {
+    /// HTTP method.
+    pub method: String,
+    /// Start of the path.
+    pub prefix: String,
+}
+
+/// What is set for a backend server.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Server {
+    /// Whether it shall take no new work.
+    pub drain: bool,
+}
+
+/// The weight version that a model's replicas shall hold.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Rollout {
+    /// Model.
+    pub model: Name,
+    /// Weight version.
+    pub version: Name,
+    /// Most replicas that load at once.
+    pub parallel: usize,
+    /// Least replicas that go on serving.
+    pub floor: usize,
+    /// Whether no further replica shall start to load.
+    pub paused: bool,
+}
+
+/// All records as one process knows them, and the views of those it understands.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    /// The latest change applied.
+    pub revision: Revision,
+    records: BTreeMap<(Kind, Name), Record>,
+    workspaces: HashMap<Name, Workspace>,
+    keys: HashMap<String, Name>,
+    services: HashMap<Name, Vec<Rule>>,
+    servers: HashMap<Name, Server>,
+    rollouts: BTreeMap<Name, Rollout>,
+}
+
+impl View {
+    /// Applies changes that are newer than what is known; an older one is left out.
+    pub fn apply(&mut self, changes: &[Change]) {
+        for change in changes {
+            if change.revision <= self.revision {
+                continue;
+            }
+            self.revision = change.revision;
+            let place = (change.kind, change.name.clone());
+            match &change.record {
+                Some(record) => self.records.insert(place, record.clone()),
+                None => self.records.remove(&place),
+            };
+        }
+        self.rebuild();
+    }
+
+    /// Takes a whole set of records, unless it is older than what is known.
+    pub fn replace(&mut self, revision: Revision, records: Vec<Record>) {
+        if revision < self.revision {
+            return;
+        }
+        self.revision = revision;
+        let named = records.into_iter().map(|record| ((record.kind, record.name.clone()), record));
+        self.records = named.collect();
+        self.rebuild();
+    }
+
+    /// Every record.
+    pub fn records(&self) -> impl Iterator<Item = &Record> {
+        self.records.values()
+    }
+
+    /// One record.
+    pub fn get(&self, kind: Kind, name: &str) -> Option<&Record> {
+        self.records.get(&(kind, Name::new(name)))
+    }
+
+    /// Records whose schema this build is too old for.
+    pub fn not_understood(&self) -> impl Iterator<Item = &Record> {
+        self.records().filter(|record| !understood(record))
+    }
+
+    /// The workspace that a bearer key belongs to.
+    pub fn workspace_of(&self, key: &str) -> Option<&Workspace> {
+        let hash = blake3::hash(key.as_bytes()).to_hex();
+        self.workspaces.get(self.keys.get(hash.as_str())?)
+    }
+
+    /// The workspace of this name.
+    pub fn workspace(&self, name: &str) -> Option<&Workspace> {
+        self.workspaces.get(name)
+    }
+
+    /// Whether a plain call may run at most once.
+    pub fn once(&self, service: &str, method: &str, path: &str) -> bool {
+        let rules = self.services.get(service).map(Vec::as_slice).unwrap_or_default();
+        rules.iter().any(|rule| rule.method == method && path.starts_with(&rule.prefix))
+    }
+
+    /// What is set for a backend server.
+    pub fn server(&self, name: &str) -> Server {
+        self.servers.get(name).cloned().unwrap_or_default()
+    }
+
+    /// The rollouts, by model.
+    pub fn rollouts(&self) -> &BTreeMap<Name, Rollout> {
+        &self.rollouts
+    }
+
+    /// Whether any record of a model exists; without one every model is allowed.
+    pub fn knows_models(&self) -> bool {
+        self.records.keys().any(|(kind, _)| *kind == Kind::Model)
+    }
+
+    fn rebuild(&mut self) {
+        self.workspaces.clear();
+        self.keys.clear();
+        self.services.clear();
+        self.servers.clear();
+        self.rollouts.clear();
+        for record in self.records.values().filter(|record| understood(record)) {
+            let newest = schema::newest(record.kind);
+            let body = schema::upgrade(record.kind, record.schema, newest, record.fields());
+            let name = record.name.clone();
+            match record.kind {
+                Kind::Workspace => {
+                    for key in texts(&body, "keys") {
+                        self.keys.insert(key, name.clone());
+                    }
+                    self.workspaces.insert(name, workspace(record, &body));
+                }
+                Kind::Service => {
+                    self.services.insert(name, rules(&body));
+                }
+                Kind::Server => {
+                    let drain = body.get("drain").and_then(Value::as_bool).unwrap_or(false);
+                    self.servers.insert(name, Server { drain });
+                }
+                Kind::Rollout => {
+                    let rollout = rollout(&body);
+                    self.rollouts.insert(rollout.model.clone(), rollout);
+                }
+                Kind::Model | Kind::Version | Kind::Adapter | Kind::Priority | Kind::Role => {}
+            }
+        }
+    }
+}
+
+fn understood(record: &Record) -> bool {
+    record.min_schema <= schema::newest(record.kind)
+}
+
+fn texts(body: &Map<String, Value>, key: &str) -> Vec<String> {
+    let list = body.get(key).and_then(Value::as_array).map(Vec::as_slice).unwrap_or_default();
+    list.iter().filter_map(Value::as_str).map(str::to_owned).collect()
+}
+
+fn count(body: &Map<String, Value>, key: &str, default: u64) -> u64 {
+    body.get(key).and_then(Value::as_u64).unwrap_or(default)
+}
+
+fn workspace(record: &Record, body: &Map<String, Value>) -> Workspace {
+    const CONCURRENCY: u64 = 1_000;
+    const SHARE: u64 = 100;
+    // The salt follows from the name and the creation, so that changes of the record keep the cache
+    // warm, and a workspace made anew under an old name does not see the old one's blocks.
+    let mut salt = [0; 16];
+    let source = format!("{} {}", record.created, record.name);
+    let hash = blake3::derive_key("tamarackbank workspace salt", source.as_bytes());
+    salt.copy_from_slice(&hash[..16]);
+    Workspace {
+        name: record.name.clone(),
+        models: texts(body, "models").iter().map(|name| Name::new(name)).collect(),
+        concurrency: count(body, "concurrency", CONCURRENCY) as usize,
+        share: count(body, "share", SHARE) as u32,
+        salt,
+    }
+}
+
+fn rules(body: &Map<String, Value>) -> Vec<Rule> {
+    let list = body.get("once").and_then(Value::as_array).map(Vec::as_slice).unwrap_or_default();
+    let rule = |value: &Value| {
+        Some(Rule {
+            method: value["method"].as_str()?.to_owned(),
+            prefix: value["prefix"].as_str()?.to_owned(),
+        })
+    };
+    list.iter().filter_map(rule).collect()
+}
+
+fn rollout(body: &Map<String, Value>) -> Rollout {
+    let text = |key: &str| Name::new(body.get(key).and_then(Value::as_str).unwrap_or_default());
+    Rollout {
+        model: text("model"),
+        version: text("version"),
+        parallel: count(body, "parallel", 1) as usize,
+        floor: count(body, "floor", 1) as usize,
+        paused: body.get("paused").and_then(Value::as_bool).unwrap_or(false),
+    }
+}
--- /dev/null
+++ b/crates/state/src/command.rs
@@ -0,0 +1,114 @@
+//! Commands in the log and their replies.
+
+use base::{Code, Name, Revision, RunId};
+use record::{Kind, Record};
+use serde::{Deserialize, Serialize};
+
+use crate::{Claim, Outcome, Standing};
+
+/// A new content for a record.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Put {
+    /// The writer's id of this request; a resend carries the same.
+    pub request: Name,
+    /// Who writes.
+    pub by: Name,
+    /// When, milliseconds since 1970 by the writer's clock.
+    pub at_ms: u64,
+    /// Kind of the record.
+    pub kind: Kind,
+    /// Name of the record.
+    pub name: Name,
+    /// Version that the writer has read; 0 for a new record.
+    pub expect: u64,
+    /// Schema version of the body.
+    pub schema: u32,
+    /// Least schema version that a reader must know.
+    pub min_schema: u32,
+    /// The body in JSON.
+    pub body: String,
+}
+
+/// The end of a record.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Delete {
+    /// The writer's id of this request.
+    pub request: Name,
+    /// Who writes.
+    pub by: Name,
+    /// When, milliseconds since 1970 by the writer's clock.
+    pub at_ms: u64,
+    /// Kind of the record.
+    pub kind: Kind,
+    /// Name of the record.
+    pub name: Name,
+    /// Version that the writer has read.
+    pub expect: u64,
+}
+
+/// An order to a backend server; its place in the log is its fencing token.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Order {
+    /// Agent beside the server.
+    pub server: Name,
+    /// Weight version to load.
+    pub load: Name,
+    /// Who caused it.
+    pub by: Name,
+}
+
+/// A command in the log.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Command {
+    /// Put a record.
+    Put(Put),
+    /// Delete a record.
+    Delete(Delete),
+    /// Claim a request; `replaces` names a dispatch that is proved never to start.
+    Claim {
+        /// The claim.
+        claim: Claim,
+        /// A dispatch that never starts.
+        replaces: Option<RunId>,
+    },
+    /// Note how a claimed request ended.
+    Settle {
+        /// Workspace that asked.
+        workspace: Name,
+        /// Its key.
+        key: Name,
+        /// The dispatch.
+        run: RunId,
+        /// How it ended; none when it never ran, which frees the key.
+        outcome: Option<Outcome>,
+    },
+    /// Issue an order.
+    Issue(Order),
+}
+
+/// The answer to a command.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Reply {
+    /// A put or delete was accepted.
+    Accepted {
+        /// Where it stands in the log.
+        revision: Revision,
+        /// Version of the record after it.
+        version: u64,
+    },
+    /// A put or delete was refused.
+    Refused {
+        /// Why.
+        code: Code,
+        /// What is wrong.
+        text: String,
+        /// The record that stands.
+        winner: Option<Record>,
+    },
+    /// Where a claim stands.
+    Claim(Standing),
+    /// A settlement was noted or came too late.
+    Settled,
+    /// An order was issued with this fencing token.
+    Issued(Revision),
+}
