--- /dev/null
+++ b/crates/cache/src/block.rs
@@ -0,0 +1,81 @@
+//! The bytes of a block on a store.
+
+use std::fmt;
+
+use crate::Key;
+
+const MAGIC: [u8; 4] = *b"TBK1";
+const HEADER: usize = 4 + 16 + 8 + 8 + 4;
+
+/// Why a block is not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BadBlock {
+    /// Shorter or longer than its header says.
+    Torn,
+    /// Another key.
+    Foreign,
+    /// Another generation.
+    Replaced,
+    /// The checksum differs.
+    Changed,
+}
+
+impl fmt::Display for BadBlock {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Torn => "torn",
+            Self::Foreign => "foreign",
+            Self::Replaced => "replaced",
+            Self::Changed => "changed",
+        })
+    }
+}
+
+impl std::error::Error for BadBlock {}
+
+/// A block with its header: magic, key, generation, length, checksum.
+pub fn seal(key: &Key, generation: u64, body: &[u8]) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(HEADER + body.len());
+    bytes.extend_from_slice(&MAGIC);
+    bytes.extend_from_slice(key);
+    bytes.extend_from_slice(&generation.to_be_bytes());
+    bytes.extend_from_slice(&(body.len() as u64).to_be_bytes());
+    let mut sum = crc32fast::Hasher::new();
+    sum.update(&bytes);
+    sum.update(body);
+    bytes.extend_from_slice(&sum.finalize().to_be_bytes());
+    bytes.extend_from_slice(body);
+    bytes
+}
+
+/// The body of a block, if it is whole and the one asked for; 0 takes any generation.
+///
+/// # Errors
+/// The block is torn, foreign, replaced or changed; to the reader each is a miss.
+pub fn unseal<'a>(key: &Key, generation: u64, bytes: &'a [u8]) -> Result<&'a [u8], BadBlock> {
+    let Some((header, body)) = bytes.split_at_checked(HEADER) else {
+        return Err(BadBlock::Torn);
+    };
+    let (checked, sum) = header.split_at(HEADER - 4);
+    let number = |at: usize| {
+        let mut bytes = [0; 8];
+        bytes.copy_from_slice(&checked[at..at + 8]);
+        u64::from_be_bytes(bytes)
+    };
+    if checked[..4] != MAGIC || number(28) != body.len() as u64 {
+        return Err(BadBlock::Torn);
+    }
+    let mut hasher = crc32fast::Hasher::new();
+    hasher.update(checked);
+    hasher.update(body);
+    if hasher.finalize().to_be_bytes() != *sum {
+        return Err(BadBlock::Changed);
+    }
+    if checked[4..20] != *key {
+        return Err(BadBlock::Foreign);
+    }
+    if generation != 0 && number(20) != generation {
+        return Err(BadBlock::Replaced);
+    }
+    Ok(body)
+}
--- /dev/null
+++ b/crates/cache/src/key.rs
@@ -0,0 +1,48 @@
+//! Keys of a prompt's pieces.
+
+/// Bytes of a prompt in one piece.
+pub const PIECE: usize = 4_000;
+/// Bytes of a prompt in one token, on average.
+pub const TOKEN: usize = 4;
+
+/// The key of a piece.
+pub type Key = [u8; 16];
+
+/// What besides the text decides about a key.
+#[derive(Clone, Copy, Debug)]
+pub struct Scope<'a> {
+    /// Salt of the workspace.
+    pub salt: &'a [u8; 16],
+    /// Model.
+    pub model: &'a str,
+    /// Weight version.
+    pub version: &'a str,
+    /// Adapter; empty for none.
+    pub adapter: &'a str,
+}
+
+/// Keys of the whole pieces of a prompt, first piece first.
+///
+/// A last part shorter than [`PIECE`] has no key.
+pub fn chain(scope: Scope<'_>, text: &str) -> Vec<Key> {
+    let mut hasher = blake3::Hasher::new_derive_key("tamarackbank cache block");
+    hasher.update(scope.salt);
+    for part in [scope.model, scope.version, scope.adapter] {
+        hasher.update(&(part.len() as u64).to_be_bytes());
+        hasher.update(part.as_bytes());
+    }
+    text.as_bytes()
+        .chunks_exact(PIECE)
+        .map(|piece| {
+            hasher.update(piece);
+            let mut key = [0; 16];
+            key.copy_from_slice(&hasher.finalize().as_bytes()[..16]);
+            key
+        })
+        .collect()
+}
+
+/// Tokens of a prompt, estimated from its bytes.
+pub fn tokens(text: &str) -> u64 {
+    (text.len() as u64).div_ceil(TOKEN as u64)
+}
--- /dev/null
+++ b/crates/cache/src/lib.rs
@@ -0,0 +1,20 @@
+//! Prefix cache: keys, the directory of who holds what, blocks on the stores, links.
+//!
+//! A prompt is cut into pieces of [`PIECE`] bytes, about a thousand tokens. The [`Key`] of a piece
+//! is a hash over the workspace's salt, model, weight version, adapter and all text up to its end,
+//! so a hit across workspaces or weight versions cannot happen. A block on a store carries a
+//! header; [`unseal`] gives nothing for a block that is torn, replaced or foreign, which is a miss.
+
+mod block;
+mod directory;
+mod keep;
+mod key;
+mod link;
+mod shelf;
+
+pub use block::{BadBlock, seal, unseal};
+pub use directory::{Directory, Holder};
+pub use keep::Keep;
+pub use key::{Key, PIECE, Scope, TOKEN, chain, tokens};
+pub use link::Link;
+pub use shelf::{Freed, Phase, Shelf};
--- /dev/null
+++ b/crates/cache/src/link.rs
@@ -0,0 +1,113 @@
+//! A link to a store: its rate, its queue and its health, all from our own transfers.
+
+use std::time::Duration;
+
+use base::Time;
+
+/// Weight of the latest transfer in the estimated rate.
+const WEIGHT: f64 = 0.2;
+/// Failures in a row after which a store is left for a while.
+const FAILURES: u32 = 2;
+/// First time for which a store is left.
+const LEAVE: Duration = Duration::from_secs(1);
+/// Longest time for which a store is left.
+const LEAVE_MOST: Duration = Duration::from_secs(30);
+/// How long a full store gets no more writes.
+const FULL: Duration = Duration::from_secs(10);
+/// Share of the link, in percent, that background transfers may use.
+const BACKGROUND_PERCENT: u64 = 50;
+
+/// Bytes of the smallest transfer that says something about the rate and not the round trip.
+const TELLING: u64 = 1_024;
+
+/// A link to a store.
+#[derive(Clone, Debug)]
+pub struct Link {
+    /// Estimated bytes per second.
+    pub rate: f64,
+    /// Bytes asked for and not yet moved.
+    pub queued: u64,
+    failures: u32,
+    left_until: Time,
+    full_until: Time,
+    background: u64,
+}
+
+impl Link {
+    /// A link whose first estimate is this many bytes per second.
+    pub fn new(rate: f64) -> Self {
+        Self {
+            rate,
+            queued: 0,
+            failures: 0,
+            left_until: Time::ZERO,
+            full_until: Time::ZERO,
+            background: 0,
+        }
+    }
+
+    /// Whether reads may use it.
+    pub fn open(&self, now: Time) -> bool {
+        now >= self.left_until
+    }
+
+    /// Whether writes may use it.
+    pub fn writable(&self, now: Time) -> bool {
+        self.open(now) && now >= self.full_until
+    }
+
+    /// Time to move this many bytes behind what is queued.
+    pub fn estimate(&self, bytes: u64) -> Duration {
+        Duration::from_secs_f64((self.queued + bytes) as f64 / self.rate.max(1.0))
+    }
+
+    /// Begins a foreground transfer.
+    pub fn begin(&mut self, bytes: u64) {
+        self.queued += bytes;
+    }
+
+    /// Begins a background transfer, unless it would crowd the foreground.
+    pub fn begin_background(&mut self, now: Time, bytes: u64, window: Duration) -> bool {
+        let room = self.rate * window.as_secs_f64() * BACKGROUND_PERCENT as f64 / 100.0;
+        let foreground = self.queued - self.background.min(self.queued);
+        if !self.writable(now) || foreground > 0 || (self.background + bytes) as f64 > room {
+            return false;
+        }
+        self.background += bytes;
+        self.queued += bytes;
+        true
+    }
+
+    /// A transfer has ended well after this time.
+    pub fn done(&mut self, bytes: u64, took: Duration, background: bool) {
+        self.end(bytes, background);
+        self.failures = 0;
+        let seconds = took.as_secs_f64().max(1e-6);
+        if bytes >= TELLING {
+            self.rate += WEIGHT * (bytes as f64 / seconds - self.rate);
+        }
+    }
+
+    /// A transfer has failed; after a few in a row the store is left for a while.
+    pub fn failed(&mut self, now: Time, bytes: u64, background: bool) {
+        self.end(bytes, background);
+        self.failures += 1;
+        if self.failures >= FAILURES {
+            let doublings = (self.failures - FAILURES).min(5);
+            self.left_until = now + (LEAVE * (1 << doublings)).min(LEAVE_MOST);
+        }
+    }
+
+    /// The store said that it is full.
+    pub fn full(&mut self, now: Time, bytes: u64, background: bool) {
+        self.end(bytes, background);
+        self.full_until = now + FULL;
+    }
+
+    fn end(&mut self, bytes: u64, background: bool) {
+        self.queued = self.queued.saturating_sub(bytes);
+        if background {
+            self.background = self.background.saturating_sub(bytes);
+        }
+    }
+}
--- /dev/null
+++ b/crates/cache/tests/blocks.rs
@@ -0,0 +1,125 @@
+//! Keys that never meet, blocks that are never wrong, and space that is freed late enough.
+
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+
+use base::Time;
+use cache::{Link, PIECE, Phase, Scope, Shelf, chain, seal, unseal};
+use proptest::prelude::*;
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: 200,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(11),
+        ..ProptestConfig::default()
+    }
+}
+
+#[test]
+fn keys_differ_by_workspace_model_version_and_adapter() {
+    let text = "x".repeat(3 * PIECE + 10);
+    let (one, two) = ([1; 16], [2; 16]);
+    let scope = Scope { salt: &one, model: "m", version: "v1", adapter: "" };
+    let scopes = [
+        scope,
+        Scope { salt: &two, ..scope },
+        Scope { model: "mv", version: "1", ..scope },
+        Scope { version: "v2", ..scope },
+        Scope { adapter: "a", ..scope },
+    ];
+    let mut seen = HashSet::new();
+    for scope in scopes {
+        let keys = chain(scope, &text);
+        assert_eq!(keys.len(), 3);
+        assert!(keys.into_iter().all(|key| seen.insert(key)));
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn a_damaged_block_is_a_miss(
+        body in prop::collection::vec(any::<u8>(), 0..200),
+        at in any::<prop::sample::Index>(),
+        flip in 1_u8..,
+        cut in any::<prop::sample::Index>(),
+    ) {
+        let key = [7; 16];
+        let good = seal(&key, 3, &body);
+        prop_assert_eq!(unseal(&key, 3, &good), Ok(&body[..]));
+        prop_assert!(unseal(&[8; 16], 3, &good).is_err(), "foreign");
+        prop_assert!(unseal(&key, 4, &good).is_err(), "replaced");
+        let mut bad = good.clone();
+        bad[at.index(good.len())] ^= flip;
+        prop_assert!(unseal(&key, 3, &bad).is_err(), "changed");
+        prop_assert!(unseal(&key, 3, &good[..cut.index(good.len())]).is_err(), "torn");
+    }
+
+    /// Readers who were told of a block and read within their pin never find it freed.
+    #[test]
+    fn no_reader_finds_a_freed_block(steps in prop::collection::vec((0_u8..6, 0_u8..8), 1..300)) {
+        let mut shelf = Shelf::new(400);
+        let mut now = Time::ZERO;
+        let mut store: HashMap<[u8; 16], u64> = HashMap::new();
+        let mut readers: Vec<([u8; 16], u64, Time)> = Vec::new();
+        let mut generations = HashMap::new();
+        for (what, which) in steps {
+            let key = [which; 16];
+            match what {
+                0 => {
+                    shelf.make_room(now, 100);
+                    if let Some(generation) = shelf.reserve(key, 100) {
+                        prop_assert!(!store.contains_key(&key));
+                        store.insert(key, generation);
+                        generations.insert(key, generation);
+                    }
+                }
+                1 => {
+                    let generation = generations.get(&key).copied().unwrap_or(0);
+                    shelf.written(&key, generation, true);
+                }
+                2 if shelf.phase(&key) == Some(Phase::Published) => {
+                    readers.push((key, generations[&key], now + Duration::from_secs(10)));
+                }
+                3 => shelf.touch(&key),
+                4 => {
+                    for freed in shelf.free(now) {
+                        store.remove(&freed.key);
+                    }
+                }
+                _ => now = now + Duration::from_millis(u64::from(which) * 700),
+            }
+            readers.retain(|(_, _, until)| *until >= now);
+            for (key, generation, _) in &readers {
+                prop_assert_eq!(store.get(key), Some(generation), "freed under a reader");
+            }
+        }
+    }
+}
+
+#[test]
+fn a_failing_store_is_left_for_a_while() {
+    let mut link = Link::new(1e6);
+    let now = Time::from_millis(1_000);
+    link.begin(1_000);
+    link.failed(now, 1_000, false);
+    assert!(link.open(now), "one failure is no proof");
+    link.begin(1_000);
+    link.failed(now, 1_000, false);
+    assert!(!link.open(now));
+    assert!(link.open(now + Duration::from_secs(2)));
+    assert_eq!(link.queued, 0);
+}
+
+#[test]
+fn background_waits_for_the_foreground() {
+    let mut link = Link::new(1e6);
+    let window = Duration::from_secs(1);
+    link.begin(10);
+    assert!(!link.begin_background(Time::ZERO, 10, window));
+    link.done(10, Duration::from_micros(10), false);
+    assert!(link.begin_background(Time::ZERO, 10, window));
+    assert!(!link.begin_background(Time::ZERO, 1_000_000, window), "over its share");
+}
