--- a/bin/tamarackbank/src/args.rs
+++ b/bin/tamarackbank/src/args.rs
@@ -49,6 +49,9 @@
     /// operators' address (default 127.0.0.1:7401)
     #[argh(option, default = "SocketAddr::from(([127, 0, 0, 1], 7401))")]
     pub operators: SocketAddr,
+    /// data folder (default data/dev)
+    #[argh(option, default = "PathBuf::from(\"data/dev\")")]
+    pub data: PathBuf,
 }
 
 /// Run one stand-in server, for trials and tests.
@@ -70,6 +73,12 @@
     /// prompt tokens an engine computes in one step
     #[argh(option, default = "256")]
     pub prefill: u64,
+    /// blocks that an engine's cache holds
+    #[argh(option, default = "512")]
+    pub blocks: usize,
+    /// every how many cache events an engine loses one; 0 for none
+    #[argh(option, default = "0")]
+    pub lose_every: u64,
     /// weight version that an engine holds
     #[argh(option, default = "String::from(\"v1\")")]
     pub version: String,
--- a/bin/tamarackbank/src/dev.rs
+++ b/bin/tamarackbank/src/dev.rs
@@ -1,7 +1,8 @@
 //! One process with everything in it, and single stand-ins.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::thread;
+use std::time::{Duration, Instant};
 
 use conf::Settings;
 use eyre::{WrapErr, bail};
@@ -10,27 +11,83 @@
 
 const STORE_BYTES: usize = 1 << 30;
 const STORE_RATE: u64 = 200 << 20;
+/// Longest wait for the first agreement.
+const FIRST: Duration = Duration::from_secs(20);
+const PAUSE: Duration = Duration::from_millis(100);
 
 /// Runs the whole system with stand-ins.
 pub fn run(dev: &args::Dev) -> eyre::Result<()> {
     let local = SocketAddr::from(([127, 0, 0, 1], 0));
     let engine = fake::engine::start(fake::engine::Settings::default())?;
-    fake::plain::start(local, Duration::from_millis(5))?;
+    let plain = fake::plain::start(local, Duration::from_millis(5))?;
+    let store = fake::store::start(local, STORE_BYTES, STORE_RATE)?;
     let text = format!(
-        "[process]\nname = dev\nroles = entry, agent\nlink = 127.0.0.1:0\noperators = {}\n\
-         [entry]\ncallers = {}\n[agent]\nserver = {engine}\nserves = demo\n",
-        dev.operators, dev.callers
+        "[process]\nname = dev\nroles = entry, keeper, agent\nlink = 127.0.0.1:0\n\
+         operators = {}\ndata = {}\n[keeper]\nvoters = dev\n[entry]\ncallers = {}\n\
+         [agent]\nserver = {engine}\nserves = demo\n[stores]\nstore-1 = {store}\n",
+        dev.operators,
+        dev.data.display(),
+        dev.callers
+    );
+    let main = settings(&text)?;
+    let running = edge::start(&main).wrap_err("cannot start")?;
+    let text = format!(
+        "[process]\nname = dev-probes\nroles = agent\nlink = 127.0.0.1:0\n\
+         operators = 127.0.0.1:0\n[agent]\nkind = plain\nserver = {plain}\nserves = probes\n\
+         [peers]\ndev = {}\n",
+        running.link
     );
-    let Ok(settings) = Settings::parse(&text) else {
-        bail!("the built-in settings are not valid");
-    };
-    eprintln!("callers on http://{}, operators on http://{}; try:", dev.callers, dev.operators);
+    let probes = edge::start(&settings(&text)?).wrap_err("cannot start")?;
+    first_records(running.operators)?;
+    welcome(dev);
+    let stopper = probes.stopper();
+    crate::finish(&running, move || stopper.stop())
+}
+
+fn settings(text: &str) -> eyre::Result<Settings> {
+    match Settings::parse(text) {
+        Ok(settings) => Ok(settings),
+        Err(mistakes) => bail!("the built-in settings: {mistakes:?}"),
+    }
+}
+
+/// Makes the workspace that the welcome speaks of; one from an earlier run stays as it is.
+fn first_records(operators: SocketAddr) -> eyre::Result<()> {
+    let key = edge::key_hash("demo");
+    let workspace = format!(r#"{{"body":{{"keys":["{key}"]}}}}"#);
+    let service = r#"{"body":{"once":[{"method":"POST","prefix":"/schedules"}]}}"#;
+    let config = ureq::Agent::config_builder().http_status_as_error(false).build();
+    let agent = ureq::Agent::from(config);
+    let end = Instant::now() + FIRST;
+    for (path, body) in [("workspace/demo", workspace.as_str()), ("service/probes", service)] {
+        let url = format!("http://{operators}/v1/records/{path}");
+        loop {
+            let answer = agent.put(&url).header("x-operator", "dev").send(body);
+            let status = answer.map_or(503, |response| response.status().as_u16());
+            if status == 200 || status == 409 {
+                break;
+            }
+            if Instant::now() > end {
+                bail!("no agreement on the first records");
+            }
+            thread::sleep(PAUSE);
+        }
+    }
+    Ok(())
+}
+
+fn welcome(dev: &args::Dev) {
+    let (callers, operators) = (dev.callers, dev.operators);
+    eprintln!("callers on http://{callers}, operators on http://{operators}; try:");
     eprintln!(
-        "  curl -N http://{}/v1/completions -H 'Authorization: Bearer demo' \\\n    \
-         -d '{{\"model\":\"demo\",\"prompt\":\"why does my mint wilt?\",\"max_tokens\":20,\"stream\":true}}'",
-        dev.callers
+        "  curl -N http://{callers}/v1/completions -H 'Authorization: Bearer demo' \\\n    \
+         -d '{{\"model\":\"demo\",\"prompt\":\"why does my mint wilt?\",\"max_tokens\":20,\"stream\":true}}'"
+    );
+    eprintln!(
+        "  curl http://{callers}/svc/probes/schedules -H 'Authorization: Bearer demo' \\\n    \
+         -H 'Idempotency-Key: pot-7' -d '{{\"water\":\"06:00\"}}'"
     );
-    crate::run(&settings)
+    eprintln!("  tamarack --at {operators} servers");
 }
 
 /// Runs one stand-in until the process is ended.
@@ -41,6 +98,8 @@
                 step_us: fake.step_us,
                 slots: fake.slots,
                 prefill: fake.prefill,
+                blocks: fake.blocks,
+                lose_every: fake.lose_every,
                 ..fake::Profile::default()
             };
             let settings = fake::engine::Settings {
@@ -59,6 +118,6 @@
     .wrap_err("cannot start the stand-in")?;
     println!("listening on {addr}");
     loop {
-        std::thread::park();
+        thread::park();
     }
 }
--- a/bin/tamarackbank/src/main.rs
+++ b/bin/tamarackbank/src/main.rs
@@ -9,6 +9,7 @@
 
 use args::{Args, Command};
 use conf::Settings;
+use edge::{Exit, Running};
 use eyre::{WrapErr, bail};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -55,25 +56,33 @@
 }
 
 /// Runs a process until it may leave.
-pub(crate) fn run(settings: &Settings) -> eyre::Result<()> {
+fn run(settings: &Settings) -> eyre::Result<()> {
     let running = edge::start(settings).wrap_err("cannot start")?;
     log::info!(
         name:% = settings.name, link:% = running.link, operators:% = running.operators,
         callers = running.callers.map_or_else(String::new, |addr| addr.to_string());
         "started"
     );
+    finish(&running, || {})
+}
+
+/// Waits for a signal and then for the process to be done; `stopped` is told of each signal.
+pub(crate) fn finish(running: &Running, stopped: impl Fn() + Send + 'static) -> eyre::Result<()> {
     let mut signals = Signals::new([SIGTERM, SIGINT])?;
-    let inputs = running.stopper();
+    let stopper = running.stopper();
     std::thread::spawn(move || {
         for _ in signals.forever() {
-            inputs.stop();
+            stopper.stop();
+            stopped();
         }
     });
-    let cut = running.wait();
-    if cut > 0 {
-        log::warn!(cut; "stopped before every request had ended");
-    } else {
-        log::info!("stopped");
+    match running.wait() {
+        Exit::Done { cut: 0 } => log::info!("stopped"),
+        Exit::Done { cut } => log::warn!(cut; "stopped before every request had ended"),
+        Exit::Failed { text } => {
+            log::error!("cannot go on: {text}");
+            bail!("{text}");
+        }
     }
     Ok(())
 }
--- a/bin/tamarackbank/tests/bed/mod.rs
+++ b/bin/tamarackbank/tests/bed/mod.rs
@@ -181,3 +181,95 @@
     }
     (text, done)
 }
+
+/// Puts a record through an operators' address, again until the keepers agree.
+pub fn put(operators: &str, path: &str, expect: u64, body: &Value) -> (u16, String) {
+    let request = format!("{path}-{expect}-{body}");
+    put_as(operators, path, expect, body, &request)
+}
+
+/// Puts a record under a request id of the writer.
+pub fn put_as(
+    operators: &str,
+    path: &str,
+    expect: u64,
+    body: &Value,
+    request: &str,
+) -> (u16, String) {
+    let end = Instant::now() + PATIENCE;
+    let url = format!("http://{operators}/v1/records/{path}");
+    let text = json!({ "expect": expect, "body": body }).to_string();
+    loop {
+        let put = client().put(&url).header("x-request-id", request).header("x-operator", "ann");
+        if let Ok(mut response) = put.send(&text) {
+            let status = response.status().as_u16();
+            let text = response.body_mut().read_to_string().unwrap_or_default();
+            if status != 503 || Instant::now() > end {
+                return (status, text);
+            }
+        }
+        assert!(Instant::now() < end, "no agreement on {path}");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
+
+/// Reads JSON from an operators' address.
+pub fn get(operators: &str, path: &str) -> Value {
+    let mut response = client().get(format!("http://{operators}{path}")).call().expect("an answer");
+    let text = response.body_mut().read_to_string().unwrap_or_default();
+    serde_json::from_str(&text).unwrap_or(Value::Null)
+}
+
+/// Waits until something holds.
+pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < end, "in vain: {what}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+const ANY: &str = "link = 127.0.0.1:0\noperators = 127.0.0.1:0\n";
+
+/// An entry that is also the one keeper, with a workspace whose key is "demo".
+pub fn first(folder: &std::path::Path) -> Member {
+    let text = format!(
+        "[process]\nname = entry-1\nroles = entry, keeper\n{ANY}data = {}\n\
+         [keeper]\nvoters = entry-1\n[entry]\ncallers = 127.0.0.1:0\n",
+        folder.join("entry-1").display()
+    );
+    let member = member(folder, "entry-1", &text);
+    workspace(&member.operators);
+    member
+}
+
+/// Makes the workspace "demo".
+pub fn workspace(operators: &str) {
+    let key = blake3::hash(b"demo").to_hex().to_string();
+    let (status, text) = put(operators, "workspace/demo", 0, &json!({ "keys": [key] }));
+    assert_eq!(status, 200, "{text}");
+}
+
+/// Another entry, linked to a keeper.
+pub fn entry(folder: &std::path::Path, name: &str, keeper: &str) -> Member {
+    let text = format!(
+        "[process]\nname = {name}\nroles = entry\n{ANY}[entry]\ncallers = 127.0.0.1:0\n\
+         [peers]\nkeeper = {keeper}\n"
+    );
+    member(folder, name, &text)
+}
+
+/// An agent beside a server, linked to a keeper.
+pub fn agent(
+    folder: &std::path::Path,
+    name: &str,
+    server: &str,
+    more: &str,
+    keeper: &str,
+) -> Member {
+    let text = format!(
+        "[process]\nname = {name}\nroles = agent\n{ANY}[agent]\nserver = {server}\n{more}\n\
+         [peers]\nkeeper = {keeper}\n"
+    );
+    member(folder, name, &text)
+}
--- a/bin/tamarackbank/tests/path.rs
+++ b/bin/tamarackbank/tests/path.rs
@@ -2,34 +2,12 @@
 
 mod bed;
 
-use bed::{complete, completion, fake, folder, member, post, streamed};
-
-const ANY: &str = "link = 127.0.0.1:0\noperators = 127.0.0.1:0\n";
-
-fn entry(folder: &std::path::Path) -> bed::Member {
-    let text =
-        format!("[process]\nname = entry-1\nroles = entry\n{ANY}[entry]\ncallers = 127.0.0.1:0\n");
-    member(folder, "entry-1", &text)
-}
-
-fn agent(
-    folder: &std::path::Path,
-    name: &str,
-    server: &str,
-    more: &str,
-    peer: &str,
-) -> bed::Member {
-    let text = format!(
-        "[process]\nname = {name}\nroles = agent\n{ANY}[agent]\nserver = {server}\n{more}\n\
-         [peers]\nentry-1 = {peer}\n"
-    );
-    member(folder, name, &text)
-}
+use bed::{agent, complete, completion, fake, first, folder, post, streamed};
 
 #[test]
 fn a_streamed_answer_comes_whole() {
     let folder = folder("streamed");
-    let entry = entry(&folder);
+    let entry = first(&folder);
     let (_engine, addr) = fake("engine", &["--step-us", "1000"]);
     let _agent = agent(&folder, "agent-1", &addr, "serves = demo", &entry.link);
     let (status, body) = complete(&entry.callers, &completion("why does my mint wilt?", 40, true));
@@ -40,7 +18,7 @@
 #[test]
 fn a_plain_call_comes_back() {
     let folder = folder("plain");
-    let entry = entry(&folder);
+    let entry = first(&folder);
     let (_plain, addr) = fake("plain", &[]);
     let _agent = agent(&folder, "agent-1", &addr, "kind = plain\nserves = probes", &entry.link);
     let end = std::time::Instant::now() + bed::PATIENCE;
@@ -58,7 +36,7 @@
 #[test]
 fn an_answer_goes_on_elsewhere_when_its_agent_dies() {
     let folder = folder("agent-dies");
-    let entry = entry(&folder);
+    let entry = first(&folder);
     let (_engine, addr) = fake("engine", &["--step-us", "10000"]);
     let first = agent(&folder, "agent-1", &addr, "serves = demo", &entry.link);
     let callers = entry.callers.clone();
@@ -76,7 +54,7 @@
 #[test]
 fn a_stop_cuts_no_request() {
     let folder = folder("stop");
-    let mut entry = entry(&folder);
+    let mut entry = first(&folder);
     let (_engine, addr) = fake("engine", &["--step-us", "10000"]);
     let mut agent = agent(&folder, "agent-1", &addr, "serves = demo", &entry.link);
     complete(&entry.callers, &completion("warm", 1, false));
--- a/crates/cache/src/link.rs
+++ b/crates/cache/src/link.rs
@@ -81,6 +81,10 @@
     /// A transfer has ended well after this time.
     pub fn done(&mut self, bytes: u64, took: Duration, background: bool) {
         self.end(bytes, background);
+        self.learn(bytes, took);
+    }
+
+    fn learn(&mut self, bytes: u64, took: Duration) {
         self.failures = 0;
         let seconds = took.as_secs_f64().max(1e-6);
         if bytes >= TELLING {
@@ -88,6 +92,22 @@
         }
     }
 
+    /// A fetch of estimated size has ended well.
+    pub fn end_fetch(&mut self, queued: u64, bytes: u64, took: Duration) {
+        self.end(queued, false);
+        self.learn(bytes, took);
+    }
+
+    /// The store had no such block; that says nothing of its health.
+    pub fn missed(&mut self, bytes: u64) {
+        self.end(bytes, false);
+    }
+
+    /// A background transfer came to nothing, through no fault of the store.
+    pub fn missed_background(&mut self, bytes: u64) {
+        self.end(bytes, true);
+    }
+
     /// A transfer has failed; after a few in a row the store is left for a while.
     pub fn failed(&mut self, now: Time, bytes: u64, background: bool) {
         self.end(bytes, background);
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -86,6 +86,10 @@
     pub deadline: Duration,
     /// Weights of the three measures.
     pub weights: Presets,
+    /// Longest wait for a place that a request is admitted to.
+    pub max_wait: Duration,
+    /// Whether to serve on when no keeper and no peer can confirm the configuration.
+    pub serve_unconfirmed: bool,
     /// Voting keepers at the first start of the deployment.
     pub voters: Vec<Name>,
     /// What the agent stands beside.
@@ -100,6 +104,12 @@
     pub slots: usize,
     /// Whether the backend server checks fencing tokens itself.
     pub checks_tokens: bool,
+    /// Bytes of one piece on a store.
+    pub piece_bytes: u64,
+    /// First estimate of a store link, bytes per second.
+    pub link_rate: u64,
+    /// Bytes that this agent may keep on the stores.
+    pub store_bytes: u64,
     /// Store VMs: name and HTTP address.
     pub stores: Vec<Seed>,
 }
@@ -119,11 +129,14 @@
             "arrival_ms",
             "max_waiting",
             "deadline_ms",
+            "max_wait_ms",
+            "serve_unconfirmed",
             "weights",
         ],
     ),
     ("keeper", &["voters"]),
     ("agent", &["kind", "server", "serves", "version", "slots", "checks_tokens"]),
+    ("cache", &["piece_bytes", "link_bytes_per_s", "store_bytes"]),
     ("stores", &[]),
 ];
 
@@ -333,6 +346,8 @@
             arrival: self.millis("entry", "arrival_ms", 10_000, 600_000),
             max_waiting: self.number("entry", "max_waiting", 2_000, 1, 100_000) as usize,
             deadline: self.millis("entry", "deadline_ms", 120_000, 3_600_000),
+            max_wait: self.millis("entry", "max_wait_ms", 30_000, 3_600_000),
+            serve_unconfirmed: self.parsed("entry", "serve_unconfirmed", false, "true, false"),
             weights: self.weights(),
             voters: voters
                 .split(',')
@@ -346,6 +361,9 @@
             version: self.text("agent", "version", Some("v1")).into(),
             slots: self.number("agent", "slots", 16, 1, 4_096) as usize,
             checks_tokens: self.parsed("agent", "checks_tokens", false, "true, false"),
+            piece_bytes: self.number("cache", "piece_bytes", 4_140, 64, 1 << 30),
+            link_rate: self.number("cache", "link_bytes_per_s", 100 << 20, 1_024, 1 << 40),
+            store_bytes: self.number("cache", "store_bytes", 1 << 30, 0, 1 << 50),
             stores: self.seeds("stores"),
             roles,
         };
--- a/crates/edge/src/clock.rs
+++ b/crates/edge/src/clock.rs
@@ -23,6 +23,11 @@
     }
 }
 
+/// The wall clock, milliseconds since 1970.
+pub fn unix_ms() -> u64 {
+    incarnation().0 / 1_000
+}
+
 /// A number for this life of the process, greater than that of its earlier lives.
 pub fn incarnation() -> Incarnation {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
--- /dev/null
+++ b/crates/edge/src/files.rs
@@ -0,0 +1,62 @@
+//! The thread that writes a keeper's files: one sync for all requests that wait.
+
+use std::path::Path;
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::thread;
+
+use disk::{Opened, Store};
+use node::Event;
+use quorum::Write;
+
+use crate::Input;
+
+/// A request to write.
+#[derive(Debug)]
+pub struct Command {
+    /// Its number.
+    pub seq: u64,
+    /// What to write.
+    pub write: Write,
+}
+
+/// Opens a keeper's folder.
+///
+/// # Errors
+/// The folder cannot be used or synced bytes have changed.
+pub fn open(folder: &Path, identity: u64) -> Result<Opened, disk::Error> {
+    let opened = Store::open(folder, identity)?;
+    if opened.torn > 0 {
+        log::warn!(bytes = opened.torn; "cut a torn end off the log");
+    }
+    Ok(opened)
+}
+
+/// Starts the thread.
+///
+/// # Errors
+/// The thread cannot be started.
+pub fn start(store: Store, inputs: Sender<Input>) -> std::io::Result<Sender<Command>> {
+    let (sender, commands) = channel();
+    let thread = thread::Builder::new().name("files".to_owned());
+    thread.spawn(move || run(store, &commands, &inputs))?;
+    Ok(sender)
+}
+
+fn run(mut store: Store, commands: &Receiver<Command>, inputs: &Sender<Input>) {
+    while let Ok(first) = commands.recv() {
+        let mut seq = first.seq;
+        let mut writes = vec![first.write];
+        for command in commands.try_iter() {
+            seq = command.seq;
+            writes.push(command.write);
+        }
+        let event = match store.write(&writes) {
+            Ok(()) => Event::Persisted { seq },
+            Err(error) => Event::DiskFailed { text: error.to_string() },
+        };
+        let failed = matches!(event, Event::DiskFailed { .. });
+        if inputs.send(Input::Event(event)).is_err() || failed {
+            return;
+        }
+    }
+}
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -1,6 +1,7 @@
 //! The stakker thread that runs the reducer.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender};
 use std::time::{Duration, Instant};
 
@@ -8,13 +9,14 @@
 use stakker::{ActorOwn, CX, Stakker, actor, after, call, ret_nop};
 use tokio::sync::mpsc::UnboundedSender;
 
-use crate::Clock;
-use crate::net;
+use crate::metrics::Metrics;
 use crate::outlet::{Out, Outlet};
-use crate::server;
+use crate::{Clock, files, net, server};
 
 /// Time between two ticks of the reducer.
 const TICK: Duration = Duration::from_millis(10);
+/// Ticks between two readings of the gauges.
+const GAUGES_EVERY: u64 = 50;
 /// Longest sleep of the loop.
 const MAX_SLEEP: Duration = Duration::from_millis(50);
 /// Events taken before the timers get a turn.
@@ -43,8 +45,27 @@
     pub net: UnboundedSender<net::Command>,
     /// The backend server, for an agent.
     pub server: Option<server::Client>,
-    /// Told once when the process may leave: requests cut.
-    pub exit: Sender<usize>,
+    /// The files, for a keeper.
+    pub files: Option<Sender<files::Command>>,
+    /// The metrics.
+    pub metrics: Arc<Metrics>,
+    /// Told when the process may or must leave.
+    pub exit: Sender<Exit>,
+}
+
+/// How a process ends.
+#[derive(Debug)]
+pub enum Exit {
+    /// As asked; this many requests were cut.
+    Done {
+        /// Requests cut.
+        cut: usize,
+    },
+    /// It cannot keep its promises.
+    Failed {
+        /// Why.
+        text: String,
+    },
 }
 
 struct Host {
@@ -54,6 +75,7 @@
     outlets: HashMap<u64, Outlet>,
     hangups: Vec<u64>,
     effects: Effects,
+    ticks: u64,
 }
 
 impl Host {
@@ -61,12 +83,24 @@
     fn init(cx: CX![], node: Node, clock: Clock, sinks: Sinks) -> Option<Self> {
         after!(TICK, [cx], tick());
         let outlets = HashMap::new();
-        Some(Self { node, clock, sinks, outlets, hangups: Vec::new(), effects: Vec::new() })
+        Some(Self {
+            node,
+            clock,
+            sinks,
+            outlets,
+            hangups: Vec::new(),
+            effects: Vec::new(),
+            ticks: 0,
+        })
     }
 
     fn tick(&mut self, cx: CX![]) {
         after!(TICK, [cx], tick());
         self.step(Event::Tick);
+        self.ticks += 1;
+        if self.ticks.is_multiple_of(GAUGES_EVERY) {
+            self.sinks.metrics.set(&self.node.gauges(self.clock.now()));
+        }
     }
 
     fn input(&mut self, _cx: CX![], input: Input) {
@@ -106,22 +140,43 @@
                 self.answer(call, Out::Finish(whole));
                 self.outlets.remove(&call);
             }
-            Effect::Serve { run, work } => {
-                if let Some(server) = &self.sinks.server {
-                    server.serve(run, work);
-                }
+            Effect::Dial { addr } => {
+                let _ = self.sinks.net.send(net::Command::Dial { addr });
             }
-            Effect::Abort { run } => {
-                if let Some(server) = &self.sinks.server {
-                    server.abort(run);
+            Effect::Persist { seq, write } => {
+                if let Some(files) = &self.sinks.files {
+                    let _ = files.send(files::Command { seq, write });
                 }
             }
-            Effect::Log { run, workspace, code, took_ms } => log::info!(
-                run:% = run, workspace:% = workspace, code = code.number(), took_ms;
-                "request ended"
-            ),
+            Effect::Log { run, workspace, code, took, first } => {
+                self.sinks.metrics.ended(code, took, first);
+                let first_ms = first.map_or(0, |first| first.as_millis() as u64);
+                log::info!(
+                    request:% = run, workspace:% = workspace, code = code.number(),
+                    took_ms = took.as_millis() as u64, first_ms;
+                    "request ended"
+                );
+            }
+            Effect::Usage { workspace: _, computed, cached, generated, fetched } => {
+                self.sinks.metrics.used(computed, cached, generated, fetched);
+            }
             Effect::Exit { cut } => {
-                let _ = self.sinks.exit.send(cut);
+                let _ = self.sinks.exit.send(Exit::Done { cut });
+            }
+            Effect::Fail { text } => {
+                let _ = self.sinks.exit.send(Exit::Failed { text });
+            }
+            Effect::Serve { .. }
+            | Effect::Abort { .. }
+            | Effect::Fetch { .. }
+            | Effect::Keep { .. }
+            | Effect::Free { .. }
+            | Effect::PollCache { .. }
+            | Effect::ListCache
+            | Effect::Order { .. } => {
+                if let Some(server) = &self.sinks.server {
+                    server.perform(effect);
+                }
             }
         }
     }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -7,15 +7,20 @@
 
 mod callers;
 mod clock;
+mod files;
 mod host;
+mod key;
 mod logging;
+mod metrics;
 mod net;
 mod operators;
 mod outlet;
 mod server;
 mod start;
+mod transfer;
 
-pub use clock::{Clock, incarnation};
-pub use host::Input;
+pub use clock::{Clock, incarnation, unix_ms};
+pub use host::{Exit, Input};
+pub use key::key_hash;
 pub use logging::log_to_stderr;
 pub use start::{Running, Stopper, start};
--- /dev/null
+++ b/crates/edge/src/metrics.rs
@@ -0,0 +1,101 @@
+//! Metrics in the Prometheus text format.
+
+use std::collections::HashMap;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use base::Code;
+use prometheus::{
+    Encoder, Gauge, Histogram, HistogramOpts, IntCounter, IntCounterVec, Opts, Registry,
+    TextEncoder,
+};
+
+/// The metrics of one process.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    requests: IntCounterVec,
+    took: Histogram,
+    first: Histogram,
+    tokens: IntCounterVec,
+    fetched: IntCounter,
+    gauges: Mutex<HashMap<&'static str, Gauge>>,
+}
+
+impl Metrics {
+    /// Metrics in a registry of their own.
+    ///
+    /// # Errors
+    /// A name is not valid or stands twice.
+    pub fn new() -> Result<Self, prometheus::Error> {
+        let seconds = |name: &str, help: &str| {
+            let buckets = prometheus::exponential_buckets(0.001, 2.0, 18)?;
+            Histogram::with_opts(HistogramOpts::new(name, help).buckets(buckets))
+        };
+        let metrics = Self {
+            registry: Registry::new(),
+            requests: IntCounterVec::new(
+                Opts::new("tamarack_requests_total", "Requests ended, by result code"),
+                &["code"],
+            )?,
+            took: seconds("tamarack_request_seconds", "Time from arrival to end")?,
+            first: seconds("tamarack_first_token_seconds", "Time from arrival to first token")?,
+            tokens: IntCounterVec::new(
+                Opts::new("tamarack_tokens_total", "Tokens, by what was done with them"),
+                &["what"],
+            )?,
+            fetched: IntCounter::new("tamarack_fetched_pieces_total", "Pieces asked from stores")?,
+            gauges: Mutex::new(HashMap::new()),
+        };
+        metrics.registry.register(Box::new(metrics.requests.clone()))?;
+        metrics.registry.register(Box::new(metrics.took.clone()))?;
+        metrics.registry.register(Box::new(metrics.first.clone()))?;
+        metrics.registry.register(Box::new(metrics.tokens.clone()))?;
+        metrics.registry.register(Box::new(metrics.fetched.clone()))?;
+        Ok(metrics)
+    }
+
+    /// Counts a request that has ended.
+    pub fn ended(&self, code: Code, took: Duration, first: Option<Duration>) {
+        self.requests.with_label_values(&[&code.number().to_string()]).inc();
+        self.took.observe(took.as_secs_f64());
+        if let Some(first) = first {
+            self.first.observe(first.as_secs_f64());
+        }
+    }
+
+    /// Counts what a whole answer took.
+    pub fn used(&self, computed: u32, cached: u32, generated: u32, fetched: u32) {
+        for (what, count) in [("computed", computed), ("cached", cached), ("generated", generated)]
+        {
+            self.tokens.with_label_values(&[what]).inc_by(u64::from(count));
+        }
+        self.fetched.inc_by(u64::from(fetched));
+    }
+
+    /// Sets gauges.
+    pub fn set(&self, values: &[(&'static str, f64)]) {
+        let mut gauges = self.gauges.lock().unwrap_or_else(PoisonError::into_inner);
+        for (name, value) in values {
+            if let Some(gauge) = gauges.get(name) {
+                gauge.set(*value);
+                continue;
+            }
+            let Ok(gauge) = Gauge::new(*name, "See docs/OPERATORS.md") else { continue };
+            gauge.set(*value);
+            if self.registry.register(Box::new(gauge.clone())).is_ok() {
+                gauges.insert(name, gauge);
+            }
+        }
+    }
+
+    /// All metrics as text.
+    pub fn text(&self) -> Vec<u8> {
+        let mut bytes = Vec::new();
+        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut bytes);
+        if let Err(error) = encoded {
+            log::warn!("metrics: {error}");
+        }
+        bytes
+    }
+}
--- a/crates/edge/src/operators.rs
+++ b/crates/edge/src/operators.rs
@@ -1,35 +1,133 @@
 //! The operators' HTTP listener: tiny_http on a few threads.
 
+use std::io::Read;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::mpsc::Sender;
 use std::thread;
+use std::time::Duration;
 
-use crate::Input;
+use base::Code;
+use node::{Event, Reply, admin, api};
+use tiny_http::{Header, Request, Response, Server};
+
+use crate::clock::unix_ms;
+use crate::metrics::Metrics;
+use crate::outlet::{self, Out};
+use crate::{Input, start};
 
 const THREADS: usize = 8;
+/// Largest body of an operator's request, bytes.
+const MAX_BODY: u64 = 4 << 20;
+
+struct Shared {
+    inputs: Sender<Input>,
+    metrics: Arc<Metrics>,
+    key: String,
+}
 
 /// Serves operators until the process ends.
 ///
 /// # Errors
 /// The address cannot be bound.
-pub fn run(addr: SocketAddr, inputs: &Sender<Input>) -> std::io::Result<SocketAddr> {
-    let server = tiny_http::Server::http(addr).map_err(std::io::Error::other)?;
+pub fn run(
+    addr: SocketAddr,
+    key: &str,
+    inputs: &Sender<Input>,
+    metrics: &Arc<Metrics>,
+) -> std::io::Result<SocketAddr> {
+    let server = Server::http(addr).map_err(std::io::Error::other)?;
     let bound = server.server_addr().to_ip().unwrap_or(addr);
     let server = Arc::new(server);
+    let shared =
+        Arc::new(Shared { inputs: inputs.clone(), metrics: metrics.clone(), key: key.to_owned() });
     for _ in 0..THREADS {
         let server = server.clone();
-        let inputs = inputs.clone();
+        let shared = shared.clone();
         thread::Builder::new().name("operators".to_owned()).spawn(move || {
             while let Ok(request) = server.recv() {
-                exchange(request, &inputs);
+                exchange(&shared, request);
             }
         })?;
     }
     Ok(bound)
 }
 
-fn exchange(request: tiny_http::Request, _inputs: &Sender<Input>) {
-    let code = if request.url() == "/health" { 200 } else { 404 };
-    let _ = request.respond(tiny_http::Response::empty(code));
+fn exchange(shared: &Shared, mut request: Request) {
+    let (reply, body) = answer(shared, &mut request);
+    let mut response = Response::from_data(body).with_status_code(reply.status);
+    let mut headers = reply.headers;
+    headers.push(("content-type", reply.kind));
+    for (name, value) in headers {
+        if let Ok(header) = Header::from_bytes(name, value) {
+            response.add_header(header);
+        }
+    }
+    let _ = request.respond(response);
+}
+
+fn answer(shared: &Shared, request: &mut Request) -> (Reply, Vec<u8>) {
+    let refuse = |code, text: &str| api::refusal(None, code, text, Duration::ZERO);
+    match request.url() {
+        "/health" => return plain(b"ok\n".to_vec()),
+        "/metrics" => return plain(shared.metrics.text()),
+        _ => {}
+    }
+    let headers: Vec<(String, String)> = request
+        .headers()
+        .iter()
+        .map(|header| {
+            (header.field.as_str().as_str().to_ascii_lowercase(), header.value.to_string())
+        })
+        .collect();
+    let allowed = shared.key.is_empty()
+        || request.url() == "/ready"
+        || headers.contains(&("authorization".to_owned(), format!("Bearer {}", shared.key)));
+    if !allowed {
+        return refuse(Code::BadKey, "the operators' key is needed");
+    }
+    let mut body = Vec::new();
+    if request.as_reader().take(MAX_BODY + 1).read_to_end(&mut body).is_err() {
+        return refuse(Code::BadBody, "the body ended early");
+    }
+    if body.len() as u64 > MAX_BODY {
+        return refuse(Code::BodyTooLarge, "the body is over 4 MiB");
+    }
+    let parsed = api::Request {
+        method: request.method().as_str().to_owned(),
+        path: request.url().to_owned(),
+        headers,
+        body,
+    };
+    match admin::parse(&parsed, unix_ms()) {
+        Ok(admin) => ask(shared, admin),
+        Err((code, text)) => refuse(code, &text),
+    }
+}
+
+fn ask(shared: &Shared, admin: admin::Admin) -> (Reply, Vec<u8>) {
+    let call = start::call_number();
+    let (outlet, mut inlet) = outlet::pair();
+    let event = Event::Admin { call, admin: Box::new(admin) };
+    let mut reply = Reply { status: 503, ..Reply::default() };
+    let mut body = Vec::new();
+    if shared.inputs.send(Input::Open { call, outlet, event }).is_err() {
+        return (reply, body);
+    }
+    while let Some(out) = inlet.receiver.blocking_recv() {
+        match out {
+            Out::Begin(head) => reply = head,
+            Out::Body(bytes) => {
+                inlet.taken(bytes.len());
+                body.extend(bytes);
+            }
+            Out::Finish(_) => break,
+        }
+    }
+    (reply, body)
+}
+
+fn plain(body: Vec<u8>) -> (Reply, Vec<u8>) {
+    let reply = Reply { status: 200, kind: "text/plain".to_owned(), headers: Vec::new() };
+    (reply, body)
 }
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -8,13 +8,14 @@
 use std::thread;
 use std::time::Duration;
 
-use base::{Code, Name, RunId};
-use node::{Event, Server};
+use base::{Code, Name, Revision, RunId};
+use node::{Effect, Event, Moved, Server};
 use serde_json::{Value, json};
 use ureq::Agent;
-use wire::{Call, Load, Part, Prompt, Work};
+use wire::{Call, Load, Part, Priority, Prompt, Work};
 
 use crate::Input;
+use crate::transfer::{Transfer, hex};
 
 const CONNECT: Duration = Duration::from_secs(1);
 const LOAD_EVERY: Duration = Duration::from_millis(100);
@@ -26,6 +27,7 @@
 pub struct Client {
     agent: Agent,
     base: String,
+    transfer: Transfer,
     inputs: Sender<Input>,
 }
 
@@ -38,32 +40,70 @@
 
 impl Client {
     /// A client of the server at this address.
-    pub fn new(addr: SocketAddr, inputs: Sender<Input>) -> Self {
+    pub fn new(addr: SocketAddr, stores: Vec<(Name, SocketAddr)>, inputs: Sender<Input>) -> Self {
         let config = Agent::config_builder()
             .timeout_connect(Some(CONNECT))
             .http_status_as_error(false)
             .max_idle_connections_per_host(64)
             .build();
-        Self { agent: config.into(), base: format!("http://{addr}"), inputs }
+        let base = format!("http://{addr}");
+        let transfer = Transfer::new(base.clone(), stores);
+        Self { agent: config.into(), base, transfer, inputs }
     }
 
-    /// Starts a run.
-    pub fn serve(&self, run: RunId, work: Work) {
+    /// Does what the agent asks of its server; answers come back as events.
+    pub fn perform(&self, effect: Effect) {
         let client = self.clone();
-        let spawned = spawn(move || client.work(run, &work));
-        if spawned.is_err() {
-            self.send(Server::Failed { run, sent: false, code: Code::Overloaded });
+        let failed = match &effect {
+            Effect::Serve { run, .. } => {
+                Some(Server::Failed { run: *run, sent: false, code: Code::Overloaded })
+            }
+            Effect::Fetch { key, store } => {
+                Some(Server::Fetched { key: *key, store: store.clone(), moved: Moved::Failed })
+            }
+            _ => None,
+        };
+        if spawn(move || client.perform_now(effect)).is_err()
+            && let Some(failed) = failed
+        {
+            self.send(failed);
         }
     }
 
-    /// Tells the server to stop a run.
-    pub fn abort(&self, run: RunId) {
-        let client = self.clone();
-        let _ = spawn(move || {
-            let url = format!("{}/v1/cancel", client.base);
-            let body = json!({ "request_id": request_id(run) }).to_string();
-            let _ = client.agent.post(&url).send(&body);
-        });
+    fn perform_now(&self, effect: Effect) {
+        match effect {
+            Effect::Serve { run, priority, work } => self.work(run, priority, &work),
+            Effect::Abort { run } => self.abort(run),
+            Effect::Fetch { key, store } => self.send(self.transfer.fetch(key, store)),
+            Effect::Keep { key, store, generation } => {
+                self.send(self.transfer.keep(key, store, generation));
+            }
+            Effect::Free { key, store } => self.transfer.free(&key, &store),
+            Effect::PollCache { from } => self.send_some(self.transfer.events(from)),
+            Effect::ListCache => self.send_some(self.transfer.list()),
+            Effect::Order { token, load } => self.order(token, &load),
+            _ => {}
+        }
+    }
+
+    fn send_some(&self, news: Option<Server>) {
+        if let Some(news) = news {
+            self.send(news);
+        }
+    }
+
+    fn abort(&self, run: RunId) {
+        let url = format!("{}/v1/cancel", self.base);
+        let body = json!({ "request_id": request_id(run) }).to_string();
+        let _ = self.agent.post(&url).send(&body);
+    }
+
+    fn order(&self, token: Revision, load: &Name) {
+        let url = format!("{}/orders", self.base);
+        let body = json!({ "epoch": token.epoch, "index": token.index, "load": &**load });
+        let answer = self.agent.post(&url).send(body.to_string());
+        let ok = answer.is_ok_and(|response| response.status().as_u16() == 200);
+        self.send(Server::Ordered { token, ok });
     }
 
     /// Reads the server's load again and again.
@@ -87,6 +127,7 @@
             waiting: value["waiting"].as_u64()? as u32,
             prefill: value["prefill_tokens"].as_u64()?,
             version: Name::new(value["version"].as_str()?),
+            ..Load::default()
         })
     }
 
@@ -94,9 +135,9 @@
         let _ = self.inputs.send(Input::Event(Event::Server(news)));
     }
 
-    fn work(&self, run: RunId, work: &Work) {
+    fn work(&self, run: RunId, priority: Priority, work: &Work) {
         let result = match work {
-            Work::Prompt(prompt) => self.prompt(run, prompt),
+            Work::Prompt(prompt) => self.prompt(run, priority, prompt),
             Work::Call(call) => self.call(run, call),
         };
         match result {
@@ -108,7 +149,12 @@
         }
     }
 
-    fn prompt(&self, run: RunId, prompt: &Prompt) -> Result<(u32, u32), Failure> {
+    fn prompt(
+        &self,
+        run: RunId,
+        priority: Priority,
+        prompt: &Prompt,
+    ) -> Result<(u32, u32), Failure> {
         let keys: Vec<String> = prompt.keys.iter().map(|key| hex(key)).collect();
         let body = json!({
             "model": &*prompt.model,
@@ -118,6 +164,7 @@
             "resume_from": prompt.resume_from,
             "cache_keys": keys,
             "request_id": request_id(run),
+            "priority": priority as u8,
             "stream": true,
         });
         let url = format!("{}/v1/completions", self.base);
@@ -204,10 +251,6 @@
     format!("{run}-{}", run.attempt)
 }
 
-fn hex(bytes: &[u8]) -> String {
-    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
-}
-
 fn spawn(work: impl FnOnce() + Send + 'static) -> std::io::Result<()> {
     thread::Builder::new().name("server".to_owned()).stack_size(STACK).spawn(work).map(|_| ())
 }
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -2,18 +2,24 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::thread;
 
 use conf::{Role, ServerKind, Settings};
-use node::{Config, Event, Me, Node};
+use node::{Config, Event, Keeper, Me, Node};
+use quorum::{Founding, Member, Quorum, Timing};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::unbounded_channel;
 use wire::{Engine, Hello};
 
-use crate::host::{self, Sinks};
-use crate::{Clock, Input, callers, clock, net, operators, server};
+use crate::host::{self, Exit, Sinks};
+use crate::metrics::Metrics;
+use crate::{Clock, Input, callers, clock, files, net, operators, server};
+
+/// Folder of the keeper's files within the data folder.
+const KEEPER_FOLDER: &str = "keeper";
 
 /// A process that runs.
 #[derive(Debug)]
@@ -26,7 +32,7 @@
     pub callers: Option<SocketAddr>,
     /// Takes events.
     pub inputs: Sender<Input>,
-    exit: Receiver<usize>,
+    exit: Receiver<Exit>,
 }
 
 /// A handle that asks a process to stop.
@@ -48,9 +54,9 @@
         Stopper { inputs: self.inputs.clone() }
     }
 
-    /// Waits until the process may leave; gives the number of requests cut.
-    pub fn wait(&self) -> usize {
-        self.exit.recv().unwrap_or(0)
+    /// Waits until the process may or must leave.
+    pub fn wait(&self) -> Exit {
+        self.exit.recv().unwrap_or(Exit::Done { cut: 0 })
     }
 }
 
@@ -63,7 +69,7 @@
 /// Starts a process with these settings.
 ///
 /// # Errors
-/// A listener cannot be bound or a thread cannot be started.
+/// A listener cannot be bound, a thread cannot be started, or a keeper's folder cannot be used.
 pub fn start(settings: &Settings) -> io::Result<Running> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let link = runtime.block_on(TcpListener::bind(settings.link))?;
@@ -77,11 +83,21 @@
     let (exit, exit_out) = channel();
     let link_addr = link.local_addr()?;
     let callers_addr = callers.as_ref().map(TcpListener::local_addr).transpose()?;
-    let operators_addr = operators::run(settings.operators, &inputs)?;
+    let metrics = Arc::new(Metrics::new().map_err(io::Error::other)?);
+    let key = &settings.operator_key;
+    let operators_addr = operators::run(settings.operators, key, &inputs, &metrics)?;
 
     let me = me(settings, link_addr);
+    let (keeper, files) = if settings.plays(Role::Keeper) {
+        let (keeper, files) = keeper(settings, &me, &inputs)?;
+        (Some(keeper), Some(files))
+    } else {
+        (None, None)
+    };
     let server = settings.plays(Role::Agent).then(|| {
-        let client = server::Client::new(settings.server_addr, inputs.clone());
+        let stores = settings.stores.iter().map(|store| (store.name.clone(), store.addr));
+        let stores = stores.collect();
+        let client = server::Client::new(settings.server_addr, stores, inputs.clone());
         if settings.server_kind == ServerKind::Engine {
             client.watch_load();
         }
@@ -108,9 +124,9 @@
     })?;
 
     let config = Config::from(settings);
-    let sinks = Sinks { net: commands, server, exit };
+    let sinks = Sinks { net: commands, server, files, metrics, exit };
     thread::Builder::new().name("reducer".to_owned()).spawn(move || {
-        let node = Node::new(me, config);
+        let node = Node::new(me, config, keeper);
         host::run(node, Clock::default(), sinks, &inputs_out);
     })?;
     Ok(Running {
@@ -139,5 +155,26 @@
             server,
         },
         version: settings.version.clone(),
+        started_ms: clock::unix_ms(),
     }
 }
+
+fn keeper(
+    settings: &Settings,
+    me: &Me,
+    inputs: &Sender<Input>,
+) -> io::Result<(Keeper, Sender<files::Command>)> {
+    let name = settings.name.clone();
+    // The time of the first start, mixed with the name, tells this disk from every other.
+    let incarnation = me.hello.incarnation.0;
+    let identity = incarnation ^ u64::from(std::process::id()) << 48;
+    let folder = settings.data.join(KEEPER_FOLDER);
+    let opened = files::open(&folder, identity).map_err(io::Error::other)?;
+    let member = Member { name: name.clone(), disk: opened.identity };
+    let founding = Founding { names: settings.voters.clone(), epoch: me.started_ms / 1_000 };
+    let seed = incarnation;
+    let quorum = Quorum::new(member, founding, Timing::default(), seed, opened.saved);
+    let keeper = Keeper::new(name, quorum).map_err(io::Error::other)?;
+    let files = files::start(opened.store, inputs.clone())?;
+    Ok((keeper, files))
+}
--- /dev/null
+++ b/crates/edge/src/transfer.rs
@@ -0,0 +1,160 @@
+//! Moves of cache blocks between the engine and the stores, over HTTP.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use base::Name;
+use cache::{Key, seal, unseal};
+use node::{CacheEvent, Moved, Server};
+use serde_json::Value;
+use ureq::Agent;
+
+const TIMEOUT: Duration = Duration::from_secs(4);
+const MAX_BLOCK: u64 = 1 << 30;
+const FULL: u16 = 507;
+
+/// The two ends of transfers.
+#[derive(Clone, Debug)]
+pub struct Transfer {
+    agent: Agent,
+    engine: String,
+    stores: Vec<(Name, SocketAddr)>,
+}
+
+impl Transfer {
+    /// Transfers between this engine and these stores.
+    pub fn new(engine: String, stores: Vec<(Name, SocketAddr)>) -> Self {
+        let config = Agent::config_builder()
+            .timeout_global(Some(TIMEOUT))
+            .http_status_as_error(false)
+            .max_idle_connections_per_host(16)
+            .build();
+        Self { agent: config.into(), engine, stores }
+    }
+
+    /// Fetches a block from a store, checks it and imports it into the engine.
+    pub fn fetch(&self, key: Key, store: Name) -> Server {
+        let moved = self.fetch_one(&key, &store);
+        Server::Fetched { key, store, moved }
+    }
+
+    fn fetch_one(&self, key: &Key, store: &Name) -> Moved {
+        let Some(url) = self.block(store, key) else {
+            return Moved::Failed;
+        };
+        let begin = Instant::now();
+        let Some((status, bytes)) = self.get(&url) else {
+            return Moved::Failed;
+        };
+        let took = begin.elapsed();
+        match status {
+            200 => {}
+            404 => return Moved::Miss,
+            _ => return Moved::Failed,
+        }
+        // A torn, replaced or foreign block is a miss; the prompt is computed instead.
+        let Ok(body) = unseal(key, 0, &bytes) else {
+            log::warn!(store:% = store; "a damaged block was left alone");
+            return Moved::Miss;
+        };
+        match self.put(&self.engine_block(key), body) {
+            Some(200) => Moved::Done { bytes: bytes.len() as u64, took },
+            _ => Moved::Miss,
+        }
+    }
+
+    /// Exports a block from the engine and writes it to a store.
+    pub fn keep(&self, key: Key, store: Name, generation: u64) -> Server {
+        let moved = self.keep_one(&key, &store, generation);
+        Server::Kept { key, store, generation, moved }
+    }
+
+    fn keep_one(&self, key: &Key, store: &Name, generation: u64) -> Moved {
+        let Some(url) = self.block(store, key) else {
+            return Moved::Failed;
+        };
+        let Some((200, body)) = self.get(&self.engine_block(key)) else {
+            return Moved::Miss;
+        };
+        let bytes = seal(key, generation, &body);
+        let begin = Instant::now();
+        match self.put(&url, &bytes) {
+            Some(200) => Moved::Done { bytes: bytes.len() as u64, took: begin.elapsed() },
+            Some(FULL) => Moved::Full,
+            _ => Moved::Failed,
+        }
+    }
+
+    /// Deletes a block from a store; one that stays is replaced or found out later.
+    pub fn free(&self, key: &Key, store: &Name) {
+        if let Some(url) = self.block(store, key) {
+            let _ = self.agent.delete(&url).call();
+        }
+    }
+
+    /// The engine's cache events from a number on.
+    pub fn events(&self, from: u64) -> Option<Server> {
+        let (_, bytes) = self.get(&format!("{}/cache/events?from={from}", self.engine))?;
+        let value: Value = serde_json::from_slice(&bytes).ok()?;
+        let event = |value: &Value| {
+            Some(CacheEvent {
+                seq: value["seq"].as_u64()?,
+                key: unhex(value["key"].as_str()?)?,
+                stored: value["stored"].as_bool()?,
+            })
+        };
+        let events = value["events"].as_array()?.iter().map(event).collect::<Option<_>>()?;
+        Some(Server::Cache { from, events })
+    }
+
+    /// The whole list of the engine's cache.
+    pub fn list(&self) -> Option<Server> {
+        let (_, bytes) = self.get(&format!("{}/cache/blocks", self.engine))?;
+        let value: Value = serde_json::from_slice(&bytes).ok()?;
+        let keys = value["keys"].as_array()?.iter().map(|key| unhex(key.as_str()?));
+        Some(Server::CacheList {
+            next: value["next"].as_u64()?,
+            keys: keys.collect::<Option<_>>()?,
+        })
+    }
+
+    fn block(&self, store: &Name, key: &Key) -> Option<String> {
+        let (_, addr) = self.stores.iter().find(|(name, _)| name == store)?;
+        Some(format!("http://{addr}/blocks/{}", hex(key)))
+    }
+
+    fn engine_block(&self, key: &Key) -> String {
+        format!("{}/cache/blocks/{}", self.engine, hex(key))
+    }
+
+    fn get(&self, url: &str) -> Option<(u16, Vec<u8>)> {
+        let mut response = self.agent.get(url).call().ok()?;
+        let status = response.status().as_u16();
+        let bytes = response.body_mut().with_config().limit(MAX_BLOCK).read_to_vec().ok()?;
+        Some((status, bytes))
+    }
+
+    fn put(&self, url: &str, bytes: &[u8]) -> Option<u16> {
+        let mut response = self.agent.put(url).send(bytes).ok()?;
+        let status = response.status().as_u16();
+        // The connection is used again only once the body is read.
+        let _ = response.body_mut().read_to_vec();
+        Some(status)
+    }
+}
+
+/// Bytes as hexadecimal text.
+pub fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+fn unhex(text: &str) -> Option<Key> {
+    if text.len() != 32 || !text.is_ascii() {
+        return None;
+    }
+    let mut key = [0; 16];
+    for (place, byte) in key.iter_mut().enumerate() {
+        *byte = u8::from_str_radix(&text[2 * place..2 * place + 2], 16).ok()?;
+    }
+    Some(key)
+}
--- a/crates/limit/src/queue.rs
+++ b/crates/limit/src/queue.rs
@@ -67,6 +67,29 @@
         flows.map(|flow| flow.items.len()).sum()
     }
 
+    /// Items that would go before a new one of this workspace, class and share.
+    pub fn ahead(&self, workspace: &Name, class: u8, share: f64) -> usize {
+        let mut count = 0;
+        for (found, flows) in &self.classes {
+            if *found > class {
+                count += flows.flows.values().map(|flow| flow.items.len()).sum::<usize>();
+            }
+            if *found != class {
+                continue;
+            }
+            let own = flows.flows.get(workspace).map_or(0, |flow| flow.items.len());
+            count += own;
+            // While its own are served, each other workspace is served by its share.
+            for (name, flow) in flows.flows.iter().filter(|(name, _)| *name != workspace) {
+                let other = flow.items.front().map_or(0.0, |(_, item)| item.share);
+                let turns = ((own + 1) as f64 * other / share.max(0.001)).ceil() as usize;
+                count += turns.min(flow.items.len());
+                debug_assert_ne!(name, workspace);
+            }
+        }
+        count
+    }
+
     /// Adds an item; gives back the number of the one that must go, if the queue is full.
     pub fn push(&mut self, item: Item) -> Option<u64> {
         let out = if self.len >= self.most { self.shed(&item) } else { None };
--- /dev/null
+++ b/crates/node/src/agent/mod.rs
@@ -0,0 +1,530 @@
+//! The agent's reducer: the one door to the backend server beside it.
+//!
+//! | file | what it does |
+//! |---|---|
+//! | `mod` | takes runs, numbers the parts of their answers, keeps them until acknowledged |
+//! | `transfer` | moves cache blocks between the engine and the stores |
+//! | `order` | obeys orders to load weights, newest fencing token first |
+//!
+//! A run that was cancelled before its start is written down, so that a late frame cannot start it.
+//! A run that may be done only once is settled in the agreed log by the agent, since it knows first.
+
+mod order;
+mod transfer;
+
+use std::collections::{HashMap, HashSet, VecDeque};
+use std::sync::Arc;
+
+use base::prelude::*;
+use serde_json::{Value, json};
+use state::{Command, Outcome};
+use wire::{Digest, Frame, Load, News, Output, Part, Request, Start, Work};
+
+use crate::asker::{Asker, Purpose};
+use crate::{Config, Effect, Effects, Server};
+use order::Loading;
+use transfer::Transfers;
+
+/// How long a run is kept for an entry whose link is down.
+const ORPHAN: Duration = Duration::from_secs(10);
+/// How many refused runs are remembered; older ones are past every deadline by then.
+const REFUSED_KEPT: usize = 100_000;
+/// Wait named in a refusal of a full server.
+const FULL_RETRY_MS: u64 = 250;
+/// Largest answer that is kept for a resend, bytes.
+const ANSWER_KEPT: usize = 256 << 10;
+/// How long the keepers are asked to note how a run ended.
+const SETTLE: Duration = Duration::from_secs(60);
+/// Least computed tokens of a run that tell the time per token.
+const TELLING_TOKENS: u32 = 400;
+
+#[derive(Debug)]
+struct Held {
+    entry: Name,
+    start: Start,
+    deadline: Time,
+    fetching: HashSet<cache::Key>,
+    served: Option<Time>,
+    first: Option<Time>,
+    next_seq: u64,
+    kept: VecDeque<(u64, Part)>,
+    digest: Digest,
+    answer: Vec<u8>,
+    head: Option<(u16, String)>,
+    done: bool,
+    aborted: bool,
+    orphan: Option<Time>,
+}
+
+/// What a decision needs besides the agent's own state.
+#[derive(Debug)]
+pub struct Context<'a> {
+    /// The present time.
+    pub now: Time,
+    /// Requests to the keepers.
+    pub asker: &'a mut Asker,
+}
+
+/// The agent's reducer.
+#[derive(Debug)]
+pub struct Agent {
+    incarnation: Incarnation,
+    slots: usize,
+    plain: bool,
+    runs: HashMap<RunId, Held>,
+    refused: HashSet<RunId>,
+    refused_order: VecDeque<RunId>,
+    load: Load,
+    token_ns: f64,
+    stopping: bool,
+    drained: bool,
+    transfers: Transfers,
+    loading: Option<Loading>,
+    highest: Revision,
+    entries: Vec<Name>,
+}
+
+impl Agent {
+    /// An agent beside a server with this many slots.
+    pub fn new(
+        config: &Config,
+        incarnation: Incarnation,
+        server: &wire::Engine,
+        version: Name,
+    ) -> Self {
+        Self {
+            incarnation,
+            slots: server.slots as usize,
+            plain: server.plain,
+            runs: HashMap::new(),
+            refused: HashSet::new(),
+            refused_order: VecDeque::new(),
+            load: Load { version, ..Load::default() },
+            token_ns: 0.0,
+            stopping: false,
+            drained: false,
+            transfers: Transfers::new(config),
+            loading: None,
+            highest: Revision::default(),
+            entries: Vec::new(),
+        }
+    }
+
+    /// Runs that an entry may still ask for.
+    pub fn open(&self) -> usize {
+        self.runs.len()
+    }
+
+    /// Whether no new work is taken.
+    pub fn leaving(&self) -> bool {
+        self.stopping || self.drained || self.loading.is_some()
+    }
+
+    /// Whether the process is asked to go.
+    pub fn stopping(&self) -> bool {
+        self.stopping
+    }
+
+    /// What a heartbeat says of the load.
+    pub fn load(&self) -> Load {
+        let (link_rate, link_queue) = self.transfers.rate();
+        Load {
+            held: self.active() as u32,
+            token_ns: self.token_ns as u64,
+            link_rate,
+            link_queue,
+            closed: Vec::new(),
+            ..self.load.clone()
+        }
+    }
+
+    /// Runs held for a peer that are not done.
+    pub fn held_for(&self, peer: &Name) -> u32 {
+        self.runs.values().filter(|held| held.entry == *peer && !held.done).count() as u32
+    }
+
+    /// Takes no new work from now on, since the process stops.
+    pub fn stop(&mut self) {
+        self.stopping = true;
+    }
+
+    /// Takes work or not, as the server's record says.
+    pub fn drain(&mut self, drained: bool) {
+        self.drained = drained;
+    }
+
+    fn active(&self) -> usize {
+        self.runs.values().filter(|held| !held.done).count()
+    }
+
+    /// A link to an entry is up: it learns what the caches hold.
+    pub fn linked(&mut self, entry: &Name, out: &mut Effects) {
+        if !self.entries.contains(entry) {
+            self.entries.push(entry.clone());
+        }
+        for news in self.transfers.all_news() {
+            out.push(Effect::Send { to: entry.clone(), frame: Frame::Cache(news) });
+        }
+    }
+
+    /// The last link to a peer is down.
+    pub fn unlinked(&mut self, now: Time, peer: &Name) {
+        self.entries.retain(|entry| entry != peer);
+        for held in self.runs.values_mut().filter(|held| held.entry == *peer) {
+            held.orphan = Some(now);
+        }
+    }
+
+    /// A frame came from an entry or a keeper.
+    pub fn frame(&mut self, cx: &mut Context<'_>, peer: &Name, frame: Frame, out: &mut Effects) {
+        match frame {
+            Frame::Start(start) => self.start(cx.now, peer, *start, out),
+            Frame::Ack { run, seq } => self.ack(run, seq),
+            Frame::Resume { run, seq } => self.resume(peer, run, seq, out),
+            Frame::Cancel { run } => self.cancel(peer, run, out),
+            Frame::Order { token, to, load } => self.ordered(token, to, load, out),
+            _ => {}
+        }
+    }
+
+    /// News from the backend server.
+    pub fn server(&mut self, cx: &mut Context<'_>, news: Server, out: &mut Effects) {
+        match news {
+            Server::Load(load) => self.loaded(load, out),
+            Server::Part { run, part } => self.part(cx.now, run, part, out),
+            Server::Done { run, computed, cached } => {
+                self.measure(run, computed);
+                self.keep_blocks(cx.now, run, out);
+                self.finish(cx, run, Code::Ok, (computed, cached), out);
+            }
+            Server::Failed { run, sent: false, code } => {
+                if let Some(held) = self.runs.remove(&run) {
+                    self.refuse(&held.entry, run, code, out);
+                }
+            }
+            Server::Failed { run, sent: true, code } => self.finish(cx, run, code, (0, 0), out),
+            Server::Fetched { key, store, moved } => {
+                self.transfers.fetched(cx.now, &key, &store, moved);
+                self.fetch_ended(cx.now, &key, out);
+            }
+            Server::Kept { key, store, generation, moved } => {
+                let news = self.transfers.kept(cx.now, &key, &store, generation, moved);
+                self.tell(news, out);
+                self.transfers.keep_more(cx.now, out);
+            }
+            Server::Cache { from, events } => {
+                let news = self.transfers.events(from, &events, out);
+                self.tell(news, out);
+            }
+            Server::CacheList { next, keys } => {
+                let news = self.transfers.listed(next, keys);
+                self.tell(Some(news), out);
+            }
+            Server::Ordered { token, ok } => self.order_answered(token, ok),
+        }
+    }
+
+    /// Time passes.
+    pub fn tick(&mut self, cx: &mut Context<'_>, out: &mut Effects) {
+        let now = cx.now;
+        let mut over = Vec::new();
+        let mut late = Vec::new();
+        for (id, held) in &self.runs {
+            let orphaned = held.orphan.is_some_and(|at| now.since(at) >= ORPHAN);
+            if orphaned && (held.start.idempotent || held.done) {
+                over.push((*id, true));
+            } else if now > held.deadline && !held.aborted && held.start.idempotent {
+                over.push((*id, false));
+            } else if !held.fetching.is_empty() && self.transfers.is_late(now, &held.fetching) {
+                late.push(*id);
+            }
+        }
+        for (id, drop) in over {
+            self.abort(id, out);
+            if drop {
+                self.runs.remove(&id);
+            }
+        }
+        for id in late {
+            self.serve(now, id, out);
+        }
+        let news = self.transfers.tick(now, self.plain, out);
+        for news in news {
+            self.tell(Some(news), out);
+        }
+        self.load_when_empty(out);
+    }
+
+    fn tell(&self, news: Option<News>, out: &mut Effects) {
+        let Some(news) = news else {
+            return;
+        };
+        for entry in &self.entries {
+            let frame = Frame::Cache(news.clone());
+            out.push(Effect::Send { to: entry.clone(), frame });
+        }
+    }
+
+    fn start(&mut self, now: Time, peer: &Name, start: Start, out: &mut Effects) {
+        let run = start.run;
+        if self.runs.contains_key(&run) {
+            return;
+        }
+        if self.refused.contains(&run) || start.to != self.incarnation {
+            self.refuse(peer, run, Code::Cancelled, out);
+            return;
+        }
+        if self.leaving() {
+            self.refuse(peer, run, Code::Draining, out);
+            return;
+        }
+        if self.active() >= self.slots {
+            self.refuse(peer, run, Code::Overloaded, out);
+            return;
+        }
+        let wrong_version = matches!(&start.work, Work::Prompt(prompt)
+            if !prompt.version.is_empty() && prompt.version != self.load.version);
+        if wrong_version {
+            self.refuse(peer, run, Code::NoServer, out);
+            return;
+        }
+        let fetching = self.transfers.begin(now, &start.fetch, out);
+        let held = Held {
+            entry: peer.clone(),
+            deadline: now + Duration::from_millis(start.left_ms),
+            start,
+            fetching,
+            served: None,
+            first: None,
+            next_seq: 0,
+            kept: VecDeque::new(),
+            digest: Digest::default(),
+            answer: Vec::new(),
+            head: None,
+            done: false,
+            aborted: false,
+            orphan: None,
+        };
+        let serve = held.fetching.is_empty();
+        self.runs.insert(run, held);
+        if serve {
+            self.serve(now, run, out);
+        }
+    }
+
+    fn serve(&mut self, now: Time, run: RunId, out: &mut Effects) {
+        let Some(held) = self.runs.get_mut(&run) else {
+            return;
+        };
+        held.fetching.clear();
+        held.served = Some(now);
+        let priority = held.start.priority;
+        out.push(Effect::Serve { run, priority, work: held.start.work.clone() });
+    }
+
+    fn fetch_ended(&mut self, now: Time, key: &cache::Key, out: &mut Effects) {
+        let mut ready = Vec::new();
+        for (id, held) in &mut self.runs {
+            if held.fetching.remove(key) && held.fetching.is_empty() {
+                ready.push(*id);
+            }
+        }
+        ready.sort_unstable();
+        for id in ready {
+            self.serve(now, id, out);
+        }
+    }
+
+    /// Learns the time per prompt token from a run; the least seen counts most, since waits behind
+    /// other prompts only add to it.
+    fn measure(&mut self, run: RunId, computed: u32) {
+        let Some(held) = self.runs.get(&run) else {
+            return;
+        };
+        let (Some(served), Some(first)) = (held.served, held.first) else {
+            return;
+        };
+        if computed < TELLING_TOKENS {
+            return;
+        }
+        let seen = first.since(served).as_nanos() as f64 / f64::from(computed);
+        if self.token_ns == 0.0 {
+            self.token_ns = seen;
+            return;
+        }
+        let weight = if seen < self.token_ns { 0.5 } else { 0.02 };
+        self.token_ns += weight * (seen - self.token_ns);
+    }
+
+    fn keep_blocks(&mut self, now: Time, run: RunId, out: &mut Effects) {
+        let Some(held) = self.runs.get(&run) else {
+            return;
+        };
+        let keys = held.start.keep.clone();
+        self.transfers.keep(now, &keys, out);
+    }
+
+    fn refuse(&mut self, peer: &Name, run: RunId, code: Code, out: &mut Effects) {
+        if self.refused.insert(run) {
+            self.refused_order.push_back(run);
+        }
+        if self.refused_order.len() > REFUSED_KEPT
+            && let Some(oldest) = self.refused_order.pop_front()
+        {
+            self.refused.remove(&oldest);
+        }
+        let frame = Frame::Refused { run, code, retry_ms: FULL_RETRY_MS };
+        out.push(Effect::Send { to: peer.clone(), frame });
+    }
+
+    fn part(&mut self, now: Time, run: RunId, part: Part, out: &mut Effects) {
+        let Some(held) = self.runs.get_mut(&run) else {
+            return;
+        };
+        if held.done {
+            return;
+        }
+        held.digest.add(&part);
+        if held.start.once.is_some() {
+            held.note_answer(&part);
+        }
+        if matches!(part, Part::Tokens { .. }) {
+            held.first.get_or_insert(now);
+        }
+        let seq = held.next_seq;
+        held.next_seq += 1;
+        held.kept.push_back((seq, part.clone()));
+        let frame = Frame::Output(Output { run, seq, part });
+        out.push(Effect::Send { to: held.entry.clone(), frame });
+    }
+
+    fn finish(
+        &mut self,
+        cx: &mut Context<'_>,
+        run: RunId,
+        code: Code,
+        prompt: (u32, u32),
+        out: &mut Effects,
+    ) {
+        let Some(held) = self.runs.get(&run) else {
+            return;
+        };
+        if held.done {
+            return;
+        }
+        self.settle(cx, run, code, out);
+        let held = &self.runs[&run];
+        let (computed, cached) = prompt;
+        let end = Part::End { code, parts: held.next_seq, digest: held.digest, computed, cached };
+        self.part(cx.now, run, end, out);
+        if let Some(held) = self.runs.get_mut(&run) {
+            held.done = true;
+        }
+    }
+
+    /// Notes in the agreed log how a run ended that may be done only once.
+    fn settle(&mut self, cx: &mut Context<'_>, run: RunId, code: Code, out: &mut Effects) {
+        let Some(held) = self.runs.get(&run) else {
+            return;
+        };
+        let Some(key) = held.start.once.clone() else {
+            return;
+        };
+        let outcome = if code == Code::Ok && held.answer.len() <= ANSWER_KEPT {
+            let (status, kind) = held.head.clone().unwrap_or((200, String::new()));
+            let body = Arc::from(held.answer.as_slice());
+            Outcome::Answer { status, kind: kind.into(), body }
+        } else if code == Code::Ok {
+            Outcome::Ended(Code::Cut)
+        } else {
+            Outcome::Ended(Code::Unknown)
+        };
+        let workspace = held.start.workspace.clone();
+        let command = Command::Settle { workspace, key, run, outcome: Some(outcome) };
+        let deadline = cx.now + SETTLE;
+        cx.asker.ask(cx.now, Purpose::Settle, Request::Command(command), deadline, out);
+    }
+
+    fn ack(&mut self, run: RunId, seq: u64) {
+        let Some(held) = self.runs.get_mut(&run) else {
+            return;
+        };
+        while held.kept.front().is_some_and(|(kept, _)| *kept < seq) {
+            held.kept.pop_front();
+        }
+        if held.done && held.kept.is_empty() {
+            self.runs.remove(&run);
+        }
+    }
+
+    fn resume(&mut self, peer: &Name, run: RunId, seq: u64, out: &mut Effects) {
+        let Some(held) = self.runs.get_mut(&run) else {
+            let frame = Frame::Gone { run };
+            out.push(Effect::Send { to: peer.clone(), frame });
+            return;
+        };
+        held.orphan = None;
+        held.entry = peer.clone();
+        for (kept, part) in held.kept.iter().filter(|(kept, _)| *kept >= seq) {
+            let output = Output { run, seq: *kept, part: part.clone() };
+            out.push(Effect::Send { to: peer.clone(), frame: Frame::Output(output) });
+        }
+    }
+
+    /// An entry wants a run ended, or to be told that it never starts.
+    fn cancel(&mut self, peer: &Name, run: RunId, out: &mut Effects) {
+        let Some(held) = self.runs.get(&run) else {
+            self.refuse(peer, run, Code::Cancelled, out);
+            return;
+        };
+        if held.served.is_none() {
+            self.runs.remove(&run);
+            self.refuse(peer, run, Code::Cancelled, out);
+        } else if held.start.idempotent {
+            self.abort(run, out);
+        }
+    }
+
+    fn abort(&mut self, run: RunId, out: &mut Effects) {
+        let Some(held) = self.runs.get_mut(&run) else {
+            return;
+        };
+        if !held.done && !held.aborted && held.served.is_some() {
+            held.aborted = true;
+            out.push(Effect::Abort { run });
+        }
+    }
+
+    /// The agent as JSON.
+    pub fn dump(&self, now: Time) -> Value {
+        json!({
+            "leaving": self.leaving(),
+            "drained": self.drained,
+            "loading": self.loading.as_ref().map(|loading| &*loading.load),
+            "highest_token": self.highest.to_string(),
+            "slots": self.slots,
+            "runs": self.runs.len(),
+            "active": self.active(),
+            "refused": self.refused.len(),
+            "version": &*self.load.version,
+            "token_ns": self.token_ns as u64,
+            "transfers": self.transfers.dump(now),
+        })
+    }
+}
+
+impl Held {
+    fn note_answer(&mut self, part: &Part) {
+        // One byte past the limit tells that the whole is too large to keep.
+        let room = (ANSWER_KEPT + 1).saturating_sub(self.answer.len());
+        let mut take = |bytes: &[u8]| {
+            self.answer.extend_from_slice(&bytes[..bytes.len().min(room)]);
+        };
+        match part {
+            Part::Tokens { text, .. } => take(text.as_bytes()),
+            Part::Bytes(bytes) => take(bytes),
+            Part::Head { status, kind } => self.head = Some((*status, kind.clone())),
+            Part::End { .. } => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/agent/transfer.rs
@@ -0,0 +1,307 @@
+//! Cache blocks between the engine and the stores.
+
+use std::collections::{HashMap, HashSet, VecDeque};
+use std::time::Duration;
+
+use base::prelude::*;
+use cache::{Key, Link, Shelf};
+use serde_json::{Value, json};
+use wire::{News, Piece};
+
+use crate::event::{CacheEvent, Moved};
+use crate::{Config, Effect, Effects};
+
+/// Pause between two questions for cache events.
+const POLL: Duration = Duration::from_millis(100);
+/// Longest time that a run waits for its blocks; well within a reader's pin.
+const FETCH_MOST: Duration = Duration::from_secs(4);
+/// Span over which background transfers may fill their share of a link.
+const WINDOW: Duration = Duration::from_millis(500);
+/// Blocks that wait to be written back; beyond it they are left to be computed again.
+const KEEP_WAITING: usize = 20_000;
+
+/// The transfers of one agent.
+#[derive(Debug)]
+pub(super) struct Transfers {
+    stores: Vec<Name>,
+    piece_bytes: u64,
+    first_rate: u64,
+    links: HashMap<Name, Link>,
+    fetching: HashMap<Key, (Name, Time)>,
+    keeping: HashMap<Key, Name>,
+    to_keep: VecDeque<Key>,
+    shelves: HashMap<Name, Shelf>,
+    held: HashSet<Key>,
+    next_event: u64,
+    next_poll: Time,
+    listing: bool,
+    moved: [u64; 2],
+}
+
+impl Transfers {
+    pub fn new(config: &Config) -> Self {
+        let count = config.stores.len().max(1) as u64;
+        let shelf = || Shelf::new(config.store_bytes / count);
+        let link = || Link::new(config.link_rate as f64);
+        Self {
+            links: config.stores.iter().map(|store| (store.clone(), link())).collect(),
+            shelves: config.stores.iter().map(|store| (store.clone(), shelf())).collect(),
+            stores: config.stores.clone(),
+            piece_bytes: config.piece_bytes,
+            first_rate: config.link_rate,
+            fetching: HashMap::new(),
+            keeping: HashMap::new(),
+            to_keep: VecDeque::new(),
+            held: HashSet::new(),
+            next_event: 0,
+            next_poll: Time::ZERO,
+            listing: false,
+            moved: [0; 2],
+        }
+    }
+
+    /// Mean rate of the links and bytes queued on the fullest, for the entries' estimates.
+    pub fn rate(&self) -> (u64, u64) {
+        if self.links.is_empty() {
+            return (self.first_rate, 0);
+        }
+        let rate: f64 = self.links.values().map(|link| link.rate).sum();
+        let queue = self.links.values().map(|link| link.queued).max().unwrap_or(0);
+        ((rate / self.links.len() as f64) as u64, queue)
+    }
+
+    /// Begins to fetch pieces; gives those to wait for. One transfer serves many waiters.
+    pub fn begin(&mut self, now: Time, pieces: &[Piece], out: &mut Effects) -> HashSet<Key> {
+        let mut waiting = HashSet::new();
+        for piece in pieces {
+            if self.held.contains(&piece.key) {
+                continue;
+            }
+            if self.fetching.contains_key(&piece.key) {
+                waiting.insert(piece.key);
+                continue;
+            }
+            // A piece that cannot come makes those behind it useless.
+            let Some(link) = self.links.get_mut(&piece.store).filter(|link| link.open(now)) else {
+                break;
+            };
+            link.begin(self.piece_bytes);
+            self.fetching.insert(piece.key, (piece.store.clone(), now));
+            waiting.insert(piece.key);
+            out.push(Effect::Fetch { key: piece.key, store: piece.store.clone() });
+        }
+        waiting
+    }
+
+    /// Whether a run has waited for its pieces long enough.
+    pub fn is_late(&self, now: Time, keys: &HashSet<Key>) -> bool {
+        keys.iter().all(|key| {
+            self.fetching.get(key).is_none_or(|(_, since)| now.since(*since) >= FETCH_MOST)
+        })
+    }
+
+    pub fn fetched(&mut self, now: Time, key: &Key, store: &Name, moved: Moved) {
+        self.fetching.remove(key);
+        let Some(link) = self.links.get_mut(store) else {
+            return;
+        };
+        match moved {
+            Moved::Done { bytes, took } => {
+                self.moved[0] += bytes;
+                link.end_fetch(self.piece_bytes, bytes, took);
+                self.held.insert(*key);
+            }
+            Moved::Miss => link.missed(self.piece_bytes),
+            Moved::Full | Moved::Failed => link.failed(now, self.piece_bytes, false),
+        }
+        if let Some(shelf) = self.shelves.get_mut(store) {
+            shelf.touch(key);
+        }
+    }
+
+    /// Notes blocks that are worth a place on a store.
+    pub fn keep(&mut self, now: Time, keys: &[Key], out: &mut Effects) {
+        for key in keys {
+            if self.to_keep.len() < KEEP_WAITING
+                && !self.keeping.contains_key(key)
+                && !self.to_keep.contains(key)
+            {
+                self.to_keep.push_back(*key);
+            }
+        }
+        self.keep_more(now, out);
+    }
+
+    /// Writes back what the links have room for.
+    pub fn keep_more(&mut self, now: Time, out: &mut Effects) {
+        let mut left = VecDeque::new();
+        while let Some(key) = self.to_keep.pop_front() {
+            let Some(store) = self.home(&key).filter(|store| self.links[*store].writable(now))
+            else {
+                continue;
+            };
+            let store = store.clone();
+            let (Some(link), Some(shelf)) =
+                (self.links.get_mut(&store), self.shelves.get_mut(&store))
+            else {
+                continue;
+            };
+            if !link.begin_background(now, self.piece_bytes, WINDOW) {
+                left.push_back(key);
+                break;
+            }
+            let Some(generation) = shelf.reserve(key, self.piece_bytes) else {
+                link.missed_background(self.piece_bytes);
+                continue;
+            };
+            self.keeping.insert(key, store.clone());
+            out.push(Effect::Keep { key, store, generation });
+        }
+        left.append(&mut self.to_keep);
+        self.to_keep = left;
+    }
+
+    pub fn kept(
+        &mut self,
+        now: Time,
+        key: &Key,
+        store: &Name,
+        generation: u64,
+        moved: Moved,
+    ) -> Option<News> {
+        self.keeping.remove(key);
+        let (Some(link), Some(shelf)) = (self.links.get_mut(store), self.shelves.get_mut(store))
+        else {
+            return None;
+        };
+        let ok = matches!(moved, Moved::Done { .. });
+        match moved {
+            Moved::Done { bytes, took } => {
+                self.moved[1] += bytes;
+                link.done(self.piece_bytes, took, true);
+            }
+            // The engine had it no more: nothing was written and nothing is wrong with the store.
+            Moved::Miss => link.missed_background(self.piece_bytes),
+            Moved::Full => link.full(now, self.piece_bytes, true),
+            Moved::Failed => link.failed(now, self.piece_bytes, true),
+        }
+        shelf.written(key, generation, ok);
+        ok.then(|| News { store: Some(store.clone()), added: vec![*key], ..News::default() })
+    }
+
+    /// Cache events from the engine; a gap in their numbers asks for the whole list.
+    pub fn events(&mut self, from: u64, events: &[CacheEvent], out: &mut Effects) -> Option<News> {
+        if self.listing || from != self.next_event {
+            return None;
+        }
+        let mut news = News::default();
+        for event in events {
+            if event.seq != self.next_event {
+                self.relist(out);
+                break;
+            }
+            self.next_event += 1;
+            if event.stored {
+                self.held.insert(event.key);
+                news.added.push(event.key);
+            } else {
+                self.held.remove(&event.key);
+                news.removed.push(event.key);
+            }
+        }
+        let empty = news.added.is_empty() && news.removed.is_empty();
+        (!empty).then_some(news)
+    }
+
+    /// Asks for the whole list of the engine's cache.
+    pub fn relist(&mut self, out: &mut Effects) {
+        if !self.listing {
+            self.listing = true;
+            out.push(Effect::ListCache);
+        }
+    }
+
+    pub fn listed(&mut self, next: u64, keys: Vec<Key>) -> News {
+        self.listing = false;
+        self.next_event = next;
+        self.held = keys.iter().copied().collect();
+        News { reset: true, added: keys, ..News::default() }
+    }
+
+    /// Everything that the engine and the stores hold, for an entry that was just met.
+    pub fn all_news(&self) -> Vec<News> {
+        let mut all = vec![News {
+            reset: true,
+            added: self.held.iter().copied().collect(),
+            ..News::default()
+        }];
+        for (store, shelf) in &self.shelves {
+            let added: Vec<Key> = shelf.published().copied().collect();
+            if !added.is_empty() {
+                all.push(News { store: Some(store.clone()), added, ..News::default() });
+            }
+        }
+        all
+    }
+
+    /// Asks for events, frees blocks, makes room; gives what the entries must learn.
+    pub fn tick(&mut self, now: Time, plain: bool, out: &mut Effects) -> Vec<News> {
+        if plain || now < self.next_poll {
+            return Vec::new();
+        }
+        self.next_poll = now + POLL;
+        if self.listing {
+            // The list may have been lost with the server's restart.
+            out.push(Effect::ListCache);
+        } else {
+            out.push(Effect::PollCache { from: self.next_event });
+        }
+        let mut all = Vec::new();
+        let wanted = self.to_keep.len() as u64 * self.piece_bytes;
+        for (store, shelf) in &mut self.shelves {
+            let removed = shelf.make_room(now, wanted.min(64 * self.piece_bytes));
+            if !removed.is_empty() {
+                all.push(News { store: Some(store.clone()), removed, ..News::default() });
+            }
+            for freed in shelf.free(now) {
+                out.push(Effect::Free { key: freed.key, store: store.clone() });
+            }
+        }
+        self.keep_more(now, out);
+        all
+    }
+
+    /// The store that a key belongs on: the highest by hash, so that all agents agree.
+    fn home(&self, key: &Key) -> Option<&Name> {
+        self.stores.iter().max_by_key(|store| {
+            let hash = blake3::Hasher::new().update(key).update(store.as_bytes()).finalize();
+            hash.as_bytes()[..8].to_vec()
+        })
+    }
+
+    pub fn dump(&self, now: Time) -> Value {
+        let links: Vec<Value> = self
+            .links
+            .iter()
+            .map(|(store, link)| {
+                json!({
+                    "store": &**store,
+                    "open": link.open(now),
+                    "writable": link.writable(now),
+                    "rate": link.rate as u64,
+                    "queued": link.queued,
+                    "kept_bytes": self.shelves[store].bytes(),
+                })
+            })
+            .collect();
+        json!({
+            "links": links,
+            "fetching": self.fetching.len(),
+            "keeping": self.keeping.len(),
+            "to_keep": self.to_keep.len(),
+            "held": self.held.len(),
+            "fetched_bytes": self.moved[0],
+            "kept_bytes": self.moved[1],
+        })
+    }
+}
--- a/crates/node/src/api.rs
+++ b/crates/node/src/api.rs
@@ -13,7 +13,8 @@
 
 const DEFAULT_TOKENS: u32 = 128;
 const MAX_TOKENS: u32 = 32_768;
-const JSON: &str = "application/json";
+/// Content type of JSON.
+pub const JSON: &str = "application/json";
 /// Content type of a streamed answer.
 pub const EVENT_STREAM: &str = "text/event-stream";
 /// Last event of a whole streamed answer.
@@ -226,6 +227,23 @@
     value.to_string().into_bytes()
 }
 
+/// A kept answer in the shape that was asked for: content type and body.
+pub fn stored(run: RunId, want: &Want, kind: &Name, body: &[u8]) -> (String, Vec<u8>) {
+    let text = || String::from_utf8_lossy(body);
+    match want {
+        Want::Prompt { model, stream: true, chat, .. } => {
+            let mut bytes = chunk(run, model, *chat, &text(), None);
+            bytes.extend(chunk(run, model, *chat, "", Some("stop")));
+            bytes.extend_from_slice(DONE);
+            (EVENT_STREAM.to_owned(), bytes)
+        }
+        Want::Prompt { model, chat, .. } => {
+            (JSON.to_owned(), whole(run, model, *chat, &text(), (0, 0, 0)))
+        }
+        Want::Call(_) | Want::Models => (kind.to_string(), body.to_vec()),
+    }
+}
+
 /// The list of models.
 pub fn models(names: &[Name]) -> Vec<u8> {
     let data: Vec<Value> =
--- a/crates/node/src/effect.rs
+++ b/crates/node/src/effect.rs
@@ -1,7 +1,11 @@
 //! Everything a process does.
 
-use base::{Code, Name, RunId};
-use wire::{Frame, Work};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base::{Code, Name, Revision, RunId};
+use cache::Key;
+use wire::{Frame, Priority, Work};
 
 /// The head of an answer to a caller.
 #[derive(Clone, Debug, Default)]
@@ -24,7 +28,12 @@
         /// The frame.
         frame: Frame,
     },
-    /// Begin an answer to a caller.
+    /// Keep a link to an address.
+    Dial {
+        /// The address.
+        addr: SocketAddr,
+    },
+    /// Begin an answer to a caller or an operator.
     Begin {
         /// Number of the exchange.
         call: u64,
@@ -49,6 +58,8 @@
     Serve {
         /// The dispatch.
         run: RunId,
+        /// Priority class.
+        priority: Priority,
         /// The work.
         work: Work,
     },
@@ -57,6 +68,50 @@
         /// The dispatch.
         run: RunId,
     },
+    /// Fetch a block from a store into the engine.
+    Fetch {
+        /// Key of the block.
+        key: Key,
+        /// The store.
+        store: Name,
+    },
+    /// Write a block back from the engine to a store.
+    Keep {
+        /// Key of the block.
+        key: Key,
+        /// The store.
+        store: Name,
+        /// Generation of the block.
+        generation: u64,
+    },
+    /// Delete a block from a store.
+    Free {
+        /// Key of the block.
+        key: Key,
+        /// The store.
+        store: Name,
+    },
+    /// Ask the engine for cache events from a number on.
+    PollCache {
+        /// The number.
+        from: u64,
+    },
+    /// Ask the engine for the whole list of its cache.
+    ListCache,
+    /// Order the backend server to load a weight version.
+    Order {
+        /// Fencing token.
+        token: Revision,
+        /// The weight version.
+        load: Name,
+    },
+    /// Write and sync.
+    Persist {
+        /// Number of the request.
+        seq: u64,
+        /// What to write.
+        write: quorum::Write,
+    },
     /// Write one line at the end of a request's life.
     Log {
         /// The request.
@@ -65,14 +120,34 @@
         workspace: Name,
         /// How it ended.
         code: Code,
-        /// Milliseconds from arrival to end.
-        took_ms: u64,
+        /// Time from arrival to end.
+        took: Duration,
+        /// Time from arrival to the first token.
+        first: Option<Duration>,
+    },
+    /// Count what a whole answer took.
+    Usage {
+        /// Workspace that asked.
+        workspace: Name,
+        /// Prompt tokens computed.
+        computed: u32,
+        /// Prompt tokens taken from a cache.
+        cached: u32,
+        /// Tokens generated.
+        generated: u32,
+        /// Pieces fetched from stores.
+        fetched: u32,
     },
     /// Leave the process; `cut` requests were not finished.
     Exit {
         /// Requests cut.
         cut: usize,
     },
+    /// Leave the process at once, since it cannot keep its promises.
+    Fail {
+        /// Why.
+        text: String,
+    },
 }
 
 /// Effects in the order they must happen.
--- /dev/null
+++ b/crates/node/src/entry/finish.rs
@@ -0,0 +1,185 @@
+//! Ends requests: whole answers, refusals, cuts, deadlines.
+
+use base::prelude::*;
+use wire::Frame;
+
+use super::admit::RETRY_AFTER;
+use super::follow::begin_stream;
+use super::{Context, Entry};
+use crate::run::Stage;
+use crate::{Effect, Effects, Want, api};
+
+impl Entry {
+    /// A caller went away: its run is cancelled, unless it may be done only once and was sent.
+    pub fn hangup(&mut self, cx: &mut Context<'_>, call: u64, out: &mut Effects) {
+        let Some(number) = self.calls.get(&call).copied() else {
+            return;
+        };
+        let Some(run) = self.runs.get(&number) else {
+            return;
+        };
+        let sent = matches!(run.stage, Stage::Sent { .. });
+        if sent && run.idempotent() {
+            self.cancel(number, out);
+        }
+        if !sent && let Some(run) = self.runs.get(&number).cloned() {
+            Self::give_back_claim(cx, &run, out);
+        }
+        let code = if sent { Code::Cut } else { Code::Cancelled };
+        self.end(cx, number, code, out);
+        self.place(cx, out);
+    }
+
+    /// Ends what is left when the process must go; says how many were cut.
+    pub fn cut_all(&mut self, cx: &mut Context<'_>, out: &mut Effects) -> usize {
+        let numbers: Vec<u64> = self.runs.keys().copied().collect();
+        for number in &numbers {
+            self.give_up(cx, *number, Code::Draining, "this entry had to stop", out);
+        }
+        numbers.len()
+    }
+
+    pub(super) fn expire(&mut self, cx: &mut Context<'_>, out: &mut Effects) {
+        while let Some((deadline, number)) = self.deadlines.first().copied() {
+            if deadline > cx.now {
+                return;
+            }
+            self.deadlines.pop_first();
+            self.give_up(cx, number, Code::Late, "the deadline has passed", out);
+        }
+    }
+
+    /// Gives a request its final answer now; `unsent` is the code if nothing of it was sent.
+    fn give_up(
+        &mut self,
+        cx: &mut Context<'_>,
+        number: u64,
+        unsent: Code,
+        text: &str,
+        out: &mut Effects,
+    ) {
+        let Some(run) = self.runs.get(&number) else {
+            return;
+        };
+        let code = match &run.stage {
+            _ if run.begun => Code::DeadlineRunning,
+            Stage::Waiting => unsent,
+            // Nothing is sent under a claim before its answer has come, so this one never runs.
+            Stage::Claiming { .. } => Code::NoClaim,
+            Stage::Sent { .. } if run.delivered > 0 => Code::DeadlineRunning,
+            Stage::Sent { .. } | Stage::Joined { .. } => Code::Unknown,
+        };
+        if matches!(run.stage, Stage::Sent { .. }) && run.idempotent() {
+            self.cancel(number, out);
+        }
+        if matches!(run.stage, Stage::Waiting | Stage::Claiming { .. })
+            && let Some(run) = self.runs.get(&number).cloned()
+        {
+            Self::give_back_claim(cx, &run, out);
+        }
+        self.fail(cx, number, code, text, RETRY_AFTER, out);
+    }
+
+    fn cancel(&self, number: u64, out: &mut Effects) {
+        let Some(run) = self.runs.get(&number) else {
+            return;
+        };
+        if let Stage::Sent { agent, .. } = &run.stage {
+            let frame = Frame::Cancel { run: run.id };
+            out.push(Effect::Send { to: agent.clone(), frame });
+        }
+    }
+
+    pub(super) fn complete(
+        &mut self,
+        cx: &mut Context<'_>,
+        number: u64,
+        prompt: (u32, u32),
+        out: &mut Effects,
+    ) {
+        let Some(run) = self.runs.get_mut(&number) else {
+            return;
+        };
+        let (call, id) = (run.call, run.id);
+        match &run.ask.want {
+            Want::Prompt { stream: true, .. } => {
+                begin_stream(run, out);
+                let Want::Prompt { model, chat, .. } = &run.ask.want else {
+                    return;
+                };
+                let last = api::chunk(id, model, *chat, "", Some("stop"));
+                out.push(Effect::Body { call, bytes: last });
+                out.push(Effect::Body { call, bytes: api::DONE.to_vec() });
+            }
+            Want::Prompt { model, chat, .. } => {
+                let usage = (prompt.0, prompt.1, run.delivered);
+                let body = api::whole(id, model, *chat, &run.text, usage);
+                let reply = api::head(Some(id), Code::Ok, 200, api::JSON);
+                out.push(Effect::Begin { call, reply });
+                out.push(Effect::Body { call, bytes: body });
+            }
+            Want::Call(_) | Want::Models => {
+                let (status, kind) = run.head.take().unwrap_or((200, String::new()));
+                let reply = api::head(Some(id), Code::Ok, status, &kind);
+                out.push(Effect::Begin { call, reply });
+                out.push(Effect::Body { call, bytes: std::mem::take(&mut run.bytes) });
+            }
+        }
+        out.push(Effect::Finish { call, whole: true });
+        out.push(Effect::Usage {
+            workspace: run.workspace.name.clone(),
+            computed: prompt.0,
+            cached: prompt.1,
+            generated: run.delivered,
+            fetched: run.fetched as u32,
+        });
+        self.end(cx, number, Code::Ok, out);
+    }
+
+    pub(super) fn fail(
+        &mut self,
+        cx: &mut Context<'_>,
+        number: u64,
+        code: Code,
+        text: &str,
+        retry: Duration,
+        out: &mut Effects,
+    ) {
+        let Some(run) = self.runs.get(&number) else {
+            return;
+        };
+        let call = run.call;
+        if run.begun {
+            out.push(Effect::Body { call, bytes: api::error_event(code, text) });
+            out.push(Effect::Finish { call, whole: false });
+        } else {
+            let (reply, bytes) = api::refusal(Some(run.id), code, text, retry);
+            out.push(Effect::Begin { call, reply });
+            out.push(Effect::Body { call, bytes });
+            out.push(Effect::Finish { call, whole: true });
+        }
+        self.end(cx, number, code, out);
+    }
+
+    pub(super) fn end(&mut self, cx: &mut Context<'_>, number: u64, code: Code, out: &mut Effects) {
+        self.release(number);
+        self.queue.remove(number);
+        let Some(run) = self.runs.remove(&number) else {
+            return;
+        };
+        self.calls.remove(&run.call);
+        self.deadlines.remove(&(run.deadline, number));
+        let busy = !self.queue.is_empty();
+        let rate = self.rates.entry(run.work.target().clone()).or_default();
+        if code == Code::Ok {
+            rate.ended(cx.now, busy);
+        }
+        out.push(Effect::Log {
+            run: run.id,
+            workspace: run.workspace.name,
+            code,
+            took: cx.now.since(run.arrived),
+            first: run.first.map(|first| first.since(run.arrived)),
+        });
+    }
+}
--- /dev/null
+++ b/crates/node/src/entry/server.rs
@@ -0,0 +1,97 @@
+//! A backend server as an entry sees it, through its agent.
+
+use base::prelude::*;
+use limit::Breaker;
+use serde_json::{Value, json};
+use wire::{Beat, Hello, Load};
+
+/// A backend server.
+#[derive(Clone, Debug)]
+pub struct Server {
+    /// What its agent said of itself.
+    pub hello: Hello,
+    /// When the link went down, if it is down.
+    pub lost: Option<Time>,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+    /// Whether its agent has read the agreed configuration.
+    pub ready: bool,
+    /// Last load report.
+    pub load: Load,
+    /// Runs that this entry has on it.
+    pub own: usize,
+    /// Prompt tokens of those that have no first token yet.
+    pub own_prefill: u64,
+    /// Runs of other entries, by the last heartbeat.
+    pub others: usize,
+    /// Prompt tokens of other entries' runs, by the last heartbeat.
+    pub others_prefill: u64,
+    /// Leaves it alone when it fails or is slow.
+    pub breaker: Breaker,
+}
+
+impl Server {
+    /// A server that was just met.
+    pub fn new(hello: Hello) -> Self {
+        Self {
+            hello,
+            lost: None,
+            leaving: false,
+            ready: false,
+            load: Load::default(),
+            own: 0,
+            own_prefill: 0,
+            others: 0,
+            others_prefill: 0,
+            breaker: Breaker::default(),
+        }
+    }
+
+    /// Takes a heartbeat. The report lags, so what others do is what it says beyond our own.
+    pub fn beat(&mut self, beat: &Beat) {
+        self.leaving = beat.leaving;
+        self.ready = beat.ready;
+        let Some(load) = &beat.load else {
+            return;
+        };
+        self.load = load.clone();
+        self.others = (load.held as usize).saturating_sub(beat.held as usize);
+        self.others_prefill = load.prefill.saturating_sub(self.own_prefill);
+    }
+
+    /// Whether new work may go there.
+    pub fn usable(&self, now: Time) -> bool {
+        self.lost.is_none() && self.ready && !self.leaving && self.breaker.allows(now)
+    }
+
+    /// Most runs at once.
+    pub fn slots(&self) -> usize {
+        self.hello.server.as_ref().map_or(0, |server| server.slots as usize)
+    }
+
+    /// Runs under way, of all entries.
+    pub fn running(&self) -> usize {
+        self.own + self.others
+    }
+
+    /// The server as JSON.
+    pub fn dump(&self, now: Time) -> Value {
+        json!({
+            "name": &*self.hello.name,
+            "zone": &*self.hello.zone,
+            "serves": self.hello.server.as_ref().map(|server| &*server.serves),
+            "version": &*self.load.version,
+            "usable": self.usable(now),
+            "leaving": self.leaving,
+            "linked": self.lost.is_none(),
+            "breaker_open": self.breaker.is_open(),
+            "slots": self.slots(),
+            "own": self.own,
+            "others": self.others,
+            "prefill": self.own_prefill + self.others_prefill,
+            "token_ns": self.load.token_ns,
+            "link_rate": self.load.link_rate,
+            "link_queue": self.load.link_queue,
+        })
+    }
+}
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -1,9 +1,42 @@
 //! Everything that can happen to a process.
 
-use base::{Code, Name, RunId};
+use std::time::Duration;
+
+use base::{Code, Name, Revision, RunId};
+use cache::Key;
 use wire::{Frame, Hello, Load, Part};
 
 use crate::Ask;
+use crate::admin::Admin;
+
+/// How a transfer of a block ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Moved {
+    /// It is where it should be, checked.
+    Done {
+        /// Bytes moved.
+        bytes: u64,
+        /// Time on the link.
+        took: Duration,
+    },
+    /// The source had no such block, or a damaged one.
+    Miss,
+    /// The store is full.
+    Full,
+    /// The other side failed or was too slow.
+    Failed,
+}
+
+/// A numbered event of an engine's cache.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CacheEvent {
+    /// Number.
+    pub seq: u64,
+    /// Key of the block.
+    pub key: Key,
+    /// Stored, or evicted.
+    pub stored: bool,
+}
 
 /// News from the backend server beside an agent.
 #[derive(Clone, Debug)]
@@ -35,6 +68,47 @@
     },
     /// A load report.
     Load(Load),
+    /// A block was fetched from a store into the engine, or not.
+    Fetched {
+        /// Key of the block.
+        key: Key,
+        /// The store.
+        store: Name,
+        /// How it ended.
+        moved: Moved,
+    },
+    /// A block was written back from the engine to a store, or not.
+    Kept {
+        /// Key of the block.
+        key: Key,
+        /// The store.
+        store: Name,
+        /// Generation of the block.
+        generation: u64,
+        /// How it ended.
+        moved: Moved,
+    },
+    /// Cache events from a number on.
+    Cache {
+        /// The number asked for.
+        from: u64,
+        /// The events.
+        events: Vec<CacheEvent>,
+    },
+    /// The whole list of the engine's cache.
+    CacheList {
+        /// Number of the next event.
+        next: u64,
+        /// Keys of all blocks.
+        keys: Vec<Key>,
+    },
+    /// The server took an order or refused it.
+    Ordered {
+        /// Fencing token of the order.
+        token: Revision,
+        /// Whether it was taken.
+        ok: bool,
+    },
 }
 
 /// An event.
@@ -49,6 +123,13 @@
         /// The request.
         ask: Box<Ask>,
     },
+    /// An operator's request has come whole.
+    Admin {
+        /// Number that the edge gave the exchange.
+        call: u64,
+        /// The request.
+        admin: Box<Admin>,
+    },
     /// A caller went away.
     Hangup {
         /// Number of the exchange.
@@ -70,6 +151,16 @@
     },
     /// News from the backend server.
     Server(Server),
+    /// Everything up to a request is synced.
+    Persisted {
+        /// Number of the request.
+        seq: u64,
+    },
+    /// The disk is full or fails.
+    DiskFailed {
+        /// What it said.
+        text: String,
+    },
     /// The process is asked to stop.
     Stop,
 }
--- /dev/null
+++ b/crates/node/src/fleet.rs
@@ -0,0 +1,78 @@
+//! Rollouts of weight versions, run by the leader among the keepers.
+//!
+//! A rollout is a record that names the version a model's replicas shall hold. The plan follows
+//! from what is agreed and what agents report, so a new leader goes on where the old one stopped.
+//! An order is first put into the log; its place there is its fencing token.
+
+use std::collections::BTreeMap;
+
+use base::prelude::*;
+use record::Rollout;
+use state::Order;
+
+use crate::members::{Member, Standing};
+
+/// What the leader does next for a model.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Plan {
+    /// Agents to order to load the version.
+    pub issue: Vec<Name>,
+    /// Agents that were ordered and do not report the version yet.
+    pub loading: Vec<Name>,
+    /// Agents that hold the version.
+    pub done: usize,
+    /// Agents in all.
+    pub all: usize,
+}
+
+/// Plans the next orders of a rollout: never more loads at once than `parallel`, and never fewer
+/// serving replicas than `floor`.
+pub fn plan(
+    now: Time,
+    rollout: &Rollout,
+    members: &[&Member],
+    orders: &BTreeMap<Name, (Revision, Order)>,
+) -> Plan {
+    let mut plan = Plan::default();
+    let mut serving = 0;
+    let mut waiting = Vec::new();
+    for member in members {
+        let serves = member.hello.server.as_ref();
+        if !serves.is_some_and(|server| !server.plain && server.serves == rollout.model) {
+            continue;
+        }
+        let standing = member.standing(now);
+        if standing == Standing::Gone {
+            continue;
+        }
+        plan.all += 1;
+        let name = &member.hello.name;
+        let holds = member.beat.load.as_ref().is_some_and(|load| load.version == rollout.version);
+        let ordered = orders.get(name).is_some_and(|(_, order)| {
+            order.load == rollout.version && order.to == member.hello.incarnation
+        });
+        if holds {
+            plan.done += 1;
+        } else if ordered {
+            plan.loading.push(name.clone());
+        } else if standing == Standing::Ready {
+            waiting.push(name.clone());
+        }
+        let stays = standing == Standing::Ready && (holds || !ordered);
+        serving += usize::from(stays);
+    }
+    if rollout.paused {
+        return plan;
+    }
+    for name in waiting {
+        if plan.loading.len() + plan.issue.len() >= rollout.parallel {
+            break;
+        }
+        if serving <= rollout.floor {
+            break;
+        }
+        serving -= 1;
+        plan.issue.push(name);
+    }
+    plan
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,24 +1,36 @@
 //! The reducer of one process.
 //!
 //! A [`Node`] takes one [`Event`] at a time and answers with [`Effect`]s. It holds the reducers of
-//! the roles the process plays: [`Entry`] towards callers, [`Agent`] beside a backend server.
-//! Nothing here reads a clock, a socket or a file, so any failure can be replayed from its events.
+//! the roles the process plays: [`Entry`] towards callers, [`Agent`] beside a backend server,
+//! [`Keeper`] of the agreed state. Nothing here reads a clock, a socket or a file, so any failure
+//! can be replayed from its events.
 
+pub mod admin;
 mod agent;
 pub mod api;
 mod ask;
+mod asker;
 mod config;
 mod effect;
 mod entry;
 mod event;
+mod fleet;
+mod keeper;
+mod members;
 mod process;
 mod run;
+mod watch;
 
 pub use agent::Agent;
 pub use ask::{Ask, Caller, Want};
-pub use config::Config;
+pub use asker::{Asker, Purpose};
+pub use config::{Config, Policy};
 pub use effect::{Effect, Effects, Reply};
-pub use entry::Entry;
-pub use event::{Event, Server};
+pub use entry::{Entry, Explained, Server as EntryServer};
+pub use event::{CacheEvent, Event, Moved, Server};
+pub use fleet::{Plan, plan};
+pub use keeper::Keeper;
+pub use members::{Member, Members, Standing};
 pub use process::{Me, Node};
 pub use run::Run;
+pub use watch::{LEASE, Watch};
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -3,12 +3,23 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use base::prelude::*;
-use wire::{Beat, Frame, Hello};
+use serde_json::{Value, json};
+use wire::{Answer, Beat, Frame, Hello, Request};
 
-use crate::{Agent, Config, Effect, Effects, Entry, Event};
+use crate::admin::{self, Admin};
+use crate::asker::{Asker, Purpose};
+use crate::entry::{self, standing_in};
+use crate::watch::Watch;
+use crate::{Agent, Config, Effect, Effects, Entry, Event, Keeper, agent, api};
 
 /// Time between two heartbeats to a peer.
 const HEARTBEAT: Duration = Duration::from_millis(250);
+/// Peers above which heartbeats become rarer, so that their cost stays bounded.
+const MANY_PEERS: u32 = 32;
+/// Longest wait for the keepers on an operator's request.
+const OPERATOR: Duration = Duration::from_secs(10);
+/// Longest wait for the first agreed read before it is asked for again.
+const MARK: Duration = Duration::from_secs(2);
 
 /// Who this process is.
 #[derive(Clone, Debug)]
@@ -17,6 +28,8 @@
     pub hello: Hello,
     /// Weight version that the engine beside it holds at the start.
     pub version: Name,
+    /// Wall clock at the start, milliseconds since 1970.
+    pub started_ms: u64,
 }
 
 /// The reducer of a process.
@@ -24,39 +37,49 @@
 pub struct Node {
     me: Me,
     config: Config,
+    watch: Watch,
+    asker: Asker,
     entry: Option<Entry>,
     agent: Option<Agent>,
+    keeper: Option<Keeper>,
     peers: BTreeMap<Name, Hello>,
     next_beat: Time,
+    next_mark: Time,
     stopping: Option<Time>,
     stops: u32,
     exited: bool,
+    met_itself: bool,
 }
 
 impl Node {
-    /// A process that has just started.
-    pub fn new(me: Me, config: Config) -> Self {
-        let incarnation = me.hello.incarnation;
-        let entry = me.hello.entry.then(|| Entry::new(config.clone(), incarnation));
-        let agent = me
-            .hello
+    /// A process that has just started; a keeper comes with what its disk held.
+    pub fn new(me: Me, config: Config, keeper: Option<Keeper>) -> Self {
+        let hello = &me.hello;
+        let entry = hello.entry.then(|| {
+            Entry::new(config.clone(), hello.name.clone(), hello.zone.clone(), hello.incarnation)
+        });
+        let agent = hello
             .server
             .as_ref()
-            .map(|server| Agent::new(incarnation, server.slots as usize, me.version.clone()));
-        let mut node = Self {
+            .map(|server| Agent::new(&config, hello.incarnation, server, me.version.clone()));
+        let mut watch = Watch::default();
+        watch.serve_unconfirmed = config.serve_unconfirmed;
+        Self {
             me,
             config,
+            watch,
+            asker: Asker::default(),
             entry,
             agent,
+            keeper,
             peers: BTreeMap::new(),
             next_beat: Time::ZERO,
+            next_mark: Time::ZERO,
             stopping: None,
             stops: 0,
             exited: false,
-        };
-        // A process that is both entry and agent is its own peer.
-        node.linked(Time::ZERO, node.me.hello.clone(), &mut Effects::new());
-        node
+            met_itself: false,
+        }
     }
 
     /// The entry's reducer, if the process is one.
@@ -69,14 +92,29 @@
         self.agent.as_ref()
     }
 
-    /// Whether callers may be sent here.
-    pub fn ready(&self) -> bool {
-        self.stopping.is_none()
+    /// The keeper's reducer, if the process is one.
+    pub fn keeper(&self) -> Option<&Keeper> {
+        self.keeper.as_ref()
+    }
+
+    /// The configuration.
+    pub fn watch(&self) -> &Watch {
+        &self.watch
+    }
+
+    /// Whether new work may be sent here.
+    pub fn ready(&self, now: Time) -> bool {
+        self.stopping.is_none() && self.watch.ready(now)
     }
 
     /// Takes one event; frames to itself are taken in the same step.
     pub fn step(&mut self, now: Time, event: Event, out: &mut Effects) {
         let mut inbox = VecDeque::from([event]);
+        if !self.met_itself {
+            // A process is its own peer, so that roles beside each other need no special way.
+            self.met_itself = true;
+            inbox.push_front(Event::Linked(self.me.hello.clone()));
+        }
         while let Some(event) = inbox.pop_front() {
             let mut effects = Effects::new();
             self.take(now, event, &mut effects);
@@ -95,38 +133,78 @@
         match event {
             Event::Tick => self.tick(now, out),
             Event::Ask { call, ask } => {
-                if let Some(entry) = &mut self.entry {
-                    entry.ask(now, call, ask, out);
-                }
+                let ready = self.watch.ready(now);
+                self.with_entry(now, |entry, cx| entry.ask(cx, ready, call, ask, out));
             }
+            Event::Admin { call, admin } => self.admin(now, call, &admin, out),
             Event::Hangup { call } => {
-                if let Some(entry) = &mut self.entry {
-                    entry.hangup(now, call, out);
-                }
+                self.with_entry(now, |entry, cx| entry.hangup(cx, call, out));
             }
             Event::Linked(hello) => self.linked(now, hello, out),
             Event::Unlinked { peer } => self.unlinked(now, &peer),
             Event::Frame { peer, frame } => self.frame(now, &peer, frame, out),
             Event::Server(news) => {
-                if let Some(agent) = &mut self.agent {
-                    agent.server(news, out);
+                self.with_agent(now, |agent, cx| agent.server(cx, news, out));
+            }
+            Event::Persisted { seq } => {
+                if let Some(keeper) = &mut self.keeper {
+                    keeper.persisted(now, seq, out);
                 }
             }
+            Event::DiskFailed { text } => {
+                // A keeper that cannot sync promises nothing more; the rest ends as on a stop.
+                self.keeper = None;
+                out.push(Effect::Fail { text });
+            }
             Event::Stop => self.stop(now, out),
         }
     }
 
-    fn linked(&mut self, now: Time, hello: Hello, out: &mut Effects) {
+    fn with_entry(&mut self, now: Time, run: impl FnOnce(&mut Entry, &mut entry::Context<'_>)) {
         if let Some(entry) = &mut self.entry {
-            entry.linked(now, &hello, out);
+            let mut cx = entry::Context {
+                now,
+                view: &self.watch.view,
+                asker: &mut self.asker,
+                started_ms: self.me.started_ms,
+            };
+            run(entry, &mut cx);
+        }
+    }
+
+    fn with_agent(&mut self, now: Time, run: impl FnOnce(&mut Agent, &mut agent::Context<'_>)) {
+        if let Some(agent) = &mut self.agent {
+            let mut cx = agent::Context { now, asker: &mut self.asker };
+            run(agent, &mut cx);
+        }
+    }
+
+    fn linked(&mut self, now: Time, hello: Hello, out: &mut Effects) {
+        if hello.keeper {
+            self.asker.linked(&hello.name);
+            self.watch.subscribe(now, &hello.name, out);
+        }
+        if let Some(keeper) = &mut self.keeper {
+            keeper.linked(now, &hello, out);
         }
-        let frame = Frame::Beat(self.heartbeat());
-        out.push(Effect::Send { to: hello.name.clone(), frame });
+        if hello.entry
+            && let Some(agent) = &mut self.agent
+        {
+            agent.linked(&hello.name, out);
+        }
+        let beat = self.heartbeat(now, &hello.name);
+        out.push(Effect::Send { to: hello.name.clone(), frame: Frame::Beat(beat) });
+        self.with_entry(now, |entry, cx| entry.linked(cx, &hello, out));
         self.peers.insert(hello.name.clone(), hello);
     }
 
     fn unlinked(&mut self, now: Time, peer: &Name) {
         self.peers.remove(peer);
+        self.asker.unlinked(now, peer);
+        self.watch.unlinked(peer);
+        if let Some(keeper) = &mut self.keeper {
+            keeper.unlinked(peer);
+        }
         if let Some(entry) = &mut self.entry {
             entry.unlinked(now, peer);
         }
@@ -138,51 +216,164 @@
     fn frame(&mut self, now: Time, peer: &Name, frame: Frame, out: &mut Effects) {
         match frame {
             Frame::Beat(beat) => {
-                if let Some(entry) = &mut self.entry {
-                    entry.beat(now, peer, &beat, out);
+                self.watch.beat(now, peer, &beat, out);
+                if let Some(keeper) = &mut self.keeper {
+                    keeper.beat(now, peer, &beat, out);
                 }
+                self.with_entry(now, |entry, cx| entry.beat(cx, peer, &beat, out));
             }
-            Frame::Start(_) | Frame::Ack { .. } | Frame::Resume { .. } | Frame::Cancel { .. } => {
-                if let Some(agent) = &mut self.agent {
-                    agent.frame(now, peer, frame, out);
-                }
+            Frame::Start(_)
+            | Frame::Ack { .. }
+            | Frame::Resume { .. }
+            | Frame::Cancel { .. }
+            | Frame::Order { .. } => {
+                self.with_agent(now, |agent, cx| agent.frame(cx, peer, frame, out));
             }
             Frame::Output(_) | Frame::Refused { .. } | Frame::Gone { .. } => {
+                self.with_entry(now, |entry, cx| entry.frame(cx, peer, frame, out));
+            }
+            Frame::Cache(news) => {
                 if let Some(entry) = &mut self.entry {
-                    entry.frame(now, peer, frame, out);
+                    entry.news(peer, &news);
+                }
+            }
+            Frame::Members(hellos) => {
+                if let Some(entry) = &mut self.entry {
+                    entry.members(&hellos, out);
+                }
+            }
+            Frame::Quorum { from, to, message } => {
+                if let Some(keeper) = &mut self.keeper {
+                    keeper.message(now, from, to.as_ref(), message, out);
+                }
+            }
+            Frame::Ask { id, request } => self.asked(now, peer, id, request, out),
+            Frame::Answer { id, answer } => {
+                if let Some((purpose, answer)) = self.asker.answer(now, id, answer) {
+                    self.answered(now, purpose, answer, out);
                 }
             }
+            Frame::Watch { revision } => self.watched(peer, revision, out),
+            Frame::Changes(changes) => {
+                self.watch.view.apply(&changes);
+                self.configured();
+            }
+            Frame::Records { revision, records } => {
+                self.watch.view.replace(revision, records);
+                self.configured();
+            }
             Frame::Hello(_) | Frame::Bye => {}
         }
     }
 
-    fn tick(&mut self, now: Time, out: &mut Effects) {
-        if let Some(entry) = &mut self.entry {
-            entry.tick(now, out);
+    fn asked(&mut self, now: Time, peer: &Name, id: u64, request: Request, out: &mut Effects) {
+        if let Some(keeper) = &mut self.keeper {
+            keeper.ask(now, peer, id, request, out);
+        } else {
+            let frame = Frame::Answer { id, answer: Answer::Elsewhere(None) };
+            out.push(Effect::Send { to: peer.clone(), frame });
         }
+    }
+
+    /// A keeper sends changes from then on; another process only what it has now.
+    fn watched(&mut self, peer: &Name, revision: Revision, out: &mut Effects) {
+        if let Some(keeper) = &mut self.keeper {
+            keeper.watch(peer, revision, out);
+        } else if self.watch.view.revision > revision {
+            let records = self.watch.view.records().cloned().collect();
+            let frame = Frame::Records { revision: self.watch.view.revision, records };
+            out.push(Effect::Send { to: peer.clone(), frame });
+        }
+    }
+
+    /// Brings what follows from the configuration into force here.
+    fn configured(&mut self) {
+        let drained = self.watch.view.server(&self.me.hello.name).drain;
         if let Some(agent) = &mut self.agent {
-            agent.tick(now, out);
+            agent.drain(drained);
+        }
+    }
+
+    fn answered(&mut self, now: Time, purpose: Purpose, answer: Answer, out: &mut Effects) {
+        match (purpose, answer) {
+            (Purpose::Claim { number, attempt }, answer) => {
+                if let Some(standing) = standing_in(answer) {
+                    self.with_entry(now, |entry, cx| {
+                        entry.claim_answered(cx, number, attempt, standing, out);
+                    });
+                }
+            }
+            (Purpose::Standing { number }, Answer::Standing(standing)) => {
+                self.with_entry(now, |entry, cx| {
+                    entry.standing_answered(cx, number, standing, out);
+                });
+            }
+            (Purpose::Mark, Answer::Mark(mark)) => {
+                self.watch.mark.get_or_insert(mark);
+            }
+            (Purpose::Operator { call }, Answer::Reply(reply)) => {
+                let (status, body) = admin::reply(&reply);
+                respond(call, status, &body, out);
+            }
+            _ => {}
+        }
+    }
+
+    fn tick(&mut self, now: Time, out: &mut Effects) {
+        if let Some(keeper) = &mut self.keeper {
+            keeper.tick(now, out);
+        }
+        if self.watch.mark.is_none() && now >= self.next_mark {
+            self.next_mark = now + MARK;
+            self.asker.ask(now, Purpose::Mark, Request::Mark, now + MARK, out);
         }
+        for purpose in self.asker.tick(now, out) {
+            if let Purpose::Operator { call } = purpose {
+                let text = "the keepers did not answer in time; ask again with the same request id";
+                let (reply, bytes) = api::refusal(None, Code::NoQuorum, text, HEARTBEAT);
+                out.push(Effect::Begin { call, reply });
+                out.push(Effect::Body { call, bytes });
+                out.push(Effect::Finish { call, whole: true });
+            } else {
+                self.with_entry(now, |entry, cx| entry.unanswered(cx, &purpose, out));
+            }
+        }
+        self.with_entry(now, |entry, cx| entry.tick(cx, out));
+        self.with_agent(now, |agent, cx| agent.tick(cx, out));
         if now >= self.next_beat {
-            self.next_beat = now + HEARTBEAT;
-            self.beat_all(out);
+            let many = self.peers.len() as u32 / MANY_PEERS;
+            self.next_beat = now + HEARTBEAT * (1 + many.min(3));
+            self.beat_all(now, out);
         }
         self.leave_when_empty(now, out);
     }
 
-    fn heartbeat(&self) -> Beat {
+    fn heartbeat(&self, now: Time, to: &Name) -> Beat {
+        let attest = self.keeper.as_ref().map(|keeper| keeper.attest(now));
+        let in_touch = attest.is_some_and(|(in_touch, _)| in_touch);
+        let confirmed = if in_touch {
+            Some(0)
+        } else {
+            self.watch.confirmed_ago(now).map(|ago| ago.as_millis() as u64)
+        };
+        let leaving = self.agent.as_ref().is_some_and(Agent::leaving) || self.stopping.is_some();
+        // A keeper speaks for the agreed state itself, which its own view follows.
+        let agreed = self.keeper.as_ref().map(|keeper| keeper.state().revision());
         Beat {
-            revision: Revision::default(),
-            leaving: self.agent.as_ref().is_some_and(Agent::leaving),
-            load: self.agent.as_ref().map(|agent| agent.load().clone()),
-            held: 0,
+            revision: agreed.unwrap_or(self.watch.view.revision),
+            leaving,
+            load: self.agent.as_ref().map(Agent::load),
+            held: self.agent.as_ref().map_or(0, |agent| agent.held_for(to)),
+            confirmed_ms: confirmed,
+            no_quorum: attest.and_then(|(_, no_quorum)| no_quorum),
+            ready: self.ready(now),
         }
     }
 
-    fn beat_all(&self, out: &mut Effects) {
-        let beat = self.heartbeat();
+    fn beat_all(&self, now: Time, out: &mut Effects) {
         for name in self.peers.keys() {
-            out.push(Effect::Send { to: name.clone(), frame: Frame::Beat(beat.clone()) });
+            let frame = Frame::Beat(self.heartbeat(now, name));
+            out.push(Effect::Send { to: name.clone(), frame });
         }
     }
 
@@ -193,9 +384,12 @@
             entry.drain();
         }
         if let Some(agent) = &mut self.agent {
-            agent.drain();
+            agent.stop();
         }
-        self.beat_all(out);
+        if let Some(keeper) = &mut self.keeper {
+            keeper.resign(now, out);
+        }
+        self.beat_all(now, out);
         self.leave_when_empty(now, out);
     }
 
@@ -206,16 +400,190 @@
         if self.exited {
             return;
         }
-        let open =
+        let runs =
             self.entry.as_ref().map_or(0, Entry::open) + self.agent.as_ref().map_or(0, Agent::open);
+        // Settlements must reach the keepers before the agent that knows them goes.
+        let open = runs + self.agent.as_ref().map_or(0, |_| self.asker.open());
         let forced = self.stops > 1 || now.since(since) >= self.config.drain;
         if open > 0 && !forced {
             return;
         }
         self.exited = true;
-        if let Some(entry) = &mut self.entry {
-            entry.cut_all(now, out);
+        self.with_entry(now, |entry, cx| {
+            entry.cut_all(cx, out);
+        });
+        out.push(Effect::Exit { cut: runs });
+    }
+
+    fn admin(&mut self, now: Time, call: u64, admin: &Admin, out: &mut Effects) {
+        if let Some(command) = admin::command(admin) {
+            let purpose = Purpose::Operator { call };
+            let request = Request::Command(command);
+            self.asker.ask(now, purpose, request, now + OPERATOR, out);
+            return;
         }
-        out.push(Effect::Exit { cut: open });
+        let (status, body) = self.look(now, admin);
+        respond(call, status, &body, out);
     }
+
+    /// What an operator sees without a change.
+    fn look(&self, now: Time, admin: &Admin) -> (u16, Value) {
+        let missing = |text: &str| {
+            let code = Code::NoSuchPath;
+            let error = json!({ "code": code.number(), "type": code.as_str(), "message": text });
+            (404, json!({ "error": error }))
+        };
+        match admin {
+            Admin::Ready if self.ready(now) => (200, json!({ "ready": true })),
+            Admin::Ready => (503, json!({ "ready": false, "stopping": self.stopping.is_some() })),
+            Admin::Dump => (200, self.dump(now)),
+            Admin::Records { kind, name } => {
+                let view = &self.watch.view;
+                let fits = |record: &&record::Record| {
+                    kind.is_none_or(|kind| record.kind == kind)
+                        && name.as_ref().is_none_or(|name| record.name == *name)
+                };
+                let records: Vec<Value> = view.records().filter(fits).map(admin::record).collect();
+                if records.is_empty() && name.is_some() {
+                    let (_, body) = missing("there is no such record");
+                    return (404, body);
+                }
+                (200, json!({ "revision": view.revision.to_string(), "records": records }))
+            }
+            Admin::History => match &self.keeper {
+                Some(keeper) => {
+                    let changes: Vec<Value> = keeper.state().audit().map(admin::change).collect();
+                    (200, json!({ "changes": changes }))
+                }
+                None => missing("ask a keeper for the history"),
+            },
+            Admin::Servers => match &self.keeper {
+                Some(keeper) => {
+                    let members: Vec<Value> =
+                        keeper.members().iter().map(|member| member.dump(now)).collect();
+                    (200, json!({ "servers": members }))
+                }
+                None => missing("ask a keeper for the servers"),
+            },
+            Admin::Force(revision) => match &self.keeper {
+                Some(keeper) => (200, force(keeper, now, *revision)),
+                None => missing("ask a keeper who lags"),
+            },
+            Admin::Explain(id) => match self.entry.as_ref().and_then(|entry| entry.explain(id)) {
+                Some(found) => (200, explained(found)),
+                None => missing("no decision of that request is kept here"),
+            },
+            Admin::Put(_) | Admin::Delete(_) => missing("a change"),
+        }
+    }
+
+    /// The whole state as JSON, without keys and without any text of callers.
+    pub fn dump(&self, now: Time) -> Value {
+        let confirmed = self.watch.confirmed_ago(now);
+        json!({
+            "name": &*self.me.hello.name,
+            "zone": &*self.me.hello.zone,
+            "incarnation": self.me.hello.incarnation.0,
+            "uptime_ms": now.0 / 1_000,
+            "ready": self.ready(now),
+            "stopping": self.stopping.is_some(),
+            "configuration": {
+                "revision": self.watch.view.revision.to_string(),
+                "mark": self.watch.mark.map(|mark| mark.records.to_string()),
+                "confirmed_ms_ago": confirmed.map(|ago| ago.as_millis() as u64),
+                "records": self.watch.view.records().count(),
+                "not_understood": self.watch.view.not_understood().count(),
+            },
+            "peers": self.peers.keys().map(|name| &**name).collect::<Vec<&str>>(),
+            "requests_to_keepers": self.asker.open(),
+            "entry": self.entry.as_ref().map(|entry| entry.dump(now)),
+            "agent": self.agent.as_ref().map(|agent| agent.dump(now)),
+            "keeper": self.keeper.as_ref().map(|keeper| keeper.dump(now)),
+        })
+    }
+
+    /// Gauges for the metrics: name and value.
+    pub fn gauges(&self, now: Time) -> Vec<(&'static str, f64)> {
+        let flag = |value: bool| f64::from(u8::from(value));
+        let mut all = vec![
+            ("tamarack_ready", flag(self.ready(now))),
+            ("tamarack_peers", self.peers.len() as f64),
+            ("tamarack_config_index", self.watch.view.revision.index as f64),
+            ("tamarack_config_not_understood", self.watch.view.not_understood().count() as f64),
+        ];
+        if let Some(ago) = self.watch.confirmed_ago(now) {
+            all.push(("tamarack_config_confirmed_seconds_ago", ago.as_secs_f64()));
+        }
+        if let Some(entry) = &self.entry {
+            all.push(("tamarack_entry_open", entry.open() as f64));
+            all.push(("tamarack_entry_waiting", entry.waiting() as f64));
+            all.push(("tamarack_entry_directory_blocks", entry.blocks() as f64));
+            let usable = entry.servers().values().filter(|server| server.usable(now)).count();
+            all.push(("tamarack_entry_usable_servers", usable as f64));
+        }
+        if let Some(agent) = &self.agent {
+            all.push(("tamarack_agent_runs", agent.open() as f64));
+            all.push(("tamarack_agent_leaving", flag(agent.leaving())));
+        }
+        if let Some(keeper) = &self.keeper {
+            let leads = *keeper.quorum().role() == quorum::Role::Leader;
+            all.push(("tamarack_keeper_leads", flag(leads)));
+            all.push(("tamarack_keeper_in_touch", flag(keeper.quorum().in_touch(now))));
+            all.push(("tamarack_keeper_commit", keeper.quorum().commit() as f64));
+            all.push(("tamarack_keeper_claims", keeper.state().claims() as f64));
+        }
+        all
+    }
+}
+
+fn force(keeper: &Keeper, now: Time, revision: Revision) -> Value {
+    let mut lagging = Vec::new();
+    let mut applied = 0;
+    for member in keeper.members().iter() {
+        if member.standing(now) == crate::Standing::Gone {
+            continue;
+        }
+        if member.beat.revision >= revision {
+            applied += 1;
+        } else {
+            lagging.push(json!({
+                "name": &*member.hello.name,
+                "standing": member.standing(now).as_str(),
+                "revision": member.beat.revision.to_string(),
+            }));
+        }
+    }
+    json!({ "revision": revision.to_string(), "applied": applied, "lagging": lagging })
+}
+
+fn explained(found: &entry::Explained) -> Value {
+    let table: Vec<Value> = found
+        .table
+        .iter()
+        .map(|estimate| {
+            json!({
+                "agent": &*estimate.name,
+                "first_token_ms": estimate.first_token.as_secs_f64() * 1e3,
+                "wait_ms": estimate.wait.as_secs_f64() * 1e3,
+                "fetching_ms": estimate.fetching.as_secs_f64() * 1e3,
+                "prefill_ms": estimate.prefill.as_secs_f64() * 1e3,
+                "fetch_pieces": estimate.fetch,
+                "recomputed_tokens": estimate.recomputed,
+                "cost": estimate.cost,
+            })
+        })
+        .collect();
+    json!({
+        "request": found.run.to_string(),
+        "attempt": found.run.attempt,
+        "agent": &*found.agent,
+        "candidates": table,
+    })
+}
+
+fn respond(call: u64, status: u16, body: &Value, out: &mut Effects) {
+    let reply = crate::Reply { status, kind: api::JSON.to_owned(), headers: Vec::new() };
+    out.push(Effect::Begin { call, reply });
+    out.push(Effect::Body { call, bytes: format!("{body}\n").into_bytes() });
+    out.push(Effect::Finish { call, whole: true });
 }
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -1,6 +1,8 @@
 //! One request at an entry, from admission to its end.
 
-use base::{Incarnation, Name, RunId, Time};
+use base::{Code, Incarnation, Name, RunId, Time};
+use record::Workspace;
+use state::Claim;
 use wire::{Digest, Work};
 
 use crate::{Ask, Want};
@@ -8,8 +10,15 @@
 /// Where a run stands.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Stage {
-    /// Waits for a backend server.
+    /// Waits for a place on a backend server.
     Waiting,
+    /// A place is kept while the claim is agreed.
+    Claiming {
+        /// Name of the agent.
+        agent: Name,
+        /// Its life.
+        incarnation: Incarnation,
+    },
     /// Sent to one life of an agent.
     Sent {
         /// Name of the agent.
@@ -17,6 +26,37 @@
         /// Its life.
         incarnation: Incarnation,
     },
+    /// Another dispatch holds the claim; waits for how it ends.
+    Joined {
+        /// The other's claim.
+        claim: Box<Claim>,
+        /// Since when.
+        since: Time,
+        /// When to look again.
+        next: Time,
+        /// Whether its agent was asked never to start it.
+        asked: bool,
+    },
+}
+
+impl Stage {
+    /// The agent on which a place is taken.
+    pub fn agent(&self) -> Option<&Name> {
+        match self {
+            Self::Claiming { agent, .. } | Self::Sent { agent, .. } => Some(agent),
+            Self::Waiting | Self::Joined { .. } => None,
+        }
+    }
+
+    /// The word in dumps.
+    pub const fn as_str(&self) -> &'static str {
+        match self {
+            Self::Waiting => "waiting",
+            Self::Claiming { .. } => "claiming",
+            Self::Sent { .. } => "sent",
+            Self::Joined { .. } => "joined",
+        }
+    }
 }
 
 /// A request at an entry.
@@ -27,13 +67,17 @@
     /// Number of the caller's exchange.
     pub call: u64,
     /// Workspace that asks.
-    pub workspace: Name,
+    pub workspace: Workspace,
     /// The request.
     pub ask: Box<Ask>,
     /// The work for a backend server.
     pub work: Work,
-    /// Whether it may be done again.
-    pub idempotent: bool,
+    /// The key under which it is claimed, if it may run only once.
+    pub once: Option<Name>,
+    /// A dispatch that is proved never to start, whose claim this one takes over.
+    pub replaces: Option<RunId>,
+    /// Whether a claim was asked for whose answer is not known.
+    pub claimed: bool,
     /// When it came.
     pub arrived: Time,
     /// When it must have ended.
@@ -44,6 +88,12 @@
     pub tries: u32,
     /// Agents that refused it.
     pub avoided: Vec<Name>,
+    /// Code of the last refusal.
+    pub refusal: Code,
+    /// Keys of the prompt's pieces by weight version.
+    pub keys: Vec<(Name, Vec<cache::Key>)>,
+    /// Prompt tokens that its agent still computes for it, as estimated.
+    pub prefill: u64,
     /// Next part expected in the present dispatch.
     pub next_seq: u64,
     /// Checksum over the parts of the present dispatch.
@@ -58,11 +108,20 @@
     pub bytes: Vec<u8>,
     /// Status and content type of a plain answer.
     pub head: Option<(u16, String)>,
+    /// When the present dispatch was sent.
+    pub sent: Time,
     /// When the first token came.
     pub first: Option<Time>,
+    /// Pieces fetched from stores for the last dispatch.
+    pub fetched: usize,
 }
 
 impl Run {
+    /// Whether it may be done again.
+    pub fn idempotent(&self) -> bool {
+        self.once.is_none()
+    }
+
     /// Whether tokens go out as they come.
     pub fn streams(&self) -> bool {
         matches!(self.ask.want, Want::Prompt { stream: true, .. })
@@ -80,4 +139,23 @@
             prompt.resume_from = self.delivered;
         }
     }
+
+    /// Keys of the prompt's pieces for a weight version; none for a plain call.
+    pub fn keys_for(&mut self, version: &Name) -> &[cache::Key] {
+        let Work::Prompt(prompt) = &self.work else {
+            return &[];
+        };
+        let place = self.keys.iter().position(|(known, _)| known == version);
+        let place = place.unwrap_or_else(|| {
+            let scope = cache::Scope {
+                salt: &self.workspace.salt,
+                model: &prompt.model,
+                version,
+                adapter: "",
+            };
+            self.keys.push((version.clone(), cache::chain(scope, &prompt.text)));
+            self.keys.len() - 1
+        });
+        &self.keys[place].1
+    }
 }
--- a/crates/quorum/tests/bed/mod.rs
+++ b/crates/quorum/tests/bed/mod.rs
@@ -65,7 +65,7 @@
 pub struct Acked {
     pub command: u64,
     pub sent: Time,
-    pub acked: Time,
+    pub at: Time,
     pub index: u64,
 }
 
@@ -312,7 +312,7 @@
             let from = node.quorum.as_ref().expect("it runs").me().clone();
             for other in self.names().into_iter().filter(|other| other != name) {
                 let input = Input::Message { from: from.clone(), message: message.clone() };
-                self.post(name, &other, input);
+                self.post(name, &other, &input);
             }
         }
         self.feed(name, Input::Tick);
@@ -345,7 +345,7 @@
         self.queue.insert((at, self.count), event);
     }
 
-    fn post(&mut self, from: &Name, to: &Name, input: Input) {
+    fn post(&mut self, from: &Name, to: &Name, input: &Input) {
         if self.cuts.contains(&(from.clone(), to.clone())) || self.chance(self.faults.drop) {
             return;
         }
@@ -383,7 +383,7 @@
                 let node = &self.nodes[name];
                 let from = node.quorum.as_ref().expect("it runs").me().clone();
                 if self.nodes.get(&to.name).is_some_and(|node| node.disk.identity == to.disk) {
-                    self.post(name, &to.name.clone(), Input::Message { from, message });
+                    self.post(name, &to.name, &Input::Message { from, message });
                 }
             }
             Output::Persist { seq, .. } => {
@@ -443,7 +443,7 @@
             && term == entry.term
         {
             let sent = self.sent[&id];
-            self.acked.push(Acked { command: id, sent, acked: self.now, index: entry.index });
+            self.acked.push(Acked { command: id, sent, at: self.now, index: entry.index });
         }
     }
 
@@ -489,13 +489,13 @@
         }
         for later in &self.acked {
             for earlier in &self.acked {
-                if earlier.acked < later.sent {
+                if earlier.at < later.sent {
                     assert!(earlier.index < later.index, "order does not follow real time");
                 }
             }
         }
         for read in &self.reads {
-            for acked in self.acked.iter().filter(|acked| acked.acked < read.sent) {
+            for acked in self.acked.iter().filter(|acked| acked.at < read.sent) {
                 assert!(read.index >= acked.index, "a stale read at {:?}", read.sent);
             }
         }
--- a/crates/record/src/view.rs
+++ b/crates/record/src/view.rs
@@ -74,13 +74,11 @@
                 continue;
             }
             self.revision = change.revision;
-            let place = (change.kind, change.name.clone());
-            match &change.record {
-                Some(record) => self.records.insert(place, record.clone()),
-                None => self.records.remove(&place),
-            };
+            self.forget(change.kind, &change.name);
+            if let Some(record) = &change.record {
+                self.take(record.clone());
+            }
         }
-        self.rebuild();
     }
 
     /// Takes a whole set of records, unless it is older than what is known.
@@ -88,10 +86,10 @@
         if revision < self.revision {
             return;
         }
-        self.revision = revision;
-        let named = records.into_iter().map(|record| ((record.kind, record.name.clone()), record));
-        self.records = named.collect();
-        self.rebuild();
+        *self = Self { revision, ..Self::default() };
+        for record in records {
+            self.take(record);
+        }
     }
 
     /// Every record.
@@ -131,7 +129,7 @@
         self.servers.get(name).cloned().unwrap_or_default()
     }
 
-    /// The rollouts, by model.
+    /// The rollouts, by name.
     pub fn rollouts(&self) -> &BTreeMap<Name, Rollout> {
         &self.rollouts
     }
@@ -141,36 +139,55 @@
         self.records.keys().any(|(kind, _)| *kind == Kind::Model)
     }
 
-    fn rebuild(&mut self) {
-        self.workspaces.clear();
-        self.keys.clear();
-        self.services.clear();
-        self.servers.clear();
-        self.rollouts.clear();
-        for record in self.records.values().filter(|record| understood(record)) {
-            let newest = schema::newest(record.kind);
-            let body = schema::upgrade(record.kind, record.schema, newest, record.fields());
-            let name = record.name.clone();
-            match record.kind {
-                Kind::Workspace => {
-                    for key in texts(&body, "keys") {
-                        self.keys.insert(key, name.clone());
-                    }
-                    self.workspaces.insert(name, workspace(record, &body));
-                }
-                Kind::Service => {
-                    self.services.insert(name, rules(&body));
-                }
-                Kind::Server => {
-                    let drain = body.get("drain").and_then(Value::as_bool).unwrap_or(false);
-                    self.servers.insert(name, Server { drain });
-                }
-                Kind::Rollout => {
-                    let rollout = rollout(&body);
-                    self.rollouts.insert(rollout.model.clone(), rollout);
+    fn forget(&mut self, kind: Kind, name: &Name) {
+        self.records.remove(&(kind, name.clone()));
+        match kind {
+            Kind::Workspace => {
+                self.workspaces.remove(name);
+                self.keys.retain(|_, workspace| workspace != name);
+            }
+            Kind::Service => {
+                self.services.remove(name);
+            }
+            Kind::Server => {
+                self.servers.remove(name);
+            }
+            Kind::Rollout => {
+                self.rollouts.remove(name);
+            }
+            Kind::Model | Kind::Version | Kind::Adapter | Kind::Priority | Kind::Role => {}
+        }
+    }
+
+    fn take(&mut self, record: Record) {
+        if understood(&record) {
+            self.index(&record);
+        }
+        self.records.insert((record.kind, record.name.clone()), record);
+    }
+
+    fn index(&mut self, record: &Record) {
+        let newest = schema::newest(record.kind);
+        let body = schema::upgrade(record.kind, record.schema, newest, record.fields());
+        let name = record.name.clone();
+        match record.kind {
+            Kind::Workspace => {
+                for key in texts(&body, "keys") {
+                    self.keys.insert(key, name.clone());
                 }
-                Kind::Model | Kind::Version | Kind::Adapter | Kind::Priority | Kind::Role => {}
+                self.workspaces.insert(name, workspace(record, &body));
+            }
+            Kind::Service => {
+                self.services.insert(name, rules(&body));
+            }
+            Kind::Server => {
+                let drain = body.get("drain").and_then(Value::as_bool).unwrap_or(false);
+                self.servers.insert(name, Server { drain });
+            }
+            Kind::Rollout => {
+                self.rollouts.insert(name, rollout(&body));
             }
+            Kind::Model | Kind::Version | Kind::Adapter | Kind::Priority | Kind::Role => {}
         }
     }
 }
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -1,6 +1,9 @@
 //! Commands in the log and their replies.
 
-use base::{Code, Name, Revision, RunId};
+use std::sync::Arc;
+
+use base::{Code, Incarnation, Name, Revision, RunId};
+use bincode::config::standard;
 use record::{Kind, Record};
 use serde::{Deserialize, Serialize};
 
@@ -51,6 +54,8 @@
 pub struct Order {
     /// Agent beside the server.
     pub server: Name,
+    /// The one life of the agent that may obey.
+    pub to: Incarnation,
     /// Weight version to load.
     pub load: Name,
     /// Who caused it.
@@ -86,6 +91,23 @@
     Issue(Order),
 }
 
+impl Command {
+    /// The bytes for the log.
+    pub fn encode(&self) -> Arc<[u8]> {
+        // Encoding into memory fails only for types bincode cannot hold, and this has none.
+        bincode::serde::encode_to_vec(self, standard()).unwrap_or_default().into()
+    }
+
+    /// The command in an entry of the log.
+    ///
+    /// # Errors
+    /// The bytes are not a command.
+    pub fn decode(bytes: &[u8]) -> Result<Self, String> {
+        let decoded = bincode::serde::decode_from_slice(bytes, standard());
+        decoded.map(|(command, _)| command).map_err(|error| error.to_string())
+    }
+}
+
 /// The answer to a command.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Reply {
--- /dev/null
+++ b/crates/wire/src/ask.rs
@@ -0,0 +1,43 @@
+//! Requests for the agreed state.
+
+use base::{Name, Revision};
+use serde::{Deserialize, Serialize};
+use state::{Command, Reply, Standing};
+
+/// A request to a keeper.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Request {
+    /// Put a command into the log.
+    Command(Command),
+    /// Read how far the log has come.
+    Mark,
+    /// Read where a claimed request stands.
+    Standing {
+        /// Workspace.
+        workspace: Name,
+        /// The caller's key.
+        key: Name,
+    },
+}
+
+/// How far the log has come, by a linearizable read.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Mark {
+    /// Latest change of records.
+    pub records: Revision,
+    /// Latest place in the log.
+    pub place: Revision,
+}
+
+/// A keeper's answer.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Answer {
+    /// The reply to a command.
+    Reply(Reply),
+    /// The reply to [`Request::Mark`].
+    Mark(Mark),
+    /// The reply to [`Request::Standing`].
+    Standing(Option<Standing>),
+    /// This keeper cannot answer; the leader, if it knows one.
+    Elsewhere(Option<Name>),
+}
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -3,9 +3,11 @@
 use std::net::SocketAddr;
 
 use base::{Code, Incarnation, Name, Revision, RunId};
+use quorum::{Member, Message};
+use record::{Change, Record};
 use serde::{Deserialize, Serialize};
 
-use crate::{Part, Priority, Work};
+use crate::{Answer, News, Part, Piece, Priority, Request, Work};
 
 /// What an agent stands beside.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -48,6 +50,16 @@
     pub prefill: u64,
     /// Weight version held.
     pub version: Name,
+    /// Runs that the agent holds, of all entries.
+    pub held: u32,
+    /// Time to compute one prompt token, nanoseconds; 0 while unknown.
+    pub token_ns: u64,
+    /// Bytes per second of the agent's cache links.
+    pub link_rate: u64,
+    /// Bytes that wait on them.
+    pub link_queue: u64,
+    /// Stores that the agent leaves alone at present.
+    pub closed: Vec<Name>,
 }
 
 /// A heartbeat.
@@ -61,6 +73,12 @@
     pub load: Option<Load>,
     /// Runs of the receiver that the sender holds.
     pub held: u32,
+    /// Time since the sender's configuration was last known to be the latest, milliseconds.
+    pub confirmed_ms: Option<u64>,
+    /// Keepers only: that no leader is known, and how many voters there are.
+    pub no_quorum: Option<u32>,
+    /// Whether the sender may serve.
+    pub ready: bool,
 }
 
 /// A run for an agent.
@@ -78,8 +96,14 @@
     pub left_ms: u64,
     /// Whether the run may be done again.
     pub idempotent: bool,
+    /// The caller's key, for a run that may be done only once.
+    pub once: Option<Name>,
     /// The work.
     pub work: Work,
+    /// Pieces to fetch from stores before the start.
+    pub fetch: Vec<Piece>,
+    /// Pieces to write back to a store afterwards.
+    pub keep: Vec<[u8; 16]>,
 }
 
 /// A numbered part of an answer.
@@ -137,6 +161,56 @@
         /// The dispatch.
         run: RunId,
     },
+    /// Keeper to keeper: agreement on the log.
+    Quorum {
+        /// The sender.
+        from: Member,
+        /// The receiver; none for every keeper.
+        to: Option<Member>,
+        /// The message.
+        message: Message,
+    },
+    /// To a keeper: a request for the agreed state.
+    Ask {
+        /// Number given by the sender.
+        id: u64,
+        /// The request.
+        request: Request,
+    },
+    /// From a keeper: the answer to [`Frame::Ask`].
+    Answer {
+        /// Number of the request.
+        id: u64,
+        /// The answer.
+        answer: Answer,
+    },
+    /// Send the records after a revision, and from a keeper all later changes too.
+    Watch {
+        /// What the sender has.
+        revision: Revision,
+    },
+    /// Changes of records, without a gap since the last frame.
+    Changes(Vec<Change>),
+    /// All records.
+    Records {
+        /// Their revision.
+        revision: Revision,
+        /// The records.
+        records: Vec<Record>,
+    },
+    /// Keeper to entry: the processes that are there.
+    Members(Vec<Hello>),
+    /// Keeper to agent: load a weight version.
+    Order {
+        /// Fencing token.
+        token: Revision,
+        /// The one life of the agent that may obey.
+        to: Incarnation,
+        /// The weight version.
+        load: Name,
+    },
+    /// Agent to entry: what its caches hold.
+    Cache(News),
     /// The sender closes the link on purpose.
     Bye,
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -11,12 +11,16 @@
 //! assert!(matches!(decoder.next_frame(), Ok(Some(Frame::Bye))));
 //! ```
 
+mod ask;
+mod cache;
 mod codec;
 mod digest;
 mod frame;
 mod part;
 mod work;
 
+pub use ask::{Answer, Mark, Request};
+pub use cache::{News, Piece};
 pub use codec::{DecodeError, Decoder, MAX_FRAME, encode};
 pub use digest::Digest;
 pub use frame::{Beat, Engine, Frame, Hello, Load, Output, Start};
