Replay of traces over the real reducers, and the operators' command line

Cause: decisions could not be measured, and operators had only raw HTTP.

Change: crate replay: a text trace, a seeded generator for both deployments, one queue that feeds the reducers with times from the trace, stand-ins with set times, promises checked, JSON, table and SVG. tamarack: records, history, servers, wait, drain, rollout, dump, explain, trace, replay.

--- /dev/null
+++ b/bin/tamarack/src/args.rs
@@ -0,0 +1,238 @@
+//! The command line.
+
+use std::path::PathBuf;
+
+use argh::FromArgs;
+
+/// tamarack looks after a tamarackbank deployment: records, servers, rollouts, dumps, replays.
+///
+/// Ask any process by its operators' address. Changes go to the keepers from wherever you ask;
+/// history, servers and wait are answered by a keeper.
+///
+/// Examples:
+///   tamarack get workspace
+///   tamarack put workspace shop shop.json --expect 3 --wait
+///   tamarack rollout model v2 --parallel 3 --floor 12
+///   tamarack trace siam-baan --seconds 120 > siam.trace
+///   tamarack replay siam.trace --baselines
+#[derive(FromArgs, Debug)]
+pub struct Args {
+    /// operators' address of a process (default 127.0.0.1:7401)
+    #[argh(option, default = "String::from(\"127.0.0.1:7401\")")]
+    pub at: String,
+    /// operators' key, if the process asks for one
+    #[argh(option, default = "String::new()")]
+    pub key: String,
+    /// your name, for the history
+    #[argh(option, default = "String::from(\"operator\")")]
+    pub by: String,
+    /// print JSON for programs instead of tables for people
+    #[argh(switch)]
+    pub json: bool,
+    #[argh(subcommand)]
+    pub command: Command,
+}
+
+#[derive(FromArgs, Debug)]
+#[argh(subcommand)]
+pub enum Command {
+    Get(Get),
+    Put(Put),
+    Delete(Delete),
+    History(History),
+    Watch(Watch),
+    HashKey(HashKey),
+    Servers(Servers),
+    Wait(Wait),
+    Drain(Drain),
+    Undrain(Undrain),
+    Rollout(Rollout),
+    Dump(Dump),
+    Ready(Ready),
+    Explain(Explain),
+    Trace(Generate),
+    Replay(Replay),
+}
+
+/// Show records: all, those of a kind, or one.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "get")]
+pub struct Get {
+    /// a kind (model, version, adapter, workspace, priority, role, service, server or rollout),
+    /// and behind it a name
+    #[argh(positional)]
+    pub of: Vec<String>,
+}
+
+/// Put a record. The body is a JSON object; --expect is the version you have read.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "put")]
+pub struct Put {
+    /// kind of the record
+    #[argh(positional)]
+    pub kind: String,
+    /// name of the record
+    #[argh(positional)]
+    pub name: String,
+    /// file with the body, or - for standard input
+    #[argh(positional)]
+    pub file: PathBuf,
+    /// version you have read; 0 for a new record (default 0)
+    #[argh(option, default = "0")]
+    pub expect: u64,
+    /// schema version of the body (default: the newest known here)
+    #[argh(option)]
+    pub schema: Option<u32>,
+    /// request id; the same one makes a repeat safe after a lost answer
+    #[argh(option)]
+    pub request: Option<String>,
+    /// wait until every process has it in force
+    #[argh(switch)]
+    pub wait: bool,
+}
+
+/// Delete a record that nothing refers to.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "delete")]
+pub struct Delete {
+    /// kind of the record
+    #[argh(positional)]
+    pub kind: String,
+    /// name of the record
+    #[argh(positional)]
+    pub name: String,
+    /// version you have read
+    #[argh(option)]
+    pub expect: u64,
+}
+
+/// Show who changed what, in the log's order.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "history")]
+pub struct History {}
+
+/// Print each change of records as it comes, until interrupted.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "watch")]
+pub struct Watch {
+    /// stop after this many changes; 0 for never (default 0)
+    #[argh(option, default = "0")]
+    pub count: usize,
+}
+
+/// Print the form in which a workspace's record holds a bearer key.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "hash-key")]
+pub struct HashKey {
+    /// the bearer key
+    #[argh(positional)]
+    pub key: String,
+}
+
+/// Show the processes and where they stand.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "servers")]
+pub struct Servers {}
+
+/// Wait until a revision is in force everywhere; shows who lags.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "wait")]
+pub struct Wait {
+    /// revision, as EPOCH.INDEX
+    #[argh(positional)]
+    pub revision: String,
+    /// longest wait, seconds (default 30)
+    #[argh(option, default = "30")]
+    pub seconds: u64,
+}
+
+/// Let a backend server take no new work.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "drain")]
+pub struct Drain {
+    /// name of the agent beside it
+    #[argh(positional)]
+    pub server: String,
+}
+
+/// Let a drained backend server take work again.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "undrain")]
+pub struct Undrain {
+    /// name of the agent beside it
+    #[argh(positional)]
+    pub server: String,
+}
+
+/// Set the weight version that a model's replicas shall hold; also pauses and turns back.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "rollout")]
+pub struct Rollout {
+    /// model
+    #[argh(positional)]
+    pub model: String,
+    /// weight version
+    #[argh(positional)]
+    pub version: String,
+    /// most replicas that load at once (default 2)
+    #[argh(option, default = "2")]
+    pub parallel: u64,
+    /// least replicas that go on serving (default 1)
+    #[argh(option, default = "1")]
+    pub floor: u64,
+    /// start no further loads
+    #[argh(switch)]
+    pub pause: bool,
+}
+
+/// Print the whole state of a process as JSON.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "dump")]
+pub struct Dump {}
+
+/// Tell whether a process serves.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "ready")]
+pub struct Ready {}
+
+/// Show how a backend server was chosen for a request; ask the entry that served it.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "explain")]
+pub struct Explain {
+    /// the request's x-request-id
+    #[argh(positional)]
+    pub request: String,
+}
+
+/// Print a seeded trace with the shape of a deployment.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "trace")]
+pub struct Generate {
+    /// siam-baan or shatla
+    #[argh(positional)]
+    pub shape: String,
+    /// seed (default 1)
+    #[argh(option, default = "1")]
+    pub seed: u64,
+    /// length in seconds (default 120)
+    #[argh(option, default = "120")]
+    pub seconds: u64,
+    /// load in percent of an ordinary day (default 100)
+    #[argh(option, default = "100")]
+    pub load: u64,
+}
+
+/// Replay a trace against the reducers and small stand-ins.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "replay")]
+pub struct Replay {
+    /// trace file
+    #[argh(positional)]
+    pub trace: PathBuf,
+    /// replay under the baselines too
+    #[argh(switch)]
+    pub baselines: bool,
+    /// write a plot of time to first token to this SVG file
+    #[argh(option)]
+    pub plot: Option<PathBuf>,
+}
--- /dev/null
+++ b/bin/tamarack/src/client.rs
@@ -0,0 +1,87 @@
+//! Asks a process over its operators' HTTP.
+
+use std::time::Duration;
+
+use serde_json::Value;
+use ureq::Agent;
+
+const TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Why a command did not do what it should.
+#[derive(Debug)]
+pub enum Trouble {
+    /// The answer was no.
+    Refused(String),
+    /// There was no answer.
+    Unreachable(String),
+}
+
+/// The client.
+#[derive(Debug)]
+pub struct Client {
+    agent: Agent,
+    base: String,
+    key: String,
+    by: String,
+    /// Whether to print JSON.
+    pub json: bool,
+}
+
+impl Client {
+    pub fn new(at: &str, key: &str, by: &str, json: bool) -> Self {
+        let config = Agent::config_builder()
+            .timeout_global(Some(TIMEOUT))
+            .http_status_as_error(false)
+            .build();
+        Self {
+            agent: config.into(),
+            base: format!("http://{at}"),
+            key: key.to_owned(),
+            by: by.to_owned(),
+            json,
+        }
+    }
+
+    /// A GET; the body if the status is a success.
+    pub fn get(&self, path: &str) -> Result<Value, Trouble> {
+        self.ask("GET", path, "", "")
+    }
+
+    /// A call with a body; the body of the answer if the status is a success.
+    pub fn ask(
+        &self,
+        method: &str,
+        path: &str,
+        body: &str,
+        request: &str,
+    ) -> Result<Value, Trouble> {
+        let url = format!("{}{path}", self.base);
+        let unreachable = |error: String| Trouble::Unreachable(format!("{url}: {error}"));
+        let mut builder = ureq::http::Request::builder()
+            .method(method)
+            .uri(&url)
+            .header("authorization", format!("Bearer {}", self.key))
+            .header("x-operator", &self.by);
+        if !request.is_empty() {
+            builder = builder.header("x-request-id", request);
+        }
+        let built =
+            builder.body(body.to_owned()).map_err(|error| unreachable(error.to_string()))?;
+        let mut response = self.agent.run(built).map_err(|error| unreachable(error.to_string()))?;
+        let status = response.status().as_u16();
+        let text = response.body_mut().read_to_string().unwrap_or_default();
+        let value: Value = serde_json::from_str(&text).unwrap_or(Value::Null);
+        if (200..300).contains(&status) {
+            return Ok(value);
+        }
+        let error = &value["error"];
+        let mut text = match error["code"].as_u64() {
+            Some(code) => format!("{code} {}", error["message"].as_str().unwrap_or_default()),
+            None => format!("HTTP {status} {text}"),
+        };
+        if value["winner"].is_object() {
+            text.push_str(&format!("\nthe record that stands: {}", value["winner"]));
+        }
+        Err(Trouble::Refused(text))
+    }
+}
--- a/bin/tamarack/src/main.rs
+++ b/bin/tamarack/src/main.rs
@@ -1,3 +1,52 @@
 //! The operators' command line.
+//!
+//! Exit codes: 0 done; 1 refused or a promise broken; 2 the process asked cannot be reached.
 
-fn main() {}
+mod args;
+mod client;
+mod orders;
+mod records;
+mod table;
+mod trace;
+
+use std::process::ExitCode;
+
+use args::{Args, Command};
+use client::{Client, Trouble};
+
+fn main() -> ExitCode {
+    let args: Args = argh::from_env();
+    let client = Client::new(&args.at, &args.key, &args.by, args.json);
+    let result = match args.command {
+        Command::Get(get) => records::get(&client, &get),
+        Command::Put(put) => records::put(&client, &put),
+        Command::Delete(delete) => records::delete(&client, &delete),
+        Command::History(_) => records::history(&client),
+        Command::Watch(watch) => records::watch(&client, &watch),
+        Command::HashKey(hash) => {
+            println!("{}", edge::key_hash(&hash.key));
+            Ok(())
+        }
+        Command::Servers(_) => orders::servers(&client),
+        Command::Wait(wait) => orders::wait(&client, &wait),
+        Command::Drain(drain) => orders::drain(&client, &drain.server, true),
+        Command::Undrain(undrain) => orders::drain(&client, &undrain.server, false),
+        Command::Rollout(rollout) => orders::rollout(&client, &rollout),
+        Command::Dump(_) => orders::show(&client, "/dump"),
+        Command::Ready(_) => orders::show(&client, "/ready"),
+        Command::Explain(explain) => orders::explain(&client, &explain.request),
+        Command::Trace(generate) => trace::generate(&generate),
+        Command::Replay(replay) => trace::replay(&replay, args.json),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(Trouble::Refused(text)) => {
+            eprintln!("tamarack: {text}");
+            ExitCode::from(1)
+        }
+        Err(Trouble::Unreachable(text)) => {
+            eprintln!("tamarack: {text}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/bin/tamarack/src/trace.rs
@@ -0,0 +1,65 @@
+//! Commands on traces.
+
+use std::fs;
+
+use node::Policy;
+use replay::{Outcome, Shape, Trace};
+use serde_json::{Map, Value};
+
+use crate::args;
+use crate::client::Trouble;
+
+const BASELINES: [(&str, Policy); 4] = [
+    ("round-robin", Policy::RoundRobin),
+    ("least-load", Policy::LeastLoad),
+    ("prefix-hash", Policy::PrefixHash),
+    ("fetch-all", Policy::FetchAll),
+];
+
+/// Prints a seeded trace.
+pub fn generate(generate: &args::Generate) -> Result<(), Trouble> {
+    let shape = match generate.shape.as_str() {
+        "siam-baan" => Shape::SiamBaan,
+        "shatla" => Shape::Shatla,
+        other => return Err(Trouble::Refused(format!("'{other}' is not siam-baan or shatla"))),
+    };
+    let trace = replay::generate(shape, generate.seed, generate.seconds, generate.load);
+    print!("{}", trace.text());
+    Ok(())
+}
+
+/// Replays a trace.
+pub fn replay(replay: &args::Replay, json: bool) -> Result<(), Trouble> {
+    let path = replay.trace.display();
+    let text = fs::read_to_string(&replay.trace)
+        .map_err(|error| Trouble::Refused(format!("{path}: {error}")))?;
+    let trace =
+        Trace::parse(&text).map_err(|mistake| Trouble::Refused(format!("{path}: {mistake}")))?;
+    let mut outcomes: Vec<(&str, Outcome)> =
+        vec![("estimate", replay::run(&trace, Policy::Estimate))];
+    if replay.baselines {
+        for (name, policy) in BASELINES {
+            outcomes.push((name, replay::run(&trace, policy)));
+        }
+    }
+    if json {
+        let all: Map<String, Value> =
+            outcomes.iter().map(|(name, out)| ((*name).to_owned(), out.json())).collect();
+        println!("{}", Value::Object(all));
+    } else {
+        for (name, outcome) in &outcomes {
+            println!("== {name}\n{outcome}");
+        }
+    }
+    if let Some(path) = &replay.plot {
+        let named: Vec<(&str, &Outcome)> =
+            outcomes.iter().map(|(name, out)| (*name, out)).collect();
+        fs::write(path, replay::plot(&named))
+            .map_err(|error| Trouble::Refused(format!("{}: {error}", path.display())))?;
+    }
+    let broken = outcomes[0].1.broken.len();
+    if broken > 0 {
+        return Err(Trouble::Refused(format!("{broken} promises were broken")));
+    }
+    Ok(())
+}
--- a/crates/fake/src/answer.rs
+++ b/crates/fake/src/answer.rs
@@ -5,15 +5,32 @@
     "ticket", "reply", "yes", "no", "later",
 ];
 
-/// The text of one token of the answer to a prompt.
-pub fn token(prompt: &str, index: u32) -> String {
-    let hash = blake3::hash(prompt.as_bytes());
-    let seed = hash.as_bytes()[(index as usize) % 32] as usize;
-    let word = WORDS[(seed + index as usize) % WORDS.len()];
-    format!("{word}{index} ")
+/// The answer to one prompt.
+#[derive(Clone, Copy, Debug)]
+pub struct Answer {
+    seed: [u8; 32],
+}
+
+impl Answer {
+    /// The answer to a prompt.
+    pub fn new(prompt: &str) -> Self {
+        Self { seed: *blake3::hash(prompt.as_bytes()).as_bytes() }
+    }
+
+    /// The text of one token.
+    pub fn token(&self, index: u32) -> String {
+        let seed = self.seed[(index as usize) % 32] as usize;
+        let word = WORDS[(seed + index as usize) % WORDS.len()];
+        format!("{word}{index} ")
+    }
+
+    /// The text of the first tokens.
+    pub fn text(&self, tokens: u32) -> String {
+        (0..tokens).map(|index| self.token(index)).collect()
+    }
 }
 
 /// The whole answer to a prompt.
 pub fn answer(prompt: &str, tokens: u32) -> String {
-    (0..tokens).map(|index| token(prompt, index)).collect()
+    Answer::new(prompt).text(tokens)
 }
--- a/crates/fake/src/edge/engine.rs
+++ b/crates/fake/src/edge/engine.rs
@@ -21,7 +21,7 @@
 use serde_json::{Value, json};
 use tiny_http::{Header, Method, Request, Response, Server};
 
-use crate::{Batch, Emit, Job, Profile, token};
+use crate::{Answer, Batch, Emit, Job, Profile};
 
 /// Bytes of one exported block.
 pub const BLOCK_BYTES: usize = 4_096;
@@ -229,6 +229,7 @@
     drop(state);
     shared.wake.notify_all();
 
+    let answer = Answer::new(prompt);
     let mut writer = request.into_writer();
     let head =
         "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
@@ -237,7 +238,7 @@
         let Ok(line) = lines.recv() else { break };
         open = match line {
             Line::Token(index) => {
-                let choice = json!({ "text": token(prompt, index), "tokens": 1, "index": index });
+                let choice = json!({ "text": answer.token(index), "tokens": 1, "index": index });
                 event(&mut writer, &json!({ "choices": [choice] }).to_string())
             }
             Line::End(computed, cached) => {
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -8,6 +8,6 @@
 mod batch;
 mod edge;
 
-pub use answer::{answer, token};
+pub use answer::{Answer, answer};
 pub use batch::{Batch, Emit, Event, Job, Profile};
 pub use edge::{engine, plain, store};
--- a/crates/node/src/entry/admit.rs
+++ b/crates/node/src/entry/admit.rs
@@ -109,6 +109,7 @@
             deadline,
             stage: Stage::Waiting,
             tries: 0,
+            may_have_run: false,
             avoided: Vec::new(),
             refusal: Code::Overloaded,
             keys: Vec::new(),
--- a/crates/node/src/entry/finish.rs
+++ b/crates/node/src/entry/finish.rs
@@ -148,6 +148,8 @@
         let Some(run) = self.runs.get(&number) else {
             return;
         };
+        let untrue = run.may_have_run && code.fate() == Fate::NotRun;
+        let code = if untrue { Code::Unknown } else { code };
         let call = run.call;
         if run.begun {
             out.push(Effect::Body { call, bytes: api::error_event(code, text) });
--- a/crates/node/src/entry/follow.rs
+++ b/crates/node/src/entry/follow.rs
@@ -181,6 +181,7 @@
             return;
         }
         run.tries += 1;
+        run.may_have_run = true;
         run.avoided.push(agent);
         // A prompt goes on from the tokens that the caller has, however often that takes.
         let again = matches!(run.work, Work::Prompt(_)) || run.tries < MAX_TRIES;
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -86,6 +86,8 @@
     pub stage: Stage,
     /// Dispatches refused or failed so far.
     pub tries: u32,
+    /// Whether an earlier dispatch was lost, so that "not run" would not be true.
+    pub may_have_run: bool,
     /// Agents that refused it.
     pub avoided: Vec<Name>,
     /// Code of the last refusal.
