Link rates from the time between ends, not from each transfer's time

A transfer's own time includes its wait behind the others that began with it, so the estimated rate of a link fell to a part of the truth, and fetching looked dearer than computing.

Ruled out: eviction between import and start. The trace's engines now hold a full batch.

--- a/bin/tamarack/src/args.rs
+++ b/bin/tamarack/src/args.rs
@@ -214,8 +214,8 @@
     /// seed (default 1)
     #[argh(option, default = "1")]
     pub seed: u64,
-    /// length in seconds (default 120)
-    #[argh(option, default = "120")]
+    /// length in seconds (default 240)
+    #[argh(option, default = "240")]
     pub seconds: u64,
     /// load in percent of an ordinary day (default 100)
     #[argh(option, default = "100")]
--- a/crates/cache/src/link.rs
+++ b/crates/cache/src/link.rs
@@ -20,6 +20,9 @@
 /// Bytes of the smallest transfer that says something about the rate and not the round trip.
 const TELLING: u64 = 1_024;
 
+/// Largest factor by which one transfer may raise the estimated rate.
+const MOST_GAIN: f64 = 3.0;
+
 /// A link to a store.
 #[derive(Clone, Debug)]
 pub struct Link {
@@ -31,6 +34,8 @@
     left_until: Time,
     full_until: Time,
     background: u64,
+    /// Since when the bytes of the next end have been on the link.
+    since: Time,
 }
 
 impl Link {
@@ -43,6 +48,7 @@
             left_until: Time::ZERO,
             full_until: Time::ZERO,
             background: 0,
+            since: Time::ZERO,
         }
     }
 
@@ -62,7 +68,8 @@
     }
 
     /// Begins a foreground transfer.
-    pub fn begin(&mut self, bytes: u64) {
+    pub fn begin(&mut self, now: Time, bytes: u64) {
+        self.busy(now);
         self.queued += bytes;
     }
 
@@ -73,29 +80,16 @@
         if !self.writable(now) || foreground > 0 || (self.background + bytes) as f64 > room {
             return false;
         }
+        self.busy(now);
         self.background += bytes;
         self.queued += bytes;
         true
     }
 
-    /// A transfer has ended well after this time.
-    pub fn done(&mut self, bytes: u64, took: Duration, background: bool) {
-        self.end(bytes, background);
-        self.learn(bytes, took);
-    }
-
-    fn learn(&mut self, bytes: u64, took: Duration) {
-        self.failures = 0;
-        let seconds = took.as_secs_f64().max(1e-6);
-        if bytes >= TELLING {
-            self.rate += WEIGHT * (bytes as f64 / seconds - self.rate);
-        }
-    }
-
-    /// A fetch of estimated size has ended well.
-    pub fn end_fetch(&mut self, queued: u64, bytes: u64, took: Duration) {
-        self.end(queued, false);
-        self.learn(bytes, took);
+    /// A transfer has ended well; `queued` is what was counted for it at its beginning.
+    pub fn done(&mut self, now: Time, queued: u64, bytes: u64, background: bool) {
+        self.end(queued, background);
+        self.learn(now, bytes);
     }
 
     /// The store had no such block; that says nothing of its health.
@@ -124,6 +118,26 @@
         self.full_until = now + FULL;
     }
 
+    fn busy(&mut self, now: Time) {
+        if self.queued == 0 {
+            self.since = now;
+        }
+    }
+
+    /// Transfers share the link, so what counts is the time between two ends while it is busy, not
+    /// the time that each of them took.
+    fn learn(&mut self, now: Time, bytes: u64) {
+        self.failures = 0;
+        let seconds = now.since(self.since).as_secs_f64();
+        self.since = now;
+        if bytes < TELLING {
+            return;
+        }
+        // Ends that come at the same moment tell of a rate that no link has.
+        let seen = (bytes as f64 / seconds.max(1e-6)).min(MOST_GAIN * self.rate);
+        self.rate += WEIGHT * (seen - self.rate);
+    }
+
     fn end(&mut self, bytes: u64, background: bool) {
         self.queued = self.queued.saturating_sub(bytes);
         if background {
--- a/crates/cache/tests/blocks.rs
+++ b/crates/cache/tests/blocks.rs
@@ -103,10 +103,10 @@
 fn a_failing_store_is_left_for_a_while() {
     let mut link = Link::new(1e6);
     let now = Time::from_millis(1_000);
-    link.begin(1_000);
+    link.begin(now, 1_000);
     link.failed(now, 1_000, false);
     assert!(link.open(now), "one failure is no proof");
-    link.begin(1_000);
+    link.begin(now, 1_000);
     link.failed(now, 1_000, false);
     assert!(!link.open(now));
     assert!(link.open(now + Duration::from_secs(2)));
@@ -117,9 +117,23 @@
 fn background_waits_for_the_foreground() {
     let mut link = Link::new(1e6);
     let window = Duration::from_secs(1);
-    link.begin(10);
+    link.begin(Time::ZERO, 10);
     assert!(!link.begin_background(Time::ZERO, 10, window));
-    link.done(10, Duration::from_micros(10), false);
+    link.done(Time(10), 10, 10, false);
     assert!(link.begin_background(Time::ZERO, 10, window));
     assert!(!link.begin_background(Time::ZERO, 1_000_000, window), "over its share");
 }
+
+/// Many transfers at once take long each, and the link is no slower for that.
+#[test]
+fn the_rate_is_that_of_the_link_and_not_of_one_transfer() {
+    let mut link = Link::new(1e9);
+    for _ in 0..12 {
+        link.begin(Time::ZERO, 1 << 20);
+    }
+    // One megabyte each millisecond, each begun at zero.
+    for place in 1..=12 {
+        link.done(Time::from_millis(place), 1 << 20, 1 << 20, false);
+    }
+    assert!(link.rate > 0.9e9, "{}", link.rate);
+}
--- a/crates/edge/src/transfer.rs
+++ b/crates/edge/src/transfer.rs
@@ -1,7 +1,7 @@
 //! Moves of cache blocks between the engine and the stores, over HTTP.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use base::Name;
 use cache::{Key, seal, unseal};
@@ -42,11 +42,9 @@
         let Some(url) = self.block(store, key) else {
             return Moved::Failed;
         };
-        let begin = Instant::now();
         let Some((status, bytes)) = self.get(&url) else {
             return Moved::Failed;
         };
-        let took = begin.elapsed();
         match status {
             200 => {}
             404 => return Moved::Miss,
@@ -58,7 +56,7 @@
             return Moved::Miss;
         };
         match self.put(&self.engine_block(key), body) {
-            Some(200) => Moved::Done { bytes: bytes.len() as u64, took },
+            Some(200) => Moved::Done { bytes: bytes.len() as u64 },
             _ => Moved::Miss,
         }
     }
@@ -77,9 +75,8 @@
             return Moved::Miss;
         };
         let bytes = seal(key, generation, &body);
-        let begin = Instant::now();
         match self.put(&url, &bytes) {
-            Some(200) => Moved::Done { bytes: bytes.len() as u64, took: begin.elapsed() },
+            Some(200) => Moved::Done { bytes: bytes.len() as u64 },
             Some(FULL) => Moved::Full,
             _ => Moved::Failed,
         }
--- a/crates/fake/src/batch.rs
+++ b/crates/fake/src/batch.rs
@@ -218,9 +218,7 @@
                 return;
             };
             let hit = job.keys.iter().take_while(|key| self.cache.contains_key(*key)).count();
-            for key in &job.keys[..hit] {
-                self.touch(*key);
-            }
+            self.store(&job.keys[..hit]);
             let cached = (hit as u64 * self.profile.block_tokens).min(job.prompt_tokens);
             // What the caller already has is computed again like a prompt.
             let left = (job.prompt_tokens - cached) + u64::from(job.from);
@@ -228,8 +226,9 @@
         }
     }
 
+    /// The end of a prefix is evicted before its beginning, which others may share.
     fn store(&mut self, keys: &[[u8; 16]]) {
-        for key in keys {
+        for key in keys.iter().rev() {
             self.touch(*key);
         }
     }
--- a/crates/node/src/agent/transfer.rs
+++ b/crates/node/src/agent/transfer.rs
@@ -85,7 +85,7 @@
             let Some(link) = self.links.get_mut(&piece.store).filter(|link| link.open(now)) else {
                 break;
             };
-            link.begin(self.piece_bytes);
+            link.begin(now, self.piece_bytes);
             self.fetching.insert(piece.key, (piece.store.clone(), now));
             waiting.insert(piece.key);
             out.push(Effect::Fetch { key: piece.key, store: piece.store.clone() });
@@ -106,9 +106,9 @@
             return;
         };
         match moved {
-            Moved::Done { bytes, took } => {
+            Moved::Done { bytes } => {
                 self.moved[0] += bytes;
-                link.end_fetch(self.piece_bytes, bytes, took);
+                link.done(now, self.piece_bytes, bytes, false);
                 self.held.insert(*key);
             }
             Moved::Miss => link.missed(self.piece_bytes),
@@ -176,9 +176,9 @@
         };
         let ok = matches!(moved, Moved::Done { .. });
         match moved {
-            Moved::Done { bytes, took } => {
+            Moved::Done { bytes } => {
                 self.moved[1] += bytes;
-                link.done(self.piece_bytes, took, true);
+                link.done(now, self.piece_bytes, bytes, true);
             }
             // The engine had it no more: nothing was written and nothing is wrong with the store.
             Moved::Miss => link.missed_background(self.piece_bytes),
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -1,7 +1,5 @@
 //! Everything that can happen to a process.
 
-use std::time::Duration;
-
 use base::{Code, Name, Revision, RunId};
 use cache::Key;
 use wire::{Frame, Hello, Load, Part};
@@ -16,8 +14,6 @@
     Done {
         /// Bytes moved.
         bytes: u64,
-        /// Time on the link.
-        took: Duration,
     },
     /// The source had no such block, or a damaged one.
     Miss,
--- a/crates/replay/src/generate.rs
+++ b/crates/replay/src/generate.rs
@@ -45,7 +45,8 @@
                 step_us: 6_000,
                 slots: 16,
                 prefill: 256,
-                blocks: 64,
+                blocks: 256,
+                store_blocks: 20_000,
                 block_bytes: 16 << 20,
                 link_rate: 2 << 30,
                 load_us: 600_000,
@@ -63,7 +64,8 @@
                 step_us: 3_500,
                 slots: 16,
                 prefill: 64,
-                blocks: 64,
+                blocks: 128,
+                store_blocks: 5_000,
                 block_bytes: 16 << 20,
                 link_rate: 512 << 20,
                 load_us: 300_000,
@@ -80,7 +82,7 @@
         match self {
             Self::SiamBaan => Pattern {
                 rate: 36.0,
-                documents: 500,
+                documents: 2_000,
                 tokens: (4_000, 20_000),
                 gains: (0, 400),
                 answers: [(65, 3), (35, 60)],
@@ -88,7 +90,7 @@
             },
             Self::Shatla => Pattern {
                 rate: 8.0,
-                documents: 220,
+                documents: 600,
                 tokens: (3_000, 12_000),
                 gains: (0, 300),
                 answers: [(30, 20), (70, 60)],
--- a/crates/replay/src/world.rs
+++ b/crates/replay/src/world.rs
@@ -803,8 +803,7 @@
         } else if has {
             let after = self.transfer(place, store);
             *self.out.fetched.entry(name.to_string()).or_insert(0) += bytes;
-            let time = after.as_micros() as u64;
-            (after, Moved::Done { bytes, took: Duration::from_micros(time) })
+            (after, Moved::Done { bytes })
         } else {
             (STORE_TRIP, Moved::Miss)
         };
@@ -830,7 +829,7 @@
             let after = self.transfer(place, store);
             self.stores[store].blocks.insert(key);
             *self.out.kept.entry(name.to_string()).or_insert(0) += bytes;
-            (after, Moved::Done { bytes, took: after })
+            (after, Moved::Done { bytes })
         };
         let news = Server::Kept { key, store: name, generation, moved };
         self.event(place, after, Event::Server(news));
