Agents tell of prompt work at once and refuse crowds

Cause: four entries chose by load reports up to 300 ms old, so several long prompts met on one server; the 95th percentile of time to first token was mostly wait behind other prompts.

Change: the agent counts the prompt work it holds, tells its entries of large changes within 10 ms, and refuses a run when far more lies ahead than the entry believed; after two such refusals the run goes where it is sent. A refusal for want of room no longer counts towards giving up.

Ruled out: a shorter heartbeat; it would cost every link the same whether anything changed or not.

--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -35,6 +35,10 @@
 const ANSWER_KEPT: usize = 256 << 10;
 /// How long the keepers are asked to note how a run ended.
 const SETTLE: Duration = Duration::from_secs(60);
+/// Prompt tokens ahead, beyond what the entry believes, at which a run is refused.
+const CROWD: u64 = 3_000;
+/// Prompt tokens of a run that other entries should hear of at once.
+const TELLING_PREFILL: u64 = 2_000;
 /// Least computed tokens of a run that tell the time per token.
 const TELLING_TOKENS: u32 = 400;
 
@@ -82,6 +86,7 @@
     loading: Option<Loading>,
     highest: Revision,
     entries: Vec<Name>,
+    news: bool,
 }
 
 impl Agent {
@@ -107,6 +112,7 @@
             loading: None,
             highest: Revision::default(),
             entries: Vec::new(),
+            news: false,
         }
     }
 
@@ -130,6 +136,7 @@
         let (link_rate, link_queue) = self.transfers.rate();
         Load {
             held: self.active() as u32,
+            prefill: self.prefill(|_| true),
             token_ns: self.token_ns as u64,
             link_rate,
             link_queue,
@@ -143,6 +150,21 @@
         self.runs.values().filter(|held| held.entry == *peer && !held.done).count() as u32
     }
 
+    /// Prompt tokens still to compute for a peer's runs.
+    pub fn prefill_for(&self, peer: &Name) -> u64 {
+        self.prefill(|held| held.entry == *peer)
+    }
+
+    fn prefill(&self, of: impl Fn(&Held) -> bool) -> u64 {
+        let waits = |held: &&Held| !held.done && held.first.is_none() && of(held);
+        self.runs.values().filter(waits).map(|held| held.start.prefill).sum()
+    }
+
+    /// Whether the load has changed so much that the entries should know at once.
+    pub fn take_news(&mut self) -> bool {
+        std::mem::take(&mut self.news)
+    }
+
     /// Takes no new work from now on, since the process stops.
     pub fn stop(&mut self) {
         self.stopping = true;
@@ -282,6 +304,13 @@
             self.refuse(peer, run, Code::Overloaded, out);
             return;
         }
+        // Several entries chose this server at once: all but the first may do better elsewhere.
+        if self.prefill(|_| true) > start.ahead.saturating_add(CROWD) {
+            self.news = true;
+            self.refuse(peer, run, Code::Overloaded, out);
+            return;
+        }
+        self.news |= start.prefill >= TELLING_PREFILL;
         let wrong_version = matches!(&start.work, Work::Prompt(prompt)
             if !prompt.version.is_empty() && prompt.version != self.load.version);
         if wrong_version {
@@ -388,8 +417,9 @@
         if held.start.once.is_some() {
             held.note_answer(&part);
         }
-        if matches!(part, Part::Tokens { .. }) {
-            held.first.get_or_insert(now);
+        if matches!(part, Part::Tokens { .. }) && held.first.is_none() {
+            held.first = Some(now);
+            self.news |= held.start.prefill >= TELLING_PREFILL;
         }
         let seq = held.next_seq;
         held.next_seq += 1;
--- a/crates/node/src/entry/admit.rs
+++ b/crates/node/src/entry/admit.rs
@@ -111,7 +111,7 @@
             tries: 0,
             may_have_run: false,
             avoided: Vec::new(),
-            refusal: Code::Overloaded,
+            crowded: 0,
             keys: Vec::new(),
             prefill: 0,
             next_seq: 0,
--- a/crates/node/src/entry/follow.rs
+++ b/crates/node/src/entry/follow.rs
@@ -110,14 +110,20 @@
         let Some(run) = self.current(peer, id) else {
             return;
         };
-        run.tries += 1;
-        run.refusal = code;
+        let crowded = matches!(code, Code::Overloaded | Code::Draining);
         run.avoided.push(peer.clone());
+        run.crowded += u32::from(crowded);
+        run.tries += u32::from(!crowded);
+        // For want of room it waits here, in its turn, until its deadline.
         let give_up = run.tries >= MAX_TRIES && !run.begun;
         if let Some(server) = self.servers.get_mut(peer) {
             match code {
                 // It could not be reached by its own agent.
                 Code::NoServer => server.breaker.failed(cx.now),
+                Code::Overloaded => {
+                    server.breaker.ended();
+                    server.refused();
+                }
                 _ => server.breaker.ended(),
             }
         }
--- a/crates/node/src/entry/place.rs
+++ b/crates/node/src/entry/place.rs
@@ -14,6 +14,8 @@
 const TOKEN: Duration = Duration::from_micros(25);
 /// Cost of going to another availability zone.
 const ZONE: Duration = Duration::from_millis(1);
+/// Refusals for want of room after which a run goes wherever it is sent.
+const MAX_CROWDED: u32 = 2;
 /// Tokens in one piece.
 const PIECE_TOKENS: u64 = 1_000;
 
@@ -238,6 +240,12 @@
         let Stage::Sent { agent, incarnation } = run.stage.clone() else {
             return;
         };
+        let ahead = match self.servers.get(&agent) {
+            Some(server) if run.crowded < MAX_CROWDED => {
+                (server.own_prefill + server.others_prefill).saturating_sub(run.prefill)
+            }
+            _ => u64::MAX,
+        };
         let mut fetch = Vec::new();
         let mut keep = Vec::new();
         if let Work::Prompt(prompt) = &run.work {
@@ -263,6 +271,8 @@
             idempotent: run.idempotent(),
             once: run.once.clone(),
             work: run.work.clone(),
+            prefill: run.prefill,
+            ahead,
             fetch,
             keep,
         };
--- a/crates/node/src/entry/server.rs
+++ b/crates/node/src/entry/server.rs
@@ -56,7 +56,12 @@
         };
         self.load = load.clone();
         self.others = (load.held as usize).saturating_sub(beat.held as usize);
-        self.others_prefill = load.prefill.saturating_sub(self.own_prefill);
+        self.others_prefill = load.prefill.saturating_sub(beat.held_prefill);
+    }
+
+    /// It has refused for want of room: what we knew of the others was old.
+    pub fn refused(&mut self) {
+        self.others = self.others.max(self.slots().saturating_sub(self.own));
     }
 
     /// Whether new work may go there.
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -14,6 +14,8 @@
 
 /// Time between two heartbeats to a peer.
 const HEARTBEAT: Duration = Duration::from_millis(250);
+/// Least time between two words of a change of load.
+const QUICK: Duration = Duration::from_millis(10);
 /// Peers above which heartbeats become rarer, so that their cost stays bounded.
 const MANY_PEERS: u32 = 32;
 /// Longest wait for the keepers on an operator's request.
@@ -45,6 +47,7 @@
     peers: BTreeMap<Name, Hello>,
     next_beat: Time,
     next_mark: Time,
+    next_quick: Time,
     stopping: Option<Time>,
     stops: u32,
     exited: bool,
@@ -75,6 +78,7 @@
             peers: BTreeMap::new(),
             next_beat: Time::ZERO,
             next_mark: Time::ZERO,
+            next_quick: Time::ZERO,
             stopping: None,
             stops: 0,
             exited: false,
@@ -118,6 +122,7 @@
         while let Some(event) = inbox.pop_front() {
             let mut effects = Effects::new();
             self.take(now, event, &mut effects);
+            self.beat_entries(now, &mut effects);
             for effect in effects {
                 match effect {
                     Effect::Send { to, frame } if to == self.me.hello.name => {
@@ -364,12 +369,25 @@
             leaving,
             load: self.agent.as_ref().map(Agent::load),
             held: self.agent.as_ref().map_or(0, |agent| agent.held_for(to)),
+            held_prefill: self.agent.as_ref().map_or(0, |agent| agent.prefill_for(to)),
             confirmed_ms: confirmed,
             no_quorum: attest.and_then(|(_, no_quorum)| no_quorum),
             ready: self.ready(now),
         }
     }
 
+    /// Tells the entries at once of a change of load that matters to their choices.
+    fn beat_entries(&mut self, now: Time, out: &mut Effects) {
+        if now < self.next_quick || !self.agent.as_mut().is_some_and(Agent::take_news) {
+            return;
+        }
+        self.next_quick = now + QUICK;
+        for hello in self.peers.values().filter(|hello| hello.entry) {
+            let frame = Frame::Beat(self.heartbeat(now, &hello.name));
+            out.push(Effect::Send { to: hello.name.clone(), frame });
+        }
+    }
+
     fn beat_all(&self, now: Time, out: &mut Effects) {
         for name in self.peers.keys() {
             let frame = Frame::Beat(self.heartbeat(now, name));
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -1,6 +1,6 @@
 //! One request at an entry, from admission to its end.
 
-use base::{Code, Incarnation, Name, RunId, Time};
+use base::{Incarnation, Name, RunId, Time};
 use record::Workspace;
 use state::Claim;
 use wire::{Digest, Work};
@@ -90,8 +90,8 @@
     pub may_have_run: bool,
     /// Agents that refused it.
     pub avoided: Vec<Name>,
-    /// Code of the last refusal.
-    pub refusal: Code,
+    /// Times that an agent refused it for want of room.
+    pub crowded: u32,
     /// Keys of the prompt's pieces by weight version.
     pub keys: Vec<(Name, Vec<cache::Key>)>,
     /// Prompt tokens that its agent still computes for it, as estimated.
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -73,6 +73,8 @@
     pub load: Option<Load>,
     /// Runs of the receiver that the sender holds.
     pub held: u32,
+    /// Prompt tokens still to compute for those.
+    pub held_prefill: u64,
     /// Time since the sender's configuration was last known to be the latest, milliseconds.
     pub confirmed_ms: Option<u64>,
     /// Keepers only: that no leader is known, and how many voters there are.
@@ -100,6 +102,11 @@
     pub once: Option<Name>,
     /// The work.
     pub work: Work,
+    /// Prompt tokens to compute for it, as the entry estimates.
+    pub prefill: u64,
+    /// Prompt tokens that the entry believes to be computed before it; far more make the agent
+    /// refuse.
+    pub ahead: u64,
     /// Pieces to fetch from stores before the start.
     pub fetch: Vec<Piece>,
     /// Pieces to write back to a store afterwards.
