Keep blocks while the store has room; a true fetch-all baseline

Cause: 800 of 8,500 requests on Siam Baan's trace found nothing on the stores although their prompts had been computed. Blocks were written back only where returns were likely, and the rate of returns starts near nothing: whether a prompt comes back is seen only after its block would be needed.

Change: below 60 percent of an agent's share everything is written back, in the background; above it only what is likely to return. The fetch-all baseline now takes the least loaded server.

Ruled out: lost cache events and eviction between import and start (8 percent of the excess).

--- a/crates/cache/src/shelf.rs
+++ b/crates/cache/src/shelf.rs
@@ -65,6 +65,11 @@
         self.bytes
     }
 
+    /// Share of the budget in use, in percent.
+    pub fn used_percent(&self) -> u64 {
+        100 * self.bytes / self.budget.max(1)
+    }
+
     /// Where a block stands.
     pub fn phase(&self, key: &Key) -> Option<Phase> {
         self.blocks.get(key).map(|block| block.phase)
--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -389,8 +389,8 @@
         let Some(held) = self.runs.get(&run) else {
             return;
         };
-        let keys = held.start.keep.clone();
-        self.transfers.keep(now, &keys, out);
+        let (keep, spare) = (held.start.keep.clone(), held.start.spare.clone());
+        self.transfers.keep(now, &keep, &spare, out);
     }
 
     fn refuse(&mut self, peer: &Name, run: RunId, code: Code, out: &mut Effects) {
--- a/crates/node/src/agent/transfer.rs
+++ b/crates/node/src/agent/transfer.rs
@@ -17,6 +17,8 @@
 const FETCH_MOST: Duration = Duration::from_secs(4);
 /// Span over which background transfers may fill their share of a link.
 const WINDOW: Duration = Duration::from_millis(500);
+/// Use of a store's share below which everything is written back, in percent.
+const ROOMY_PERCENT: u64 = 60;
 /// Blocks that wait to be written back; beyond it they are left to be computed again.
 const KEEP_WAITING: usize = 20_000;
 
@@ -119,9 +121,15 @@
         }
     }
 
-    /// Notes blocks that are worth a place on a store.
-    pub fn keep(&mut self, now: Time, keys: &[Key], out: &mut Effects) {
-        for key in keys {
+    /// Notes blocks to write back; the spare ones only while their store has plenty of room, for
+    /// whether a prompt comes back is seen only after its block would be needed.
+    pub fn keep(&mut self, now: Time, keys: &[Key], spare: &[Key], out: &mut Effects) {
+        let roomy = |key: &&Key| {
+            let shelf = self.home(key).and_then(|store| self.shelves.get(store));
+            shelf.is_some_and(|shelf| shelf.used_percent() < ROOMY_PERCENT)
+        };
+        let spare: Vec<Key> = spare.iter().filter(roomy).copied().collect();
+        for key in keys.iter().chain(&spare) {
             if self.to_keep.len() < KEEP_WAITING
                 && !self.keeping.contains_key(key)
                 && !self.to_keep.contains(key)
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -44,7 +44,7 @@
     LeastLoad,
     /// By a hash of the prompt's first piece, without stores.
     PrefixHash,
-    /// As [`Policy::Estimate`], but fetching every piece that a store has.
+    /// As [`Policy::LeastLoad`], but fetching every piece that a store has.
     FetchAll,
 }
 
--- a/crates/node/src/entry/finish.rs
+++ b/crates/node/src/entry/finish.rs
@@ -125,7 +125,6 @@
                 out.push(Effect::Body { call, bytes: std::mem::take(&mut run.bytes) });
             }
         }
-        out.push(Effect::Finish { call, whole: true });
         out.push(Effect::Usage {
             workspace: run.workspace.name.clone(),
             computed: prompt.0,
@@ -133,6 +132,7 @@
             generated: run.delivered,
             fetched: run.fetched as u32,
         });
+        out.push(Effect::Finish { call, whole: true });
         self.end(cx, number, Code::Ok, out);
     }
 
--- a/crates/node/src/entry/place.rs
+++ b/crates/node/src/entry/place.rs
@@ -154,20 +154,18 @@
                 let choice = choose(&self.config.weights, &need, &candidates, spread)?;
                 (choice.index, choice.estimate.fetch)
             }
-            Policy::FetchAll => {
-                let choice = choose(&self.config.weights, &need, &candidates, spread)?;
-                let chosen = &candidates[choice.index];
-                (choice.index, chosen.fetchable - chosen.local)
-            }
             Policy::RoundRobin => {
                 let from = self.turn as usize;
                 let count = candidates.len();
                 let place = (0..count).map(|step| (from + step) % count).find(free)?;
                 (place, 0)
             }
-            Policy::LeastLoad => {
+            Policy::LeastLoad | Policy::FetchAll => {
                 let places = (0..candidates.len()).filter(free);
-                (places.min_by_key(|place| candidates[*place].running)?, 0)
+                let place = places.min_by_key(|place| candidates[*place].running)?;
+                let chosen = &candidates[place];
+                let all = self.config.policy == Policy::FetchAll;
+                (place, if all { chosen.fetchable - chosen.local } else { 0 })
             }
             Policy::PrefixHash => {
                 let first = run.keys.first().and_then(|(_, keys)| keys.first());
@@ -247,7 +245,7 @@
             _ => u64::MAX,
         };
         let mut fetch = Vec::new();
-        let mut keep = Vec::new();
+        let (mut keep, mut spare) = (Vec::new(), Vec::new());
         if let Work::Prompt(prompt) = &run.work {
             let holder = self.directory.find(&agent);
             let local = holder.map_or(0, |holder| self.directory.prefix(holder, &prompt.keys));
@@ -259,7 +257,7 @@
                 fetch.push(Piece { key: *key, store: store.clone() });
             }
             if matches!(self.config.policy, Policy::Estimate | Policy::FetchAll) {
-                keep = self.to_keep(run, &prompt.keys);
+                (keep, spare) = self.to_keep(run, &prompt.keys);
             }
         }
         let start = Start {
@@ -275,25 +273,26 @@
             ahead,
             fetch,
             keep,
+            spare,
         };
         out.push(Effect::Send { to: agent, frame: Frame::Start(Box::new(start)) });
     }
 
-    /// Pieces that are worth a place on a store and have none yet.
-    fn to_keep(&self, run: &crate::Run, keys: &[Key]) -> Vec<Key> {
+    /// Pieces that no store has yet: those that are worth a place, and the others.
+    fn to_keep(&self, run: &crate::Run, keys: &[Key]) -> (Vec<Key>, Vec<Key>) {
         let Some((_, plain)) = run.keys.first() else {
-            return Vec::new();
+            return (Vec::new(), Vec::new());
         };
         let stored = |key: &Key| {
             self.config.stores.iter().any(|store| {
                 self.directory.find(store).is_some_and(|h| self.directory.holds(h, key))
             })
         };
-        keys.iter()
-            .zip(plain)
-            .filter(|(key, touched)| !stored(key) && self.keep.worth(&run.workspace.name, touched))
-            .map(|(key, _)| *key)
-            .collect()
+        let missing = keys.iter().zip(plain).filter(|(key, _)| !stored(key));
+        let (worth, others): (Vec<_>, Vec<_>) =
+            missing.partition(|(_, touched)| self.keep.worth(&run.workspace.name, touched));
+        let keys = |pairs: Vec<(&Key, &Key)>| pairs.into_iter().map(|(key, _)| *key).collect();
+        (keys(worth), keys(others))
     }
 }
 
--- a/crates/replay/src/world.rs
+++ b/crates/replay/src/world.rs
@@ -106,6 +106,8 @@
     next_call: u64,
     texts: HashMap<u64, String>,
     seen: HashMap<(String, u64), u64>,
+    /// Workspace by the beginning of a prompt, which no two documents share.
+    heads: HashMap<String, Name>,
     owners: HashMap<Key, (Name, Name)>,
     served: HashMap<(Incarnation, u64), u32>,
     plain_keys: HashMap<Vec<u8>, u32>,
@@ -158,6 +160,7 @@
             next_call: 0,
             texts: HashMap::new(),
             seen: HashMap::new(),
+            heads: HashMap::new(),
             owners: HashMap::new(),
             served: HashMap::new(),
             plain_keys: HashMap::new(),
@@ -474,6 +477,7 @@
         let document = self.texts.entry(ask.document).or_default();
         grow(document, ask.document, bytes);
         let text: Arc<str> = Arc::from(&document[..bytes]);
+        self.heads.entry(head(&text).to_owned()).or_insert_with(|| Name::new(&ask.workspace));
         let known = self.seen.entry((ask.workspace.clone(), ask.document)).or_insert(0);
         let whole = ask.prompt / 1_000 * 1_000;
         let least = ask.prompt - (*known).min(whole);
@@ -676,16 +680,10 @@
 
     /// No block may serve two workspaces or two weight versions.
     fn check_keys(&mut self, run: RunId, prompt: &wire::Prompt) {
-        let workspace = self.callers.values().find(|caller| {
-            caller.finished.is_none()
-                && caller.ask.as_ref().is_some_and(|ask| {
-                    self.texts[&ask.document].starts_with(&prompt.text[..64.min(prompt.text.len())])
-                })
-        });
-        let Some(workspace) = workspace.and_then(|c| c.ask.as_ref()) else {
+        let Some(workspace) = self.heads.get(head(&prompt.text)) else {
             return;
         };
-        let owner = (Name::new(&workspace.workspace), prompt.version.clone());
+        let owner = (workspace.clone(), prompt.version.clone());
         let mut broken = Vec::new();
         for key in &prompt.keys {
             let first = self.owners.entry(*key).or_insert_with(|| owner.clone());
@@ -906,6 +904,11 @@
     }
 }
 
+fn head(text: &str) -> &str {
+    const HEAD: usize = 64;
+    text.get(..HEAD).unwrap_or(text)
+}
+
 fn error_code(text: &str) -> u64 {
     let last = text.lines().rev().find_map(|line| {
         let json = line.strip_prefix("data: ").unwrap_or(line);
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -111,6 +111,8 @@
     pub fetch: Vec<Piece>,
     /// Pieces to write back to a store afterwards.
     pub keep: Vec<[u8; 16]>,
+    /// Pieces to write back only while the store has plenty of room.
+    pub spare: Vec<[u8; 16]>,
 }
 
 /// A numbered part of an answer.
