Over-share from what was used lately, not from what is under way

Cause: marked by runs under way, a flood was over its share only while others were there to compare with; what it had sent before a small workspace came was already in the engines, unmarked.

Change: each entry keeps a decayed count of prompt work and tokens by workspace; one that used over three times its part of all configured shares is over its share.

Ruled out: a bound of 1.5 times the part.

--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -2,14 +2,16 @@
 //!
 //! [`Queue`] holds what waits, fair by workspace inside each priority class. [`Budget`] bounds
 //! retries for a whole pool of servers. [`Breaker`] leaves a server alone that fails or is slow.
-//! [`Rate`] estimates how fast a pool works, for refusals that say truthfully when to come back.
+//! [`Usage`] tells who is over their share. [`Rate`] estimates how fast a pool works, for refusals that say truthfully when to come back.
 
 mod breaker;
 mod budget;
 mod queue;
 mod rate;
+mod usage;
 
 pub use breaker::Breaker;
 pub use budget::Budget;
 pub use queue::{Item, Queue};
 pub use rate::Rate;
+pub use usage::Usage;
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -22,7 +22,7 @@
 
 use base::prelude::*;
 use cache::{Directory, Keep};
-use limit::{Budget, Queue, Rate};
+use limit::{Budget, Queue, Rate, Usage};
 use record::View;
 use route::Estimate;
 use serde_json::{Value, json};
@@ -83,6 +83,7 @@
     keep: Keep,
     budgets: HashMap<Name, Budget>,
     rates: HashMap<Name, Rate>,
+    usage: Usage,
     explained: VecDeque<Explained>,
     turn: u64,
     draining: bool,
@@ -108,6 +109,7 @@
             keep: Keep::default(),
             budgets: HashMap::new(),
             rates: HashMap::new(),
+            usage: Usage::default(),
             explained: VecDeque::new(),
             turn: 0,
             draining: false,
@@ -212,6 +214,7 @@
     /// Time passes.
     pub fn tick(&mut self, cx: &mut Context<'_>, out: &mut Effects) {
         self.expire(cx, out);
+        self.usage.tidy(cx.now);
         let lost: Vec<Name> = self
             .servers
             .iter()
--- a/crates/node/src/entry/place.rs
+++ b/crates/node/src/entry/place.rs
@@ -88,23 +88,10 @@
         Placed::Sent
     }
 
-    /// Whether one more run would give a workspace more than its share of what is here.
+    /// Whether a workspace has lately used more than its share.
     pub(super) fn is_over_share(&self, cx: &Context<'_>, workspace: &Workspace) -> bool {
-        let share_of = |name: &Name| cx.view.workspace(name).map_or(1, |found| found.share);
-        let mut total = 1;
-        let mut own = 1;
-        let mut shares = workspace.share;
-        for (name, active) in &self.active {
-            let here = (active + self.queue.of(name)) as u32;
-            total += here;
-            if *name == workspace.name {
-                own += here;
-            } else if here > 0 {
-                shares += share_of(name);
-            }
-        }
-        let fair = f64::from(total) * f64::from(workspace.share) / f64::from(shares.max(1));
-        f64::from(own) > fair.max(1.0) && shares > workspace.share
+        let part = f64::from(workspace.share) / cx.view.shares().max(1) as f64;
+        self.usage.is_over(cx.now, &workspace.name, part)
     }
 
     /// The servers that serve the run's target, and whether there is any, free or not.
@@ -243,6 +230,8 @@
             let tokens = cache::tokens(&prompt.text) + u64::from(prompt.resume_from);
             run.prefill = tokens.saturating_sub(have);
             server.own_prefill[usize::from(run.over_share)] += run.prefill;
+            let work = run.prefill as f64 + f64::from(prompt.max_tokens);
+            self.usage.add(cx.now, &run.workspace.name, work);
         }
         run.fetched = fetch;
         let agent = name.clone();
--- a/crates/record/src/view.rs
+++ b/crates/record/src/view.rs
@@ -64,6 +64,7 @@
     services: HashMap<Name, Vec<Rule>>,
     servers: HashMap<Name, Server>,
     rollouts: BTreeMap<Name, Rollout>,
+    shares: u64,
 }
 
 impl View {
@@ -118,6 +119,11 @@
         self.workspaces.get(name)
     }
 
+    /// Sum of all workspaces' shares.
+    pub fn shares(&self) -> u64 {
+        self.shares
+    }
+
     /// Whether a plain call may run at most once.
     pub fn once(&self, service: &str, method: &str, path: &str) -> bool {
         let rules = self.services.get(service).map(Vec::as_slice).unwrap_or_default();
@@ -143,7 +149,9 @@
         self.records.remove(&(kind, name.clone()));
         match kind {
             Kind::Workspace => {
-                self.workspaces.remove(name);
+                if let Some(old) = self.workspaces.remove(name) {
+                    self.shares -= u64::from(old.share);
+                }
                 self.keys.retain(|_, workspace| workspace != name);
             }
             Kind::Service => {
@@ -175,7 +183,9 @@
                 for key in texts(&body, "keys") {
                     self.keys.insert(key, name.clone());
                 }
-                self.workspaces.insert(name, workspace(record, &body));
+                let workspace = workspace(record, &body);
+                self.shares += u64::from(workspace.share);
+                self.workspaces.insert(name, workspace);
             }
             Kind::Service => {
                 self.services.insert(name, rules(&body));
