--- a/bin/tamarackbank/tests/bed/mod.rs
+++ b/bin/tamarackbank/tests/bed/mod.rs
@@ -273,3 +273,75 @@
     );
     member(folder, name, &text)
 }
+
+/// The address of a keeper of a test: each test has a part of the loopback range to itself, so that
+/// a process that starts again finds its ports free.
+pub fn address(test: u8, number: u8, port: u16) -> String {
+    format!("127.20.{test}.{number}:{port}")
+}
+
+/// Starts one of three keepers, which are entries too.
+pub fn keeper(folder: &std::path::Path, test: u8, number: u8) -> Member {
+    let name = format!("k{number}");
+    let peers: String = (1..=3)
+        .filter(|other| *other != number)
+        .map(|other| format!("k{other} = {}\n", address(test, other, 7410)))
+        .collect();
+    let text = format!(
+        "[process]\nname = {name}\nroles = entry, keeper\nlink = {}\noperators = {}\n\
+         data = {}\ndrain_ms = 20000\n[keeper]\nvoters = k1, k2, k3\n\
+         [entry]\ncallers = {}\n[peers]\n{peers}",
+        address(test, number, 7410),
+        address(test, number, 7401),
+        folder.join(&name).display(),
+        address(test, number, 7400),
+    );
+    member(folder, &name, &text)
+}
+
+/// Starts three keepers and makes the workspace "demo".
+pub fn keepers(folder: &std::path::Path, test: u8) -> Vec<Member> {
+    let keepers: Vec<Member> = (1..=3).map(|number| keeper(folder, test, number)).collect();
+    workspace(&keepers[0].operators);
+    keepers
+}
+
+/// An agent beside a server, linked to all three keepers.
+pub fn agent_of(
+    folder: &std::path::Path,
+    test: u8,
+    name: &str,
+    server: &str,
+    more: &str,
+) -> Member {
+    let peers: String =
+        (1..=3).map(|other| format!("k{other} = {}\n", address(test, other, 7410))).collect();
+    let text = format!(
+        "[process]\nname = {name}\nroles = agent\n{ANY}[agent]\nserver = {server}\n{more}\n\
+         [peers]\n{peers}"
+    );
+    member(folder, name, &text)
+}
+
+/// The place of the leader among the keepers.
+pub fn leader(keepers: &[Member]) -> usize {
+    let mut found = None;
+    until("a leader", || {
+        found = keepers.iter().position(|keeper| {
+            let answer = client().get(format!("http://{}/dump", keeper.operators)).call();
+            answer.is_ok_and(|mut response| {
+                let text = response.body_mut().read_to_string().unwrap_or_default();
+                let dump: Value = serde_json::from_str(&text).unwrap_or_default();
+                dump["keeper"]["role"] == "Leader" && dump["keeper"]["in_touch"] == true
+            })
+        });
+        found.is_some()
+    });
+    found.unwrap_or(0)
+}
+
+/// Whether a process knows a record at a version or above.
+pub fn knows(operators: &str, path: &str, version: u64) -> bool {
+    let value = get(operators, &format!("/v1/records/{path}"));
+    value["records"][0]["version"].as_u64().is_some_and(|found| found >= version)
+}
--- /dev/null
+++ b/crates/node/tests/agent.rs
@@ -0,0 +1,161 @@
+//! The agent: refusals that hold, parts kept, fenced orders.
+
+mod bed;
+
+use std::time::Duration;
+
+use base::{Code, Incarnation, Name, Revision};
+use bed::{Bed, done, engine, hello, run, served, start};
+use node::{Effect, Event, Server};
+use wire::{Frame, Load, Part};
+
+fn agent() -> Bed {
+    let mut bed = Bed::agent(engine());
+    bed.step(Event::Linked(hello("entry-1", 7, None)));
+    bed
+}
+
+fn refused(out: &node::Effects) -> Option<Code> {
+    out.iter().find_map(|effect| match effect {
+        Effect::Send { frame: Frame::Refused { code, .. }, .. } => Some(*code),
+        _ => None,
+    })
+}
+
+fn orders(out: &node::Effects) -> Vec<String> {
+    out.iter()
+        .filter_map(|effect| match effect {
+            Effect::Order { load, .. } => Some(load.to_string()),
+            _ => None,
+        })
+        .collect()
+}
+
+#[test]
+fn a_run_cancelled_before_its_start_never_starts() {
+    let mut bed = agent();
+    let out = bed.frame("entry-2", Frame::Cancel { run: run(1) });
+    assert_eq!(refused(&out), Some(Code::Cancelled));
+    let out = bed.frame("entry-1", Frame::Start(Box::new(start(run(1), 9, "v1"))));
+    assert!(served(&out).is_empty(), "a late start");
+    assert_eq!(refused(&out), Some(Code::Cancelled));
+}
+
+#[test]
+fn a_start_for_another_life_is_refused() {
+    let mut bed = agent();
+    let out = bed.frame("entry-1", Frame::Start(Box::new(start(run(1), 8, "v1"))));
+    assert!(served(&out).is_empty() && refused(&out).is_some());
+}
+
+#[test]
+fn a_start_for_another_weight_version_is_refused() {
+    let mut bed = agent();
+    let out = bed.frame("entry-1", Frame::Start(Box::new(start(run(1), 9, "v2"))));
+    assert!(served(&out).is_empty() && refused(&out).is_some());
+}
+
+#[test]
+fn a_doubled_start_runs_once() {
+    let mut bed = agent();
+    let frame = Frame::Start(Box::new(start(run(1), 9, "v1")));
+    assert_eq!(served(&bed.frame("entry-1", frame.clone())).len(), 1);
+    assert!(served(&bed.frame("entry-1", frame)).is_empty());
+}
+
+#[test]
+fn parts_are_kept_until_they_are_acknowledged() {
+    let mut bed = agent();
+    bed.frame("entry-1", Frame::Start(Box::new(start(run(1), 9, "v1"))));
+    for text in ["a", "b", "c"] {
+        let part = Part::Tokens { text: text.to_owned(), count: 1 };
+        bed.step(Event::Server(Server::Part { run: run(1), part }));
+    }
+    bed.step(done(run(1)));
+    bed.frame("entry-1", Frame::Ack { run: run(1), seq: 2 });
+    let out = bed.frame("entry-1", Frame::Resume { run: run(1), seq: 2 });
+    let seqs: Vec<u64> = out
+        .iter()
+        .filter_map(|effect| match effect {
+            Effect::Send { frame: Frame::Output(output), .. } => Some(output.seq),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(seqs, [2, 3], "what is left and the end");
+    bed.frame("entry-1", Frame::Ack { run: run(1), seq: u64::MAX });
+    let out = bed.frame("entry-1", Frame::Resume { run: run(1), seq: 0 });
+    assert!(out.iter().any(|e| matches!(e, Effect::Send { frame: Frame::Gone { .. }, .. })));
+}
+
+#[test]
+fn a_stopping_agent_takes_nothing_and_leaves_when_its_runs_are_done() {
+    let mut bed = agent();
+    bed.frame("entry-1", Frame::Start(Box::new(start(run(1), 9, "v1"))));
+    let out = bed.step(Event::Stop);
+    assert!(!out.iter().any(|effect| matches!(effect, Effect::Exit { .. })));
+    let out = bed.frame("entry-1", Frame::Start(Box::new(start(run(2), 9, "v1"))));
+    assert_eq!(refused(&out), Some(Code::Draining));
+    bed.step(done(run(1)));
+    bed.frame("entry-1", Frame::Ack { run: run(1), seq: u64::MAX });
+    let out = bed.step(Event::Tick);
+    assert!(out.iter().any(|effect| matches!(effect, Effect::Exit { cut: 0 })), "{out:?}");
+}
+
+fn order(index: u64, to: u64, load: &str) -> Frame {
+    Frame::Order { token: Revision { epoch: 1, index }, to: Incarnation(to), load: Name::new(load) }
+}
+
+#[test]
+fn an_order_with_an_older_token_or_for_another_life_is_ignored() {
+    let mut bed = agent();
+    assert_eq!(orders(&bed.frame("keeper", order(20, 9, "v3"))), ["v3"]);
+    assert!(orders(&bed.frame("keeper", order(19, 9, "v2"))).is_empty(), "an older token");
+    assert!(orders(&bed.frame("keeper", order(30, 8, "v4"))).is_empty(), "an earlier life");
+    let epoch = Frame::Order {
+        token: Revision { epoch: 2, index: 1 },
+        to: Incarnation(9),
+        load: Name::new("v5"),
+    };
+    assert_eq!(orders(&bed.frame("keeper", epoch)), ["v5"], "a restore raises the epoch");
+}
+
+#[test]
+fn a_load_waits_for_the_runs_of_the_old_version() {
+    let mut bed = agent();
+    bed.frame("entry-1", Frame::Start(Box::new(start(run(1), 9, "v1"))));
+    assert!(orders(&bed.frame("keeper", order(20, 9, "v2"))).is_empty());
+    let out = bed.frame("entry-1", Frame::Start(Box::new(start(run(2), 9, "v1"))));
+    assert_eq!(refused(&out), Some(Code::Draining));
+    bed.step(done(run(1)));
+    let out = bed.pass(Duration::from_millis(20));
+    assert_eq!(orders(&out), ["v2"]);
+    let load = Load { version: Name::new("v2"), ..Load::default() };
+    bed.step(Event::Server(Server::Load(load)));
+    let out = bed.frame("entry-1", Frame::Start(Box::new(start(run(3), 9, "v2"))));
+    assert_eq!(served(&out).len(), 1);
+}
+
+#[test]
+fn a_run_waits_for_its_blocks_and_goes_on_without_them() {
+    let mut bed = Bed::agent(engine());
+    bed.step(Event::Linked(hello("entry-1", 7, None)));
+    let mut with_fetch = start(run(1), 9, "v1");
+    // No such store is set here, so there is nothing to wait for.
+    with_fetch.fetch = vec![wire::Piece { key: [1; 16], store: Name::new("unknown") }];
+    let out = bed.frame("entry-1", Frame::Start(Box::new(with_fetch)));
+    assert_eq!(served(&out).len(), 1);
+}
+
+#[test]
+fn an_agent_refuses_a_crowd() {
+    let mut bed = agent();
+    let mut long = start(run(1), 9, "v1");
+    long.prefill = 10_000;
+    assert_eq!(served(&bed.frame("entry-1", Frame::Start(Box::new(long.clone())))).len(), 1);
+    long.run = run(2);
+    let out = bed.frame("entry-1", Frame::Start(Box::new(long.clone())));
+    assert_eq!(refused(&out), Some(Code::Overloaded));
+    long.run = run(3);
+    long.ahead = u64::MAX;
+    assert_eq!(served(&bed.frame("entry-1", Frame::Start(Box::new(long)))).len(), 1);
+}
--- /dev/null
+++ b/crates/node/tests/bed/mod.rs
@@ -0,0 +1,272 @@
+//! Processes driven by hand-made events.
+#![allow(dead_code, reason = "each test file uses a part of the bed")]
+
+use std::time::Duration;
+
+use base::{Incarnation, Name, Revision, RunId, Time};
+use node::{Ask, Caller, Config, Effect, Effects, Event, Me, Node, Server, Want};
+use record::{Kind, Record};
+use wire::{Answer, Beat, Call, Digest, Engine, Frame, Hello, Load, Mark, Output, Part, Request};
+
+pub const KEEPER: &str = "keeper";
+pub const V1: Revision = Revision { epoch: 1, index: 5 };
+
+/// A process, the present time and what it last did.
+#[derive(Debug)]
+pub struct Bed {
+    pub node: Node,
+    pub now: Time,
+}
+
+pub fn hello(name: &str, incarnation: u64, server: Option<Engine>) -> Hello {
+    Hello {
+        name: Name::new(name),
+        incarnation: Incarnation(incarnation),
+        zone: Name::new("z"),
+        addr: ([127, 0, 0, 1], 1).into(),
+        entry: name.starts_with("entry"),
+        keeper: name == KEEPER,
+        server,
+    }
+}
+
+pub fn engine() -> Engine {
+    Engine { serves: Name::new("m"), plain: false, slots: 4 }
+}
+
+pub fn plain() -> Engine {
+    Engine { serves: Name::new("s"), plain: true, slots: 4 }
+}
+
+fn record(kind: Kind, name: &str, body: &str) -> Record {
+    Record {
+        kind,
+        name: Name::new(name),
+        version: 1,
+        schema: record::schema::newest(kind),
+        min_schema: 1,
+        body: body.into(),
+        created: V1,
+        revision: V1,
+        by: Name::new("ann"),
+        at_ms: 0,
+    }
+}
+
+/// The records that every test starts with: workspace "w" with key "k", service "s".
+pub fn records() -> Vec<Record> {
+    let key = blake3::hash(b"k").to_hex();
+    vec![
+        record(Kind::Workspace, "w", &format!(r#"{{"keys":["{key}"]}}"#)),
+        record(Kind::Service, "s", r#"{"once":[{"method":"POST","prefix":"/"}]}"#),
+    ]
+}
+
+impl Bed {
+    fn new(hello: Hello) -> Self {
+        let me = Me { hello, version: Name::new("v1"), started_ms: 0 };
+        let node = Node::new(me, Config::default(), None);
+        let mut bed = Self { node, now: Time::from_millis(1) };
+        let out = bed.step(Event::Linked(self::hello(KEEPER, 1, None)));
+        drop(out);
+        let out = bed.step(Event::Tick);
+        let id = out.iter().find_map(|effect| match effect {
+            Effect::Send { frame: Frame::Ask { id, request: Request::Mark }, .. } => Some(*id),
+            _ => None,
+        });
+        let mark = Mark { records: V1, place: V1 };
+        bed.frame(KEEPER, Frame::Answer { id: id.expect("a mark"), answer: Answer::Mark(mark) });
+        bed.frame(KEEPER, Frame::Records { revision: V1, records: records() });
+        bed.confirm(V1);
+        bed
+    }
+
+    /// An entry that may serve.
+    pub fn entry() -> Self {
+        Self::new(hello("entry-1", 7, None))
+    }
+
+    /// An agent that may serve.
+    pub fn agent(server: Engine) -> Self {
+        Self::new(hello("agent-1", 9, Some(server)))
+    }
+
+    pub fn step(&mut self, event: Event) -> Effects {
+        let mut out = Effects::new();
+        self.node.step(self.now, event, &mut out);
+        out
+    }
+
+    pub fn frame(&mut self, peer: &str, frame: Frame) -> Effects {
+        self.step(Event::Frame { peer: Name::new(peer), frame })
+    }
+
+    /// A keeper's heartbeat that is in touch with this revision.
+    pub fn confirm(&mut self, revision: Revision) {
+        let beat = Beat { revision, confirmed_ms: Some(0), ready: true, ..Beat::default() };
+        self.frame(KEEPER, Frame::Beat(beat));
+    }
+
+    /// Lets time pass with ticks and confirmed configuration.
+    pub fn pass(&mut self, time: Duration) -> Effects {
+        let end = self.now + time;
+        let mut out = Effects::new();
+        while self.now < end {
+            self.now = self.now + Duration::from_millis(10);
+            self.confirm(V1);
+            out.extend(self.step(Event::Tick));
+        }
+        out
+    }
+
+    /// Links an agent and lets it say that it is ready with a weight version.
+    pub fn meet(&mut self, name: &str, incarnation: u64, server: Engine, version: &str) -> Effects {
+        let mut out = self.step(Event::Linked(hello(name, incarnation, Some(server))));
+        out.extend(self.beat(name, version, false));
+        out
+    }
+
+    pub fn beat(&mut self, name: &str, version: &str, leaving: bool) -> Effects {
+        let load = Load { version: Name::new(version), ..Load::default() };
+        let beat = Beat { load: Some(load), ready: true, leaving, ..Beat::default() };
+        self.frame(name, Frame::Beat(beat))
+    }
+
+    pub fn ask(&mut self, call: u64, want: Want, once: Option<&str>) -> Effects {
+        let caller = Caller {
+            key: "k".to_owned(),
+            once: once.map(Name::new),
+            deadline: Some(Duration::from_secs(5)),
+            ..Caller::default()
+        };
+        let ask = Box::new(Ask { caller, want, digest: [1; 16] });
+        self.step(Event::Ask { call, ask })
+    }
+
+    pub fn prompt(&mut self, call: u64) -> Effects {
+        self.ask(call, prompt(8), None)
+    }
+}
+
+pub fn prompt(tokens: u32) -> Want {
+    Want::Prompt {
+        model: Name::new("m"),
+        text: "why does my mint wilt?".into(),
+        max_tokens: tokens,
+        stream: true,
+        chat: false,
+    }
+}
+
+pub fn call() -> Want {
+    Want::Call(Call {
+        service: Name::new("s"),
+        method: "POST".to_owned(),
+        path: "/x".to_owned(),
+        kind: String::new(),
+        body: b"a".to_vec(),
+    })
+}
+
+/// The starts among effects: to whom, and the dispatch.
+pub fn starts(out: &Effects) -> Vec<(String, wire::Start)> {
+    out.iter()
+        .filter_map(|effect| match effect {
+            Effect::Send { to, frame: Frame::Start(start) } => {
+                Some((to.to_string(), (**start).clone()))
+            }
+            _ => None,
+        })
+        .collect()
+}
+
+/// Claims among effects: number of the request to the keepers, and the claim.
+pub fn claims(out: &Effects) -> Vec<(u64, state::Claim)> {
+    out.iter()
+        .filter_map(|effect| match effect {
+            Effect::Send {
+                frame: Frame::Ask { id, request: Request::Command(command) }, ..
+            } => match command {
+                state::Command::Claim { claim, .. } => Some((*id, claim.clone())),
+                _ => None,
+            },
+            _ => None,
+        })
+        .collect()
+}
+
+/// Runs given to the backend server.
+pub fn served(out: &Effects) -> Vec<RunId> {
+    out.iter()
+        .filter_map(|effect| match effect {
+            Effect::Serve { run, .. } => Some(*run),
+            _ => None,
+        })
+        .collect()
+}
+
+/// All that was sent to a caller, and whether the answer was ended as whole.
+pub fn answered(out: &Effects, call: u64) -> (String, Option<bool>) {
+    let mut text = String::new();
+    let mut whole = None;
+    for effect in out {
+        match effect {
+            Effect::Body { call: to, bytes } if *to == call => {
+                text.push_str(&String::from_utf8_lossy(bytes));
+            }
+            Effect::Finish { call: to, whole: ended } if *to == call => whole = Some(*ended),
+            _ => {}
+        }
+    }
+    (text, whole)
+}
+
+pub fn token(run: RunId, seq: u64, text: &str) -> Frame {
+    let part = Part::Tokens { text: text.to_owned(), count: 1 };
+    Frame::Output(Output { run, seq, part })
+}
+
+/// The last part of an answer of these tokens.
+pub fn end(run: RunId, tokens: &[&str]) -> Frame {
+    let mut digest = Digest::default();
+    for text in tokens {
+        digest.add(&Part::Tokens { text: (*text).to_owned(), count: 1 });
+    }
+    let parts = tokens.len() as u64;
+    let part = Part::End { code: base::Code::Ok, parts, digest, computed: 5, cached: 0 };
+    Frame::Output(Output { run, seq: parts, part })
+}
+
+pub fn start(run: RunId, to: u64, version: &str) -> wire::Start {
+    wire::Start {
+        run,
+        to: Incarnation(to),
+        workspace: Name::new("w"),
+        priority: wire::Priority::Normal,
+        over_share: false,
+        left_ms: 5_000,
+        idempotent: true,
+        once: None,
+        work: wire::Work::Prompt(wire::Prompt {
+            model: Name::new("m"),
+            version: Name::new(version),
+            text: "x".into(),
+            max_tokens: 2,
+            resume_from: 0,
+            keys: Vec::new(),
+        }),
+        prefill: 1,
+        ahead: 0,
+        fetch: Vec::new(),
+        keep: Vec::new(),
+        spare: Vec::new(),
+    }
+}
+
+pub fn run(number: u64) -> RunId {
+    RunId { entry: Incarnation(7), number, attempt: 0 }
+}
+
+pub fn done(run: RunId) -> Event {
+    Event::Server(Server::Done { run, computed: 1, cached: 0 })
+}
--- /dev/null
+++ b/crates/node/tests/entry.rs
@@ -0,0 +1,246 @@
+//! The entry: whole answers, truthful refusals, one dispatch.
+
+mod bed;
+
+use std::time::Duration;
+
+use base::{Code, Name, Revision};
+use bed::{Bed, V1, answered, call, claims, end, engine, plain, prompt, starts, token};
+use node::Event;
+use state::{Outcome, Reply, Standing};
+use test_case::test_case;
+use wire::{Answer, Beat, Frame};
+
+/// One run on an agent, sent and with its first token out.
+fn running() -> (Bed, base::RunId) {
+    let mut bed = Bed::entry();
+    bed.meet("agent-1", 1, engine(), "v1");
+    let out = bed.prompt(1);
+    let run = starts(&out)[0].1.run;
+    bed.frame("agent-1", token(run, 0, "a "));
+    (bed, run)
+}
+
+#[test_case(&[0, 1, 2]; "in order")]
+#[test_case(&[0, 0, 1, 1, 2]; "doubled")]
+#[test_case(&[2, 1, 0, 1, 2]; "disordered and sent again")]
+fn parts_reach_the_caller_once_and_in_order(order: &[u64]) {
+    let mut bed = Bed::entry();
+    bed.meet("agent-1", 1, engine(), "v1");
+    let run = starts(&bed.prompt(1))[0].1.run;
+    let words = ["a ", "b ", "c "];
+    let mut out = Vec::new();
+    for seq in order {
+        out.extend(bed.frame("agent-1", token(run, *seq, words[*seq as usize])));
+    }
+    out.extend(bed.frame("agent-1", end(run, &words)));
+    let (text, whole) = answered(&out, 1);
+    let places: Vec<_> = words.iter().map(|word| text.matches(word).count()).collect();
+    assert_eq!((places, whole), (vec![1, 1, 1], Some(true)));
+    assert!(text.find("a ") < text.find("b ") && text.find("b ") < text.find("c "));
+    assert!(text.ends_with("data: [DONE]\n\n"));
+}
+
+#[test]
+fn an_end_that_does_not_match_is_no_end() {
+    let (mut bed, run) = running();
+    let out = bed.frame(
+        "agent-1",
+        Frame::Output(wire::Output {
+            run,
+            seq: 1,
+            part: wire::Part::End {
+                code: Code::Ok,
+                parts: 3,
+                digest: wire::Digest(1),
+                computed: 0,
+                cached: 0,
+            },
+        }),
+    );
+    assert_eq!(answered(&out, 1).1, None, "it goes on instead: {out:?}");
+}
+
+#[test]
+fn a_cut_run_goes_on_from_what_the_caller_has_and_on_its_version_only() {
+    let (mut bed, run) = running();
+    bed.meet("agent-2", 1, engine(), "v2");
+    bed.step(Event::Unlinked { peer: Name::new("agent-1") });
+    let out = bed.pass(Duration::from_secs(1));
+    assert!(starts(&out).is_empty(), "v2 must not continue an answer of v1");
+    let out = bed.meet("agent-3", 1, engine(), "v1");
+    let (to, start) = starts(&out).remove(0);
+    let wire::Work::Prompt(prompt) = &start.work else { panic!("a prompt") };
+    assert_eq!((to.as_str(), prompt.resume_from, start.run.number), ("agent-3", 1, run.number));
+    // A late word of the first agent changes nothing.
+    let out = bed.frame("agent-1", token(run, 1, "late "));
+    assert_eq!(answered(&out, 1).0, "");
+}
+
+#[test]
+fn a_link_that_comes_back_resumes_at_the_next_part() {
+    let (mut bed, run) = running();
+    bed.step(Event::Unlinked { peer: Name::new("agent-1") });
+    let out = bed.meet("agent-1", 1, engine(), "v1");
+    let resumed = out.iter().any(|effect| {
+        matches!(effect, node::Effect::Send { frame: Frame::Resume { run: of, seq: 1 }, .. }
+            if *of == run)
+    });
+    assert!(resumed, "{out:?}");
+}
+
+#[test]
+fn a_lost_run_is_never_said_not_to_have_run() {
+    let mut bed = Bed::entry();
+    bed.meet("agent-1", 1, engine(), "v1");
+    assert_eq!(starts(&bed.prompt(1)).len(), 1);
+    bed.step(Event::Unlinked { peer: Name::new("agent-1") });
+    let out = bed.pass(Duration::from_secs(6));
+    let (text, whole) = answered(&out, 1);
+    assert_eq!(whole, Some(true));
+    assert!(text.contains("\"unknown\"") && !text.contains("not-run"), "{text}");
+}
+
+#[test]
+fn a_request_given_up_on_is_answered_at_once() {
+    let mut bed = Bed::entry();
+    let out = bed.prompt(1);
+    let (text, whole) = answered(&out, 1);
+    assert_eq!(whole, Some(true));
+    assert!(text.contains("2002") && text.contains("not-run"), "{text}");
+}
+
+#[test]
+fn a_leaving_server_gets_nothing_new() {
+    let mut bed = Bed::entry();
+    bed.meet("agent-1", 1, engine(), "v1");
+    bed.beat("agent-1", "v1", true);
+    assert!(starts(&bed.prompt(1)).is_empty());
+}
+
+#[test]
+fn a_claim_comes_before_the_dispatch() {
+    let mut bed = Bed::entry();
+    bed.meet("agent-1", 1, plain(), "");
+    let out = bed.ask(1, call(), Some("key"));
+    assert!(starts(&out).is_empty(), "nothing is sent before the claim is agreed");
+    let (id, claim) = claims(&out).remove(0);
+    assert_eq!(claim.agent, Name::new("agent-1"));
+    let granted = Answer::Reply(Reply::Claim(Standing::Granted));
+    let out = bed.frame(bed::KEEPER, Frame::Answer { id, answer: granted.clone() });
+    assert_eq!(starts(&out).len(), 1);
+    let out = bed.frame(bed::KEEPER, Frame::Answer { id, answer: granted });
+    assert!(starts(&out).is_empty(), "a doubled answer sends nothing more");
+}
+
+#[test]
+fn a_claim_that_is_not_agreed_is_not_run() {
+    let mut bed = Bed::entry();
+    bed.meet("agent-1", 1, plain(), "");
+    let id = claims(&bed.ask(1, call(), Some("key")))[0].0;
+    let out = bed.pass(Duration::from_secs(6));
+    let (text, _) = answered(&out, 1);
+    assert!(text.contains("2007") && text.contains("not-run"), "{text}");
+    let granted = Answer::Reply(Reply::Claim(Standing::Granted));
+    let out = bed.frame(bed::KEEPER, Frame::Answer { id, answer: granted });
+    assert!(starts(&out).is_empty(), "it was said not to run, so it must not");
+}
+
+#[test]
+fn a_held_claim_is_taken_over_only_on_the_agents_word() {
+    let mut bed = Bed::entry();
+    bed.meet("agent-1", 1, plain(), "");
+    let (id, mut claim) = claims(&bed.ask(1, call(), Some("key"))).remove(0);
+    claim.run.entry = base::Incarnation(3);
+    let other = claim.run;
+    let held = Answer::Reply(Reply::Claim(Standing::Held(claim)));
+    bed.frame(bed::KEEPER, Frame::Answer { id, answer: held });
+    let out = bed.pass(Duration::from_secs(2));
+    let cancelled = out.iter().any(|effect| {
+        matches!(effect, node::Effect::Send { frame: Frame::Cancel { run }, .. } if *run == other)
+    });
+    assert!(cancelled && claims(&out).is_empty(), "it asks and does not claim yet");
+    let refused = Frame::Refused { run: other, code: Code::Cancelled, retry_ms: 0 };
+    let out = bed.frame("agent-1", refused);
+    assert_eq!(claims(&out).len(), 1);
+}
+
+#[test]
+fn a_settled_claim_gives_the_stored_answer() {
+    let mut bed = Bed::entry();
+    bed.meet("agent-1", 1, plain(), "");
+    let id = claims(&bed.ask(1, call(), Some("key")))[0].0;
+    let outcome =
+        Outcome::Answer { status: 200, kind: "text/plain".into(), body: (*b"yes").into() };
+    let answer = Answer::Reply(Reply::Claim(Standing::Settled(outcome)));
+    let out = bed.frame(bed::KEEPER, Frame::Answer { id, answer });
+    assert_eq!(answered(&out, 1), ("yes".to_owned(), Some(true)));
+}
+
+#[test]
+fn a_configuration_that_nobody_confirms_is_not_served_by() {
+    let mut bed = Bed::entry();
+    bed.meet("agent-1", 1, engine(), "v1");
+    bed.now = bed.now + node::LEASE + Duration::from_millis(1);
+    let (text, _) = answered(&bed.prompt(1), 1);
+    assert!(text.contains("2006"), "{text}");
+    // A peer that was confirmed a second ago is enough, one with a newer revision is not.
+    let confirmed = |revision| Beat { revision, confirmed_ms: Some(1_000), ..Beat::default() };
+    let newer = Revision { epoch: 1, index: 6 };
+    bed.frame("agent-1", Frame::Beat(confirmed(newer)));
+    assert!(!bed.node.ready(bed.now));
+    bed.frame("agent-1", Frame::Beat(confirmed(V1)));
+    assert!(bed.node.ready(bed.now));
+}
+
+#[test]
+fn a_majority_of_keepers_without_a_leader_lets_answers_go_on() {
+    let mut bed = Bed::entry();
+    bed.now = bed.now + 2 * node::LEASE;
+    let lost = || Beat { revision: V1, no_quorum: Some(3), ..Beat::default() };
+    bed.frame("keeper", Frame::Beat(lost()));
+    assert!(!bed.node.ready(bed.now), "one of three says nothing");
+    bed.frame("keeper-2", Frame::Beat(lost()));
+    assert!(bed.node.ready(bed.now));
+}
+
+#[test]
+fn a_lower_revision_is_never_applied() {
+    let mut bed = Bed::entry();
+    let old = Revision { epoch: 1, index: 4 };
+    bed.frame(bed::KEEPER, Frame::Records { revision: old, records: Vec::new() });
+    assert_eq!(bed.node.watch().view.revision, V1);
+    assert!(bed.node.watch().view.workspace_of("k").is_some());
+}
+
+#[test]
+fn a_hangup_cancels_an_idempotent_run_only() {
+    let (mut bed, run) = running();
+    let out = bed.step(Event::Hangup { call: 1 });
+    let cancelled = |out: &node::Effects, run| {
+        out.iter().any(|effect| {
+            matches!(effect, node::Effect::Send { frame: Frame::Cancel { run: of }, .. }
+                if *of == run)
+        })
+    };
+    assert!(cancelled(&out, run));
+    bed.meet("agent-2", 1, plain(), "");
+    let (id, claim) = claims(&bed.ask(2, call(), Some("key"))).remove(0);
+    let answer = Answer::Reply(Reply::Claim(Standing::Granted));
+    bed.frame(bed::KEEPER, Frame::Answer { id, answer });
+    let out = bed.step(Event::Hangup { call: 2 });
+    assert!(!cancelled(&out, claim.run));
+}
+
+#[test]
+fn a_workspace_reads_no_other_workspaces_models() {
+    let mut bed = Bed::entry();
+    bed.meet("agent-1", 1, engine(), "v1");
+    let ask = node::Ask {
+        caller: node::Caller { key: "stranger".to_owned(), ..node::Caller::default() },
+        want: prompt(1),
+        digest: [0; 16],
+    };
+    let out = bed.step(Event::Ask { call: 1, ask: Box::new(ask) });
+    assert!(answered(&out, 1).0.contains("1005"));
+}
