--- a/bin/tamarack/src/args.rs
+++ b/bin/tamarack/src/args.rs
@@ -52,6 +52,7 @@
     Explain(Explain),
     Trace(Generate),
     Replay(Replay),
+    Bench(Bench),
 }
 
 /// Show records: all, those of a kind, or one.
@@ -236,3 +237,100 @@
     #[argh(option)]
     pub plot: Option<PathBuf>,
 }
+
+/// Measure: load on a deployment, commits, decisions, memory, recovery.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "bench")]
+pub struct Bench {
+    #[argh(subcommand)]
+    pub kind: BenchKind,
+}
+
+#[derive(FromArgs, Debug)]
+#[argh(subcommand)]
+pub enum BenchKind {
+    Load(Load),
+    Idle(Idle),
+    Commits(Commits),
+    Route(Route),
+    Memory(Memory),
+    Recovery(Recovery),
+}
+
+/// Keep a number of requests open against a callers' address, or an engine's for comparison.
+#[derive(FromArgs, Debug, Clone)]
+#[argh(subcommand, name = "load")]
+pub struct Load {
+    /// callers' address, or an engine's
+    #[argh(positional)]
+    pub to: String,
+    /// requests open at once (default 200)
+    #[argh(option, default = "200")]
+    pub streams: usize,
+    /// length, seconds (default 10)
+    #[argh(option, default = "10")]
+    pub seconds: u64,
+    /// tokens of each answer (default 100)
+    #[argh(option, default = "100")]
+    pub tokens: u32,
+    /// bytes of each prompt (default 400)
+    #[argh(option, default = "400")]
+    pub prompt_bytes: usize,
+    /// model (default demo)
+    #[argh(option, default = "String::from(\"demo\")")]
+    pub model: String,
+    /// bearer key (default demo)
+    #[argh(option, default = "String::from(\"demo\")")]
+    pub bearer: String,
+    /// path of a plain call, in place of prompts
+    #[argh(option, default = "String::new()")]
+    pub call: String,
+    /// whether each request may run at most once
+    #[argh(switch)]
+    pub once: bool,
+    /// tells the keys of one run from another's (default 1)
+    #[argh(option, default = "1")]
+    pub seed: u64,
+}
+
+/// Hold connections open that have sent half a request.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "idle")]
+pub struct Idle {
+    /// address
+    #[argh(positional)]
+    pub to: String,
+    /// connections (default 1000)
+    #[argh(option, default = "1000")]
+    pub connections: usize,
+    /// seconds to hold them (default 5)
+    #[argh(option, default = "5")]
+    pub seconds: u64,
+}
+
+/// Commits a second on three logs with real files, with 1, 8 and 64 writers.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "commits")]
+pub struct Commits {
+    /// folder for the files
+    #[argh(positional)]
+    pub folder: PathBuf,
+    /// seconds for each number of writers (default 4)
+    #[argh(option, default = "4")]
+    pub seconds: u64,
+}
+
+/// Time of a routing decision and of a prompt's keys.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "route")]
+pub struct Route {}
+
+/// Memory of records, claims and directory entries.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "memory")]
+pub struct Memory {}
+
+/// Time to open and apply a log by its length.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "recovery")]
+pub struct Recovery {}
--- /dev/null
+++ b/bin/tamarack/src/bench/mod.rs
@@ -0,0 +1,42 @@
+//! Measurements that anyone can run again.
+
+mod commits;
+mod load;
+mod slopes;
+
+use serde_json::Value;
+
+use crate::args::{Bench, BenchKind};
+use crate::client::Trouble;
+
+/// Runs a measurement and prints its figures.
+pub fn run(bench: &Bench) -> Result<(), Trouble> {
+    let value = match &bench.kind {
+        BenchKind::Load(args) => load::run(args)?,
+        BenchKind::Idle(args) => load::idle(args),
+        BenchKind::Commits(args) => commits::run(args)?,
+        BenchKind::Route(_) => slopes::route(),
+        BenchKind::Memory(_) => slopes::memory(),
+        BenchKind::Recovery(_) => slopes::recovery()?,
+    };
+    println!("{value:#}");
+    Ok(())
+}
+
+/// Resident memory of this process, bytes.
+fn resident() -> u64 {
+    const PAGE: u64 = 4_096;
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split_whitespace().nth(1).and_then(|pages| pages.parse::<u64>().ok());
+    pages.unwrap_or(0) * PAGE
+}
+
+/// Quantiles of a histogram of microseconds, in milliseconds.
+fn quantiles(histogram: &hdrhistogram::Histogram<u64>) -> Value {
+    let ms = |quantile: f64| histogram.value_at_quantile(quantile) as f64 / 1e3;
+    serde_json::json!({ "count": histogram.len(), "p50": ms(0.5), "p95": ms(0.95), "p99": ms(0.99) })
+}
+
+fn histogram() -> Result<hdrhistogram::Histogram<u64>, Trouble> {
+    hdrhistogram::Histogram::new(3).map_err(|error| Trouble::Refused(error.to_string()))
+}
--- a/bin/tamarack/src/main.rs
+++ b/bin/tamarack/src/main.rs
@@ -3,6 +3,7 @@
 //! Exit codes: 0 done; 1 refused or a promise broken; 2 the process asked cannot be reached.
 
 mod args;
+mod bench;
 mod client;
 mod orders;
 mod records;
@@ -36,6 +37,7 @@
         Command::Ready(_) => orders::show(&client, "/ready"),
         Command::Explain(explain) => orders::explain(&client, &explain.request),
         Command::Trace(generate) => trace::generate(&generate),
+        Command::Bench(bench) => bench::run(&bench),
         Command::Replay(replay) => trace::replay(&replay, args.json),
     };
     match result {
--- /dev/null
+++ b/crates/conf/tests/settings.rs
@@ -0,0 +1,70 @@
+//! Settings are checked whole, and any text is read or refused.
+
+use conf::{Role, Settings};
+use proptest::prelude::*;
+
+#[test]
+fn every_mistake_is_told_in_one_go_with_its_line() {
+    let text = "[process]\nname = a\nroles = entry, king\nlink = here\ncolour = red\n\
+                [entry]\nmax_waiting = -1\nmax_waiting = 5\n[moon]\nx = 1\n";
+    let mistakes = Settings::parse(text).expect_err("mistakes");
+    let seen: Vec<(u32, &str)> = mistakes.iter().map(|m| (m.line, m.key.as_str())).collect();
+    assert_eq!(
+        seen,
+        [
+            (3, "process.roles"),
+            (4, "process.link"),
+            (5, "process.colour"),
+            (8, "entry.max_waiting"),
+            (9, "moon"),
+        ]
+    );
+    assert!(mistakes[2].text.contains("allowed: name, zone"), "{}", mistakes[2]);
+}
+
+#[test]
+fn a_keeper_without_voters_is_a_mistake() {
+    let mistakes = Settings::parse("[process]\nname = a\nroles = keeper\n").expect_err("a mistake");
+    assert_eq!(mistakes[0].key, "keeper.voters");
+}
+
+#[test]
+fn the_examples_are_good() {
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples");
+    let mut roles = std::collections::BTreeSet::new();
+    let mut zones = std::collections::BTreeSet::new();
+    for deployment in std::fs::read_dir(folder).expect("examples") {
+        for file in std::fs::read_dir(deployment.expect("a folder").path()).expect("files") {
+            let path = file.expect("a file").path();
+            let text = std::fs::read_to_string(&path).expect("reads");
+            let settings = Settings::parse(&text)
+                .unwrap_or_else(|mistakes| panic!("{}: {mistakes:?}", path.display()));
+            roles.extend(settings.roles);
+            zones.insert(settings.zone);
+        }
+    }
+    assert_eq!(roles.len(), 3, "every role: {roles:?}");
+    assert!(roles.contains(&Role::Keeper));
+    assert_eq!(zones.len(), 7, "four zones in Bangkok and three in Amman: {zones:?}");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 400,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(13),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn any_text_is_read_or_refused(text in "(?s).{0,200}") {
+        let _ = Settings::parse(&text);
+    }
+
+    #[test]
+    fn lines_like_settings_are_read_or_refused(
+        lines in prop::collection::vec("(\\[[a-z]{0,8}\\]|[a-z_]{1,12} ?= ?[ -~]{0,20}|;.{0,9})", 0..20)
+    ) {
+        let _ = Settings::parse(&lines.join("\n"));
+    }
+}
--- a/crates/edge/src/callers.rs
+++ b/crates/edge/src/callers.rs
@@ -18,7 +18,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use node::{Event, Reply, api};
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio::time::{sleep, timeout};
@@ -30,6 +30,8 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Longest time that sent bytes may stay unread by a caller.
 const UNREAD: Duration = Duration::from_secs(20);
+/// Connections that are told at once that there are too many.
+const TURNED_AWAY: usize = 256;
 const MAX_HEADERS: usize = 64;
 const READ_BUFFER: usize = 16 << 10;
 
@@ -52,6 +54,7 @@
 /// Serves callers until the runtime ends.
 pub async fn run(listener: TcpListener, limits: Limits, inputs: Sender<Input>) {
     let places = Arc::new(Semaphore::new(limits.connections));
+    let aways = Arc::new(Semaphore::new(TURNED_AWAY));
     let shared = Arc::new(Shared { limits, inputs });
     loop {
         let socket = match listener.accept().await {
@@ -63,7 +66,13 @@
             }
         };
         let Ok(place) = places.clone().try_acquire_owned() else {
-            tokio::spawn(turn_away(socket));
+            // Beyond these, a connection is closed without a word.
+            if let Ok(place) = aways.clone().try_acquire_owned() {
+                tokio::spawn(async move {
+                    let _ = timeout(RETRY, turn_away(socket)).await;
+                    drop(place);
+                });
+            }
             continue;
         };
         let shared = shared.clone();
@@ -82,9 +91,14 @@
         text.push_str(&format!("{name}: {value}\r\n"));
     }
     text.push_str(&format!("content-length: {}\r\n\r\n", body.len()));
-    let _ = timeout(RETRY, socket.write_all(text.as_bytes())).await;
-    let _ = timeout(RETRY, socket.write_all(&body)).await;
-    let _ = timeout(RETRY, socket.shutdown()).await;
+    let mut bytes = text.into_bytes();
+    bytes.extend(body);
+    if socket.write_all(&bytes).await.is_err() || socket.shutdown().await.is_err() {
+        return;
+    }
+    // Closing with unread bytes would reset the connection before the answer is read.
+    let mut unread = [0; 4_096];
+    while socket.read(&mut unread).await.is_ok_and(|count| count > 0) {}
 }
 
 async fn connection(shared: Arc<Shared>, socket: TcpStream) {
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -19,6 +19,7 @@
     first: Histogram,
     tokens: IntCounterVec,
     fetched: IntCounter,
+    link: IntCounterVec,
     gauges: Mutex<HashMap<&'static str, Gauge>>,
 }
 
@@ -45,6 +46,10 @@
                 &["what"],
             )?,
             fetched: IntCounter::new("tamarack_fetched_pieces_total", "Pieces asked from stores")?,
+            link: IntCounterVec::new(
+                Opts::new("tamarack_link_bytes_total", "Bytes on links to other processes"),
+                &["way"],
+            )?,
             gauges: Mutex::new(HashMap::new()),
         };
         metrics.registry.register(Box::new(metrics.requests.clone()))?;
@@ -52,6 +57,7 @@
         metrics.registry.register(Box::new(metrics.first.clone()))?;
         metrics.registry.register(Box::new(metrics.tokens.clone()))?;
         metrics.registry.register(Box::new(metrics.fetched.clone()))?;
+        metrics.registry.register(Box::new(metrics.link.clone()))?;
         Ok(metrics)
     }
 
@@ -73,6 +79,16 @@
         self.fetched.inc_by(u64::from(fetched));
     }
 
+    /// Counts bytes sent to other processes.
+    pub fn sent(&self, bytes: usize) {
+        self.link.with_label_values(&["out"]).inc_by(bytes as u64);
+    }
+
+    /// Counts bytes received from other processes.
+    pub fn received(&self, bytes: usize) {
+        self.link.with_label_values(&["in"]).inc_by(bytes as u64);
+    }
+
     /// Sets gauges.
     pub fn set(&self, values: &[(&'static str, f64)]) {
         let mut gauges = self.gauges.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/edge/src/net.rs
+++ b/crates/edge/src/net.rs
@@ -6,6 +6,7 @@
 use std::collections::HashMap;
 use std::future::poll_fn;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::mpsc::Sender;
 use std::time::Duration;
 
@@ -20,6 +21,7 @@
 use wire::{Decoder, Frame, Hello};
 
 use crate::Input;
+use crate::metrics::Metrics;
 
 const CONNECT: Duration = Duration::from_secs(1);
 const REDIAL: Duration = Duration::from_millis(200);
@@ -59,6 +61,7 @@
     hello: Hello,
     inputs: Sender<Input>,
     news: UnboundedSender<News>,
+    metrics: Arc<Metrics>,
 }
 
 /// Serves the links until the host is gone.
@@ -67,9 +70,10 @@
     listener: TcpListener,
     mut commands: UnboundedReceiver<Command>,
     inputs: Sender<Input>,
+    metrics: Arc<Metrics>,
 ) {
     let (news, mut news_in) = unbounded_channel();
-    let shared = Shared { hello, inputs, news };
+    let shared = Shared { hello, inputs, news, metrics };
     tokio::spawn(accept(shared.clone(), listener));
     let mut links: HashMap<Name, Vec<(u64, UnboundedSender<Frame>)>> = HashMap::new();
     let mut dialled = Vec::new();
@@ -210,7 +214,7 @@
         return;
     }
     tokio::select! {
-        () = write_all(&mut sender, queue) => {}
+        () = write_all(&shared, &mut sender, queue) => {}
         () = read_all(&shared, &name, &mut receiver, &mut decoder) => {}
     }
     let _ = shared.news.send(News::Down { peer: name, number });
@@ -223,7 +227,11 @@
     NEXT.fetch_add(1, Ordering::Relaxed)
 }
 
-async fn write_all(sender: &mut SendStream<Bytes>, mut queue: UnboundedReceiver<Frame>) {
+async fn write_all(
+    shared: &Shared,
+    sender: &mut SendStream<Bytes>,
+    mut queue: UnboundedReceiver<Frame>,
+) {
     while let Some(frame) = queue.recv().await {
         if queue.len() > MAX_QUEUE {
             log::warn!("link cut: too many frames wait for the peer");
@@ -234,6 +242,7 @@
             let Ok(frame) = queue.try_recv() else { break };
             bytes.extend(wire::encode(&frame));
         }
+        shared.metrics.sent(bytes.len());
         if write(sender, bytes.into()).await.is_err() {
             return;
         }
@@ -242,7 +251,7 @@
 
 async fn read_all(shared: &Shared, name: &Name, receiver: &mut RecvStream, decoder: &mut Decoder) {
     loop {
-        match timeout(SILENCE, read(receiver, decoder)).await {
+        match timeout(SILENCE, read_counted(shared, receiver, decoder)).await {
             Ok(Ok(Some(frame))) => {
                 let event = Event::Frame { peer: name.clone(), frame };
                 if shared.inputs.send(Input::Event(event)).is_err() {
@@ -258,6 +267,17 @@
     }
 }
 
+async fn read_counted(
+    shared: &Shared,
+    receiver: &mut RecvStream,
+    decoder: &mut Decoder,
+) -> Result<Option<Frame>, Error> {
+    let before = decoder.taken();
+    let frame = read(receiver, decoder).await;
+    shared.metrics.received(decoder.taken() - before);
+    frame
+}
+
 async fn read(receiver: &mut RecvStream, decoder: &mut Decoder) -> Result<Option<Frame>, Error> {
     loop {
         if let Some(frame) = decoder.next_frame()? {
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -114,12 +114,13 @@
     };
     let hello = me.hello.clone();
     let net_inputs = inputs.clone();
+    let net_metrics = metrics.clone();
     thread::Builder::new().name("net".to_owned()).spawn(move || {
         runtime.block_on(async move {
             if let Some(listener) = callers {
                 tokio::spawn(callers::run(listener, limits, net_inputs.clone()));
             }
-            net::run(hello, link, commands_out, net_inputs).await;
+            net::run(hello, link, commands_out, net_inputs, net_metrics).await;
         });
     })?;
 
--- a/crates/node/tests/bed/mod.rs
+++ b/crates/node/tests/bed/mod.rs
@@ -185,11 +185,10 @@
     out.iter()
         .filter_map(|effect| match effect {
             Effect::Send {
-                frame: Frame::Ask { id, request: Request::Command(command) }, ..
-            } => match command {
-                state::Command::Claim { claim, .. } => Some((*id, claim.clone())),
-                _ => None,
-            },
+                frame:
+                    Frame::Ask { id, request: Request::Command(state::Command::Claim { claim, .. }) },
+                ..
+            } => Some((*id, claim.clone())),
             _ => None,
         })
         .collect()
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -50,14 +50,21 @@
 #[derive(Debug, Default)]
 pub struct Decoder {
     buffer: BytesMut,
+    taken: usize,
 }
 
 impl Decoder {
     /// Takes bytes as they came from the link.
     pub fn push(&mut self, bytes: &[u8]) {
+        self.taken += bytes.len();
         self.buffer.extend_from_slice(bytes);
     }
 
+    /// Bytes taken so far.
+    pub fn taken(&self) -> usize {
+        self.taken
+    }
+
     /// The next whole frame, if one is there.
     ///
     /// # Errors
