Restore under a new epoch; single rules of the quorum by hand-made messages

Change: tamarackbank restore writes one keeper's folder from a copy under a later epoch and ends held claims as unknown; the others join with empty disks. Two tests by hand-made messages; the leaving test has another server beside the leaving one.

--- a/bin/tamarackbank/src/args.rs
+++ b/bin/tamarackbank/src/args.rs
@@ -17,6 +17,7 @@
 pub enum Command {
     Run(Run),
     Check(Check),
+    Restore(Restore),
     Dev(Dev),
     Fake(Fake),
 }
@@ -39,6 +40,18 @@
     pub settings: PathBuf,
 }
 
+/// Restore a keeper's data from a copy of any keeper's folder, under a new epoch.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "restore")]
+pub struct Restore {
+    /// settings file of the keeper; its data folder must not hold a keeper's files yet
+    #[argh(positional)]
+    pub settings: PathBuf,
+    /// copy of a keeper's folder, such as DATA/keeper
+    #[argh(option)]
+    pub from: PathBuf,
+}
+
 /// Run entry, keeper, agents and stand-in servers in one process, without settings.
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "dev")]
--- a/bin/tamarackbank/src/main.rs
+++ b/bin/tamarackbank/src/main.rs
@@ -2,6 +2,7 @@
 
 mod args;
 mod dev;
+mod restore;
 
 use std::fs;
 use std::path::Path;
@@ -20,6 +21,9 @@
     let result = match args.command {
         Command::Run(run) => run_file(&run.settings),
         Command::Check(check) => check_file(&check.settings),
+        Command::Restore(args) => {
+            read(&args.settings).and_then(|settings| restore::run(&settings, &args.from))
+        }
         Command::Dev(dev) => dev::run(&dev),
         Command::Fake(fake) => dev::fake(&fake),
     };
--- /dev/null
+++ b/bin/tamarackbank/src/restore.rs
@@ -0,0 +1,53 @@
+//! Restores a keeper from a copy of a keeper's folder, under a new epoch.
+
+use std::path::Path;
+
+use base::Revision;
+use conf::{Role, Settings};
+use disk::Store;
+use eyre::{bail, eyre};
+use quorum::{Body, Config, Hard, Member, Snapshot, Write};
+use state::{Command, State};
+
+/// Writes the data folder of the one keeper that these settings describe, from a copy of any
+/// keeper's folder. The other keepers join it with empty disks.
+pub fn run(settings: &Settings, from: &Path) -> eyre::Result<()> {
+    if !settings.plays(Role::Keeper) {
+        bail!("these settings are not a keeper's");
+    }
+    let folder = edge::keeper_folder(settings);
+    if folder.exists() {
+        bail!("{} exists; move it away first", folder.display());
+    }
+    let old = Store::open(from, 0)?;
+    let Some(base) = old.saved.snapshot else {
+        bail!("{} holds no snapshot of a keeper", from.display());
+    };
+    let mut state = State::decode(&base.data).map_err(|error| eyre!(error))?;
+    let (mut index, mut term) = (base.index, base.term);
+    for entry in &old.saved.entries {
+        let place = Revision { epoch: base.epoch, index: entry.index };
+        if let Body::Data(data) = &entry.body {
+            let command = Command::decode(data).map_err(|error| eyre!(error))?;
+            state.apply(place, command);
+        }
+        (index, term) = (entry.index, entry.term);
+    }
+    // Later than any epoch before: that of the copy, and that of another restore of it.
+    let epoch = (base.epoch + 1).max(edge::unix_ms() / 1_000);
+    state.restored(Revision { epoch, index });
+    let identity = edge::incarnation().0;
+    let mut store = Store::open(&folder, identity)?.store;
+    let me = Member { name: settings.name.clone(), disk: identity };
+    let snapshot = Snapshot {
+        index,
+        term,
+        epoch,
+        config: Config { voters: vec![me], learners: Vec::new() },
+        data: state.encode(),
+    };
+    let hard = Hard { term: old.saved.hard.term.max(term) + 1, vote: None };
+    store.write(&[Write { hard: Some(hard), entries: Vec::new(), snapshot: Some(snapshot) }])?;
+    println!("restored {} records under epoch {epoch}", state.records().count());
+    Ok(())
+}
--- a/bin/tamarackbank/tests/keepers.rs
+++ b/bin/tamarackbank/tests/keepers.rs
@@ -176,3 +176,40 @@
     until("it catches up", || knows(&again.operators, "model/m", 300));
     until("it serves", || get(&again.operators, "/ready")["ready"] == true);
 }
+
+#[test]
+fn restored_data_gets_a_new_epoch_before_it_serves() {
+    let folder = folder("restore");
+    let mut keepers = keepers(&folder, 9);
+    put(&keepers[0].operators, "model/m", 0, &json!({ "max_tokens": 1 }));
+    let before = get(&keepers[0].operators, "/dump")["keeper"]["epoch"].as_u64();
+    until("all have it", || keepers.iter().all(|keeper| knows(&keeper.operators, "model/m", 1)));
+    for keeper in &mut keepers {
+        keeper.process.kill();
+    }
+    // The copy that was kept of one disk; then every disk is lost.
+    let copy = folder.join("copy");
+    fs::rename(folder.join("k2").join("keeper"), &copy).expect("a copy");
+    for name in ["k1", "k2", "k3"] {
+        let _ = fs::remove_dir_all(folder.join(name));
+    }
+    let settings = keepers[0].settings.clone();
+    let status = std::process::Command::new(env!("CARGO_BIN_EXE_tamarackbank"))
+        .args(["restore", settings.to_str().expect("plain"), "--from"])
+        .arg(&copy)
+        .status();
+    assert!(status.expect("runs").success());
+    for keeper in &mut keepers {
+        *keeper = start(keeper.settings.clone());
+    }
+    until("all three vote again", || {
+        let dump = get(&keepers[0].operators, "/dump");
+        dump["keeper"]["voters"].as_array().is_some_and(|voters| voters.len() == 3)
+    });
+    assert!(keepers.iter().all(|keeper| {
+        until("it is known", || knows(&keeper.operators, "model/m", 1));
+        get(&keeper.operators, "/dump")["keeper"]["epoch"].as_u64() > before
+    }));
+    let (status, text) = put(&keepers[2].operators, "model/m", 1, &json!({ "max_tokens": 2 }));
+    assert_eq!(status, 200, "{text}");
+}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -23,4 +23,4 @@
 pub use host::{Exit, Input};
 pub use key::key_hash;
 pub use logging::log_to_stderr;
-pub use start::{Running, Stopper, start};
+pub use start::{Running, Stopper, keeper_folder, start};
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
@@ -139,6 +140,11 @@
     })
 }
 
+/// Folder of a keeper's files.
+pub fn keeper_folder(settings: &Settings) -> PathBuf {
+    settings.data.join(KEEPER_FOLDER)
+}
+
 fn me(settings: &Settings, addr: SocketAddr) -> Me {
     let server = settings.plays(Role::Agent).then(|| Engine {
         serves: settings.serves.clone(),
@@ -169,8 +175,7 @@
     // The time of the first start, mixed with the name, tells this disk from every other.
     let incarnation = me.hello.incarnation.0;
     let identity = incarnation ^ u64::from(std::process::id()) << 48;
-    let folder = settings.data.join(KEEPER_FOLDER);
-    let opened = files::open(&folder, identity).map_err(io::Error::other)?;
+    let opened = files::open(&keeper_folder(settings), identity).map_err(io::Error::other)?;
     let member = Member { name: name.clone(), disk: opened.identity };
     let founding = Founding { names: settings.voters.clone(), epoch: me.started_ms / 1_000 };
     let seed = incarnation;
--- a/crates/node/tests/entry.rs
+++ b/crates/node/tests/entry.rs
@@ -114,8 +114,11 @@
 fn a_leaving_server_gets_nothing_new() {
     let mut bed = Bed::entry();
     bed.meet("agent-1", 1, engine(), "v1");
+    bed.meet("agent-2", 1, engine(), "v1");
     bed.beat("agent-1", "v1", true);
-    assert!(starts(&bed.prompt(1)).is_empty());
+    for call in 1..=4 {
+        assert_eq!(starts(&bed.prompt(call))[0].0, "agent-2");
+    }
 }
 
 #[test]
--- /dev/null
+++ b/crates/quorum/tests/rules.rs
@@ -0,0 +1,86 @@
+//! Single rules of the reducer, by hand-made messages.
+
+use std::sync::Arc;
+
+use base::prelude::*;
+use quorum::{
+    Body, Config, Entry, Founding, Hard, Input, Member, Message, Output, Quorum, Role, Saved,
+    Snapshot, Timing,
+};
+
+fn member(name: &str) -> Member {
+    Member { name: Name::new(name), disk: 1 }
+}
+
+/// Member "a" of three, restarted with one entry of term 1 after its snapshot.
+fn restarted() -> Quorum {
+    let voters = vec![member("a"), member("b"), member("c")];
+    let snapshot = Snapshot {
+        index: 1,
+        term: 1,
+        epoch: 1,
+        config: Config { voters, learners: Vec::new() },
+        data: Arc::from([]),
+    };
+    let entry = Entry { index: 2, term: 1, body: Body::Empty };
+    let saved = Saved {
+        hard: Hard { term: 1, vote: None },
+        snapshot: Some(snapshot),
+        entries: vec![entry],
+    };
+    Quorum::new(member("a"), Founding::default(), Timing::default(), 1, saved)
+}
+
+fn feed(quorum: &mut Quorum, now: Time, from: &str, message: Message) -> Vec<Output> {
+    let mut out = Vec::new();
+    quorum.step(now, Input::Message { from: member(from), message }, &mut out);
+    settle(quorum, now, &mut out);
+    out
+}
+
+/// Confirms every sync that was asked for.
+fn settle(quorum: &mut Quorum, now: Time, out: &mut Vec<Output>) {
+    let asked = out.iter().filter_map(|output| match output {
+        Output::Persist { seq, .. } => Some(*seq),
+        _ => None,
+    });
+    if let Some(seq) = asked.max() {
+        quorum.step(now, Input::Persisted { seq }, out);
+    }
+}
+
+fn granted(out: &[Output]) -> Option<bool> {
+    out.iter().find_map(|output| match output {
+        Output::Send { message: Message::Vote { granted, .. }, .. } => Some(*granted),
+        _ => None,
+    })
+}
+
+#[test]
+fn a_restarted_member_keeps_the_promise_it_has_forgotten() {
+    let mut quorum = restarted();
+    let ask = Message::Ask { term: 5, pre: false, transfer: false, last_index: 9, last_term: 4 };
+    let start = Time::from_millis(100);
+    assert_eq!(granted(&feed(&mut quorum, start, "b", ask.clone())), Some(false));
+    let later = start + Timing::default().election;
+    assert_eq!(granted(&feed(&mut quorum, later, "b", ask)), Some(true));
+}
+
+#[test]
+fn entries_of_an_earlier_term_are_committed_only_with_one_of_the_leaders_own() {
+    let mut quorum = restarted();
+    let mut now = Time::from_millis(100);
+    let mut out = Vec::new();
+    while *quorum.role() != Role::PreCandidate {
+        quorum.step(now, Input::Tick, &mut out);
+        now = now + Duration::from_millis(50);
+    }
+    feed(&mut quorum, now, "b", Message::Vote { term: 2, pre: true, granted: true });
+    feed(&mut quorum, now, "b", Message::Vote { term: 2, pre: false, granted: true });
+    assert_eq!(*quorum.role(), Role::Leader);
+    let appended = |index| Message::Appended { term: 2, ok: true, index, sent: now };
+    feed(&mut quorum, now, "b", appended(2));
+    assert_eq!(quorum.commit(), 1, "the entry of term 1 may still be replaced");
+    feed(&mut quorum, now, "b", appended(3));
+    assert_eq!(quorum.commit(), 3);
+}
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -60,6 +60,19 @@
         bincode::serde::encode_to_vec(self, standard()).unwrap_or_default().into()
     }
 
+    /// Makes this the state at a place in a new epoch, after a restore from a copy.
+    ///
+    /// Claims that were held may have run since the copy was made, so they end as unknown.
+    pub fn restored(&mut self, place: Revision) {
+        self.revision = place;
+        self.place = place;
+        self.complete_after = place;
+        self.changes.clear();
+        for kept in self.claims.values_mut() {
+            kept.outcome.get_or_insert(Outcome::Ended(Code::Unknown));
+        }
+    }
+
     /// The latest change of records.
     pub fn revision(&self) -> Revision {
         self.revision
