--- a/bin/tamarack/src/args.rs
+++ b/bin/tamarack/src/args.rs
@@ -261,7 +261,7 @@
 #[derive(FromArgs, Debug, Clone)]
 #[argh(subcommand, name = "load")]
 pub struct Load {
-    /// callers' address, or an engine's
+    /// callers' addresses, or engines', with commas between
     #[argh(positional)]
     pub to: String,
     /// requests open at once (default 200)
--- a/bin/tamarack/src/bench/commits.rs
+++ b/bin/tamarack/src/bench/commits.rs
@@ -72,7 +72,7 @@
     for (at, took) in reports {
         first.get_or_insert(at);
         last = at;
-        times.saturating_record(took);
+        let _ = times.record(took);
     }
     let syncs: u64 = threads.into_iter().filter_map(|t| t.join().ok()).max().unwrap_or(0);
     let span = first.map_or(1.0, |first| (last - first).as_secs_f64());
--- a/bin/tamarack/src/bench/load.rs
+++ b/bin/tamarack/src/bench/load.rs
@@ -32,10 +32,12 @@
         let (sender, load) = (sender.clone(), load.clone());
         let work = move || {
             let mut seen = Seen::default();
+            let config = ureq::Agent::config_builder().http_status_as_error(false).build();
+            let agent = ureq::Agent::from(config);
             let mut count = 0;
             while Instant::now() < end {
                 count += 1;
-                one(&load, place, count, &mut seen);
+                one(&agent, &load, place, count, &mut seen);
             }
             let _ = sender.send(seen);
         };
@@ -47,10 +49,10 @@
     let mut all = Seen::default();
     for seen in results {
         for time in seen.first {
-            first.saturating_record(time.as_micros() as u64);
+            let _ = first.record(time.as_micros() as u64);
         }
         for time in seen.gaps {
-            gaps.saturating_record(time.as_micros() as u64);
+            let _ = gaps.record(time.as_micros() as u64);
         }
         all.whole += seen.whole;
         all.failed += seen.failed;
@@ -68,7 +70,7 @@
     }))
 }
 
-fn one(load: &args::Load, place: usize, count: u64, seen: &mut Seen) {
+fn one(agent: &ureq::Agent, load: &args::Load, place: usize, count: u64, seen: &mut Seen) {
     let body = json!({
         "model": load.model,
         "prompt": format!("prompt {place} {count} {}", "x".repeat(load.prompt_bytes)),
@@ -76,9 +78,8 @@
         "stream": true,
     });
     let path = if load.call.is_empty() { "/v1/completions" } else { load.call.as_str() };
-    let url = format!("http://{}{path}", load.to);
-    let config = ureq::Agent::config_builder().http_status_as_error(false).build();
-    let agent = ureq::Agent::from(config);
+    let addresses: Vec<&str> = load.to.split(',').collect();
+    let url = format!("http://{}{path}", addresses[place % addresses.len()]);
     let mut request = agent.post(&url).header("authorization", format!("Bearer {}", load.bearer));
     if load.once {
         request = request.header("idempotency-key", format!("{place}-{count}-{}", load.seed));
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -10,6 +10,7 @@
 
 use base::{Code, Name, Revision, RunId};
 use node::{Effect, Event, Moved, Server};
+use serde::Deserialize;
 use serde_json::{Value, json};
 use ureq::Agent;
 use wire::{Call, Load, Part, Prompt, Work};
@@ -31,6 +32,28 @@
     inputs: Sender<Input>,
 }
 
+/// One event of an engine's stream.
+#[derive(Deserialize)]
+struct Streamed {
+    #[serde(default)]
+    choices: Vec<Choice>,
+    usage: Option<Usage>,
+}
+
+#[derive(Deserialize)]
+struct Choice {
+    #[serde(default)]
+    text: String,
+    tokens: Option<u32>,
+}
+
+#[derive(Deserialize)]
+struct Usage {
+    computed_tokens: u32,
+    #[serde(default)]
+    cached_tokens: u32,
+}
+
 enum Failure {
     /// Nothing reached the server.
     Unsent,
@@ -181,18 +204,13 @@
             if data == "[DONE]" {
                 return Ok(usage);
             }
-            let Ok(value) = serde_json::from_str::<Value>(data) else {
-                break;
-            };
-            let choice = &value["choices"][0];
-            if let Some(text) = choice["text"].as_str().filter(|text| !text.is_empty()) {
-                let count = choice["tokens"].as_u64().unwrap_or(1) as u32;
-                let part = Part::Tokens { text: text.to_owned(), count };
+            let Ok(event) = serde_json::from_str::<Streamed>(data) else { break };
+            for choice in event.choices.into_iter().filter(|choice| !choice.text.is_empty()) {
+                let part = Part::Tokens { text: choice.text, count: choice.tokens.unwrap_or(1) };
                 self.send(Server::Part { run, part });
             }
-            if let Some(computed) = value["usage"]["computed_tokens"].as_u64() {
-                let cached = value["usage"]["cached_tokens"].as_u64().unwrap_or(0);
-                usage = (computed as u32, cached as u32);
+            if let Some(seen) = event.usage {
+                usage = (seen.computed_tokens, seen.cached_tokens);
             }
         }
         Err(Failure::Sent(Code::Cut))
--- a/crates/node/src/api.rs
+++ b/crates/node/src/api.rs
@@ -2,6 +2,7 @@
 //!
 //! Follows the completion and chat conventions that client libraries for language models speak.
 
+use std::io::Write as _;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,6 +14,8 @@
 
 const DEFAULT_TOKENS: u32 = 128;
 const MAX_TOKENS: u32 = 32_768;
+/// Bytes of a streamed piece besides its text, about.
+const CHUNK_BYTES: usize = 160;
 /// Content type of JSON.
 pub const JSON: &str = "application/json";
 /// Content type of a streamed answer.
@@ -193,16 +196,26 @@
 
 /// A streamed piece of text.
 pub fn chunk(run: RunId, model: &Name, chat: bool, text: &str, finish: Option<&str>) -> Vec<u8> {
-    let choice = if chat {
-        json!({ "index": 0, "delta": { "content": text }, "finish_reason": finish })
-    } else {
-        json!({ "index": 0, "text": text, "finish_reason": finish })
-    };
+    // One of these goes out for each token, so it is put together without a tree of values.
     let object = if chat { "chat.completion.chunk" } else { "text_completion" };
-    let value = json!({
-        "id": run.to_string(), "object": object, "model": &**model, "choices": [choice],
-    });
-    format!("data: {value}\n\n").into_bytes()
+    let (open, close) = if chat { ("\"delta\":{\"content\":", "}") } else { ("\"text\":", "") };
+    let mut out = Vec::with_capacity(CHUNK_BYTES + text.len());
+    let _ = write!(out, "data: {{\"id\":\"{run}\",\"object\":\"{object}\",\"model\":");
+    quote(&mut out, model);
+    let _ = write!(out, ",\"choices\":[{{\"index\":0,{open}");
+    quote(&mut out, text);
+    let _ = write!(out, "{close},\"finish_reason\":");
+    match finish {
+        Some(finish) => quote(&mut out, finish),
+        None => out.extend_from_slice(b"null"),
+    }
+    out.extend_from_slice(b"}]}\n\n");
+    out
+}
+
+/// Writes a text as a JSON string; writing into memory cannot fail.
+fn quote(out: &mut Vec<u8>, text: &str) {
+    let _ = serde_json::to_writer(out, text);
 }
 
 /// A whole answer in one body.
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -119,13 +119,18 @@
             self.met_itself = true;
             inbox.push_front(Event::Linked(self.me.hello.clone()));
         }
+        let name = self.me.hello.name.clone();
         while let Some(event) = inbox.pop_front() {
-            let mut effects = Effects::new();
-            self.take(now, event, &mut effects);
-            self.beat_entries(now, &mut effects);
-            for effect in effects {
+            let before = out.len();
+            self.take(now, event, out);
+            self.beat_entries(now, out);
+            let own = |effect: &Effect| matches!(effect, Effect::Send { to, .. } if *to == name);
+            if !out[before..].iter().any(own) {
+                continue;
+            }
+            for effect in out.split_off(before) {
                 match effect {
-                    Effect::Send { to, frame } if to == self.me.hello.name => {
+                    Effect::Send { to, frame } if to == name => {
                         inbox.push_back(Event::Frame { peer: to, frame });
                     }
                     other => out.push(other),
