Entries find an agent that came back at another address; long files split by job

Cause: an entry that is no keeper dialled an agent once, at the address it first heard. An agent that restarted on another port was never linked again (test a_restarted_agent_is_found_at_its_new_address: 503 for 20 s without the change, passes with it). It had stayed hidden because keepers are entries too and agents dial those.

Change: the later life of a process is dialled at its address and the old address is given up; tries of an address that does not answer become rarer, up to one a second.

--- a/bin/tamarackbank/tests/path.rs
+++ b/bin/tamarackbank/tests/path.rs
@@ -70,3 +70,17 @@
     assert_eq!(entry.process.code(), Some(0));
     assert_eq!(agent.process.code(), Some(0));
 }
+
+#[test]
+fn a_restarted_agent_is_found_at_its_new_address() {
+    let folder = folder("new-address");
+    let keeper = first(&folder);
+    let other = bed::entry(&folder, "entry-2", &keeper.link);
+    let (_engine, addr) = fake("engine", &["--step-us", "1000"]);
+    let mut agent = agent(&folder, "agent-1", &addr, "serves = demo", &keeper.link);
+    assert_eq!(complete(&other.callers, &completion("before", 2, false)).0, 200);
+    agent.process.kill();
+    let again = bed::start(agent.settings.clone());
+    assert_ne!(agent.link, again.link, "any free port");
+    assert_eq!(complete(&other.callers, &completion("after", 2, false)).0, 200);
+}
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -143,6 +143,9 @@
             Effect::Dial { addr } => {
                 let _ = self.sinks.net.send(net::Command::Dial { addr });
             }
+            Effect::Undial { addr } => {
+                let _ = self.sinks.net.send(net::Command::Undial { addr });
+            }
             Effect::Persist { seq, write } => {
                 if let Some(files) = &self.sinks.files {
                     let _ = files.send(files::Command { seq, write });
--- a/crates/edge/src/net.rs
+++ b/crates/edge/src/net.rs
@@ -25,6 +25,8 @@
 
 const CONNECT: Duration = Duration::from_secs(1);
 const REDIAL: Duration = Duration::from_millis(200);
+/// Longest pause between two tries of an address that does not answer.
+const REDIAL_MOST: Duration = Duration::from_secs(1);
 const SILENCE: Duration = Duration::from_secs(2);
 const WINDOW: u32 = 4 << 20;
 /// Most bytes gathered into one write.
@@ -49,6 +51,11 @@
         /// The address.
         addr: SocketAddr,
     },
+    /// Keep a link to an address no longer.
+    Undial {
+        /// The address.
+        addr: SocketAddr,
+    },
 }
 
 enum News {
@@ -76,15 +83,18 @@
     let shared = Shared { hello, inputs, news, metrics };
     tokio::spawn(accept(shared.clone(), listener));
     let mut links: HashMap<Name, Vec<(u64, UnboundedSender<Frame>)>> = HashMap::new();
-    let mut dialled = Vec::new();
+    let mut dialled = HashMap::new();
     loop {
         tokio::select! {
             command = commands.recv() => match command {
                 None => return,
                 Some(Command::Dial { addr }) => {
-                    if !dialled.contains(&addr) {
-                        dialled.push(addr);
-                        tokio::spawn(dial(shared.clone(), addr));
+                    let shared = shared.clone();
+                    dialled.entry(addr).or_insert_with(|| tokio::spawn(dial(shared, addr)));
+                }
+                Some(Command::Undial { addr }) => {
+                    if let Some(dialler) = dialled.remove(&addr) {
+                        dialler.abort();
                     }
                 }
                 Some(Command::Send { to, frame }) => send(&mut links, &to, frame),
@@ -164,11 +174,16 @@
 }
 
 async fn dial(shared: Shared, addr: SocketAddr) {
+    let mut pause = REDIAL;
     loop {
-        if let Err(error) = dial_once(&shared, addr).await {
-            log::debug!("link to {addr}: {error}");
+        match dial_once(&shared, addr).await {
+            Ok(()) => pause = REDIAL,
+            Err(error) => {
+                log::debug!("link to {addr}: {error}");
+                pause = (2 * pause).min(REDIAL_MOST);
+            }
         }
-        sleep(REDIAL).await;
+        sleep(pause).await;
     }
 }
 
--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! | file | what it does |
 //! |---|---|
-//! | `mod` | takes runs, numbers the parts of their answers, keeps them until acknowledged |
+//! | `mod` | takes runs or refuses them |
+//! | `output` | numbers the parts of answers, keeps them until acknowledged, settles claims |
 //! | `transfer` | moves cache blocks between the engine and the stores |
 //! | `order` | obeys orders to load weights, newest fencing token first |
 //!
@@ -10,19 +11,19 @@
 //! A run that may be done only once is settled in the agreed log by the agent, since it knows first.
 
 mod order;
+mod output;
 mod transfer;
 
 use std::collections::{HashMap, HashSet, VecDeque};
-use std::sync::Arc;
 
 use base::prelude::*;
 use serde_json::{Value, json};
-use state::{Command, Outcome};
-use wire::{Digest, Frame, Load, News, Output, Part, Priority, Request, Start, Work};
+use wire::{Digest, Frame, Load, News, Priority, Start, Work};
 
-use crate::asker::{Asker, Purpose};
+use crate::asker::Asker;
 use crate::{Config, Effect, Effects, Server};
 use order::Loading;
+use output::Held;
 use transfer::Transfers;
 
 /// How long a run is kept for an entry whose link is down.
@@ -31,10 +32,6 @@
 const REFUSED_KEPT: usize = 100_000;
 /// Wait named in a refusal of a full server.
 const FULL_RETRY_MS: u64 = 250;
-/// Largest answer that is kept for a resend, bytes.
-const ANSWER_KEPT: usize = 256 << 10;
-/// How long the keepers are asked to note how a run ended.
-const SETTLE: Duration = Duration::from_secs(60);
 /// Prompt tokens ahead, beyond what the entry believes, at which a run is refused.
 const CROWD: u64 = 3_000;
 /// Prompt tokens of a run that other entries should hear of at once.
@@ -42,24 +39,6 @@
 /// Least computed tokens of a run that tell the time per token.
 const TELLING_TOKENS: u32 = 400;
 
-#[derive(Debug)]
-struct Held {
-    entry: Name,
-    start: Start,
-    deadline: Time,
-    fetching: HashSet<cache::Key>,
-    served: Option<Time>,
-    first: Option<Time>,
-    next_seq: u64,
-    kept: VecDeque<(u64, Part)>,
-    digest: Digest,
-    answer: Vec<u8>,
-    head: Option<(u16, String)>,
-    done: bool,
-    aborted: bool,
-    orphan: Option<Time>,
-}
-
 /// What a decision needs besides the agent's own state.
 #[derive(Debug)]
 pub struct Context<'a> {
@@ -420,101 +399,6 @@
         out.push(Effect::Send { to: peer.clone(), frame });
     }
 
-    fn part(&mut self, now: Time, run: RunId, part: Part, out: &mut Effects) {
-        let Some(held) = self.runs.get_mut(&run) else {
-            return;
-        };
-        if held.done {
-            return;
-        }
-        held.digest.add(&part);
-        if held.start.once.is_some() {
-            held.note_answer(&part);
-        }
-        if matches!(part, Part::Tokens { .. }) && held.first.is_none() {
-            held.first = Some(now);
-            self.news |= held.start.prefill >= TELLING_PREFILL;
-        }
-        let seq = held.next_seq;
-        held.next_seq += 1;
-        held.kept.push_back((seq, part.clone()));
-        let frame = Frame::Output(Output { run, seq, part });
-        out.push(Effect::Send { to: held.entry.clone(), frame });
-    }
-
-    fn finish(
-        &mut self,
-        cx: &mut Context<'_>,
-        run: RunId,
-        code: Code,
-        prompt: (u32, u32),
-        out: &mut Effects,
-    ) {
-        let Some(held) = self.runs.get(&run) else {
-            return;
-        };
-        if held.done {
-            return;
-        }
-        self.settle(cx, run, code, out);
-        let held = &self.runs[&run];
-        let (computed, cached) = prompt;
-        let end = Part::End { code, parts: held.next_seq, digest: held.digest, computed, cached };
-        self.part(cx.now, run, end, out);
-        if let Some(held) = self.runs.get_mut(&run) {
-            held.done = true;
-        }
-    }
-
-    /// Notes in the agreed log how a run ended that may be done only once.
-    fn settle(&mut self, cx: &mut Context<'_>, run: RunId, code: Code, out: &mut Effects) {
-        let Some(held) = self.runs.get(&run) else {
-            return;
-        };
-        let Some(key) = held.start.once.clone() else {
-            return;
-        };
-        let outcome = if code == Code::Ok && held.answer.len() <= ANSWER_KEPT {
-            let (status, kind) = held.head.clone().unwrap_or((200, String::new()));
-            let body = Arc::from(held.answer.as_slice());
-            Outcome::Answer { status, kind: kind.into(), body }
-        } else if code == Code::Ok {
-            Outcome::Ended(Code::Cut)
-        } else {
-            Outcome::Ended(Code::Unknown)
-        };
-        let workspace = held.start.workspace.clone();
-        let command = Command::Settle { workspace, key, run, outcome: Some(outcome) };
-        let deadline = cx.now + SETTLE;
-        cx.asker.ask(cx.now, Purpose::Settle, Request::Command(command), deadline, out);
-    }
-
-    fn ack(&mut self, run: RunId, seq: u64) {
-        let Some(held) = self.runs.get_mut(&run) else {
-            return;
-        };
-        while held.kept.front().is_some_and(|(kept, _)| *kept < seq) {
-            held.kept.pop_front();
-        }
-        if held.done && held.kept.is_empty() {
-            self.runs.remove(&run);
-        }
-    }
-
-    fn resume(&mut self, peer: &Name, run: RunId, seq: u64, out: &mut Effects) {
-        let Some(held) = self.runs.get_mut(&run) else {
-            let frame = Frame::Gone { run };
-            out.push(Effect::Send { to: peer.clone(), frame });
-            return;
-        };
-        held.orphan = None;
-        held.entry = peer.clone();
-        for (kept, part) in held.kept.iter().filter(|(kept, _)| *kept >= seq) {
-            let output = Output { run, seq: *kept, part: part.clone() };
-            out.push(Effect::Send { to: peer.clone(), frame: Frame::Output(output) });
-        }
-    }
-
     /// An entry wants a run ended, or to be told that it never starts.
     fn cancel(&mut self, peer: &Name, run: RunId, out: &mut Effects) {
         let Some(held) = self.runs.get(&run) else {
@@ -556,19 +440,3 @@
         })
     }
 }
-
-impl Held {
-    fn note_answer(&mut self, part: &Part) {
-        // One byte past the limit tells that the whole is too large to keep.
-        let room = (ANSWER_KEPT + 1).saturating_sub(self.answer.len());
-        let mut take = |bytes: &[u8]| {
-            self.answer.extend_from_slice(&bytes[..bytes.len().min(room)]);
-        };
-        match part {
-            Part::Tokens { text, .. } => take(text.as_bytes()),
-            Part::Bytes(bytes) => take(bytes),
-            Part::Head { status, kind } => self.head = Some((*status, kind.clone())),
-            Part::End { .. } => {}
-        }
-    }
-}
--- a/crates/node/src/effect.rs
+++ b/crates/node/src/effect.rs
@@ -33,6 +33,11 @@
         /// The address.
         addr: SocketAddr,
     },
+    /// Keep a link to an address no longer.
+    Undial {
+        /// The address.
+        addr: SocketAddr,
+    },
     /// Begin an answer to a caller or an operator.
     Begin {
         /// Number of the exchange.
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -19,6 +19,7 @@
 mod server;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::net::SocketAddr;
 
 use base::prelude::*;
 use cache::{Directory, Keep};
@@ -73,6 +74,7 @@
     incarnation: Incarnation,
     next_number: u64,
     servers: BTreeMap<Name, Server>,
+    dialled: BTreeMap<Name, (Incarnation, SocketAddr)>,
     entries: usize,
     runs: HashMap<u64, Run>,
     calls: HashMap<u64, u64>,
@@ -100,6 +102,7 @@
             incarnation,
             next_number: 1,
             servers: BTreeMap::new(),
+            dialled: BTreeMap::new(),
             entries: 1,
             runs: HashMap::new(),
             calls: HashMap::new(),
@@ -141,13 +144,21 @@
         &self.servers
     }
 
-    /// The processes that are there; dials agents that are new.
+    /// The processes that are there; dials agents that are new or have moved.
     pub fn members(&mut self, hellos: &[Hello], out: &mut Effects) {
         self.entries = hellos.iter().filter(|hello| hello.entry).count().max(1);
-        for hello in hellos.iter().filter(|hello| hello.server.is_some()) {
-            if hello.name != self.me && !self.servers.contains_key(&hello.name) {
-                out.push(Effect::Dial { addr: hello.addr });
+        let agents = hellos.iter().filter(|hello| hello.server.is_some() && hello.name != self.me);
+        for hello in agents {
+            let known = self.dialled.get(&hello.name).copied();
+            // Keepers may differ for a moment; the later life of a process is right.
+            if known.is_some_and(|(life, addr)| life >= hello.incarnation || addr == hello.addr) {
+                continue;
             }
+            if let Some((_, addr)) = known {
+                out.push(Effect::Undial { addr });
+            }
+            self.dialled.insert(hello.name.clone(), (hello.incarnation, hello.addr));
+            out.push(Effect::Dial { addr: hello.addr });
         }
     }
 
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process/mod.rs
@@ -1,9 +1,11 @@
 //! The reducer of a whole process: its roles, its peers, its heartbeats and its end.
 
+mod show;
+
 use std::collections::{BTreeMap, VecDeque};
 
 use base::prelude::*;
-use serde_json::{Value, json};
+use serde_json::Value;
 use wire::{Answer, Beat, Frame, Hello, Request};
 
 use crate::admin::{self, Admin};
@@ -448,160 +450,6 @@
         let (status, body) = self.look(now, admin);
         respond(call, status, &body, out);
     }
-
-    /// What an operator sees without a change.
-    fn look(&self, now: Time, admin: &Admin) -> (u16, Value) {
-        let missing = |text: &str| {
-            let code = Code::NoSuchPath;
-            let error = json!({ "code": code.number(), "type": code.as_str(), "message": text });
-            (404, json!({ "error": error }))
-        };
-        match admin {
-            Admin::Ready if self.ready(now) => (200, json!({ "ready": true })),
-            Admin::Ready => (503, json!({ "ready": false, "stopping": self.stopping.is_some() })),
-            Admin::Dump => (200, self.dump(now)),
-            Admin::Records { kind, name } => {
-                let view = &self.watch.view;
-                let fits = |record: &&record::Record| {
-                    kind.is_none_or(|kind| record.kind == kind)
-                        && name.as_ref().is_none_or(|name| record.name == *name)
-                };
-                let records: Vec<Value> = view.records().filter(fits).map(admin::record).collect();
-                if records.is_empty() && name.is_some() {
-                    let (_, body) = missing("there is no such record");
-                    return (404, body);
-                }
-                (200, json!({ "revision": view.revision.to_string(), "records": records }))
-            }
-            Admin::History => match &self.keeper {
-                Some(keeper) => {
-                    let changes: Vec<Value> = keeper.state().audit().map(admin::change).collect();
-                    (200, json!({ "changes": changes }))
-                }
-                None => missing("ask a keeper for the history"),
-            },
-            Admin::Servers => match &self.keeper {
-                Some(keeper) => {
-                    let members: Vec<Value> =
-                        keeper.members().iter().map(|member| member.dump(now)).collect();
-                    (200, json!({ "servers": members }))
-                }
-                None => missing("ask a keeper for the servers"),
-            },
-            Admin::Force(revision) => match &self.keeper {
-                Some(keeper) => (200, force(keeper, now, *revision)),
-                None => missing("ask a keeper who lags"),
-            },
-            Admin::Explain(id) => match self.entry.as_ref().and_then(|entry| entry.explain(id)) {
-                Some(found) => (200, explained(found)),
-                None => missing("no decision of that request is kept here"),
-            },
-            Admin::Put(_) | Admin::Delete(_) => missing("a change"),
-        }
-    }
-
-    /// The whole state as JSON, without keys and without any text of callers.
-    pub fn dump(&self, now: Time) -> Value {
-        let confirmed = self.watch.confirmed_ago(now);
-        json!({
-            "name": &*self.me.hello.name,
-            "zone": &*self.me.hello.zone,
-            "incarnation": self.me.hello.incarnation.0,
-            "uptime_ms": now.0 / 1_000,
-            "ready": self.ready(now),
-            "stopping": self.stopping.is_some(),
-            "configuration": {
-                "revision": self.watch.view.revision.to_string(),
-                "mark": self.watch.mark.map(|mark| mark.records.to_string()),
-                "confirmed_ms_ago": confirmed.map(|ago| ago.as_millis() as u64),
-                "records": self.watch.view.records().count(),
-                "not_understood": self.watch.view.not_understood().count(),
-            },
-            "peers": self.peers.keys().map(|name| &**name).collect::<Vec<&str>>(),
-            "requests_to_keepers": self.asker.open(),
-            "entry": self.entry.as_ref().map(|entry| entry.dump(now)),
-            "agent": self.agent.as_ref().map(|agent| agent.dump(now)),
-            "keeper": self.keeper.as_ref().map(|keeper| keeper.dump(now)),
-        })
-    }
-
-    /// Gauges for the metrics: name and value.
-    pub fn gauges(&self, now: Time) -> Vec<(&'static str, f64)> {
-        let flag = |value: bool| f64::from(u8::from(value));
-        let mut all = vec![
-            ("tamarack_ready", flag(self.ready(now))),
-            ("tamarack_peers", self.peers.len() as f64),
-            ("tamarack_config_index", self.watch.view.revision.index as f64),
-            ("tamarack_config_not_understood", self.watch.view.not_understood().count() as f64),
-        ];
-        if let Some(ago) = self.watch.confirmed_ago(now) {
-            all.push(("tamarack_config_confirmed_seconds_ago", ago.as_secs_f64()));
-        }
-        if let Some(entry) = &self.entry {
-            all.push(("tamarack_entry_open", entry.open() as f64));
-            all.push(("tamarack_entry_waiting", entry.waiting() as f64));
-            all.push(("tamarack_entry_directory_blocks", entry.blocks() as f64));
-            let usable = entry.servers().values().filter(|server| server.usable(now)).count();
-            all.push(("tamarack_entry_usable_servers", usable as f64));
-        }
-        if let Some(agent) = &self.agent {
-            all.push(("tamarack_agent_runs", agent.open() as f64));
-            all.push(("tamarack_agent_leaving", flag(agent.leaving())));
-        }
-        if let Some(keeper) = &self.keeper {
-            let leads = *keeper.quorum().role() == quorum::Role::Leader;
-            all.push(("tamarack_keeper_leads", flag(leads)));
-            all.push(("tamarack_keeper_in_touch", flag(keeper.quorum().in_touch(now))));
-            all.push(("tamarack_keeper_commit", keeper.quorum().commit() as f64));
-            all.push(("tamarack_keeper_claims", keeper.state().claims() as f64));
-        }
-        all
-    }
-}
-
-fn force(keeper: &Keeper, now: Time, revision: Revision) -> Value {
-    let mut lagging = Vec::new();
-    let mut applied = 0;
-    for member in keeper.members().iter() {
-        if member.standing(now) == crate::Standing::Gone {
-            continue;
-        }
-        if member.beat.revision >= revision {
-            applied += 1;
-        } else {
-            lagging.push(json!({
-                "name": &*member.hello.name,
-                "standing": member.standing(now).as_str(),
-                "revision": member.beat.revision.to_string(),
-            }));
-        }
-    }
-    json!({ "revision": revision.to_string(), "applied": applied, "lagging": lagging })
-}
-
-fn explained(found: &entry::Explained) -> Value {
-    let table: Vec<Value> = found
-        .table
-        .iter()
-        .map(|estimate| {
-            json!({
-                "agent": &*estimate.name,
-                "first_token_ms": estimate.first_token.as_secs_f64() * 1e3,
-                "wait_ms": estimate.wait.as_secs_f64() * 1e3,
-                "fetching_ms": estimate.fetching.as_secs_f64() * 1e3,
-                "prefill_ms": estimate.prefill.as_secs_f64() * 1e3,
-                "fetch_pieces": estimate.fetch,
-                "recomputed_tokens": estimate.recomputed,
-                "cost": estimate.cost,
-            })
-        })
-        .collect();
-    json!({
-        "request": found.run.to_string(),
-        "attempt": found.run.attempt,
-        "agent": &*found.agent,
-        "candidates": table,
-    })
 }
 
 fn respond(call: u64, status: u16, body: &Value, out: &mut Effects) {
--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -13,6 +13,8 @@
 //! [`Input::Persisted`] lets the answers out that wait for it.
 
 mod election;
+mod install;
+mod io;
 mod leader;
 mod log;
 mod member;
@@ -20,7 +22,8 @@
 mod read;
 mod replica;
 
+pub use io::{Founding, Input, Output, Role, Saved, Timing};
 pub use log::{Body, Entry, Hard, Snapshot, Write};
 pub use member::{Config, Member};
 pub use message::Message;
-pub use replica::{Founding, Input, Output, Quorum, Role, Saved, Timing};
+pub use replica::Quorum;
--- a/crates/quorum/src/replica.rs
+++ b/crates/quorum/src/replica.rs
@@ -1,7 +1,6 @@
 //! The reducer of one member.
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
 
 use base::prelude::*;
 use rand::{Rng, SeedableRng};
@@ -10,167 +9,10 @@
 use crate::election::Ballot;
 use crate::leader::Leader;
 use crate::log::Log;
-use crate::{Body, Config, Entry, Hard, Member, Message, Snapshot, Write};
-
-/// Times of the protocol.
-#[derive(Clone, Debug)]
-pub struct Timing {
-    /// Time between two heartbeats of a leader.
-    pub heartbeat: Duration,
-    /// Least silence after which a member stands for election; also the term of the lease.
-    pub election: Duration,
-    /// Largest rate by which two clocks may differ, in thousandths.
-    pub drift_permille: u32,
-    /// Applied entries after which a snapshot is asked for.
-    pub snapshot_after: u64,
-    /// Silence after which a voter's new disk takes the place of its old one.
-    pub replace_after: Duration,
-}
-
-impl Default for Timing {
-    fn default() -> Self {
-        Self {
-            heartbeat: Duration::from_millis(100),
-            election: Duration::from_millis(600),
-            drift_permille: 50,
-            snapshot_after: 10_000,
-            replace_after: Duration::from_secs(3),
-        }
-    }
-}
-
-impl Timing {
-    /// How long a leader may trust an answer, from the moment it asked.
-    pub fn lease(&self) -> Duration {
-        self.election * (1_000 - self.drift_permille) / 1_000
-    }
-}
-
-/// What a member is at present.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Role {
-    /// Follows a leader or waits for one.
-    Follower,
-    /// Asks whether it would be elected.
-    PreCandidate,
-    /// Stands for election.
-    Candidate,
-    /// Leads.
-    Leader,
-}
-
-/// How the first configuration is formed.
-#[derive(Clone, Debug, Default)]
-pub struct Founding {
-    /// Names of the first voters.
-    pub names: Vec<Name>,
-    /// Epoch of a configuration that this member forms; greater than any earlier one.
-    pub epoch: u64,
-}
-
-/// What a member found on its disk.
-#[derive(Clone, Debug, Default)]
-pub struct Saved {
-    /// Term and vote.
-    pub hard: Hard,
-    /// Last snapshot.
-    pub snapshot: Option<Snapshot>,
-    /// Entries after it.
-    pub entries: Vec<Entry>,
-}
-
-/// What a member takes in.
-#[derive(Clone, Debug)]
-pub enum Input {
-    /// Time passes.
-    Tick,
-    /// A message from another member.
-    Message {
-        /// The sender.
-        from: Member,
-        /// The message.
-        message: Message,
-    },
-    /// A command for the log.
-    Propose {
-        /// Number that comes back in [`Output::Accepted`].
-        id: u64,
-        /// The command.
-        data: Arc<[u8]>,
-    },
-    /// A linearizable read.
-    Read {
-        /// Number that comes back in [`Output::Readable`].
-        id: u64,
-    },
-    /// Everything up to this request is synced.
-    Persisted {
-        /// Number of the request.
-        seq: u64,
-    },
-    /// A snapshot that was asked for.
-    Snapshotted {
-        /// Last index it holds.
-        index: u64,
-        /// The state machine's bytes.
-        data: Arc<[u8]>,
-    },
-    /// Hand leadership over.
-    Resign,
-    /// Some process knows a configuration, so an empty disk must not form one.
-    Exists,
-}
-
-/// What a member asks for.
-#[derive(Clone, Debug)]
-pub enum Output {
-    /// Send a message.
-    Send {
-        /// The receiver.
-        to: Member,
-        /// The message.
-        message: Message,
-    },
-    /// Write and sync, in the order of the requests.
-    Persist {
-        /// Number of the request.
-        seq: u64,
-        /// What to write.
-        write: Write,
-    },
-    /// Apply a committed entry.
-    Apply(Entry),
-    /// Replace the state machine.
-    Restore(Snapshot),
-    /// A proposal has its place; it is accepted once that index is applied with that term.
-    Accepted {
-        /// Number of the proposal.
-        id: u64,
-        /// Its index.
-        index: u64,
-        /// Its term.
-        term: u64,
-    },
-    /// A proposal or read was not taken; the leader, if one is known.
-    Refused {
-        /// Number of the proposal or read.
-        id: u64,
-        /// Whom to ask.
-        leader: Option<Member>,
-    },
-    /// The state machine may be read once this index is applied.
-    Readable {
-        /// Number of the read.
-        id: u64,
-        /// The index.
-        index: u64,
-    },
-    /// Make a snapshot of the state machine as it is now.
-    Snapshot {
-        /// Index that was applied last.
-        index: u64,
-    },
-}
+use crate::{
+    Body, Config, Entry, Founding, Hard, Input, Member, Message, Output, Role, Saved, Snapshot,
+    Timing, Write,
+};
 
 /// One member of the quorum.
 #[derive(Debug)]
@@ -197,7 +39,7 @@
     pub(crate) persist_seq: u64,
     pub(crate) persisted_seq: u64,
     pub(crate) persisted_index: u64,
-    persist_indexes: BTreeMap<u64, u64>,
+    pub(crate) persist_indexes: BTreeMap<u64, u64>,
     pub(crate) held: Vec<(u64, Member, Message)>,
     pub(crate) fresh: BTreeMap<Name, (Member, Time)>,
     pub(crate) incoming: Option<(Snapshot, Vec<u8>)>,
@@ -485,12 +327,6 @@
         out.push(Output::Persist { seq: self.persist_seq, write });
     }
 
-    /// Asks for a new base on the disk: everything that is needed besides the snapshot goes along.
-    fn persist_snapshot(&mut self, snapshot: Snapshot, out: &mut Vec<Output>) {
-        let rest = self.log.iter().cloned().collect();
-        self.persist(Some(self.hard.clone()), rest, Some(snapshot), out);
-    }
-
     fn persisted(&mut self, now: Time, seq: u64, out: &mut Vec<Output>) {
         self.persisted_seq = self.persisted_seq.max(seq);
         let later = self.persist_indexes.split_off(&(seq + 1));
@@ -531,75 +367,12 @@
         }
     }
 
-    fn snapshotted(&mut self, index: u64, data: Arc<[u8]>, out: &mut Vec<Output>) {
-        self.snapshotting = false;
-        let Some(term) = self.log.term(index) else {
-            return;
-        };
-        let config = self.config_at(index);
-        let snapshot = Snapshot { index, term, epoch: self.epoch, config, data };
-        self.log.compact(index, term);
-        self.snapshot = Some(snapshot.clone());
-        self.persist_snapshot(snapshot, out);
-    }
-
-    fn install(
-        &mut self,
-        from: &Member,
-        part: Snapshot,
-        offset: u64,
-        total: u64,
-        sent: Time,
-        out: &mut Vec<Output>,
-    ) {
-        let term = self.hard.term;
-        let index = part.index;
-        if index <= self.commit && !self.is_fresh() {
-            let message = Message::Installed { term, index, offset: total, sent };
-            self.send_after_persist(from.clone(), message, out);
-            return;
-        }
-        let known = self.incoming.as_ref().is_some_and(|(found, _)| found.index == index);
-        if !known {
-            self.incoming = Some((part.clone(), Vec::new()));
-        }
-        let Some((_, bytes)) = &mut self.incoming else {
-            return;
-        };
-        if offset == bytes.len() as u64 {
-            bytes.extend_from_slice(&part.data);
-        }
-        let have = bytes.len() as u64;
-        if have >= total {
-            let data = Arc::from(std::mem::take(bytes));
-            self.incoming = None;
-            self.replace_with(Snapshot { data, ..part }, out);
-        }
-        let message = Message::Installed { term, index, offset: have, sent };
-        self.send_after_persist(from.clone(), message, out);
-    }
-
-    /// Puts a snapshot in the place of everything before it.
-    pub(crate) fn replace_with(&mut self, snapshot: Snapshot, out: &mut Vec<Output>) {
-        self.log.compact(snapshot.index, snapshot.term);
-        self.persist_indexes.clear();
-        self.persisted_index = self.persisted_index.clamp(snapshot.index, self.log.last_index());
-        self.commit = self.commit.max(snapshot.index);
-        self.applied = snapshot.index;
-        self.epoch = snapshot.epoch;
-        self.snapshotting = false;
-        self.snapshot = Some(snapshot.clone());
-        self.refresh_config();
-        self.persist_snapshot(snapshot.clone(), out);
-        out.push(Output::Restore(snapshot));
-    }
-
     /// The configuration in force is the last in the log, committed or not.
     pub(crate) fn refresh_config(&mut self) {
         self.config = self.config_at(self.log.last_index());
     }
 
-    fn config_at(&self, index: u64) -> Config {
+    pub(crate) fn config_at(&self, index: u64) -> Config {
         let found =
             self.log.iter().rev().filter(|entry| entry.index <= index).find_map(
                 |entry| match &entry.body {
--- /dev/null
+++ b/crates/replay/src/world/callers.rs
@@ -0,0 +1,181 @@
+//! Callers: what they ask, and whether they get it whole.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::Name;
+use node::{Caller, Event, Want};
+use wire::{Call, Priority};
+
+use super::{BYTES_PER_TOKEN, Exchange, MODEL, SERVICE, World};
+use crate::Ask;
+
+impl World<'_> {
+    /// The next entry that is up, as a balancer would choose.
+    pub(super) fn entry(&self) -> Option<usize> {
+        let entries = 1..=self.trace.deployment.entries as usize;
+        let up: Vec<usize> =
+            entries.filter(|place| self.processes[*place].node.is_some()).collect();
+        let turn = self.next_call as usize;
+        up.get(turn % up.len().max(1)).copied()
+    }
+
+    pub(super) fn send(&mut self, caller: Exchange, ask: node::Ask) {
+        self.next_call += 1;
+        let call = self.next_call;
+        let entry = caller.entry;
+        self.out.asked += 1;
+        self.callers.insert(call, caller);
+        self.event(entry, Duration::ZERO, Event::Ask { call, ask: Box::new(ask) });
+    }
+
+    pub(super) fn ask(&mut self, ask: Ask) {
+        let Some(entry) = self.entry() else {
+            return;
+        };
+        let bytes = ask.prompt as usize * BYTES_PER_TOKEN;
+        let document = self.texts.entry(ask.document).or_default();
+        grow(document, ask.document, bytes);
+        let text: Arc<str> = Arc::from(&document[..bytes]);
+        self.heads.entry(head(&text).to_owned()).or_insert_with(|| Name::new(&ask.workspace));
+        let known = self.seen.entry((ask.workspace.clone(), ask.document)).or_insert(0);
+        let whole = ask.prompt / 1_000 * 1_000;
+        let least = ask.prompt - (*known).min(whole);
+        *known = (*known).max(whole);
+        let priority = match ask.priority.as_str() {
+            "low" => Priority::Low,
+            "high" => Priority::High,
+            _ => Priority::Normal,
+        };
+        let request = node::Ask {
+            caller: Caller {
+                key: ask.workspace.clone(),
+                priority,
+                deadline: Some(Duration::from_millis(ask.deadline_ms)),
+                ..Caller::default()
+            },
+            want: Want::Prompt {
+                model: Name::new(MODEL),
+                text,
+                max_tokens: ask.answer,
+                stream: true,
+                chat: false,
+            },
+            digest: [0; 16],
+        };
+        let caller = Exchange { ask: Some(ask), least, ..self.caller(entry) };
+        self.send(caller, request);
+    }
+
+    pub(super) fn caller(&self, entry: usize) -> Exchange {
+        Exchange {
+            ask: None,
+            at: self.now,
+            text: Vec::new(),
+            status: 0,
+            begun: None,
+            finished: None,
+            entry,
+            key: None,
+            least: 0,
+        }
+    }
+
+    pub(super) fn call(&mut self, workspace: &str, key: u64) {
+        let Some(entry) = self.entry() else {
+            return;
+        };
+        let request = node::Ask {
+            caller: Caller {
+                key: workspace.to_owned(),
+                once: Some(Name::from(format!("key-{key}"))),
+                deadline: Some(Duration::from_secs(20)),
+                ..Caller::default()
+            },
+            want: Want::Call(Call {
+                service: Name::new(SERVICE),
+                method: "POST".to_owned(),
+                path: "/schedules".to_owned(),
+                kind: String::new(),
+                body: key.to_string().into_bytes(),
+            }),
+            digest: [key as u8; 16],
+        };
+        let caller = Exchange { key: Some(key), ..self.caller(entry) };
+        self.send(caller, request);
+    }
+
+    pub(super) fn finished(&mut self, call: u64, whole: bool) {
+        let now = self.now;
+        let Some(caller) = self.callers.get_mut(&call) else {
+            return;
+        };
+        if caller.finished.replace((whole, now)).is_some() {
+            self.broke("one answer", format!("exchange {call} ended twice"));
+            return;
+        }
+        let caller = &self.callers[&call];
+        let text = String::from_utf8_lossy(&caller.text);
+        if caller.status != 200 || !whole {
+            let code = error_code(&text);
+            *self.out.codes.entry(code).or_insert(0) += 1;
+            return;
+        }
+        self.out.whole += 1;
+        if let Some(ask) = &caller.ask {
+            let bytes = ask.prompt as usize * BYTES_PER_TOKEN;
+            let prompt = &self.texts[&ask.document][..bytes];
+            let expected = fake::answer(prompt, ask.answer);
+            let (seen, done) = streamed(&text);
+            let first = caller.begun.unwrap_or(now).since(caller.at);
+            self.out.first.saturating_record(first.as_micros() as u64);
+            let at = caller.at.0 as f64 / 1e6;
+            self.out.points.push((at, first, ask.workspace.clone()));
+            self.out.prompt_tokens += ask.prompt;
+            self.out.least += caller.least;
+            let took = now.since(caller.at);
+            self.out.good += u64::from(took <= Duration::from_millis(ask.deadline_ms));
+            if !done || seen != expected {
+                self.broke("whole answers", format!("exchange {call} is not whole"));
+            }
+        } else if caller.key.is_some_and(|key| text != key.to_string()) {
+            self.broke("own answer", format!("exchange {call} got {text}"));
+        }
+    }
+}
+
+/// Lengthens a document's text; what was there stays.
+fn grow(text: &mut String, document: u64, bytes: usize) {
+    let mut counter = text.len() as u64 / 64;
+    while text.len() < bytes {
+        let seed = format!("{document} {counter}");
+        text.push_str(&blake3::hash(seed.as_bytes()).to_hex());
+        counter += 1;
+    }
+}
+
+pub(super) fn head(text: &str) -> &str {
+    const HEAD: usize = 64;
+    text.get(..HEAD).unwrap_or(text)
+}
+
+fn error_code(text: &str) -> u64 {
+    let last = text.lines().rev().find_map(|line| {
+        let json = line.strip_prefix("data: ").unwrap_or(line);
+        serde_json::from_str::<serde_json::Value>(json).ok()
+    });
+    last.and_then(|value| value["error"]["code"].as_u64()).unwrap_or(0)
+}
+
+fn streamed(text: &str) -> (String, bool) {
+    let mut out = String::new();
+    let mut done = false;
+    for data in text.lines().filter_map(|line| line.strip_prefix("data: ")) {
+        if data == "[DONE]" {
+            done = true;
+        } else if let Ok(value) = serde_json::from_str::<serde_json::Value>(data) {
+            out.push_str(value["choices"][0]["text"].as_str().unwrap_or_default());
+        }
+    }
+    (out, done)
+}
--- /dev/null
+++ b/crates/replay/src/world/servers.rs
@@ -0,0 +1,162 @@
+//! Stand-in engines and plain services with set times.
+
+use std::time::Duration;
+
+use base::{Code, Incarnation, Name, RunId};
+use fake::{Answer, Emit, Job};
+use node::{Event, Server};
+use wire::{Load, Part, Work};
+
+use super::callers::head;
+use super::{Due, HOP, PLAIN, REPORT, Served, World};
+
+impl World<'_> {
+    pub(super) fn serve(&mut self, place: usize, run: RunId, priority: u8, work: Work) {
+        *self.served.entry((run.entry, run.number)).or_insert(0) += 1;
+        match work {
+            Work::Call(call) => {
+                let count = self.plain_keys.entry(call.body.clone()).or_insert(0);
+                *count += 1;
+                if *count > 1 {
+                    let key = String::from_utf8_lossy(&call.body).into_owned();
+                    self.broke("at most once", format!("key {key} ran again"));
+                }
+                let head = Part::Head { status: 200, kind: "text/plain".to_owned() };
+                self.event(place, PLAIN, Event::Server(Server::Part { run, part: head }));
+                let part = Part::Bytes(call.body);
+                self.event(place, PLAIN, Event::Server(Server::Part { run, part }));
+                let done = Server::Done { run, computed: 0, cached: 0 };
+                self.event(place, PLAIN, Event::Server(done));
+            }
+            Work::Prompt(prompt) => {
+                self.check_keys(run, &prompt);
+                let incarnation = self.processes[place].hello.incarnation;
+                let Some(engine) = &mut self.processes[place].engine else {
+                    return;
+                };
+                if engine.version != prompt.version {
+                    let news = Server::Failed { run, sent: true, code: Code::ServerError };
+                    self.event(place, HOP, Event::Server(news));
+                    return;
+                }
+                engine.next += 1;
+                let id = engine.next;
+                engine.jobs.insert(id, Served { run, answer: Answer::new(&prompt.text) });
+                engine.batch.submit(Job {
+                    id,
+                    prompt_tokens: cache::tokens(&prompt.text),
+                    from: prompt.resume_from,
+                    until: prompt.max_tokens,
+                    keys: prompt.keys,
+                    priority,
+                });
+                if !engine.stepping {
+                    engine.stepping = true;
+                    self.schedule(Duration::ZERO, Due::Engine(place, incarnation));
+                }
+            }
+        }
+    }
+
+    /// No block may serve two workspaces or two weight versions.
+    pub(super) fn check_keys(&mut self, run: RunId, prompt: &wire::Prompt) {
+        let Some(workspace) = self.heads.get(head(&prompt.text)) else {
+            return;
+        };
+        let owner = (workspace.clone(), prompt.version.clone());
+        let mut broken = Vec::new();
+        for key in &prompt.keys {
+            let first = self.owners.entry(*key).or_insert_with(|| owner.clone());
+            if *first != owner {
+                broken.push(format!("{run} shares a block with {first:?}"));
+            }
+        }
+        for text in broken {
+            self.broke("isolation", text);
+        }
+    }
+
+    pub(super) fn engine_step(&mut self, place: usize, incarnation: Incarnation) {
+        if self.processes[place].hello.incarnation != incarnation {
+            return;
+        }
+        let step = self.trace.deployment.step_us * self.processes[place].slow;
+        let after = Duration::from_micros(step);
+        let Some(engine) = &mut self.processes[place].engine else {
+            return;
+        };
+        let emits = engine.batch.step();
+        let mut news = Vec::new();
+        for emit in emits {
+            match emit {
+                Emit::Token { id, index } => {
+                    if let Some(served) = engine.jobs.get(&id) {
+                        let text = served.answer.token(index);
+                        let part = Part::Tokens { text, count: 1 };
+                        news.push(Server::Part { run: served.run, part });
+                    }
+                }
+                Emit::End { id, computed, cached } => {
+                    if let Some(served) = engine.jobs.remove(&id) {
+                        let (computed, cached) = (computed as u32, cached as u32);
+                        news.push(Server::Done { run: served.run, computed, cached });
+                    }
+                }
+            }
+        }
+        engine.stepping = !engine.batch.idle();
+        let again = engine.stepping;
+        for news in news {
+            self.event(place, after, Event::Server(news));
+        }
+        if again {
+            self.schedule(after, Due::Engine(place, incarnation));
+        }
+    }
+
+    pub(super) fn report(&mut self, place: usize, incarnation: Incarnation) {
+        if self.processes[place].hello.incarnation != incarnation {
+            return;
+        }
+        self.schedule(REPORT, Due::Report(place, incarnation));
+        let Some(engine) = &self.processes[place].engine else {
+            return;
+        };
+        let load = Load {
+            running: engine.batch.running() as u32,
+            waiting: engine.batch.queued() as u32,
+            version: engine.version.clone(),
+            ..Load::default()
+        };
+        // The report is seen only when the next one is made.
+        self.event(place, REPORT, Event::Server(Server::Load(load)));
+    }
+
+    pub(super) fn load(&mut self, place: usize, version: Name) {
+        // The time to load passes before any report says so.
+        let after = Duration::from_micros(self.trace.deployment.load_us);
+        let process = &mut self.processes[place];
+        let incarnation = process.hello.incarnation;
+        if let Some(engine) = &mut process.engine {
+            engine.batch.clear();
+            engine.version = version.clone();
+            process.version = version.clone();
+        }
+        let load = Load { version, ..Load::default() };
+        let event = Event::Server(Server::Load(load));
+        self.schedule(after, Due::Step(place, event, incarnation));
+    }
+
+    pub(super) fn abort(&mut self, place: usize, run: RunId) {
+        let Some(engine) = &mut self.processes[place].engine else {
+            return;
+        };
+        let id = engine.jobs.iter().find(|(_, served)| served.run == run).map(|(id, _)| *id);
+        if let Some(id) = id {
+            engine.batch.cancel(id);
+            engine.jobs.remove(&id);
+            let news = Server::Failed { run, sent: true, code: Code::Cut };
+            self.event(place, HOP, Event::Server(news));
+        }
+    }
+}
--- /dev/null
+++ b/crates/replay/src/world/stores.rs
@@ -0,0 +1,63 @@
+//! Stand-in stores and the links to them.
+
+use std::time::Duration;
+
+use base::{Name, Time};
+use cache::Key;
+use node::{Event, Moved, Server};
+
+use super::{STORE_TRIP, World, store_place};
+
+impl World<'_> {
+    /// When a transfer over the link of this agent and store ends, and how long it took.
+    pub(super) fn transfer(&mut self, place: usize, store: usize) -> Duration {
+        let deployment = &self.trace.deployment;
+        let rate = deployment.link_rate as f64 / self.stores[store].slow as f64;
+        let time = Duration::from_secs_f64(deployment.block_bytes as f64 / rate);
+        let free = self.busy.get(&(place, store)).copied().unwrap_or(Time::ZERO).max(self.now);
+        let end = free + time;
+        self.busy.insert((place, store), end);
+        end.since(self.now) + STORE_TRIP
+    }
+
+    pub(super) fn fetch(&mut self, place: usize, key: Key, name: Name) {
+        let store = store_place(&name).unwrap_or(0);
+        let (dead, has) = (self.stores[store].dead, self.stores[store].blocks.contains(&key));
+        let bytes = self.trace.deployment.block_bytes;
+        let (after, moved) = if dead {
+            (Duration::from_millis(50), Moved::Failed)
+        } else if has {
+            let after = self.transfer(place, store);
+            *self.out.fetched.entry(name.to_string()).or_insert(0) += bytes;
+            (after, Moved::Done { bytes })
+        } else {
+            (STORE_TRIP, Moved::Miss)
+        };
+        if let (Moved::Done { .. }, Some(engine)) = (moved, &mut self.processes[place].engine) {
+            engine.batch.import(key);
+        }
+        self.event(place, after, Event::Server(Server::Fetched { key, store: name, moved }));
+    }
+
+    pub(super) fn keep(&mut self, place: usize, key: Key, name: Name, generation: u64) {
+        let store = store_place(&name).unwrap_or(0);
+        let bytes = self.trace.deployment.block_bytes;
+        let holds = self.processes[place].engine.as_ref().is_some_and(|e| e.batch.holds(&key));
+        let full = self.stores[store].full
+            || self.stores[store].blocks.len() as u64 >= self.trace.deployment.store_blocks;
+        let (after, moved) = if self.stores[store].dead {
+            (Duration::from_millis(50), Moved::Failed)
+        } else if !holds {
+            (STORE_TRIP, Moved::Miss)
+        } else if full {
+            (STORE_TRIP, Moved::Full)
+        } else {
+            let after = self.transfer(place, store);
+            self.stores[store].blocks.insert(key);
+            *self.out.kept.entry(name.to_string()).or_insert(0) += bytes;
+            (after, Moved::Done { bytes })
+        };
+        let news = Server::Kept { key, store: name, generation, moved };
+        self.event(place, after, Event::Server(news));
+    }
+}
