--- a/bin/tamarackbank/tests/bed/mod.rs
+++ b/bin/tamarackbank/tests/bed/mod.rs
@@ -20,7 +20,7 @@
 }
 
 impl Process {
-    fn spawn(args: &[&str]) -> Self {
+    pub fn spawn(args: &[&str]) -> Self {
         let mut child = Command::new(env!("CARGO_BIN_EXE_tamarackbank"))
             .args(args)
             .stdin(Stdio::null())
--- a/bin/tamarackbank/tests/path.rs
+++ b/bin/tamarackbank/tests/path.rs
@@ -104,3 +104,25 @@
     std::thread::sleep(std::time::Duration::from_secs(6));
     assert_eq!(links(), before, "links came and went although nothing failed");
 }
+
+/// The README's one command serves prompts and plain calls, and a resend gets the same answer.
+#[test]
+fn dev_serves_everything_in_one_process() {
+    let folder = folder("dev");
+    let (callers, operators) = (bed::address(31, 1, 7400), bed::address(31, 1, 7401));
+    let data = folder.join("data");
+    let data = data.to_str().expect("a plain path");
+    let args = ["dev", "--callers", &callers, "--operators", &operators, "--data", data];
+    let mut dev = bed::Process::spawn(&args);
+    dev.line("try:");
+    assert_eq!(complete(&callers, &completion("x", 3, false)).0, 200);
+    let key = [("idempotency-key", "pot-7")];
+    let mut answer = (0, String::new());
+    bed::until("the plain service", || {
+        answer = post(&callers, "/svc/probes/schedules", "{}", &key);
+        answer.0 == 200
+    });
+    assert_eq!(post(&callers, "/svc/probes/schedules", "{}", &key), answer);
+    dev.signal("TERM");
+    assert_eq!(dev.code(), Some(0));
+}
