Changes from one keeper; a line for each refusal; names that needed explaining

And a request refused at admission left no log line and had no id.

Change: one keeper is the source of changes; another takes its place when it is lost, or when a peer has known more for 300 ms.

Ruled out: an order to end a subscription; a former source that still sends costs bytes and no harm, and its link ends the subscription anyway.

--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -7,4 +7,4 @@
 mod settings;
 
 pub use mistake::Mistake;
-pub use settings::{Presets, Role, Seed, ServerKind, Settings};
+pub use settings::{Role, Seed, ServerKind, Settings, Weights};
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -33,7 +33,7 @@
 
 /// The weights of the brief's three measures.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Presets {
+pub struct Weights {
     /// Weight of time to first token.
     pub first_token: f64,
     /// Weight of prompt work recomputed.
@@ -85,7 +85,7 @@
     /// Deadline of a request that names none.
     pub deadline: Duration,
     /// Weights of the three measures.
-    pub weights: Presets,
+    pub weights: Weights,
     /// Longest wait for a place that a request is admitted to.
     pub max_wait: Duration,
     /// Whether to serve on when no keeper and no peer can confirm the configuration.
@@ -311,9 +311,9 @@
         }
     }
 
-    fn weights(&mut self) -> Presets {
-        let first_token = Presets { first_token: 1.0, recompute: 0.2, link: 0.1 };
-        let narrow_links = Presets { first_token: 0.4, recompute: 1.0, link: 1.0 };
+    fn weights(&mut self) -> Weights {
+        let first_token = Weights { first_token: 1.0, recompute: 0.2, link: 0.1 };
+        let narrow_links = Weights { first_token: 0.4, recompute: 1.0, link: 0.3 };
         let Some((line, value)) = self.get("entry", "weights") else {
             return first_token;
         };
--- a/crates/limit/src/queue.rs
+++ b/crates/limit/src/queue.rs
@@ -6,7 +6,7 @@
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
-use base::{Name, Time};
+use base::Name;
 
 /// Something that waits.
 #[derive(Clone, Debug)]
@@ -21,8 +21,6 @@
     pub cost: f64,
     /// Weight of the workspace.
     pub share: f64,
-    /// When it is no longer of use.
-    pub deadline: Time,
 }
 
 #[derive(Debug, Default)]
--- a/crates/limit/tests/limits.rs
+++ b/crates/limit/tests/limits.rs
@@ -8,14 +8,7 @@
 use proptest::prelude::*;
 
 fn item(number: u64, workspace: &str, class: u8) -> Item {
-    Item {
-        number,
-        workspace: Name::new(workspace),
-        class,
-        cost: 1.0,
-        share: 1.0,
-        deadline: Time(u64::MAX),
-    }
+    Item { number, workspace: Name::new(workspace), class, cost: 1.0, share: 1.0 }
 }
 
 fn drain(queue: &mut Queue) -> Vec<u64> {
--- a/crates/node/src/entry/admit.rs
+++ b/crates/node/src/entry/admit.rs
@@ -33,15 +33,21 @@
         ask: Box<Ask>,
         out: &mut Effects,
     ) {
+        let owner = cx.view.workspace_of(&ask.caller.key);
+        let key_owner = owner.map(|workspace| workspace.name.clone());
         match self.admit(cx, ready, call, ask) {
             Ok(None) => self.list(cx, call, out),
             Ok(Some(run)) => self.enter(cx, run, out),
             Err(refusal) => {
                 let Refusal { code, text, retry } = refusal;
-                let (reply, bytes) = api::refusal(None, code, &text, retry);
+                let run = self.next_id();
+                let (reply, bytes) = api::refusal(Some(run), code, &text, retry);
                 out.push(Effect::Begin { call, reply });
                 out.push(Effect::Body { call, bytes });
                 out.push(Effect::Finish { call, whole: true });
+                let workspace = key_owner.unwrap_or_default();
+                let took = Duration::ZERO;
+                out.push(Effect::Log { run, workspace, code, took, first: None });
             }
         }
     }
@@ -92,9 +98,7 @@
         let deadline = cx.now + ask.caller.deadline.unwrap_or(self.config.deadline);
         let workspace = workspace.clone();
         self.check_room(cx.now, &workspace, work.target(), deadline, ask.caller.priority)?;
-        let number = self.next_number;
-        self.next_number += 1;
-        let id = RunId { entry: self.incarnation, number, attempt: 0 };
+        let id = self.next_id();
         let own_key = || Name::from(format!("own-{id}"));
         let once = once.then(|| ask.caller.once.clone().unwrap_or_else(own_key));
         Ok(Some(Run {
@@ -129,6 +133,12 @@
         }))
     }
 
+    fn next_id(&mut self) -> RunId {
+        let number = self.next_number;
+        self.next_number += 1;
+        RunId { entry: self.incarnation, number, attempt: 0 }
+    }
+
     /// Refuses early what could not be served in time, and says when it could.
     fn check_room(
         &self,
@@ -221,7 +231,6 @@
             class: class as u8,
             cost,
             share: f64::from(run.workspace.share),
-            deadline: run.deadline,
         }
     }
 
--- a/crates/node/src/keeper.rs
+++ b/crates/node/src/keeper.rs
@@ -20,8 +20,9 @@
 /// Time between two words of an empty disk.
 const FRESH: Duration = Duration::from_millis(300);
 
+/// Who waits for an answer, and under which number.
 #[derive(Clone, Debug)]
-struct From {
+struct Asked {
     peer: Name,
     id: u64,
 }
@@ -40,9 +41,9 @@
     state: State,
     view: View,
     next_id: u64,
-    proposed: BTreeMap<u64, From>,
-    placed: BTreeMap<u64, (u64, From)>,
-    reads: BTreeMap<u64, (From, Reading)>,
+    proposed: BTreeMap<u64, Asked>,
+    placed: BTreeMap<u64, (u64, Asked)>,
+    reads: BTreeMap<u64, (Asked, Reading)>,
     readable: Vec<(u64, u64)>,
     applied: u64,
     watchers: BTreeMap<Name, Revision>,
@@ -156,7 +157,7 @@
 
     /// A request came.
     pub fn ask(&mut self, now: Time, peer: &Name, id: u64, request: Request, out: &mut Effects) {
-        let from = From { peer: peer.clone(), id };
+        let from = Asked { peer: peer.clone(), id };
         self.next_id += 1;
         let id = self.next_id;
         match request {
@@ -171,7 +172,7 @@
         }
     }
 
-    fn read(&mut self, now: Time, id: u64, from: From, what: Reading, out: &mut Effects) {
+    fn read(&mut self, now: Time, id: u64, from: Asked, what: Reading, out: &mut Effects) {
         self.reads.insert(id, (from, what));
         self.input(now, Input::Read { id }, out);
     }
@@ -425,7 +426,7 @@
     }
 }
 
-fn answer_to(from: From, answer: Answer, out: &mut Effects) {
+fn answer_to(from: Asked, answer: Answer, out: &mut Effects) {
     let frame = Frame::Answer { id: from.id, answer };
     out.push(Effect::Send { to: from.peer, frame });
 }
--- a/crates/node/src/process/mod.rs
+++ b/crates/node/src/process/mod.rs
@@ -159,7 +159,7 @@
                 self.with_entry(now, |entry, cx| entry.hangup(cx, call, out));
             }
             Event::Linked(hello) => self.linked(now, hello, out),
-            Event::Unlinked { peer } => self.unlinked(now, &peer),
+            Event::Unlinked { peer } => self.unlinked(now, &peer, out),
             Event::Frame { peer, frame } => self.frame(now, &peer, frame, out),
             Event::Server(news) => {
                 self.with_agent(now, |agent, cx| agent.server(cx, news, out));
@@ -200,7 +200,7 @@
     fn linked(&mut self, now: Time, hello: Hello, out: &mut Effects) {
         if hello.keeper {
             self.asker.linked(&hello.name);
-            self.watch.subscribe(now, &hello.name, out);
+            self.watch.linked(&hello.name, out);
         }
         if let Some(keeper) = &mut self.keeper {
             keeper.linked(now, &hello, out);
@@ -216,10 +216,15 @@
         self.peers.insert(hello.name.clone(), hello);
     }
 
-    fn unlinked(&mut self, now: Time, peer: &Name) {
+    fn unlinked(&mut self, now: Time, peer: &Name, out: &mut Effects) {
         self.peers.remove(peer);
         self.asker.unlinked(now, peer);
         self.watch.unlinked(peer);
+        // Another keeper takes the place of the one that changes came from.
+        let other = self.peers.values().find(|hello| hello.keeper).map(|hello| hello.name.clone());
+        if let Some(other) = other {
+            self.watch.linked(&other, out);
+        }
         if let Some(keeper) = &mut self.keeper {
             keeper.unlinked(peer);
         }
@@ -234,7 +239,8 @@
     fn frame(&mut self, now: Time, peer: &Name, frame: Frame, out: &mut Effects) {
         match frame {
             Frame::Beat(beat) => {
-                self.watch.beat(now, peer, &beat, out);
+                let keeper = self.peers.get(peer).is_some_and(|hello| hello.keeper);
+                self.watch.beat(now, (peer, keeper), &beat, out);
                 if let Some(keeper) = &mut self.keeper {
                     keeper.beat(now, peer, &beat, out);
                 }
@@ -306,6 +312,7 @@
 
     /// Brings what follows from the configuration into force here.
     fn configured(&mut self) {
+        self.watch.applied();
         let drained = self.watch.view.server(&self.me.hello.name).drain;
         if let Some(agent) = &mut self.agent {
             agent.drain(drained);
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -16,8 +16,8 @@
 
 /// How long a configuration counts as the latest after it was confirmed.
 pub const LEASE: Duration = Duration::from_secs(3);
-/// Pause between two requests for newer records.
-const AGAIN: Duration = Duration::from_millis(300);
+/// How long a peer may know more before it is asked; changes from the source are mostly faster.
+const BEHIND: Duration = Duration::from_millis(300);
 
 /// The configuration and its standing.
 #[derive(Debug, Default)]
@@ -28,7 +28,8 @@
     pub mark: Option<Mark>,
     confirmed: Option<Time>,
     leaderless: BTreeMap<Name, (Time, u32)>,
-    asked: BTreeMap<Name, Time>,
+    source: Option<Name>,
+    behind_since: Option<Time>,
     /// Whether to serve on when no keeper and no peer can confirm.
     pub serve_unconfirmed: bool,
 }
@@ -48,19 +49,42 @@
         self.confirmed.map(|at| now.since(at))
     }
 
+    /// A keeper can be reached: it becomes the source of changes, unless there is one. One source
+    /// is enough, since any peer's heartbeat tells when it falls behind.
+    pub fn linked(&mut self, keeper: &Name, out: &mut Effects) {
+        if self.source.as_ref().is_none_or(|source| source == keeper) {
+            self.source = Some(keeper.clone());
+            self.ask(keeper, out);
+        }
+    }
+
     /// Asks a peer for what came after the revision known here.
-    pub fn subscribe(&mut self, now: Time, peer: &Name, out: &mut Effects) {
-        self.asked.insert(peer.clone(), now);
+    fn ask(&self, peer: &Name, out: &mut Effects) {
         let frame = Frame::Watch { revision: self.view.revision };
         out.push(Effect::Send { to: peer.clone(), frame });
     }
 
-    /// A heartbeat came.
-    pub fn beat(&mut self, now: Time, peer: &Name, beat: &Beat, out: &mut Effects) {
+    /// Records have come.
+    pub fn applied(&mut self) {
+        self.behind_since = None;
+    }
+
+    /// A heartbeat came; only a keeper that knows more becomes the source, others answer once.
+    pub fn beat(
+        &mut self,
+        now: Time,
+        (peer, keeper): (&Name, bool),
+        beat: &Beat,
+        out: &mut Effects,
+    ) {
         if beat.revision > self.view.revision {
-            let asked = self.asked.get(peer);
-            if asked.is_none_or(|at| now.since(*at) >= AGAIN) {
-                self.subscribe(now, peer, out);
+            let since = *self.behind_since.get_or_insert(now);
+            if now.since(since) >= BEHIND {
+                self.behind_since = None;
+                self.ask(peer, out);
+                if keeper {
+                    self.source = Some(peer.clone());
+                }
             }
         } else if let Some(ago) = beat.confirmed_ms {
             let at = Time(now.0.saturating_sub(ago * 1_000));
@@ -79,7 +103,9 @@
 
     /// A peer is gone.
     pub fn unlinked(&mut self, peer: &Name) {
-        self.asked.remove(peer);
+        if self.source.as_ref() == Some(peer) {
+            self.source = None;
+        }
         self.leaderless.remove(peer);
     }
 }
--- a/crates/node/tests/entry.rs
+++ b/crates/node/tests/entry.rs
@@ -247,3 +247,46 @@
     let out = bed.step(Event::Ask { call: 1, ask: Box::new(ask) });
     assert!(answered(&out, 1).0.contains("1005"));
 }
+
+#[test]
+fn changes_come_from_one_keeper_and_from_another_when_that_falls_behind() {
+    let mut bed = Bed::entry();
+    let asked = |out: &node::Effects| -> Vec<String> {
+        out.iter()
+            .filter_map(|effect| match effect {
+                node::Effect::Send { to, frame: Frame::Watch { .. } } => Some(to.to_string()),
+                _ => None,
+            })
+            .collect()
+    };
+    let mut second = bed::hello("k2", 1, None);
+    second.keeper = true;
+    let out = bed.step(Event::Linked(second));
+    assert!(asked(&out).is_empty(), "one source is enough");
+    let newer = Revision { epoch: 1, index: 6 };
+    let beat = || Frame::Beat(Beat { revision: newer, confirmed_ms: Some(0), ..Beat::default() });
+    assert!(asked(&bed.frame("k2", beat())).is_empty(), "the source is mostly faster");
+    bed.now = bed.now + Duration::from_millis(400);
+    assert_eq!(asked(&bed.frame("k2", beat())), ["k2"]);
+    let out = bed.step(Event::Unlinked { peer: Name::new("k2") });
+    assert_eq!(asked(&out), [bed::KEEPER], "the one that is left");
+}
+
+#[test]
+fn a_refusal_leaves_one_line_and_an_id_too() {
+    let mut bed = Bed::entry();
+    let out = bed.prompt(1);
+    let lines: Vec<_> = out
+        .iter()
+        .filter_map(|effect| match effect {
+            node::Effect::Log { workspace, code, .. } => Some((workspace.to_string(), *code)),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(lines, [("w".to_owned(), Code::NoServer)]);
+    let id = out.iter().any(|effect| {
+        matches!(effect, node::Effect::Begin { reply, .. }
+            if reply.headers.iter().any(|(name, _)| *name == "x-request-id"))
+    });
+    assert!(id, "{out:?}");
+}
