Heartbeats confirm a configuration only back to the receiver's own word

Heartbeats that had waited in its sockets were taken for news of the present and renewed its lease.

Change: a heartbeat echoes the receiver's clock from the last one it had; it confirms no later time. Test a_heartbeat_from_before_a_freeze_confirms_nothing fails by receipt times and passes by echoes.

--- a/crates/node/src/process/mod.rs
+++ b/crates/node/src/process/mod.rs
@@ -49,6 +49,8 @@
     agent: Option<Agent>,
     keeper: Option<Keeper>,
     peers: BTreeMap<Name, Hello>,
+    /// Each peer's clock in its last heartbeat.
+    heard: BTreeMap<Name, Time>,
     next_beat: Time,
     next_mark: Time,
     next_quick: Time,
@@ -82,6 +84,7 @@
             agent,
             keeper,
             peers: BTreeMap::new(),
+            heard: BTreeMap::new(),
             next_beat: Time::ZERO,
             next_mark: Time::ZERO,
             next_quick: Time::ZERO,
@@ -218,6 +221,7 @@
 
     fn unlinked(&mut self, now: Time, peer: &Name, out: &mut Effects) {
         self.peers.remove(peer);
+        self.heard.remove(peer);
         self.asker.unlinked(now, peer);
         self.watch.unlinked(peer);
         // Another keeper takes the place of the one that changes came from.
@@ -239,6 +243,7 @@
     fn frame(&mut self, now: Time, peer: &Name, frame: Frame, out: &mut Effects) {
         match frame {
             Frame::Beat(beat) => {
+                self.heard.insert(peer.clone(), beat.sent);
                 let keeper = self.peers.get(peer).is_some_and(|hello| hello.keeper);
                 self.watch.beat(now, (peer, keeper), &beat, out);
                 if let Some(keeper) = &mut self.keeper {
@@ -392,6 +397,8 @@
             confirmed_ms: confirmed,
             no_quorum: attest.and_then(|(_, no_quorum)| no_quorum),
             ready: self.ready(now),
+            sent: now,
+            echo: self.heard.get(to).copied().unwrap_or_default(),
         }
     }
 
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -87,17 +87,20 @@
                 }
             }
         } else if let Some(ago) = beat.confirmed_ms {
-            let at = Time(now.0.saturating_sub(ago * 1_000));
+            // What was sent after our own word had come there is at least as new as that word; the
+            // time of receipt proves nothing to a process that was frozen.
+            let at = Time(beat.echo.0.saturating_sub(ago * 1_000));
             self.confirmed = self.confirmed.max(Some(at));
         }
         match beat.no_quorum {
-            Some(voters) => self.leaderless.insert(peer.clone(), (now, voters)),
+            Some(voters) => self.leaderless.insert(peer.clone(), (beat.echo, voters)),
             None => self.leaderless.remove(peer),
         };
-        self.leaderless.retain(|_, (at, _)| now.since(*at) < LEASE / 3);
         let voters = self.leaderless.values().map(|(_, voters)| *voters).max().unwrap_or(0);
-        if voters > 0 && self.leaderless.len() as u32 > voters / 2 && self.mark.is_some() {
-            self.confirmed = Some(now);
+        let mut times: Vec<Time> = self.leaderless.values().map(|(at, _)| *at).collect();
+        times.sort_unstable_by(|a, b| b.cmp(a));
+        if let Some(at) = times.get(voters as usize / 2).filter(|_| voters > 0) {
+            self.confirmed = self.confirmed.max(Some(*at));
         }
     }
 
--- a/crates/node/tests/bed/mod.rs
+++ b/crates/node/tests/bed/mod.rs
@@ -103,7 +103,8 @@
 
     /// A keeper's heartbeat that is in touch with this revision.
     pub fn confirm(&mut self, revision: Revision) {
-        let beat = Beat { revision, confirmed_ms: Some(0), ready: true, ..Beat::default() };
+        let echo = self.now;
+        let beat = Beat { revision, confirmed_ms: Some(0), ready: true, echo, ..Beat::default() };
         self.frame(KEEPER, Frame::Beat(beat));
     }
 
--- a/crates/node/tests/entry.rs
+++ b/crates/node/tests/entry.rs
@@ -188,7 +188,9 @@
     let (text, _) = answered(&bed.prompt(1), 1);
     assert!(text.contains("2006"), "{text}");
     // A peer that was confirmed a second ago is enough, one with a newer revision is not.
-    let confirmed = |revision| Beat { revision, confirmed_ms: Some(1_000), ..Beat::default() };
+    let echo = bed.now;
+    let confirmed =
+        |revision| Beat { revision, confirmed_ms: Some(1_000), echo, ..Beat::default() };
     let newer = Revision { epoch: 1, index: 6 };
     bed.frame("agent-1", Frame::Beat(confirmed(newer)));
     assert!(!bed.node.ready(bed.now));
@@ -200,7 +202,8 @@
 fn a_majority_of_keepers_without_a_leader_lets_answers_go_on() {
     let mut bed = Bed::entry();
     bed.now = bed.now + 2 * node::LEASE;
-    let lost = || Beat { revision: V1, no_quorum: Some(3), ..Beat::default() };
+    let echo = bed.now;
+    let lost = || Beat { revision: V1, no_quorum: Some(3), echo, ..Beat::default() };
     bed.frame("keeper", Frame::Beat(lost()));
     assert!(!bed.node.ready(bed.now), "one of three says nothing");
     bed.frame("keeper-2", Frame::Beat(lost()));
@@ -290,3 +293,16 @@
     });
     assert!(id, "{out:?}");
 }
+
+/// Heartbeats that waited while the process was frozen say nothing of the present.
+#[test]
+fn a_heartbeat_from_before_a_freeze_confirms_nothing() {
+    let mut bed = Bed::entry();
+    let echo = bed.now;
+    bed.now = bed.now + node::LEASE + Duration::from_millis(500);
+    let old = Beat { revision: V1, confirmed_ms: Some(0), echo, ..Beat::default() };
+    bed.frame(bed::KEEPER, Frame::Beat(old));
+    assert!(!bed.node.ready(bed.now));
+    bed.frame("keeper-2", Frame::Beat(Beat { no_quorum: Some(1), echo, ..Beat::default() }));
+    assert!(!bed.node.ready(bed.now));
+}
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use base::{Code, Incarnation, Name, Revision, RunId};
+use base::{Code, Incarnation, Name, Revision, RunId, Time};
 use quorum::{Member, Message};
 use record::{Change, Record};
 use serde::{Deserialize, Serialize};
@@ -81,6 +81,10 @@
     pub no_quorum: Option<u32>,
     /// Whether the sender may serve.
     pub ready: bool,
+    /// The sender's clock at sending.
+    pub sent: Time,
+    /// The receiver's clock in the last heartbeat that the sender had from it.
+    pub echo: Time,
 }
 
 /// A run for an agent.
