A member is in touch only by its own clock come back from the leader

The keeper beside the entry read an append that had waited in its sockets, counted itself in touch, and so confirmed the old record.

Change: a member's answer carries its clock, the leader's next append brings it back, and only that counts. Test an_append_that_waited_during_a_freeze_does_not_put_a_member_in_touch; it fails by the time of receipt.

Ruled out: the order of events on waking; the lease itself was over each time.

--- a/crates/quorum/src/leader.rs
+++ b/crates/quorum/src/leader.rs
@@ -23,6 +23,8 @@
     pub matched: u64,
     /// The leader's clock in the last answer.
     pub echoed: Option<Time>,
+    /// The member's clock in its last answer.
+    pub at: Time,
     /// Offset of the snapshot part under way and when it was sent.
     pub part: Option<(u64, u64, Time)>,
 }
@@ -122,6 +124,7 @@
             entries,
             commit: self.commit,
             sent: now,
+            echo: progress.at,
         };
         out.push(Output::Send { to: member.clone(), message });
     }
@@ -158,9 +161,8 @@
         &mut self,
         now: Time,
         from: &Member,
-        ok: bool,
-        index: u64,
-        sent: Time,
+        (ok, index): (bool, u64),
+        (sent, at): (Time, Time),
         out: &mut Vec<Output>,
     ) {
         let last = self.log.last_index();
@@ -168,6 +170,7 @@
             return;
         };
         progress.echoed = progress.echoed.max(Some(sent));
+        progress.at = progress.at.max(at);
         if ok {
             progress.matched = progress.matched.max(index);
             progress.next = progress.next.max(index + 1);
--- a/crates/quorum/src/message.rs
+++ b/crates/quorum/src/message.rs
@@ -48,6 +48,8 @@
         commit: u64,
         /// The leader's clock at sending; comes back in the answer.
         sent: Time,
+        /// The member's clock in its last answer.
+        echo: Time,
     },
     /// The answer to [`Message::Append`].
     Appended {
@@ -59,6 +61,8 @@
         index: u64,
         /// The leader's clock from the request.
         sent: Time,
+        /// The member's clock at answering.
+        at: Time,
     },
     /// A part of a snapshot.
     Install {
--- a/crates/quorum/src/replica.rs
+++ b/crates/quorum/src/replica.rs
@@ -33,6 +33,7 @@
     pub(crate) role: Role,
     pub(crate) leader_member: Option<Member>,
     pub(crate) heard: Option<Time>,
+    in_touch_at: Option<Time>,
     pub(crate) election_at: Time,
     pub(crate) votes: Vec<Member>,
     pub(crate) leading: Leader,
@@ -72,6 +73,7 @@
             role: Role::Follower,
             leader_member: None,
             heard: None,
+            in_touch_at: None,
             election_at: Time::ZERO,
             votes: Vec::new(),
             leading: Leader::default(),
@@ -136,13 +138,13 @@
 
     /// Whether a leader was heard of within an election timeout; a leader's own lease counts.
     pub fn in_touch(&self, now: Time) -> bool {
-        match self.role {
-            Role::Leader => self.lease_holds(now),
-            _ => {
-                self.leader_member.is_some()
-                    && self.heard.is_some_and(|at| now.since(at) < self.timing.election)
-            }
+        if self.role == Role::Leader {
+            return self.lease_holds(now);
         }
+        // The time of receipt proves nothing to a member that was frozen: what counts is its own
+        // clock, come back from the leader.
+        let recent = |at: Time| now.since(at) < self.timing.election;
+        self.leader_member.is_some() && self.in_touch_at.is_some_and(recent)
     }
 
     /// The state the member starts with: its snapshot, to be restored first.
@@ -193,14 +195,15 @@
                 self.asked(now, from, term, (pre, transfer), last, out);
             }
             Message::Vote { term, pre, granted } => self.voted(now, from, term, pre, granted, out),
-            Message::Append { term, prev_index, prev_term, entries, commit, sent } => {
+            Message::Append { term, prev_index, prev_term, entries, commit, sent, echo } => {
                 if self.follow(now, &from, term, sent, out) {
-                    self.append(&from, (prev_index, prev_term), entries, commit, sent, out);
+                    self.in_touch_at = self.in_touch_at.max(Some(echo));
+                    self.append(now, &from, (prev_index, prev_term), entries, commit, sent, out);
                 }
             }
-            Message::Appended { term, ok, index, sent } => {
+            Message::Appended { term, ok, index, sent, at } => {
                 if self.is_answer(now, term, out) {
-                    self.appended(now, &from, ok, index, sent, out);
+                    self.appended(now, &from, (ok, index), (sent, at), out);
                 }
             }
             Message::Install { term, part, offset, total, sent } => {
@@ -239,7 +242,8 @@
         out: &mut Vec<Output>,
     ) -> bool {
         if term < self.hard.term {
-            let message = Message::Appended { term: self.hard.term, ok: false, index: 0, sent };
+            let message =
+                Message::Appended { term: self.hard.term, ok: false, index: 0, sent, at: now };
             out.push(Output::Send { to: from.clone(), message });
             return false;
         }
@@ -254,6 +258,7 @@
 
     fn append(
         &mut self,
+        now: Time,
         from: &Member,
         prev: (u64, u64),
         entries: Vec<Entry>,
@@ -265,13 +270,14 @@
         let (prev_index, prev_term) = prev;
         if prev_index < self.log.base_index {
             // What the snapshot holds is committed, so it agrees.
-            let message = Message::Appended { term, ok: true, index: self.log.base_index, sent };
+            let message =
+                Message::Appended { term, ok: true, index: self.log.base_index, sent, at: now };
             self.send_after_persist(from.clone(), message, out);
             return;
         }
         if self.log.term(prev_index) != Some(prev_term) {
             let index = prev_index.saturating_sub(1).min(self.log.last_index());
-            let message = Message::Appended { term, ok: false, index, sent };
+            let message = Message::Appended { term, ok: false, index, sent, at: now };
             out.push(Output::Send { to: from.clone(), message });
             return;
         }
@@ -294,7 +300,7 @@
             self.refresh_config();
             self.persist(None, new, None, out);
         }
-        let message = Message::Appended { term, ok: true, index: last, sent };
+        let message = Message::Appended { term, ok: true, index: last, sent, at: now };
         self.send_after_persist(from.clone(), message, out);
         self.advance(commit.min(last), out);
     }
--- a/crates/quorum/tests/rules.rs
+++ b/crates/quorum/tests/rules.rs
@@ -78,9 +78,29 @@
     feed(&mut quorum, now, "b", Message::Vote { term: 2, pre: true, granted: true });
     feed(&mut quorum, now, "b", Message::Vote { term: 2, pre: false, granted: true });
     assert_eq!(*quorum.role(), Role::Leader);
-    let appended = |index| Message::Appended { term: 2, ok: true, index, sent: now };
+    let appended = |index| Message::Appended { term: 2, ok: true, index, sent: now, at: now };
     feed(&mut quorum, now, "b", appended(2));
     assert_eq!(quorum.commit(), 1, "the entry of term 1 may still be replaced");
     feed(&mut quorum, now, "b", appended(3));
     assert_eq!(quorum.commit(), 3);
 }
+
+#[test]
+fn an_append_that_waited_during_a_freeze_does_not_put_a_member_in_touch() {
+    let mut quorum = restarted();
+    let start = Time::from_millis(100);
+    let append = |echo| Message::Append {
+        term: 2,
+        prev_index: 2,
+        prev_term: 1,
+        entries: Vec::new(),
+        commit: 2,
+        sent: start,
+        echo,
+    };
+    feed(&mut quorum, start, "b", append(start));
+    assert!(quorum.in_touch(start));
+    let woken = start + Duration::from_secs(4);
+    feed(&mut quorum, woken, "b", append(start));
+    assert!(!quorum.in_touch(woken));
+}
