One piece of code where logic stood twice; estimates for explaining are made when asked

Cause: a read of the whole change. Hexadecimal keys, header look-up, the rank of a holder for a key, "which store has this piece" (three times) and a run's prompt tokens were each written more than once. Every placement estimated all candidates a second time, only so that it could be explained later.

Change: base::hex and unhex, api::Request::header, cache::rank, store_of, Run::prompt_tokens, route::PIECE_TOKENS; what a choice was made from is kept and estimated when an operator asks. No behaviour changes.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -10,12 +10,14 @@
 //! ```
 
 mod code;
+mod hex;
 mod id;
 mod name;
 pub mod prelude;
 mod time;
 
 pub use code::{Code, Fate};
+pub use hex::{hex, unhex};
 pub use id::{Incarnation, Revision, RunId};
 pub use name::Name;
 pub use time::Time;
--- a/crates/cache/src/key.rs
+++ b/crates/cache/src/key.rs
@@ -42,6 +42,14 @@
         .collect()
 }
 
+/// Rank of a holder for a key: the highest is its home, on which all who ask agree without talk.
+pub fn rank(key: &Key, holder: &str) -> u64 {
+    let hash = blake3::Hasher::new().update(key).update(holder.as_bytes()).finalize();
+    let mut first = [0; 8];
+    first.copy_from_slice(&hash.as_bytes()[..8]);
+    u64::from_be_bytes(first)
+}
+
 /// Tokens of a prompt, estimated from its bytes.
 pub fn tokens(text: &str) -> u64 {
     (text.len() as u64).div_ceil(TOKEN as u64)
--- a/crates/cache/src/lib.rs
+++ b/crates/cache/src/lib.rs
@@ -15,6 +15,6 @@
 pub use block::{BadBlock, seal, unseal};
 pub use directory::{Directory, Holder};
 pub use keep::Keep;
-pub use key::{Key, PIECE, Scope, TOKEN, chain, tokens};
+pub use key::{Key, PIECE, Scope, TOKEN, chain, rank, tokens};
 pub use link::Link;
 pub use shelf::{Freed, Phase, Shelf};
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -8,7 +8,7 @@
 use std::thread;
 use std::time::Duration;
 
-use base::{Code, Name, Revision, RunId};
+use base::{Code, Name, Revision, RunId, hex};
 use node::{Effect, Event, Moved, Server};
 use serde::Deserialize;
 use serde_json::{Value, json};
@@ -16,7 +16,7 @@
 use wire::{Call, Load, Part, Prompt, Work};
 
 use crate::Input;
-use crate::transfer::{Transfer, hex};
+use crate::transfer::Transfer;
 
 const CONNECT: Duration = Duration::from_secs(1);
 const LOAD_EVERY: Duration = Duration::from_millis(100);
--- a/crates/edge/src/transfer.rs
+++ b/crates/edge/src/transfer.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use base::Name;
+use base::{Name, hex, unhex};
 use cache::{Key, seal, unseal};
 use node::{CacheEvent, Moved, Server};
 use serde_json::Value;
@@ -139,19 +139,3 @@
         Some(status)
     }
 }
-
-/// Bytes as hexadecimal text.
-pub fn hex(bytes: &[u8]) -> String {
-    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
-}
-
-fn unhex(text: &str) -> Option<Key> {
-    if text.len() != 32 || !text.is_ascii() {
-        return None;
-    }
-    let mut key = [0; 16];
-    for (place, byte) in key.iter_mut().enumerate() {
-        *byte = u8::from_str_radix(&text[2 * place..2 * place + 2], 16).ok()?;
-    }
-    Some(key)
-}
--- a/crates/fake/src/edge/engine.rs
+++ b/crates/fake/src/edge/engine.rs
@@ -18,6 +18,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use base::{hex, unhex};
 use serde_json::{Value, json};
 use tiny_http::{Header, Method, Request, Response, Server};
 
@@ -361,18 +362,3 @@
     }
     let _ = request.respond(response);
 }
-
-fn hex(key: &[u8]) -> String {
-    key.iter().map(|byte| format!("{byte:02x}")).collect()
-}
-
-fn unhex(text: &str) -> Option<[u8; 16]> {
-    if text.len() != 32 || !text.is_ascii() {
-        return None;
-    }
-    let mut key = [0; 16];
-    for (place, byte) in key.iter_mut().enumerate() {
-        *byte = u8::from_str_radix(&text[2 * place..2 * place + 2], 16).ok()?;
-    }
-    Some(key)
-}
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -94,18 +94,14 @@
     }
 }
 
-fn header<'a>(request: &'a Request, name: &str) -> Option<&'a str> {
-    request.headers.iter().find(|(found, _)| found == name).map(|(_, value)| value.as_str())
-}
-
 fn operator(request: &Request) -> Name {
-    Name::new(header(request, "x-operator").unwrap_or("unnamed"))
+    Name::new(request.header("x-operator").unwrap_or("unnamed"))
 }
 
 fn request_id(request: &Request, at_ms: u64) -> Name {
     // Without an id from the writer each try stands for itself.
     let own = || format!("{at_ms}-{}", blake3::hash(&request.body).to_hex());
-    header(request, "x-request-id").map_or_else(|| Name::from(own()), Name::new)
+    request.header("x-request-id").map_or_else(|| Name::from(own()), Name::new)
 }
 
 fn put(request: &Request, kind: Kind, name: &str, at_ms: u64) -> Result<Admin, (Code, String)> {
--- a/crates/node/src/agent/transfer.rs
+++ b/crates/node/src/agent/transfer.rs
@@ -281,10 +281,7 @@
 
     /// The store that a key belongs on: the highest by hash, so that all agents agree.
     fn home(&self, key: &Key) -> Option<&Name> {
-        self.stores.iter().max_by_key(|store| {
-            let hash = blake3::Hasher::new().update(key).update(store.as_bytes()).finalize();
-            hash.as_bytes()[..8].to_vec()
-        })
+        self.stores.iter().max_by_key(|store| cache::rank(key, store))
     }
 
     pub fn dump(&self, now: Time) -> Value {
--- a/crates/node/src/api.rs
+++ b/crates/node/src/api.rs
@@ -37,7 +37,8 @@
 }
 
 impl Request {
-    fn header(&self, name: &str) -> Option<&str> {
+    /// The value of a header, by its name in lower case.
+    pub fn header(&self, name: &str) -> Option<&str> {
         self.headers.iter().find(|(found, _)| found == name).map(|(_, value)| value.as_str())
     }
 }
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -25,7 +25,7 @@
 use cache::{Directory, Keep};
 use limit::{Budget, Queue, Rate, Usage};
 use record::View;
-use route::Estimate;
+use route::{Candidate, Estimate, Need};
 use serde_json::{Value, json};
 use wire::{Beat, Frame, Hello, News};
 
@@ -61,8 +61,10 @@
     pub run: RunId,
     /// The chosen agent.
     pub agent: Name,
-    /// Every candidate's estimate.
-    pub table: Vec<Estimate>,
+    /// What the run needed.
+    pub need: Need,
+    /// What was known of each server.
+    pub candidates: Vec<Candidate>,
 }
 
 /// The entry's reducer.
@@ -241,9 +243,11 @@
         self.place(cx, out);
     }
 
-    /// How the last dispatch of a request was decided.
-    pub fn explain(&self, request: &str) -> Option<&Explained> {
-        self.explained.iter().rev().find(|found| found.run.to_string() == request)
+    /// How the last dispatch of a request was decided, and every candidate's estimate.
+    pub fn explain(&self, request: &str) -> Option<(&Explained, Vec<Estimate>)> {
+        let found = self.explained.iter().rev().find(|found| found.run.to_string() == request)?;
+        let one = |candidate| route::estimate(&self.config.weights, &found.need, candidate);
+        Some((found, found.candidates.iter().map(one).collect()))
     }
 
     fn sent_to(&self, name: &Name) -> Vec<u64> {
--- a/crates/node/src/entry/place.rs
+++ b/crates/node/src/entry/place.rs
@@ -1,15 +1,15 @@
 //! Placement: chooses a backend server for each run whose turn has come.
 
 use base::prelude::*;
-use cache::Key;
+use cache::{Directory, Key};
 use record::Workspace;
-use route::{Candidate, Need, choose};
+use route::{Candidate, Need, PIECE_TOKENS, choose};
 use wire::{Frame, Piece, Start, Work};
 
 use super::{Context, EXPLAINED, Entry, Explained, Server};
 use crate::config::Policy;
 use crate::run::Stage;
-use crate::{Effect, Effects};
+use crate::{Config, Effect, Effects};
 
 /// Time to compute a prompt token, assumed until the agent has measured it.
 const TOKEN: Duration = Duration::from_micros(25);
@@ -19,8 +19,6 @@
 const MAX_CROWDED: u32 = 2;
 /// Prompt work ahead with which a server gets no more.
 const AHEAD_MOST: Duration = Duration::from_millis(60);
-/// Tokens in one piece.
-const PIECE_TOKENS: u64 = 1_000;
 
 enum Placed {
     Sent,
@@ -28,9 +26,13 @@
     Nobody,
 }
 
-struct Offer {
-    candidate: Candidate,
-    version: Name,
+/// A chosen server.
+struct Picked {
+    agent: Name,
+    /// Leading pieces in its own cache.
+    local: usize,
+    /// Pieces to fetch from stores.
+    fetch: usize,
 }
 
 impl Entry {
@@ -79,12 +81,11 @@
             let begun = self.runs.get(&number).is_some_and(|run| run.begun || run.tries > 0);
             return if begun { Placed::Wait } else { Placed::Nobody };
         }
-        let Some((place, fetch)) = self.pick(number, &offers) else {
+        let Some(picked) = self.pick(number, offers) else {
             return Placed::Wait;
         };
         self.queue.take(number);
-        let offer = &offers[place];
-        self.reserve(cx, number, offer, fetch, out);
+        self.reserve(cx, number, &picked, out);
         Placed::Sent
     }
 
@@ -95,7 +96,7 @@
     }
 
     /// The servers that serve the run's target, and whether there is any, free or not.
-    fn offers(&mut self, cx: &Context<'_>, number: u64) -> (Vec<Offer>, bool) {
+    fn offers(&mut self, cx: &Context<'_>, number: u64) -> (Vec<Candidate>, bool) {
         let mut offers = Vec::new();
         let mut known = false;
         let Some(run) = self.runs.get_mut(&number) else {
@@ -106,7 +107,7 @@
             _ => None,
         };
         let over_share = run.over_share;
-        let mut stores: Option<Vec<(Name, Vec<bool>)>> = None;
+        let mut on_stores: Vec<(Name, Vec<bool>)> = Vec::new();
         for (name, server) in &self.servers {
             let Some(found) = &server.hello.server else { continue };
             if found.serves != *run.work.target() {
@@ -126,21 +127,16 @@
                 Some(holder) => self.directory.prefix(holder, keys),
                 None => 0,
             };
-            let list = stores.get_or_insert_with(Vec::new);
-            if !list.iter().any(|(known, _)| known == version) {
-                let on_store = |key: &Key| {
-                    self.config.stores.iter().any(|store| {
-                        self.directory.find(store).is_some_and(|h| self.directory.holds(h, key))
-                    })
-                };
-                list.push((version.clone(), keys.iter().map(on_store).collect()));
+            if !on_stores.iter().any(|(known, _)| known == version) {
+                let held = keys.iter().map(|key| store_of(&self.config, &self.directory, key));
+                on_stores.push((version.clone(), held.map(|store| store.is_some()).collect()));
             }
-            let on_store = list.iter().find(|(known, _)| known == version);
+            let on_store = on_stores.iter().find(|(known, _)| known == version);
             let on_store = on_store.map(|(_, held)| held.as_slice()).unwrap_or_default();
             let more = on_store.iter().skip(local).take_while(|held| **held).count();
             let candidate =
                 candidate(&self.config, &self.zone, server, over_share, (local, local + more));
-            offers.push(Offer { candidate, version: version.clone() });
+            offers.push(candidate);
         }
         // A run that everyone refused may be offered to them again.
         if offers.is_empty() && known && !run.avoided.is_empty() {
@@ -149,18 +145,13 @@
         (offers, known)
     }
 
-    /// The place of the chosen offer, and how many pieces to fetch.
-    fn pick(&mut self, number: u64, offers: &[Offer]) -> Option<(usize, usize)> {
+    /// The chosen candidate and how many pieces to fetch; what it was chosen from is kept.
+    fn pick(&mut self, number: u64, candidates: Vec<Candidate>) -> Option<Picked> {
         let run = self.runs.get(&number)?;
-        let tokens = match &run.work {
-            Work::Prompt(prompt) => cache::tokens(&prompt.text) + u64::from(prompt.resume_from),
-            Work::Call(_) => 0,
-        };
         let pieces = run.keys.first().map_or(0, |(_, keys)| keys.len());
-        let known = offers.iter().map(|offer| offer.candidate.fetchable).max().unwrap_or(0);
-        let need = Need { tokens, pieces, known, piece_bytes: self.config.piece_bytes };
-        let candidates: Vec<Candidate> =
-            offers.iter().map(|offer| offer.candidate.clone()).collect();
+        let known = candidates.iter().map(|found| found.fetchable).max().unwrap_or(0);
+        let piece_bytes = self.config.piece_bytes;
+        let need = Need { tokens: run.prompt_tokens(), pieces, known, piece_bytes };
         self.turn += 1;
         let spread = self.turn.wrapping_add(self.incarnation.0);
         let free = |place: &usize| candidates[*place].free > 0;
@@ -185,36 +176,25 @@
             Policy::PrefixHash => {
                 let first = run.keys.first().and_then(|(_, keys)| keys.first());
                 let key = first.copied().unwrap_or([number as u8; 16]);
-                let weight = |place: &usize| {
-                    let name = candidates[*place].name.as_bytes();
-                    blake3::Hasher::new().update(&key).update(name).finalize().as_bytes()[..8]
-                        .to_vec()
-                };
+                let weight = |place: &usize| cache::rank(&key, &candidates[*place].name);
                 ((0..candidates.len()).filter(free).max_by_key(weight)?, 0)
             }
         };
-        let run_id = run.id;
-        let weights = &self.config.weights;
-        let table = candidates.iter().map(|found| route::estimate(weights, &need, found)).collect();
-        let agent = candidates[place].name.clone();
+        let chosen = &candidates[place];
+        let picked = Picked { agent: chosen.name.clone(), local: chosen.local, fetch };
+        let agent = picked.agent.clone();
+        let explained = Explained { run: run.id, agent, need, candidates };
         if self.explained.len() >= EXPLAINED {
             self.explained.pop_front();
         }
-        self.explained.push_back(Explained { run: run_id, agent, table });
-        Some((place, fetch))
+        self.explained.push_back(explained);
+        Some(picked)
     }
 
     /// Takes a place on the chosen server; sends the run, or claims it first.
-    fn reserve(
-        &mut self,
-        cx: &mut Context<'_>,
-        number: u64,
-        offer: &Offer,
-        fetch: usize,
-        out: &mut Effects,
-    ) {
-        let name = &offer.candidate.name;
-        let (Some(server), Some(run)) = (self.servers.get_mut(name), self.runs.get_mut(&number))
+    fn reserve(&mut self, cx: &mut Context<'_>, number: u64, picked: &Picked, out: &mut Effects) {
+        let Picked { agent, local, fetch } = picked;
+        let (Some(server), Some(run)) = (self.servers.get_mut(agent), self.runs.get_mut(&number))
         else {
             return;
         };
@@ -222,19 +202,20 @@
         server.breaker.sent();
         *self.active.entry(run.workspace.name.clone()).or_insert(0) += 1;
         let incarnation = server.hello.incarnation;
+        let tokens = run.prompt_tokens();
         if let Work::Prompt(prompt) = &mut run.work {
-            let keys = run.keys.iter().find(|(known, _)| *known == offer.version);
+            let version = server.load.version.clone();
+            let keys = run.keys.iter().find(|(known, _)| *known == version);
             prompt.keys = keys.map(|(_, keys)| keys.clone()).unwrap_or_default();
-            prompt.version = offer.version.clone();
-            let have = (offer.candidate.local + fetch) as u64 * PIECE_TOKENS;
-            let tokens = cache::tokens(&prompt.text) + u64::from(prompt.resume_from);
+            prompt.version = version;
+            let have = (local + fetch) as u64 * PIECE_TOKENS;
             run.prefill = tokens.saturating_sub(have);
             server.own_prefill[usize::from(run.over_share)] += run.prefill;
             let work = run.prefill as f64 + f64::from(prompt.max_tokens);
             self.usage.add(cx.now, &run.workspace.name, work);
         }
-        run.fetched = fetch;
-        let agent = name.clone();
+        run.fetched = *fetch;
+        let agent = agent.clone();
         if run.once.is_some() {
             run.stage = Stage::Claiming { agent, incarnation };
             self.claim(cx, number, out);
@@ -267,10 +248,7 @@
             let holder = self.directory.find(&agent);
             let local = holder.map_or(0, |holder| self.directory.prefix(holder, &prompt.keys));
             for key in prompt.keys.iter().skip(local).take(run.fetched) {
-                let store = self.config.stores.iter().find(|store| {
-                    self.directory.find(store).is_some_and(|h| self.directory.holds(h, key))
-                });
-                let Some(store) = store else { break };
+                let Some(store) = store_of(&self.config, &self.directory, key) else { break };
                 fetch.push(Piece { key: *key, store: store.clone() });
             }
             if matches!(self.config.policy, Policy::Estimate | Policy::FetchAll) {
@@ -301,11 +279,7 @@
         let Some((_, plain)) = run.keys.first() else {
             return (Vec::new(), Vec::new());
         };
-        let stored = |key: &Key| {
-            self.config.stores.iter().any(|store| {
-                self.directory.find(store).is_some_and(|h| self.directory.holds(h, key))
-            })
-        };
+        let stored = |key: &Key| store_of(&self.config, &self.directory, key).is_some();
         let missing = keys.iter().zip(plain).filter(|(key, _)| !stored(key));
         let (worth, others): (Vec<_>, Vec<_>) =
             missing.partition(|(_, touched)| self.keep.worth(&run.workspace.name, touched));
@@ -314,8 +288,14 @@
     }
 }
 
+/// The store that holds a piece, as far as is known.
+fn store_of<'a>(config: &'a Config, directory: &Directory, key: &Key) -> Option<&'a Name> {
+    let holds = |store: &&Name| directory.find(store).is_some_and(|h| directory.holds(h, key));
+    config.stores.iter().find(holds)
+}
+
 fn candidate(
-    config: &crate::Config,
+    config: &Config,
     zone: &Name,
     server: &Server,
     over_share: bool,
--- a/crates/node/src/process/show.rs
+++ b/crates/node/src/process/show.rs
@@ -1,6 +1,7 @@
 //! What operators see of a process: looks, the dump, gauges.
 
 use base::prelude::*;
+use route::Estimate;
 use serde_json::{Value, json};
 
 use super::Node;
@@ -52,7 +53,7 @@
                 None => missing("ask a keeper who lags"),
             },
             Admin::Explain(id) => match self.entry.as_ref().and_then(|entry| entry.explain(id)) {
-                Some(found) => (200, explained(found)),
+                Some((found, table)) => (200, explained(found, &table)),
                 None => missing("no decision of that request is kept here"),
             },
             Admin::Put(_) | Admin::Delete(_) => missing("a change"),
@@ -138,9 +139,8 @@
     json!({ "revision": revision.to_string(), "applied": applied, "lagging": lagging })
 }
 
-fn explained(found: &entry::Explained) -> Value {
-    let table: Vec<Value> = found
-        .table
+fn explained(found: &entry::Explained, table: &[Estimate]) -> Value {
+    let table: Vec<Value> = table
         .iter()
         .map(|estimate| {
             json!({
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -131,6 +131,14 @@
         matches!(self.ask.want, Want::Prompt { stream: true, .. })
     }
 
+    /// Tokens that a server has before it generates: the prompt's and those delivered before.
+    pub fn prompt_tokens(&self) -> u64 {
+        match &self.work {
+            Work::Prompt(prompt) => cache::tokens(&prompt.text) + u64::from(prompt.resume_from),
+            Work::Call(_) => 0,
+        }
+    }
+
     /// Makes ready for another dispatch, which goes on from what the caller has.
     pub fn rewind(&mut self) {
         self.id = self.id.next_attempt();
--- a/crates/record/src/view.rs
+++ b/crates/record/src/view.rs
@@ -140,11 +140,6 @@
         &self.rollouts
     }
 
-    /// Whether any record of a model exists; without one every model is allowed.
-    pub fn knows_models(&self) -> bool {
-        self.records.keys().any(|(kind, _)| *kind == Kind::Model)
-    }
-
     fn forget(&mut self, kind: Kind, name: &Name) {
         self.records.remove(&(kind, name.clone()));
         match kind {
--- a/crates/route/src/estimate.rs
+++ b/crates/route/src/estimate.rs
@@ -5,7 +5,7 @@
 use base::Name;
 
 /// Tokens in one piece.
-const PIECE_TOKENS: u64 = 1_000;
+pub const PIECE_TOKENS: u64 = 1_000;
 
 /// Weights of the three measures.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -19,4 +19,4 @@
 mod estimate;
 
 pub use choice::{Choice, choose};
-pub use estimate::{Candidate, Estimate, Need, Weights, estimate};
+pub use estimate::{Candidate, Estimate, Need, PIECE_TOKENS, Weights, estimate};
