--- a/bin/tamarack/src/bench/commits.rs
+++ b/bin/tamarack/src/bench/commits.rs
@@ -45,7 +45,7 @@
         let _ = std::fs::remove_dir_all(&path);
         let opened = Store::open(&path, place as u64 + 1).map_err(|error| trouble(&error))?;
         let me = Member { name: names[place].clone(), disk: opened.identity };
-        let founding = Founding { names: names.clone(), epoch: 1 };
+        let founding = Founding::of(names.clone(), 1);
         let timing = Timing { snapshot_after: u64::MAX, ..Timing::default() };
         let quorum = Quorum::new(me, founding, timing, place as u64, opened.saved);
         let keeper = Keeper {
--- a/bin/tamarack/tests/cli.rs
+++ b/bin/tamarack/tests/cli.rs
@@ -30,7 +30,7 @@
         folder.display()
     );
     let settings = conf::Settings::parse(&text).expect("good settings");
-    let running = edge::start(&settings).expect("starts");
+    let mut running = edge::start(&settings).expect("starts");
     let at = running.operators.to_string();
     let run = |input: &str, args: &[&str]| tamarack(&at, input, args);
     let end = Instant::now() + Duration::from_secs(60);
--- a/bin/tamarackbank/src/args.rs
+++ b/bin/tamarackbank/src/args.rs
@@ -16,6 +16,7 @@
 #[argh(subcommand)]
 pub enum Command {
     Run(Run),
+    Hosted(Hosted),
     Check(Check),
     Restore(Restore),
     Dev(Dev),
@@ -31,6 +32,11 @@
     pub settings: PathBuf,
 }
 
+/// Run the process that the users' platform describes, in its words.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "hosted")]
+pub struct Hosted {}
+
 /// Check a settings file and print every mistake in it.
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "check")]
--- a/bin/tamarackbank/src/dev.rs
+++ b/bin/tamarackbank/src/dev.rs
@@ -30,7 +30,7 @@
         dev.callers
     );
     let main = settings(&text)?;
-    let running = edge::start(&main).wrap_err("cannot start")?;
+    let mut running = edge::start(&main).wrap_err("cannot start")?;
     let text = format!(
         "[process]\nname = dev-probes\nroles = agent\nlink = 127.0.0.1:0\n\
          operators = 127.0.0.1:0\n[agent]\nkind = plain\nserver = {plain}\nserves = probes\n\
@@ -41,7 +41,7 @@
     first_records(running.operators)?;
     welcome(dev);
     let stopper = probes.stopper();
-    crate::finish(&running, move || stopper.stop())
+    crate::finish(&mut running, move || stopper.stop())
 }
 
 fn settings(text: &str) -> eyre::Result<Settings> {
--- a/bin/tamarackbank/src/main.rs
+++ b/bin/tamarackbank/src/main.rs
@@ -17,8 +17,13 @@
 
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
-    edge::log_to_stderr();
+    if matches!(args.command, Command::Hosted(_)) {
+        edge::log_to_stdout();
+    } else {
+        edge::log_to_stderr();
+    }
     let result = match args.command {
+        Command::Hosted(_) => platform::run(),
         Command::Run(run) => run_file(&run.settings),
         Command::Check(check) => check_file(&check.settings),
         Command::Restore(args) => {
@@ -61,17 +66,20 @@
 
 /// Runs a process until it may leave.
 fn run(settings: &Settings) -> eyre::Result<()> {
-    let running = edge::start(settings).wrap_err("cannot start")?;
+    let mut running = edge::start(settings).wrap_err("cannot start")?;
     log::info!(
         name:% = settings.name, link:% = running.link, operators:% = running.operators,
         callers = running.callers.map_or_else(String::new, |addr| addr.to_string());
         "started"
     );
-    finish(&running, || {})
+    finish(&mut running, || {})
 }
 
 /// Waits for a signal and then for the process to be done; `stopped` is told of each signal.
-pub(crate) fn finish(running: &Running, stopped: impl Fn() + Send + 'static) -> eyre::Result<()> {
+pub(crate) fn finish(
+    running: &mut Running,
+    stopped: impl Fn() + Send + 'static,
+) -> eyre::Result<()> {
     let mut signals = Signals::new([SIGTERM, SIGINT])?;
     let stopper = running.stopper();
     std::thread::spawn(move || {
--- a/crates/cache/src/lib.rs
+++ b/crates/cache/src/lib.rs
@@ -4,12 +4,16 @@
 //! is a hash over the workspace's salt, model, weight version, adapter and all text up to its end,
 //! so a hit across workspaces or weight versions cannot happen. A block on a store carries a
 //! header; [`unseal`] gives nothing for a block that is torn, replaced or foreign, which is a miss.
+//!
+//! Prompts whose callers name the parts themselves go by [`Named`] parts instead, and [`Held`] is
+//! what a server is believed to hold of them.
 
 mod block;
 mod directory;
 mod keep;
 mod key;
 mod link;
+mod named;
 mod shelf;
 
 pub use block::{BadBlock, seal, unseal};
@@ -17,4 +21,5 @@
 pub use keep::Keep;
 pub use key::{Key, PIECE, Scope, TOKEN, chain, rank, tokens};
 pub use link::Link;
+pub use named::{Held, Named};
 pub use shelf::{Freed, Phase, Shelf};
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -51,6 +51,23 @@
     pub addr: SocketAddr,
 }
 
+/// How requests are forwarded to servers without an agent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Forward {
+    /// Time between two reads of the list of servers.
+    pub list: Duration,
+    /// Retries per thousand requests of a service, of all entries.
+    pub retry_permille: u64,
+    /// Retries beyond that in a window, of all entries.
+    pub retry_slack: u64,
+    /// The window in which retries are counted.
+    pub retry_window: Duration,
+    /// How long requests are still taken after the process was asked to stop.
+    pub linger: Duration,
+    /// How long a new leader waits before it orders.
+    pub lease: Duration,
+}
+
 /// The whole settings of one process.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -92,6 +109,10 @@
     pub serve_unconfirmed: bool,
     /// Voting keepers at the first start of the deployment.
     pub voters: Vec<Name>,
+    /// Voters wanted; a keeper that is not one of the first fills a free place.
+    pub voters_wanted: usize,
+    /// Whether keepers beyond the first voters are taken in, to fill such places.
+    pub spares: bool,
     /// What the agent stands beside.
     pub server_kind: ServerKind,
     /// HTTP address of the backend server.
@@ -112,6 +133,8 @@
     pub store_bytes: u64,
     /// Store VMs: name and HTTP address.
     pub stores: Vec<Seed>,
+    /// How requests are forwarded; none where the section `[forward]` is missing.
+    pub forward: Option<Forward>,
 }
 
 const KEYS: &[(&str, &[&str])] = &[
@@ -134,7 +157,11 @@
             "weights",
         ],
     ),
-    ("keeper", &["voters"]),
+    ("keeper", &["voters", "voters_wanted", "spares"]),
+    (
+        "forward",
+        &["list_ms", "retry_permille", "retry_slack", "retry_window_ms", "linger_ms", "lease_ms"],
+    ),
     ("agent", &["kind", "server", "serves", "version", "slots", "checks_tokens"]),
     ("cache", &["piece_bytes", "link_bytes_per_s", "store_bytes"]),
     ("stores", &[]),
@@ -328,9 +355,23 @@
         }
     }
 
+    fn forward(&mut self) -> Option<Forward> {
+        let wanted = self.values.keys().any(|(section, _)| section == "forward");
+        wanted.then(|| Forward {
+            list: self.millis("forward", "list_ms", 1_000, 60_000),
+            retry_permille: self.number("forward", "retry_permille", 200, 0, 10_000),
+            retry_slack: self.number("forward", "retry_slack", 50, 0, 1_000_000),
+            retry_window: self.millis("forward", "retry_window_ms", 10_000, 600_000),
+            linger: self.millis("forward", "linger_ms", 3_000, 60_000),
+            lease: self.millis("forward", "lease_ms", 3_000, 60_000),
+        })
+    }
+
     fn settings(&mut self) -> Settings {
         let roles = self.roles();
         let voters = self.text("keeper", "voters", Some(""));
+        let voters: Vec<Name> =
+            voters.split(',').map(str::trim).filter(|v| !v.is_empty()).map(Name::new).collect();
         let settings = Settings {
             name: self.text("process", "name", None).into(),
             zone: self.text("process", "zone", Some("zone-1")).into(),
@@ -349,12 +390,11 @@
             max_wait: self.millis("entry", "max_wait_ms", 30_000, 3_600_000),
             serve_unconfirmed: self.parsed("entry", "serve_unconfirmed", false, "true, false"),
             weights: self.weights(),
-            voters: voters
-                .split(',')
-                .map(str::trim)
-                .filter(|v| !v.is_empty())
-                .map(Name::new)
-                .collect(),
+            voters_wanted: self.number("keeper", "voters_wanted", voters.len() as u64, 0, 9)
+                as usize,
+            spares: self.parsed("keeper", "spares", false, "true, false"),
+            forward: self.forward(),
+            voters,
             server_kind: self.kind(),
             server_addr: self.addr("agent", "server", "127.0.0.1:7500"),
             serves: self.text("agent", "serves", Some("demo")).into(),
@@ -367,7 +407,8 @@
             stores: self.seeds("stores"),
             roles,
         };
-        if settings.roles.contains(&Role::Keeper) && settings.voters.is_empty() {
+        if settings.roles.contains(&Role::Keeper) && settings.voters.is_empty() && !settings.spares
+        {
             self.mistake(0, "keeper.voters", "missing; a keeper names the first voters");
         }
         settings
--- a/crates/edge/src/callers.rs
+++ b/crates/edge/src/callers.rs
@@ -5,7 +5,6 @@
 use std::convert::Infallible;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::mpsc::Sender;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -23,8 +22,8 @@
 use tokio::sync::Semaphore;
 use tokio::time::{sleep, timeout};
 
-use crate::Input;
 use crate::outlet::{self, Inlet, Out};
+use crate::{Input, Inputs};
 
 const RETRY: Duration = Duration::from_secs(1);
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -48,11 +47,11 @@
 
 struct Shared {
     limits: Limits,
-    inputs: Sender<Input>,
+    inputs: Inputs,
 }
 
 /// Serves callers until the runtime ends.
-pub async fn run(listener: TcpListener, limits: Limits, inputs: Sender<Input>) {
+pub async fn run(listener: TcpListener, limits: Limits, inputs: Inputs) {
     let places = Arc::new(Semaphore::new(limits.connections));
     let aways = Arc::new(Semaphore::new(TURNED_AWAY));
     let shared = Arc::new(Shared { limits, inputs });
@@ -195,7 +194,7 @@
 struct Exchange {
     call: u64,
     inlet: Inlet,
-    inputs: Sender<Input>,
+    inputs: Inputs,
     open: bool,
 }
 
--- a/crates/edge/src/clock.rs
+++ b/crates/edge/src/clock.rs
@@ -1,28 +1,34 @@
 //! The clocks of a process.
 
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use base::{Incarnation, Time};
+use rustix::time::{ClockId, clock_gettime};
 
-/// The monotonic clock of a process.
+/// The steady clock of a process, which also counts while its VM is suspended.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
-    start: Instant,
+    start: Duration,
 }
 
 impl Default for Clock {
     fn default() -> Self {
-        Self { start: Instant::now() }
+        Self { start: since_boot() }
     }
 }
 
 impl Clock {
     /// The present time.
     pub fn now(&self) -> Time {
-        Time(self.start.elapsed().as_micros() as u64)
+        Time(since_boot().saturating_sub(self.start).as_micros() as u64)
     }
 }
 
+fn since_boot() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    Duration::new(time.tv_sec.max(0) as u64, time.tv_nsec.max(0) as u32)
+}
+
 /// The wall clock, milliseconds since 1970.
 pub fn unix_ms() -> u64 {
     incarnation().0 / 1_000
--- /dev/null
+++ b/crates/edge/src/control.rs
@@ -0,0 +1,140 @@
+//! Operators' HTTP on the one thread of a small process.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::Code;
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use node::admin::{self, Admin};
+use node::{Event, Reply, api};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+use crate::clock::unix_ms;
+use crate::metrics::Metrics;
+use crate::outlet::{self, Out};
+use crate::{Dialect, Input, Inputs, start};
+
+/// Largest body of an operator's request, bytes.
+const MAX_BODY: usize = 4 << 20;
+/// Longest wait for a request, and for an idle connection's next one.
+const ARRIVAL: Duration = Duration::from_secs(10);
+
+/// What the listener needs.
+#[derive(Debug)]
+pub struct Control {
+    /// Words; without them the product's own are spoken, the metrics included.
+    pub dialect: Option<Rc<dyn Dialect>>,
+    /// Takes requests.
+    pub inputs: Inputs,
+    /// Metrics.
+    pub metrics: Arc<Metrics>,
+}
+
+/// Serves operators until the runtime ends.
+pub async fn run(listener: TcpListener, control: Rc<Control>) {
+    loop {
+        match listener.accept().await {
+            Ok((socket, _)) => {
+                spawn_local(connection(socket, control.clone()));
+            }
+            Err(error) => {
+                log::warn!("operators' listener: {error}");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+async fn connection(socket: TcpStream, control: Rc<Control>) {
+    let service = service_fn(move |request| exchange(control.clone(), request));
+    let mut builder = hyper::server::conn::http1::Builder::new();
+    builder.timer(TokioTimer::new()).header_read_timeout(ARRIVAL);
+    if let Err(error) = builder.serve_connection(TokioIo::new(socket), service).await {
+        log::debug!("operator's connection: {error}");
+    }
+}
+
+async fn exchange(
+    control: Rc<Control>,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    let (head, body) = request.into_parts();
+    let path = head.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
+    if control.dialect.is_none() && path == "/metrics" {
+        let reply = Reply { status: 200, kind: "text/plain".to_owned(), headers: Vec::new() };
+        return Ok(response(reply, control.metrics.text()));
+    }
+    let body = match timeout(ARRIVAL, Limited::new(body, MAX_BODY).collect()).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(error)) => return Ok(refuse(Code::BadBody, &error.to_string())),
+        Err(_) => return Ok(refuse(Code::SlowCaller, "the body did not arrive in time")),
+    };
+    let parsed = match &control.dialect {
+        Some(dialect) => dialect.operator(&head, &body, unix_ms()),
+        None => admin::parse(&own(&head, path, &body), unix_ms()),
+    };
+    Ok(match parsed {
+        Ok(admin) => ask(&control, admin).await,
+        Err((code, text)) => {
+            log::info!(code = code.number(), text:% = text; "operator's request refused");
+            refuse(code, &text)
+        }
+    })
+}
+
+fn own(head: &http::request::Parts, path: String, body: &Bytes) -> api::Request {
+    let headers = head.headers.iter().map(|(name, value)| {
+        (name.as_str().to_owned(), String::from_utf8_lossy(value.as_bytes()).into_owned())
+    });
+    api::Request {
+        method: head.method.as_str().to_owned(),
+        path,
+        headers: headers.collect(),
+        body: body.to_vec(),
+    }
+}
+
+async fn ask(control: &Control, admin: Admin) -> Response<Full<Bytes>> {
+    let call = start::call_number();
+    let (outlet, mut inlet) = outlet::pair();
+    let event = Event::Admin { call, admin: Box::new(admin) };
+    let mut reply = Reply { status: 503, ..Reply::default() };
+    let mut body = Vec::new();
+    if control.inputs.send(Input::Open { call, outlet, event }).is_err() {
+        return response(reply, body);
+    }
+    while let Some(out) = inlet.receiver.recv().await {
+        match out {
+            Out::Begin(head) => reply = head,
+            Out::Body(bytes) => {
+                inlet.taken(bytes.len());
+                body.extend(bytes);
+            }
+            Out::Finish(_) => break,
+        }
+    }
+    response(reply, body)
+}
+
+fn refuse(code: Code, text: &str) -> Response<Full<Bytes>> {
+    let (reply, body) = api::refusal(None, code, text, Duration::ZERO);
+    response(reply, body)
+}
+
+fn response(reply: Reply, body: Vec<u8>) -> Response<Full<Bytes>> {
+    let mut builder = Response::builder().status(reply.status).header("content-type", reply.kind);
+    for (name, value) in reply.headers {
+        builder = builder.header(name, value);
+    }
+    // Every header is one of our own, so none can be wrong.
+    builder.body(Full::new(body.into())).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/edge/src/dialect.rs
@@ -0,0 +1,83 @@
+//! How a deployment speaks: the words for what the edges exchange with callers, servers and operators.
+
+use std::fmt::Debug;
+
+use base::Code;
+use bytes::Bytes;
+use fleet::{Listed, Load};
+use http::{HeaderMap, Response, request, response};
+use node::admin::Admin;
+use node::forward::{Answer, Change, Head, Refusal, Try};
+
+/// A call to a server or to the platform.
+#[derive(Clone, Debug, Default)]
+pub struct Call {
+    /// Method.
+    pub method: http::Method,
+    /// Path and query.
+    pub path: String,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// A page of the list of servers.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Page {
+    /// Its entries.
+    pub servers: Vec<Listed>,
+    /// Where the next page begins.
+    pub next: Option<String>,
+}
+
+/// The words of one deployment; only translates, and never decides.
+pub trait Dialect: Debug {
+    /// Reads a caller's request.
+    ///
+    /// # Errors
+    /// What is wrong with it.
+    fn head(&self, request: &request::Parts) -> Result<Head, String>;
+
+    /// Headers of a try at a server, made from the caller's without those of one connection;
+    /// `after` is the last event that the caller has.
+    fn outgoing(&self, headers: HeaderMap, to: &Try, after: Option<&str>) -> HeaderMap;
+
+    /// Reads the head of a server's answer to the request with this ID.
+    fn answer(&self, id: &str, response: &response::Parts) -> Answer;
+
+    /// A final answer of this entry's own to the request with this ID.
+    fn refusal(&self, id: &str, refusal: &Refusal) -> Response<Bytes>;
+
+    /// Reads an operator's request.
+    ///
+    /// # Errors
+    /// The code and a text that says what is wrong.
+    fn operator(
+        &self,
+        request: &request::Parts,
+        body: &[u8],
+        at_ms: u64,
+    ) -> Result<Admin, (Code, String)>;
+
+    /// The call that reads a page of the list of servers, the first without a mark.
+    fn list(&self, from: Option<&str>) -> Call;
+
+    /// Reads a page of the list.
+    ///
+    /// # Errors
+    /// What is wrong with it.
+    fn page(&self, body: &[u8]) -> Result<Page, String>;
+
+    /// The call that asks a server what it holds.
+    fn report(&self) -> Call;
+
+    /// Reads a server's report: the weight version that it holds, and its load.
+    ///
+    /// # Errors
+    /// What is wrong with it.
+    fn reported(&self, body: &[u8]) -> Result<(u64, Load), String>;
+
+    /// The call that orders a server to a weight version.
+    fn change(&self, change: &Change, holder: &str) -> Call;
+}
--- /dev/null
+++ b/crates/edge/src/direct.rs
@@ -0,0 +1,151 @@
+//! Calls of the process's own to servers without an agent and to the list of servers.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use base::Name;
+use bytes::Bytes;
+use fleet::Listed;
+use http::{HeaderValue, Request, header};
+use http_body_util::{BodyExt, Full, Limited};
+use node::{Event, forward};
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+use crate::pool::Pool;
+use crate::{Call, Dialect, Input, Inputs};
+
+/// Longest wait for an answer; the list is read more often than a server may change unnoticed.
+const ANSWER: Duration = Duration::from_secs(1);
+/// Largest answer, bytes: some thousand servers.
+const MOST: usize = 4 << 20;
+/// Most pages of the list; more would be a list without an end.
+const MOST_PAGES: usize = 200;
+/// Time between two looks for connections that were idle for too long.
+const SWEEP: Duration = Duration::from_secs(1);
+
+/// What the host asks for.
+#[derive(Debug)]
+pub enum Command {
+    /// Read the list of servers.
+    List,
+    /// Ask a server what it holds.
+    Report {
+        /// Identity of the server.
+        id: Name,
+        /// Its address.
+        addr: SocketAddr,
+    },
+    /// Order a server to a weight version.
+    Change(Box<forward::Change>),
+}
+
+/// What the calls need.
+#[derive(Debug)]
+pub struct Client {
+    /// Connections.
+    pub pool: Rc<Pool>,
+    /// Words.
+    pub dialect: Rc<dyn Dialect>,
+    /// Takes what comes back.
+    pub inputs: Inputs,
+    /// Address of the list, if there is one.
+    pub list: Option<SocketAddr>,
+    /// Name of this process in orders.
+    pub holder: Name,
+}
+
+/// Makes the calls until the host is gone.
+pub async fn run(client: Rc<Client>, mut commands: UnboundedReceiver<Command>) {
+    let pool = client.pool.clone();
+    spawn_local(async move {
+        loop {
+            sleep(SWEEP).await;
+            pool.sweep();
+        }
+    });
+    while let Some(command) = commands.recv().await {
+        let client = client.clone();
+        spawn_local(async move {
+            if let Some(event) = client.perform(command).await {
+                let _ = client.inputs.send(Input::Event(Event::Forward(event)));
+            }
+        });
+    }
+}
+
+impl Client {
+    async fn perform(&self, command: Command) -> Option<forward::Event> {
+        match command {
+            Command::List => {
+                let addr = self.list?;
+                let read = timeout(ANSWER, self.read_list(addr)).await;
+                let list = read.unwrap_or_else(|_| Err("no answer in time".to_owned()));
+                Some(forward::Event::Listed { list })
+            }
+            Command::Report { id, addr } => {
+                let answer = timeout(ANSWER, self.call(addr, self.dialect.report())).await;
+                let answer = answer.unwrap_or_else(|_| Err("no answer in time".to_owned()));
+                match answer.and_then(|(_, body)| self.dialect.reported(&body)) {
+                    Ok((version, load)) => Some(forward::Event::Reported { id, version, load }),
+                    Err(error) => {
+                        log::warn!(server:% = id, error; "report not read");
+                        None
+                    }
+                }
+            }
+            Command::Change(change) => {
+                let call = self.dialect.change(&change, &self.holder);
+                let answer = timeout(ANSWER, self.call(change.addr, call)).await;
+                let answer = answer.unwrap_or_else(|_| Err("no answer in time".to_owned()));
+                let status = match &answer {
+                    Ok((status, _)) => *status,
+                    Err(error) => {
+                        log::warn!(server:% = change.id, error:% = error; "order not answered");
+                        0
+                    }
+                };
+                log::info!(server:% = change.id, status = u64::from(status); "order answered");
+                // One without an answer may have been taken.
+                let taken = answer.is_err() || matches!(status, 200 | 202);
+                Some(forward::Event::Changed { id: change.id, taken })
+            }
+        }
+    }
+
+    async fn read_list(&self, addr: SocketAddr) -> Result<Vec<Listed>, String> {
+        let mut servers = Vec::new();
+        let mut from = None;
+        for _ in 0..MOST_PAGES {
+            let (status, body) = self.call(addr, self.dialect.list(from.as_deref())).await?;
+            if status != 200 {
+                return Err(format!("status {status}"));
+            }
+            let page = self.dialect.page(&body)?;
+            servers.extend(page.servers);
+            from = page.next;
+            if from.is_none() {
+                return Ok(servers);
+            }
+        }
+        Err("the list has no end".to_owned())
+    }
+
+    async fn call(&self, addr: SocketAddr, call: Call) -> Result<(u16, Bytes), String> {
+        let mut request = Request::new(Full::new(call.body));
+        *request.method_mut() = call.method;
+        *request.uri_mut() = call.path.parse().map_err(|error| format!("path: {error}"))?;
+        *request.headers_mut() = call.headers;
+        let host = HeaderValue::from_str(&addr.to_string()).map_err(|error| error.to_string())?;
+        request.headers_mut().insert(header::HOST, host);
+        let sent = self.pool.send(addr, request).await;
+        let (response, lease) = sent.map_err(|failure| format!("{failure:?}"))?;
+        let status = response.status().as_u16();
+        let body = Limited::new(response.into_body(), MOST).collect().await;
+        let body = body.map_err(|error| error.to_string())?.to_bytes();
+        lease.done().await;
+        Ok((status, body))
+    }
+}
--- a/crates/edge/src/files.rs
+++ b/crates/edge/src/files.rs
@@ -8,7 +8,7 @@
 use node::Event;
 use quorum::Write;
 
-use crate::Input;
+use crate::{Input, Inputs};
 
 /// A request to write.
 #[derive(Debug)]
@@ -35,14 +35,14 @@
 ///
 /// # Errors
 /// The thread cannot be started.
-pub fn start(store: Store, inputs: Sender<Input>) -> std::io::Result<Sender<Command>> {
+pub fn start(store: Store, inputs: Inputs) -> std::io::Result<Sender<Command>> {
     let (sender, commands) = channel();
     let thread = thread::Builder::new().name("files".to_owned());
     thread.spawn(move || run(store, &commands, &inputs))?;
     Ok(sender)
 }
 
-fn run(mut store: Store, commands: &Receiver<Command>, inputs: &Sender<Input>) {
+fn run(mut store: Store, commands: &Receiver<Command>, inputs: &Inputs) {
     while let Ok(first) = commands.recv() {
         let mut seq = first.seq;
         let mut writes = vec![first.write];
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -2,16 +2,17 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender};
+use std::sync::mpsc::Sender;
 use std::time::{Duration, Instant};
 
-use node::{Effect, Effects, Event, Node};
+use node::{Effect, Effects, Event, Node, forward};
 use stakker::{ActorOwn, CX, Stakker, actor, after, call, ret_nop};
-use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
+use tokio::time::timeout;
 
 use crate::metrics::Metrics;
 use crate::outlet::{Out, Outlet};
-use crate::{Clock, files, net, server};
+use crate::{Clock, direct, files, net, notes, server};
 
 /// Time between two ticks of the reducer.
 const TICK: Duration = Duration::from_millis(10);
@@ -36,8 +37,20 @@
         /// The event.
         event: Event,
     },
+    /// A request to forward has come whole.
+    Forward {
+        /// Number of the exchange.
+        call: u64,
+        /// The way back.
+        orders: UnboundedSender<forward::Order>,
+        /// What it says of itself.
+        head: Box<forward::Head>,
+    },
 }
 
+/// Takes inputs.
+pub type Inputs = UnboundedSender<Input>;
+
 /// Everything the host hands effects to.
 #[derive(Debug)]
 pub struct Sinks {
@@ -47,10 +60,12 @@
     pub server: Option<server::Client>,
     /// The files, for a keeper.
     pub files: Option<Sender<files::Command>>,
+    /// Calls to servers without an agent, and to their list.
+    pub direct: Option<UnboundedSender<direct::Command>>,
     /// The metrics.
     pub metrics: Arc<Metrics>,
     /// Told when the process may or must leave.
-    pub exit: Sender<Exit>,
+    pub exit: UnboundedSender<Exit>,
 }
 
 /// How a process ends.
@@ -73,6 +88,7 @@
     clock: Clock,
     sinks: Sinks,
     outlets: HashMap<u64, Outlet>,
+    doors: HashMap<u64, UnboundedSender<forward::Order>>,
     hangups: Vec<u64>,
     effects: Effects,
     ticks: u64,
@@ -82,12 +98,12 @@
     #[expect(clippy::unnecessary_wraps, reason = "stakker asks for an option")]
     fn init(cx: CX![], node: Node, clock: Clock, sinks: Sinks) -> Option<Self> {
         after!(TICK, [cx], tick());
-        let outlets = HashMap::new();
         Some(Self {
             node,
             clock,
             sinks,
-            outlets,
+            outlets: HashMap::new(),
+            doors: HashMap::new(),
             hangups: Vec::new(),
             effects: Vec::new(),
             ticks: 0,
@@ -105,11 +121,23 @@
 
     fn input(&mut self, _cx: CX![], input: Input) {
         match input {
-            Input::Event(event) => self.step(event),
+            Input::Event(event) => {
+                if let Event::Forward(
+                    forward::Event::Done { call } | forward::Event::Left { call },
+                ) = &event
+                {
+                    self.doors.remove(call);
+                }
+                self.step(event);
+            }
             Input::Open { call, outlet, event } => {
                 self.outlets.insert(call, outlet);
                 self.step(event);
             }
+            Input::Forward { call, orders, head } => {
+                self.doors.insert(call, orders);
+                self.step(Event::Forward(forward::Event::Arrived { call, head }));
+            }
         }
     }
 
@@ -163,6 +191,20 @@
             Effect::Usage { workspace: _, computed, cached, generated, fetched } => {
                 self.sinks.metrics.used(computed, cached, generated, fetched);
             }
+            Effect::Door { call, order } => {
+                // An edge that is gone has told so, or will.
+                let last = matches!(order, forward::Order::Refuse(_));
+                if let Some(orders) = self.doors.get(&call) {
+                    let _ = orders.send(order);
+                }
+                if last {
+                    self.doors.remove(&call);
+                }
+            }
+            Effect::ReadList => self.direct(direct::Command::List),
+            Effect::Report { id, addr } => self.direct(direct::Command::Report { id, addr }),
+            Effect::Change(change) => self.direct(direct::Command::Change(change)),
+            Effect::Note(note) => notes::write(&note, &self.sinks.metrics),
             Effect::Exit { cut } => {
                 let _ = self.sinks.exit.send(Exit::Done { cut });
             }
@@ -184,6 +226,12 @@
         }
     }
 
+    fn direct(&self, command: direct::Command) {
+        if let Some(direct) = &self.sinks.direct {
+            let _ = direct.send(command);
+        }
+    }
+
     fn answer(&mut self, call: u64, out: Out) {
         let Some(outlet) = self.outlets.get(&call) else {
             return;
@@ -196,22 +244,23 @@
 }
 
 /// Runs the reducer until every sender of inputs is gone.
-pub fn run(node: Node, clock: Clock, sinks: Sinks, inputs: &Receiver<Input>) {
+pub async fn run(node: Node, clock: Clock, sinks: Sinks, mut inputs: UnboundedReceiver<Input>) {
     let mut stakker = Stakker::new(Instant::now());
     let s = &mut stakker;
     let host: ActorOwn<Host> = actor!(s, Host::init(node, clock, sinks), ret_nop!());
     s.run(Instant::now(), false);
     loop {
         let sleep = s.next_wait_max(Instant::now(), MAX_SLEEP, false);
-        match inputs.recv_timeout(sleep) {
-            Ok(input) => {
+        match timeout(sleep, inputs.recv()).await {
+            Ok(Some(input)) => {
                 call!([host], input(input));
-                for input in inputs.try_iter().take(BURST) {
+                for _ in 0..BURST {
+                    let Ok(input) = inputs.try_recv() else { break };
                     call!([host], input(input));
                 }
             }
-            Err(RecvTimeoutError::Timeout) => {}
-            Err(RecvTimeoutError::Disconnected) => return,
+            Ok(None) => return,
+            Err(_) => {}
         }
         s.run(Instant::now(), false);
     }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -2,25 +2,37 @@
 //!
 //! [`start`] opens every listener and runs the reducer on a stakker thread. Callers come through
 //! hyper and links between processes through h2, both on one tokio thread; operators come through
-//! tiny_http, and backend servers are called through ureq. The edges only translate: everything
+//! tiny_http, and backend servers are called through ureq. [`single::run`] does with one thread, for
+//! VMs with a part of a core: reducer and sockets share one loop, and requests are forwarded to
+//! servers without an agent in the words of a [`Dialect`]. The edges only translate: everything
 //! that decides is in [`node::Node`].
 
 mod callers;
 mod clock;
+mod control;
+mod dialect;
+mod direct;
+mod events;
 mod files;
+mod forward;
 mod host;
 mod key;
 mod logging;
 mod metrics;
 mod net;
+mod notes;
 mod operators;
 mod outlet;
+mod pool;
 mod server;
+pub mod single;
 mod start;
 mod transfer;
 
 pub use clock::{Clock, incarnation, unix_ms};
-pub use host::{Exit, Input};
+pub use dialect::{Call, Dialect, Page};
+pub use events::Splitter;
+pub use host::{Exit, Input, Inputs};
 pub use key::key_hash;
-pub use logging::log_to_stderr;
+pub use logging::{log_to_stderr, log_to_stdout};
 pub use start::{Running, Stopper, keeper_folder, start};
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -21,6 +21,7 @@
     fetched: IntCounter,
     link: IntCounterVec,
     links: IntCounter,
+    lost: IntCounter,
     gauges: Mutex<HashMap<&'static str, Gauge>>,
 }
 
@@ -52,6 +53,7 @@
                 &["way"],
             )?,
             links: IntCounter::new("tamarack_links_total", "Links that came up")?,
+            lost: IntCounter::new("tamarack_tries_failed_total", "Tries at servers that failed")?,
             gauges: Mutex::new(HashMap::new()),
         };
         metrics.registry.register(Box::new(metrics.requests.clone()))?;
@@ -61,9 +63,15 @@
         metrics.registry.register(Box::new(metrics.fetched.clone()))?;
         metrics.registry.register(Box::new(metrics.link.clone()))?;
         metrics.registry.register(Box::new(metrics.links.clone()))?;
+        metrics.registry.register(Box::new(metrics.lost.clone()))?;
         Ok(metrics)
     }
 
+    /// Counts a try at a server that failed.
+    pub fn lost(&self) {
+        self.lost.inc();
+    }
+
     /// Counts a request that has ended.
     pub fn ended(&self, code: Code, took: Duration, first: Option<Duration>) {
         self.requests.with_label_values(&[&code.number().to_string()]).inc();
--- a/crates/edge/src/net.rs
+++ b/crates/edge/src/net.rs
@@ -7,7 +7,6 @@
 use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::mpsc::Sender;
 use std::time::Duration;
 
 use base::Name;
@@ -20,8 +19,8 @@
 use tokio::time::{sleep, timeout};
 use wire::{Decoder, Frame, Hello};
 
-use crate::Input;
 use crate::metrics::Metrics;
+use crate::{Input, Inputs};
 
 const CONNECT: Duration = Duration::from_secs(1);
 const REDIAL: Duration = Duration::from_millis(200);
@@ -76,7 +75,7 @@
 #[derive(Clone)]
 struct Shared {
     hello: Hello,
-    inputs: Sender<Input>,
+    inputs: Inputs,
     news: UnboundedSender<News>,
     metrics: Arc<Metrics>,
 }
@@ -86,7 +85,7 @@
     hello: Hello,
     listener: TcpListener,
     mut commands: UnboundedReceiver<Command>,
-    inputs: Sender<Input>,
+    inputs: Inputs,
     metrics: Arc<Metrics>,
 ) {
     let (news, mut news_in) = unbounded_channel();
--- /dev/null
+++ b/crates/edge/src/notes.rs
@@ -0,0 +1,39 @@
+//! Decisions about forwarded requests as log lines and counts.
+
+use node::forward::Note;
+
+use crate::metrics::Metrics;
+
+/// Writes a decision to the log and counts it.
+pub fn write(note: &Note, metrics: &Metrics) {
+    let millis = |time: std::time::Duration| time.as_millis() as u64;
+    match note {
+        Note::Ended { request, route, server, tries, code, status, took, first } => {
+            metrics.ended(*code, *took, *first);
+            log::info!(
+                request:% = request, route:% = route,
+                server = server.as_deref().unwrap_or_default(), tries = u64::from(*tries),
+                code = code.number(), status = u64::from(*status), took_ms = millis(*took),
+                first_ms = first.map_or(0, millis);
+                "request ended"
+            );
+        }
+        Note::Lost { request, server, why, then } => {
+            metrics.lost();
+            log::warn!(request:% = request, server:% = server, why:% = why, then; "try failed");
+        }
+        Note::Listed { servers, leaving } => {
+            log::info!(servers, leaving; "list of servers changed");
+        }
+        Note::Unlisted { error, age_ms } => {
+            log::warn!(error:% = error, age_ms; "list of servers not read");
+        }
+        Note::Ordered { change, from } => {
+            log::info!(
+                server:% = change.id, model:% = change.model, version = change.version,
+                token = change.token, from;
+                "server ordered to a weight version"
+            );
+        }
+    }
+}
--- a/crates/edge/src/operators.rs
+++ b/crates/edge/src/operators.rs
@@ -3,7 +3,6 @@
 use std::io::Read;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::mpsc::Sender;
 use std::thread;
 use std::time::Duration;
 
@@ -14,14 +13,14 @@
 use crate::clock::unix_ms;
 use crate::metrics::Metrics;
 use crate::outlet::{self, Out};
-use crate::{Input, start};
+use crate::{Input, Inputs, start};
 
 const THREADS: usize = 8;
 /// Largest body of an operator's request, bytes.
 const MAX_BODY: u64 = 4 << 20;
 
 struct Shared {
-    inputs: Sender<Input>,
+    inputs: Inputs,
     metrics: Arc<Metrics>,
     key: String,
 }
@@ -33,7 +32,7 @@
 pub fn run(
     addr: SocketAddr,
     key: &str,
-    inputs: &Sender<Input>,
+    inputs: &Inputs,
     metrics: &Arc<Metrics>,
 ) -> std::io::Result<SocketAddr> {
     let server = Server::http(addr).map_err(std::io::Error::other)?;
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -4,7 +4,6 @@
 
 use std::io::{BufRead, BufReader, Read};
 use std::net::SocketAddr;
-use std::sync::mpsc::Sender;
 use std::thread;
 use std::time::Duration;
 
@@ -15,8 +14,8 @@
 use ureq::Agent;
 use wire::{Call, Load, Part, Prompt, Work};
 
-use crate::Input;
 use crate::transfer::Transfer;
+use crate::{Input, Inputs};
 
 const CONNECT: Duration = Duration::from_secs(1);
 const LOAD_EVERY: Duration = Duration::from_millis(100);
@@ -29,7 +28,7 @@
     agent: Agent,
     base: String,
     transfer: Transfer,
-    inputs: Sender<Input>,
+    inputs: Inputs,
 }
 
 /// One event of an engine's stream.
@@ -63,7 +62,7 @@
 
 impl Client {
     /// A client of the server at this address.
-    pub fn new(addr: SocketAddr, stores: Vec<(Name, SocketAddr)>, inputs: Sender<Input>) -> Self {
+    pub fn new(addr: SocketAddr, stores: Vec<(Name, SocketAddr)>, inputs: Inputs) -> Self {
         let config = Agent::config_builder()
             .timeout_connect(Some(CONNECT))
             .http_status_as_error(false)
--- /dev/null
+++ b/crates/edge/src/single.rs
@@ -0,0 +1,133 @@
+//! A whole process on one thread, for VMs with a part of a core.
+//!
+//! Reducer, links, callers, operators and calls to servers share one loop; only a keeper's files
+//! have a thread of their own, so that no sync holds the loop up.
+
+use std::cell::Cell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use conf::{Role, Settings};
+use node::{Config, Event, Node};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc::unbounded_channel;
+use tokio::task::{LocalSet, spawn_local};
+
+use crate::control::Control;
+use crate::forward::Shared;
+use crate::host::Sinks;
+use crate::metrics::Metrics;
+use crate::pool::Pool;
+use crate::{Clock, Dialect, Exit, Input, Inputs, control, direct, forward, host, net, start};
+
+pub use crate::forward::Limits;
+
+/// Where the process listens and whom it calls, besides its settings.
+#[derive(Clone, Debug)]
+pub struct Ports {
+    /// Callers, in the words of the dialect.
+    pub callers: SocketAddr,
+    /// Operators, in the words of the dialect.
+    pub operators: Vec<SocketAddr>,
+    /// The list of servers.
+    pub list: Option<SocketAddr>,
+    /// What a caller may send.
+    pub limits: Limits,
+}
+
+/// Runs a process until it may or must leave.
+///
+/// # Errors
+/// A listener cannot be bound, or a keeper's folder cannot be used.
+pub fn run(
+    settings: &Settings,
+    config: Config,
+    ports: &Ports,
+    dialect: &Rc<dyn Dialect>,
+) -> io::Result<Exit> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let local = LocalSet::new();
+    local.block_on(&runtime, serve(settings, config, ports, dialect))
+}
+
+async fn serve(
+    settings: &Settings,
+    config: Config,
+    ports: &Ports,
+    dialect: &Rc<dyn Dialect>,
+) -> io::Result<Exit> {
+    let link = TcpListener::bind(settings.link).await?;
+    let callers = TcpListener::bind(ports.callers).await?;
+    let own = TcpListener::bind(settings.operators).await?;
+    let (inputs, inputs_out) = unbounded_channel();
+    let (commands, commands_out) = unbounded_channel();
+    let (calls, calls_out) = unbounded_channel();
+    let (exit, mut exit_out) = unbounded_channel();
+    let metrics = Arc::new(Metrics::new().map_err(io::Error::other)?);
+    let me = start::me(settings, link.local_addr()?);
+    let (keeper, files) = if settings.plays(Role::Keeper) {
+        let (keeper, files) = start::keeper(settings, &me, &inputs)?;
+        (Some(keeper), Some(files))
+    } else {
+        (None, None)
+    };
+    for seed in &settings.seeds {
+        let _ = commands.send(net::Command::Dial { addr: seed.addr });
+    }
+
+    let pool = Rc::new(Pool::default());
+    let shared = Rc::new(Shared {
+        limits: ports.limits,
+        dialect: dialect.clone(),
+        pool: pool.clone(),
+        inputs: inputs.clone(),
+        stopping: Cell::new(false),
+    });
+    let client = Rc::new(direct::Client {
+        pool,
+        dialect: dialect.clone(),
+        inputs: inputs.clone(),
+        list: ports.list,
+        holder: settings.name.clone(),
+    });
+    let operators =
+        |dialect| Rc::new(Control { dialect, inputs: inputs.clone(), metrics: metrics.clone() });
+    spawn_local(net::run(me.hello.clone(), link, commands_out, inputs.clone(), metrics.clone()));
+    spawn_local(direct::run(client, calls_out));
+    spawn_local(control::run(own, operators(None)));
+    let spoken = operators(Some(dialect.clone()));
+    for addr in &ports.operators {
+        spawn_local(control::run(TcpListener::bind(addr).await?, spoken.clone()));
+    }
+    spawn_local(stop_on_signals(inputs.clone(), shared.clone()));
+    let sinks = Sinks { net: commands, server: None, files, direct: Some(calls), metrics, exit };
+    spawn_local(host::run(Node::new(me, config, keeper), Clock::default(), sinks, inputs_out));
+    spawn_local(forward::run(callers, shared));
+    Ok(exit_out.recv().await.unwrap_or(Exit::Done { cut: 0 }))
+}
+
+/// Asks the process to stop on SIGTERM and SIGINT; SIGHUP says that the settings may have changed.
+async fn stop_on_signals(inputs: Inputs, shared: Rc<Shared>) -> io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut reload = signal(SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+            _ = reload.recv() => {
+                // Nothing in the settings that may change is used after the start.
+                log::info!("reload: no setting in use has changed");
+                continue;
+            }
+        }
+        log::info!("asked to stop");
+        shared.stopping.set(true);
+        if inputs.send(Input::Event(Event::Stop)).is_err() {
+            return Ok(());
+        }
+    }
+}
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -5,19 +5,19 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::mpsc::Sender;
 use std::thread;
 
 use conf::{Role, ServerKind, Settings};
 use node::{Config, Event, Keeper, Me, Node};
 use quorum::{Founding, Member, Quorum, Timing};
 use tokio::net::TcpListener;
-use tokio::sync::mpsc::unbounded_channel;
+use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 use wire::{Engine, Hello};
 
 use crate::host::{self, Exit, Sinks};
 use crate::metrics::Metrics;
-use crate::{Clock, Input, callers, clock, files, net, operators, server};
+use crate::{Clock, Input, Inputs, callers, clock, files, net, operators, server};
 
 /// Folder of the keeper's files within the data folder.
 const KEEPER_FOLDER: &str = "keeper";
@@ -32,14 +32,14 @@
     /// Address of the callers' HTTP, for an entry.
     pub callers: Option<SocketAddr>,
     /// Takes events.
-    pub inputs: Sender<Input>,
-    exit: Receiver<Exit>,
+    pub inputs: Inputs,
+    exit: UnboundedReceiver<Exit>,
 }
 
 /// A handle that asks a process to stop.
 #[derive(Clone, Debug)]
 pub struct Stopper {
-    inputs: Sender<Input>,
+    inputs: Inputs,
 }
 
 impl Stopper {
@@ -56,8 +56,8 @@
     }
 
     /// Waits until the process may or must leave.
-    pub fn wait(&self) -> Exit {
-        self.exit.recv().unwrap_or(Exit::Done { cut: 0 })
+    pub fn wait(&mut self) -> Exit {
+        self.exit.blocking_recv().unwrap_or(Exit::Done { cut: 0 })
     }
 }
 
@@ -79,9 +79,9 @@
     } else {
         None
     };
-    let (inputs, inputs_out) = channel();
+    let (inputs, inputs_out) = unbounded_channel();
     let (commands, commands_out) = unbounded_channel();
-    let (exit, exit_out) = channel();
+    let (exit, exit_out) = unbounded_channel();
     let link_addr = link.local_addr()?;
     let callers_addr = callers.as_ref().map(TcpListener::local_addr).transpose()?;
     let metrics = Arc::new(Metrics::new().map_err(io::Error::other)?);
@@ -126,10 +126,11 @@
     })?;
 
     let config = Config::from(settings);
-    let sinks = Sinks { net: commands, server, files, metrics, exit };
+    let sinks = Sinks { net: commands, server, files, direct: None, metrics, exit };
+    let timers = tokio::runtime::Builder::new_current_thread().enable_time().build()?;
     thread::Builder::new().name("reducer".to_owned()).spawn(move || {
         let node = Node::new(me, config, keeper);
-        host::run(node, Clock::default(), sinks, &inputs_out);
+        timers.block_on(host::run(node, Clock::default(), sinks, inputs_out));
     })?;
     Ok(Running {
         link: link_addr,
@@ -145,7 +146,7 @@
     settings.data.join(KEEPER_FOLDER)
 }
 
-fn me(settings: &Settings, addr: SocketAddr) -> Me {
+pub(crate) fn me(settings: &Settings, addr: SocketAddr) -> Me {
     let server = settings.plays(Role::Agent).then(|| Engine {
         serves: settings.serves.clone(),
         plain: settings.server_kind == ServerKind::Plain,
@@ -166,10 +167,10 @@
     }
 }
 
-fn keeper(
+pub(crate) fn keeper(
     settings: &Settings,
     me: &Me,
-    inputs: &Sender<Input>,
+    inputs: &Inputs,
 ) -> io::Result<(Keeper, Sender<files::Command>)> {
     let name = settings.name.clone();
     // The time of the first start, mixed with the name, tells this disk from every other.
@@ -177,7 +178,12 @@
     let identity = incarnation ^ u64::from(std::process::id()) << 48;
     let opened = files::open(&keeper_folder(settings), identity).map_err(io::Error::other)?;
     let member = Member { name: name.clone(), disk: opened.identity };
-    let founding = Founding { names: settings.voters.clone(), epoch: me.started_ms / 1_000 };
+    let founding = Founding {
+        names: settings.voters.clone(),
+        epoch: me.started_ms / 1_000,
+        voters: settings.voters_wanted,
+        spares: settings.spares,
+    };
     let seed = incarnation;
     let quorum = Quorum::new(member, founding, Timing::default(), seed, opened.saved);
     let keeper = Keeper::new(name, quorum).map_err(io::Error::other)?;
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,12 @@
+//! Backend servers that are known from a list and called without an agent.
+//!
+//! [`Servers`] joins three sources of different age: the platform's list, which lags; the answers of
+//! the servers themselves; and what this process has sent them. [`rollout::Rollout::due`] says which of them
+//! to order to another weight version next.
+
+pub mod rollout;
+mod server;
+mod servers;
+
+pub use server::{Listed, Load, Server};
+pub use servers::{Key, Servers};
--- /dev/null
+++ b/crates/fleet/src/server.rs
@@ -0,0 +1,124 @@
+//! One server.
+
+use std::net::SocketAddr;
+
+use base::prelude::*;
+use cache::Held;
+
+/// First time for which a server is left alone after it failed.
+const AWAY: Duration = Duration::from_millis(500);
+/// Longest such time; a server that crashed stays on the list for some seconds.
+const AWAY_MOST: Duration = Duration::from_secs(4);
+/// Age at which a server's word of its load says nothing more.
+const LOAD_AGE: Duration = Duration::from_secs(1);
+
+/// An entry of the platform's list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listed {
+    /// Identity of this life of the server.
+    pub id: Name,
+    /// Start of this life, milliseconds since 1970, where the list tells it: an identity may be
+    /// used again.
+    pub born: Option<u64>,
+    /// Service.
+    pub service: Name,
+    /// Address.
+    pub addr: SocketAddr,
+    /// Availability zone.
+    pub zone: Name,
+    /// Most runs at once.
+    pub slots: u32,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+    /// How much longer it is slow after its start.
+    pub cold: Duration,
+    /// Models that it holds, and their weight versions.
+    pub models: Vec<(Name, u64)>,
+}
+
+/// A server's own word of its load.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Runs in the batch.
+    pub running: u32,
+    /// Runs that wait.
+    pub waiting: u32,
+    /// Most runs at once.
+    pub slots: u32,
+}
+
+/// A server and what this process knows of it.
+#[derive(Clone, Debug)]
+pub struct Server {
+    /// Its last entry on the list.
+    pub listed: Listed,
+    /// Highest weight version heard of, for its model.
+    pub version: u64,
+    /// Runs of this process there.
+    pub running: u32,
+    /// Prompt tokens of those that it still reads.
+    pub reading: u64,
+    /// Prompt parts that it is believed to hold.
+    pub held: Held,
+    load: Option<(Load, u32, Time)>,
+    failures: u32,
+    away_until: Time,
+}
+
+impl Server {
+    pub(crate) fn new(listed: Listed) -> Self {
+        let version = listed.models.iter().map(|(_, version)| *version).max().unwrap_or(0);
+        Self {
+            listed,
+            version,
+            running: 0,
+            reading: 0,
+            held: Held::default(),
+            load: None,
+            failures: 0,
+            away_until: Time::ZERO,
+        }
+    }
+
+    /// Whether new work may go there.
+    pub fn usable(&self, now: Time) -> bool {
+        !self.listed.leaving && now >= self.away_until
+    }
+
+    /// Runs there, those of other processes as last heard.
+    pub fn runs(&self, now: Time) -> u32 {
+        let Some((load, own, at)) = self.load else {
+            return self.running;
+        };
+        if now.since(at) >= LOAD_AGE {
+            return self.running;
+        }
+        self.running + (load.running + load.waiting).saturating_sub(own)
+    }
+
+    /// The server told its load.
+    pub fn told(&mut self, now: Time, load: Load) {
+        self.load = Some((load, self.running, now));
+    }
+
+    /// The server told the weight version that it holds; versions only rise.
+    pub fn holds(&mut self, version: u64) {
+        if version > self.version {
+            self.version = version;
+            self.held.clear();
+        }
+    }
+
+    /// The server answered as it should.
+    pub fn answered(&mut self) {
+        self.failures = 0;
+        self.away_until = Time::ZERO;
+    }
+
+    /// The server could not be reached or broke off.
+    pub fn failed(&mut self, now: Time) {
+        let away = AWAY * 2_u32.saturating_pow(self.failures.min(8));
+        self.failures += 1;
+        self.away_until = now + away.min(AWAY_MOST);
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/servers.rs
@@ -0,0 +1,90 @@
+//! All servers.
+
+use std::collections::{BTreeMap, HashMap};
+
+use base::prelude::*;
+use slotmap::SlotMap;
+
+use crate::{Listed, Server};
+
+slotmap::new_key_type! {
+    /// Key of a server; that of an earlier life leads nowhere.
+    pub struct Key;
+}
+
+/// The servers, by service.
+#[derive(Debug, Default)]
+pub struct Servers {
+    all: SlotMap<Key, Server>,
+    ids: HashMap<Name, Key>,
+    services: BTreeMap<Name, Vec<Key>>,
+    read_at: Option<Time>,
+}
+
+impl Servers {
+    /// The whole list was read. A server that is missing is gone; one that was born again under the
+    /// same identity, or whose identity moved, starts anew.
+    pub fn listed(&mut self, now: Time, list: Vec<Listed>) {
+        self.read_at = Some(now);
+        let mut ids = HashMap::new();
+        for listed in list {
+            let id = listed.id.clone();
+            let known = self.ids.get(&id).copied().filter(|key| {
+                self.all.get(*key).is_some_and(|server| same_life(&server.listed, &listed))
+            });
+            let key = match known.and_then(|key| Some((key, self.all.get_mut(key)?))) {
+                Some((key, server)) => {
+                    let version = listed.models.iter().map(|(_, version)| *version).max();
+                    server.holds(version.unwrap_or(0));
+                    server.listed = listed;
+                    key
+                }
+                None => self.all.insert(Server::new(listed)),
+            };
+            ids.insert(id, key);
+        }
+        self.ids = ids;
+        let live: Vec<Key> = self.ids.values().copied().collect();
+        self.all.retain(|key, _| live.contains(&key));
+        self.services.clear();
+        for (key, server) in &self.all {
+            self.services.entry(server.listed.service.clone()).or_default().push(key);
+        }
+    }
+
+    /// When the list was last read.
+    pub fn read_at(&self) -> Option<Time> {
+        self.read_at
+    }
+
+    /// A server.
+    pub fn get(&self, key: Key) -> Option<&Server> {
+        self.all.get(key)
+    }
+
+    /// A server.
+    pub fn get_mut(&mut self, key: Key) -> Option<&mut Server> {
+        self.all.get_mut(key)
+    }
+
+    /// The server of this identity.
+    pub fn by_id(&mut self, id: &str) -> Option<&mut Server> {
+        self.all.get_mut(*self.ids.get(id)?)
+    }
+
+    /// The servers of a service.
+    pub fn of(&self, service: &str) -> impl Iterator<Item = (Key, &Server)> {
+        let keys = self.services.get(service).map(Vec::as_slice).unwrap_or_default();
+        keys.iter().filter_map(|key| Some((*key, self.all.get(*key)?)))
+    }
+
+    /// Every server.
+    pub fn iter(&self) -> impl Iterator<Item = (Key, &Server)> {
+        self.all.iter()
+    }
+}
+
+fn same_life(known: &Listed, listed: &Listed) -> bool {
+    let same = known.addr == listed.addr && known.service == listed.service;
+    same && (known.born == listed.born || listed.born.is_none())
+}
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -15,7 +15,7 @@
 use base::{Code, Name, Revision};
 use record::{Change, Kind, Record};
 use serde_json::{Value, json};
-use state::{Command, Delete, Put, Reply};
+use state::{Adopt, Command, Delete, Promote, Put, Reply};
 
 use crate::api::Request;
 
@@ -45,6 +45,12 @@
     Force(Revision),
     /// How a backend server was chosen.
     Explain(String),
+    /// Put a whole configuration.
+    Adopt(Adopt),
+    /// Read the whole configuration that was put last.
+    Adopted,
+    /// Name a weight version.
+    Promote(Promote),
 }
 
 fn bad(text: impl Into<String>) -> (Code, String) {
@@ -132,6 +138,8 @@
     match admin {
         Admin::Put(put) => Some(Command::Put(put.clone())),
         Admin::Delete(delete) => Some(Command::Delete(delete.clone())),
+        Admin::Adopt(adopt) => Some(Command::Adopt(adopt.clone())),
+        Admin::Promote(promote) => Some(Command::Promote(promote.clone())),
         _ => None,
     }
 }
--- a/crates/node/src/asker.rs
+++ b/crates/node/src/asker.rs
@@ -39,6 +39,11 @@
         /// Number of the exchange.
         call: u64,
     },
+    /// An operator's read of the whole configuration.
+    Adopted {
+        /// Number of the exchange.
+        call: u64,
+    },
 }
 
 #[derive(Debug)]
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -5,6 +5,8 @@
 use base::Name;
 use route::Weights;
 
+use crate::forward;
+
 /// Settings of the decisions.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -30,6 +32,8 @@
     pub store_bytes: u64,
     /// Whether to serve on when no keeper and no peer can confirm the configuration.
     pub serve_unconfirmed: bool,
+    /// Whether and how requests are forwarded to servers without an agent.
+    pub forward: Option<forward::Config>,
 }
 
 /// How backend servers are chosen; all but the first are baselines to measure against.
@@ -62,6 +66,7 @@
             link_rate: 100 << 20,
             store_bytes: 1 << 30,
             serve_unconfirmed: false,
+            forward: None,
         }
     }
 }
@@ -84,6 +89,7 @@
             link_rate: settings.link_rate,
             store_bytes: settings.store_bytes,
             serve_unconfirmed: settings.serve_unconfirmed,
+            forward: settings.forward.as_ref().map(forward::Config::from),
             ..Self::default()
         }
     }
--- a/crates/node/src/effect.rs
+++ b/crates/node/src/effect.rs
@@ -7,6 +7,8 @@
 use cache::Key;
 use wire::{Frame, Work};
 
+use crate::forward;
+
 /// The head of an answer to a caller.
 #[derive(Clone, Debug, Default)]
 pub struct Reply {
@@ -143,6 +145,26 @@
         /// Pieces fetched from stores.
         fetched: u32,
     },
+    /// Tell the edge that holds a forwarded request what to do.
+    Door {
+        /// Number of the exchange.
+        call: u64,
+        /// What to do.
+        order: forward::Order,
+    },
+    /// Read the list of backend servers.
+    ReadList,
+    /// Ask a backend server what it holds.
+    Report {
+        /// Identity of the server.
+        id: Name,
+        /// Its address.
+        addr: SocketAddr,
+    },
+    /// Order a backend server that has no agent to load a weight version.
+    Change(Box<forward::Change>),
+    /// Write a decision to the log.
+    Note(Box<forward::Note>),
     /// Leave the process; `cut` requests were not finished.
     Exit {
         /// Requests cut.
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -146,6 +146,11 @@
         &self.servers
     }
 
+    /// Entries that are there, this one included.
+    pub fn entries(&self) -> usize {
+        self.entries
+    }
+
     /// The processes that are there; dials agents that are new or have moved.
     pub fn members(&mut self, hellos: &[Hello], out: &mut Effects) {
         self.entries = hellos.iter().filter(|hello| hello.entry).count().max(1);
--- a/crates/node/src/entry/once.rs
+++ b/crates/node/src/entry/once.rs
@@ -235,7 +235,10 @@
                 };
                 self.fail(cx, *number, code, text, super::admit::RETRY_AFTER, out);
             }
-            Purpose::Settle | Purpose::Mark | Purpose::Operator { .. } => {}
+            Purpose::Settle
+            | Purpose::Mark
+            | Purpose::Operator { .. }
+            | Purpose::Adopted { .. } => {}
         }
     }
 
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -4,8 +4,8 @@
 use cache::Key;
 use wire::{Frame, Hello, Load, Part};
 
-use crate::Ask;
 use crate::admin::Admin;
+use crate::{Ask, forward};
 
 /// How a transfer of a block ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -147,6 +147,8 @@
     },
     /// News from the backend server.
     Server(Server),
+    /// News of forwarded requests.
+    Forward(forward::Event),
     /// Everything up to a request is synced.
     Persisted {
         /// Number of the request.
--- /dev/null
+++ b/crates/node/src/forward/admit.rs
@@ -0,0 +1,109 @@
+//! Takes a request or refuses it at once.
+
+use base::prelude::*;
+use rand::Rng;
+use record::Workspace;
+
+use super::{Context, Forward, Head, Note, Order, Refusal, Run, spread};
+use crate::{Effect, Effects};
+
+/// Least time to come back after a refusal because nothing can be done here at present.
+const COME_BACK: Duration = Duration::from_millis(500);
+
+impl Forward {
+    pub(super) fn arrived(
+        &mut self,
+        cx: &Context<'_>,
+        call: u64,
+        head: Box<Head>,
+        out: &mut Effects,
+    ) {
+        let run = match self.admitted(cx, head) {
+            Ok(run) => run,
+            Err((head, code, text)) => {
+                self.refuse_new(call, head.id, code, text, out);
+                return;
+            }
+        };
+        self.retries
+            .entry(run.service.clone())
+            .or_default()
+            .request(cx.now, &self.config.allowance);
+        self.deadlines.insert((run.deadline, call));
+        self.runs.insert(call, run);
+        self.place(cx, call, out);
+    }
+
+    fn admitted(
+        &mut self,
+        cx: &Context<'_>,
+        head: Box<Head>,
+    ) -> Result<Run, (Box<Head>, Code, &'static str)> {
+        if !cx.ready {
+            return Err((head, Code::NotReady, "no configuration is known here yet"));
+        }
+        let path = head.path.split('?').next().unwrap_or_default();
+        let Some(route) = cx.view.table().find(&head.host, path) else {
+            return Err((head, Code::NoSuchPath, "no route has this host and path"));
+        };
+        let mut workspace: Option<&Workspace> = None;
+        if !route.public && cx.view.has_keys() {
+            workspace = head.key.as_deref().and_then(|key| cx.view.workspace_of(key));
+            if workspace.is_none() {
+                return Err((head, Code::BadKey, "the key belongs to no workspace"));
+            }
+        }
+        let Some(backend) = route.backend(self.rng.random()) else {
+            return Err((head, Code::NoServer, "the route leads to no service"));
+        };
+        let patience = head.patience.unwrap_or(route.timeout).min(route.timeout);
+        let own_rank = workspace.and_then(|workspace| workspace.rank);
+        Ok(Run {
+            route: route.name.clone(),
+            repeat: route.repeat,
+            service: backend.service.clone(),
+            workspace: workspace.map(|workspace| workspace.name.clone()),
+            isolated: workspace.is_some_and(|workspace| workspace.isolated),
+            rank: own_rank.unwrap_or(route.rank),
+            attempts: route.attempts,
+            arrived: cx.now,
+            deadline: cx.now + patience,
+            ran: 0,
+            tries: 0,
+            tried: Vec::new(),
+            place: None,
+            last: None,
+            passed: false,
+            status: 0,
+            first: None,
+            head,
+        })
+    }
+
+    fn refuse_new(
+        &mut self,
+        call: u64,
+        request: Name,
+        code: Code,
+        text: &'static str,
+        out: &mut Effects,
+    ) {
+        let refusal = self.refusal(code, text);
+        out.push(Effect::Note(Box::new(Note::Ended {
+            request,
+            route: Name::default(),
+            server: None,
+            tries: 0,
+            code,
+            status: refusal.status,
+            took: Duration::ZERO,
+            first: None,
+        })));
+        out.push(Effect::Door { call, order: Order::Refuse(refusal) });
+    }
+
+    pub(super) fn refusal(&mut self, code: Code, text: &'static str) -> Refusal {
+        let retry = code.retryable().then(|| spread(&mut self.rng, COME_BACK));
+        Refusal { code, status: code.status(), text, retry }
+    }
+}
--- /dev/null
+++ b/crates/node/src/forward/event.rs
@@ -0,0 +1,250 @@
+//! What the edges tell the reducer of forwarded requests, and what it tells them.
+
+use std::net::SocketAddr;
+
+use base::prelude::*;
+use cache::Named;
+use fleet::{Listed, Load};
+
+/// A prompt whose parts the caller names.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Prompt {
+    /// Model.
+    pub model: Name,
+    /// Parts, in their order; the last belongs to the request or its session alone.
+    pub parts: Vec<Named>,
+    /// Tokens of the whole prompt.
+    pub tokens: u32,
+    /// Most tokens of the answer.
+    pub most: u32,
+}
+
+/// What a request says of itself, without its body.
+#[derive(Clone, Debug, Default)]
+pub struct Head {
+    /// The caller's ID of this request, for logs.
+    pub id: Name,
+    /// Host.
+    pub host: String,
+    /// Path and query.
+    pub path: String,
+    /// The caller's key.
+    pub key: Option<String>,
+    /// How long the caller waits.
+    pub patience: Option<Duration>,
+    /// The prompt, if it is one.
+    pub prompt: Option<Prompt>,
+}
+
+/// One try of a request at a server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Try {
+    /// Identity of the server; any other must refuse.
+    pub id: Name,
+    /// Its address.
+    pub addr: SocketAddr,
+    /// Time that is left for it.
+    pub left: Duration,
+    /// Workspace of the caller.
+    pub workspace: Option<Name>,
+    /// Rank among the server's requests, 0 first.
+    pub rank: u8,
+    /// Weight version that it must run on.
+    pub version: Option<u64>,
+    /// What its cached prompt parts are shared under.
+    pub salt: Option<Name>,
+}
+
+/// What a server answered, before the body.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Whether the answer names the request that was sent.
+    pub own: bool,
+    /// Whether the server says that it has not run the request.
+    pub not_run: bool,
+    /// Its load.
+    pub load: Option<Load>,
+    /// Weight version that it holds.
+    pub version: Option<u64>,
+}
+
+/// How a try ended without an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Loss {
+    /// Nothing was sent.
+    NotSent,
+    /// The request was sent, and no answer came.
+    Silent,
+    /// The answer broke off.
+    Broken,
+}
+
+impl Loss {
+    /// The word in logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::NotSent => "not sent",
+            Self::Silent => "no answer",
+            Self::Broken => "answer broken off",
+        }
+    }
+}
+
+/// What happened to forwarded requests and their servers.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A request has come whole.
+    Arrived {
+        /// Number of the exchange.
+        call: u64,
+        /// What it says of itself.
+        head: Box<Head>,
+    },
+    /// The head of an answer came.
+    Answered {
+        /// Number of the exchange.
+        call: u64,
+        /// The answer.
+        answer: Answer,
+    },
+    /// The first bytes of the body were passed on.
+    Began {
+        /// Number of the exchange.
+        call: u64,
+    },
+    /// A try ended without a whole answer.
+    Failed {
+        /// Number of the exchange.
+        call: u64,
+        /// How.
+        loss: Loss,
+    },
+    /// The whole answer was passed on.
+    Done {
+        /// Number of the exchange.
+        call: u64,
+    },
+    /// The caller went away.
+    Left {
+        /// Number of the exchange.
+        call: u64,
+    },
+    /// The list of servers was read, or could not be.
+    Listed {
+        /// The list, or what went wrong.
+        list: Result<Vec<Listed>, String>,
+    },
+    /// A server told of itself.
+    Reported {
+        /// Identity of the server.
+        id: Name,
+        /// Weight version that it holds.
+        version: u64,
+        /// Its load.
+        load: Load,
+    },
+    /// An order to a server was answered.
+    Changed {
+        /// Identity of the server.
+        id: Name,
+        /// Whether it was taken.
+        taken: bool,
+    },
+}
+
+/// A final answer of this entry's own.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why.
+    pub code: Code,
+    /// HTTP status.
+    pub status: u16,
+    /// Why, for people.
+    pub text: &'static str,
+    /// When to come back.
+    pub retry: Option<Duration>,
+}
+
+/// What the edge that holds a request shall do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Order {
+    /// Send it to a server; a stream that has begun goes on after its last event.
+    Try(Box<Try>),
+    /// Pass the answer on.
+    Pass,
+    /// Answer this, or break off if an answer has begun.
+    Refuse(Refusal),
+}
+
+/// An order to a server to load a weight version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Change {
+    /// Identity of the server.
+    pub id: Name,
+    /// Its address.
+    pub addr: SocketAddr,
+    /// Model.
+    pub model: Name,
+    /// Weight version to load.
+    pub version: u64,
+    /// Fencing token.
+    pub token: u64,
+}
+
+/// A decision for the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Note {
+    /// A request has ended.
+    Ended {
+        /// The caller's ID of the request.
+        request: Name,
+        /// Route.
+        route: Name,
+        /// Server of the last try.
+        server: Option<Name>,
+        /// Tries in all.
+        tries: u32,
+        /// How it ended.
+        code: Code,
+        /// HTTP status.
+        status: u16,
+        /// Time from arrival to end.
+        took: Duration,
+        /// Time from arrival to the first bytes of the answer.
+        first: Option<Duration>,
+    },
+    /// A try failed.
+    Lost {
+        /// The caller's ID of the request.
+        request: Name,
+        /// The server.
+        server: Name,
+        /// How, or which status.
+        why: String,
+        /// What was done then.
+        then: &'static str,
+    },
+    /// The set of servers has changed.
+    Listed {
+        /// Servers.
+        servers: usize,
+        /// Those that take no new work.
+        leaving: usize,
+    },
+    /// The list could not be read.
+    Unlisted {
+        /// What went wrong.
+        error: String,
+        /// Age of the list in use, milliseconds.
+        age_ms: u64,
+    },
+    /// A server was ordered to another weight version.
+    Ordered {
+        /// The order.
+        change: Change,
+        /// Version that it holds.
+        from: u64,
+    },
+}
--- /dev/null
+++ b/crates/node/src/forward/follow.rs
@@ -0,0 +1,228 @@
+//! Takes answers, losses and ends, and gives each request its final answer.
+
+use base::prelude::*;
+use record::Repeat;
+
+use super::{Answer, Context, Forward, Loss, Note, Order, Run};
+use crate::{Effect, Effects};
+
+/// Most tries of a request that servers rejected unrun.
+const MOST_TRIES: u32 = 3;
+
+impl Forward {
+    pub(super) fn answered(
+        &mut self,
+        cx: &Context<'_>,
+        call: u64,
+        answer: &Answer,
+        out: &mut Effects,
+    ) {
+        let Some(run) = self.runs.get_mut(&call) else {
+            return;
+        };
+        let server = run.place.and_then(|place| self.servers.get_mut(place.server));
+        if let Some(server) = server {
+            if let Some(load) = answer.load {
+                server.told(cx.now, load);
+            }
+            server.holds(answer.version.unwrap_or(0));
+        }
+        if !answer.own {
+            // Bytes of another request: what became of this one is not known.
+            self.failed(cx, call, Loss::Silent, out);
+            return;
+        }
+        if answer.not_run {
+            run.ran = run.ran.saturating_sub(1);
+            self.rejected(cx, call, answer.status, out);
+            return;
+        }
+        if let Some(server) = run.place.and_then(|place| self.servers.get_mut(place.server)) {
+            server.answered();
+        }
+        if run.passed {
+            // The rest of a stream that goes on here; its head is not passed on again.
+            if answer.status != 200 {
+                self.failed(cx, call, Loss::Broken, out);
+                return;
+            }
+        } else if answer.status >= 500 && run.repeat == Repeat::Always && self.again(cx, call) {
+            self.retry(cx, call, format!("status {}", answer.status), out);
+            return;
+        }
+        let Some(run) = self.runs.get_mut(&call) else {
+            return;
+        };
+        if !run.passed {
+            run.status = answer.status;
+        }
+        run.passed = true;
+        out.push(Effect::Door { call, order: Order::Pass });
+    }
+
+    /// The first bytes of the body have come: the prompt is read.
+    pub(super) fn began(&mut self, cx: &Context<'_>, call: u64) {
+        let Some(run) = self.runs.get_mut(&call) else {
+            return;
+        };
+        run.first.get_or_insert(cx.now);
+        if let Some(place) = &mut run.place
+            && let Some(server) = self.servers.get_mut(place.server)
+        {
+            server.reading = server.reading.saturating_sub(std::mem::take(&mut place.reading));
+        }
+    }
+
+    pub(super) fn failed(&mut self, cx: &Context<'_>, call: u64, loss: Loss, out: &mut Effects) {
+        let Some(run) = self.runs.get_mut(&call) else {
+            return;
+        };
+        if let Some(server) = run.place.and_then(|place| self.servers.get_mut(place.server)) {
+            server.failed(cx.now);
+        }
+        if loss == Loss::NotSent {
+            run.ran = run.ran.saturating_sub(1);
+            self.rejected(cx, call, 0, out);
+            return;
+        }
+        let may = match run.repeat {
+            Repeat::Never => false,
+            Repeat::Always => !run.passed,
+            Repeat::Resume => true,
+        };
+        if may && self.again(cx, call) {
+            self.retry(cx, call, loss.as_str().to_owned(), out);
+            return;
+        }
+        let code = if run_passed(self.runs.get(&call)) { Code::Cut } else { Code::Unknown };
+        self.lost(call, loss.as_str().to_owned(), "given up", out);
+        self.give_up(cx, call, code, "the backend server broke off", out);
+    }
+
+    /// A server did not run the request.
+    fn rejected(&mut self, cx: &Context<'_>, call: u64, status: u16, out: &mut Effects) {
+        let why = if status == 0 {
+            Loss::NotSent.as_str().to_owned()
+        } else {
+            format!("status {status}, not run")
+        };
+        let Some(run) = self.runs.get(&call) else {
+            return;
+        };
+        let (tries, service) = (run.tries, run.service.clone());
+        // Nothing that was not sent counts as a repeat at the service.
+        let free = status == 0;
+        if tries < MOST_TRIES && (free || self.spend(cx, &service)) {
+            self.retry(cx, call, why, out);
+            return;
+        }
+        self.lost(call, why, "given up", out);
+        let ran = self.runs.get(&call).is_some_and(|run| run.ran > 0);
+        let code = if ran { Code::Unknown } else { Code::Overloaded };
+        self.give_up(cx, call, code, "the backend servers are full", out);
+    }
+
+    /// Whether a request that may have run may be tried once more; takes a part of the budget.
+    fn again(&mut self, cx: &Context<'_>, call: u64) -> bool {
+        let Some(run) = self.runs.get(&call) else {
+            return false;
+        };
+        let service = run.service.clone();
+        run.ran < run.attempts && self.spend(cx, &service)
+    }
+
+    fn spend(&mut self, cx: &Context<'_>, service: &Name) -> bool {
+        let retries = self.retries.entry(service.clone()).or_default();
+        retries.spend(cx.now, &self.config.allowance, cx.entries)
+    }
+
+    fn retry(&mut self, cx: &Context<'_>, call: u64, why: String, out: &mut Effects) {
+        self.lost(call, why, "tried again", out);
+        self.release(call);
+        self.place(cx, call, out);
+    }
+
+    fn lost(&self, call: u64, why: String, then: &'static str, out: &mut Effects) {
+        if let Some(run) = self.runs.get(&call) {
+            let server = run.last.clone().unwrap_or_default();
+            let request = run.head.id.clone();
+            out.push(Effect::Note(Box::new(Note::Lost { request, server, why, then })));
+        }
+    }
+
+    pub(super) fn done(&mut self, cx: &Context<'_>, call: u64, out: &mut Effects) {
+        self.end(cx, call, Code::Ok, None, out);
+    }
+
+    pub(super) fn left(&mut self, cx: &Context<'_>, call: u64, out: &mut Effects) {
+        self.end(cx, call, Code::Cancelled, Some(0), out);
+    }
+
+    pub(super) fn overdue(&mut self, cx: &Context<'_>, call: u64, out: &mut Effects) {
+        let Some(run) = self.runs.get(&call) else {
+            return;
+        };
+        let code = if run.ran > 0 { Code::DeadlineRunning } else { Code::Late };
+        self.give_up(cx, call, code, "the time for it has passed", out);
+    }
+
+    /// Gives a request its final answer, or breaks its answer off.
+    pub(super) fn give_up(
+        &mut self,
+        cx: &Context<'_>,
+        call: u64,
+        code: Code,
+        text: &'static str,
+        out: &mut Effects,
+    ) {
+        let Some(run) = self.runs.get(&call) else {
+            return;
+        };
+        // What has been sent may have run, so nothing may promise that it has not.
+        let code = if run.ran > 0 && code.fate() == Fate::NotRun { Code::Unknown } else { code };
+        let refusal = self.refusal(code, text);
+        let status = refusal.status;
+        out.push(Effect::Door { call, order: Order::Refuse(refusal) });
+        self.end(cx, call, code, Some(status), out);
+    }
+
+    fn end(
+        &mut self,
+        cx: &Context<'_>,
+        call: u64,
+        code: Code,
+        status: Option<u16>,
+        out: &mut Effects,
+    ) {
+        self.release(call);
+        let Some(run) = self.runs.remove(&call) else {
+            return;
+        };
+        self.deadlines.remove(&(run.deadline, call));
+        out.push(Effect::Note(Box::new(Note::Ended {
+            status: status.unwrap_or(run.status),
+            took: cx.now.since(run.arrived),
+            first: run.first.map(|at| at.since(run.arrived)),
+            request: run.head.id,
+            route: run.route,
+            server: run.last,
+            tries: run.tries,
+            code,
+        })));
+    }
+
+    /// The present try no longer counts at its server.
+    fn release(&mut self, call: u64) {
+        let Some(place) = self.runs.get_mut(&call).and_then(|run| run.place.take()) else {
+            return;
+        };
+        if let Some(server) = self.servers.get_mut(place.server) {
+            server.running = server.running.saturating_sub(1);
+            server.reading = server.reading.saturating_sub(place.reading);
+        }
+    }
+}
+
+fn run_passed(run: Option<&Run>) -> bool {
+    run.is_some_and(|run| run.passed)
+}
--- /dev/null
+++ b/crates/node/src/forward/mod.rs
@@ -0,0 +1,210 @@
+//! Requests that go straight to a backend server which has no agent.
+//!
+//! | file | what it does |
+//! |---|---|
+//! | `event` | what the edges tell and are told |
+//! | `admit` | takes a request or refuses it at once |
+//! | `place` | chooses a backend server |
+//! | `follow` | takes answers, losses and ends |
+//! | `weights` | keeps the list of servers and their weight versions |
+//!
+//! The edge that read a request holds its caller and its connection to the server; bytes never pass
+//! through here. What may be said and done after each try is decided here: a status that promises
+//! "not run" is given only before anything was sent, or when the server said so itself.
+
+mod admit;
+mod event;
+mod follow;
+mod place;
+mod weights;
+
+use std::collections::{BTreeSet, HashMap};
+
+use base::prelude::*;
+use cache::Named;
+use fleet::{Key, Servers, rollout::Rollout};
+use limit::{Allowance, Retries};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use record::{Repeat, View};
+
+use crate::{Effect, Effects};
+
+pub use event::{Answer, Change, Event, Head, Loss, Note, Order, Prompt, Refusal, Try};
+
+/// Settings of forwarding.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// The retry budget that all entries share.
+    pub allowance: Allowance,
+    /// Time between two reads of the list of servers.
+    pub list_every: Duration,
+    /// How long requests are still taken after the process was asked to stop, until the balancer
+    /// has noticed.
+    pub linger: Duration,
+    /// How long a new leader waits before it orders: until its predecessor has stopped.
+    pub lease: Duration,
+}
+
+impl From<&conf::Forward> for Config {
+    fn from(settings: &conf::Forward) -> Self {
+        Self {
+            allowance: Allowance {
+                ratio: settings.retry_permille as f64 / 1_000.0,
+                slack: settings.retry_slack as f64,
+                window: settings.retry_window,
+            },
+            list_every: settings.list,
+            linger: settings.linger,
+            lease: settings.lease,
+        }
+    }
+}
+
+/// What a decision needs besides the reducer's own state.
+#[derive(Debug)]
+pub struct Context<'a> {
+    /// The present time.
+    pub now: Time,
+    /// The configuration.
+    pub view: &'a View,
+    /// Whether the configuration is known.
+    pub ready: bool,
+    /// Entries that share the retry budget.
+    pub entries: usize,
+    /// Term in which this process leads the keepers, if it does.
+    pub term: Option<u64>,
+}
+
+/// A try under way.
+#[derive(Clone, Copy, Debug)]
+struct Place {
+    server: Key,
+    /// Prompt tokens counted as being read there.
+    reading: u64,
+}
+
+/// A request under way.
+#[derive(Debug)]
+struct Run {
+    head: Box<Head>,
+    route: Name,
+    repeat: Repeat,
+    service: Name,
+    workspace: Option<Name>,
+    isolated: bool,
+    rank: u8,
+    attempts: u32,
+    arrived: Time,
+    deadline: Time,
+    /// Tries that may have run.
+    ran: u32,
+    /// Tries in all.
+    tries: u32,
+    tried: Vec<Key>,
+    place: Option<Place>,
+    last: Option<Name>,
+    /// Whether an answer has begun to reach the caller.
+    passed: bool,
+    status: u16,
+    first: Option<Time>,
+}
+
+impl Run {
+    fn parts(&self) -> &[Named] {
+        self.head.prompt.as_ref().map_or(&[], |prompt| &prompt.parts)
+    }
+}
+
+/// The reducer of forwarded requests.
+#[derive(Debug)]
+pub struct Forward {
+    config: Config,
+    zone: Name,
+    servers: Servers,
+    rollout: Rollout,
+    runs: HashMap<u64, Run>,
+    deadlines: BTreeSet<(Time, u64)>,
+    retries: HashMap<Name, Retries>,
+    rng: Pcg64Mcg,
+    next_list: Time,
+    next_orders: Time,
+    leading: Option<(u64, Time)>,
+}
+
+impl Forward {
+    /// No server is known yet.
+    pub fn new(config: Config, zone: Name, seed: u64) -> Self {
+        Self {
+            config,
+            zone,
+            servers: Servers::default(),
+            rollout: Rollout::default(),
+            runs: HashMap::new(),
+            deadlines: BTreeSet::new(),
+            retries: HashMap::new(),
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            next_list: Time::ZERO,
+            next_orders: Time::ZERO,
+            leading: None,
+        }
+    }
+
+    /// Settings.
+    pub fn config(&self) -> &Config {
+        &self.config
+    }
+
+    /// Requests under way.
+    pub fn open(&self) -> usize {
+        self.runs.len()
+    }
+
+    /// The servers known.
+    pub fn servers(&self) -> &Servers {
+        &self.servers
+    }
+
+    /// Takes one event.
+    pub fn event(&mut self, cx: &Context<'_>, event: Event, out: &mut Effects) {
+        match event {
+            Event::Arrived { call, head } => self.arrived(cx, call, head, out),
+            Event::Answered { call, answer } => self.answered(cx, call, &answer, out),
+            Event::Began { call } => self.began(cx, call),
+            Event::Failed { call, loss } => self.failed(cx, call, loss, out),
+            Event::Done { call } => self.done(cx, call, out),
+            Event::Left { call } => self.left(cx, call, out),
+            Event::Listed { list } => self.listed(cx, list, out),
+            Event::Reported { id, version, load } => self.reported(cx, &id, version, load),
+            Event::Changed { id, taken } => self.changed(&id, taken),
+        }
+    }
+
+    /// Time passes.
+    pub fn tick(&mut self, cx: &Context<'_>, out: &mut Effects) {
+        while let Some((_, call)) = self.deadlines.first().copied().filter(|(at, _)| *at <= cx.now)
+        {
+            self.deadlines.pop_first();
+            self.overdue(cx, call, out);
+        }
+        if cx.now >= self.next_list {
+            self.next_list = cx.now + self.config.list_every;
+            out.push(Effect::ReadList);
+        }
+        self.order(cx, out);
+    }
+
+    /// Every request under way ends, since the process leaves.
+    pub fn cut_all(&mut self, cx: &Context<'_>, out: &mut Effects) {
+        let calls: Vec<u64> = self.runs.keys().copied().collect();
+        for call in calls {
+            self.give_up(cx, call, Code::Draining, "this entry is stopping", out);
+        }
+    }
+}
+
+/// Spread of a time to come back, so that callers who were refused together do not return together.
+fn spread(rng: &mut Pcg64Mcg, least: Duration) -> Duration {
+    use rand::Rng;
+    least.mul_f64(rng.random_range(1.0..2.0))
+}
--- /dev/null
+++ b/crates/node/src/forward/weights.rs
@@ -0,0 +1,98 @@
+//! Keeps the list of servers, and orders them to the weight versions that are named.
+
+use base::prelude::*;
+use fleet::{Listed, Load};
+
+use super::{Change, Context, Forward, Note};
+use crate::{Effect, Effects};
+
+/// Time between two looks at what is due.
+const ROUND: Duration = Duration::from_millis(200);
+
+impl Forward {
+    pub(super) fn listed(
+        &mut self,
+        cx: &Context<'_>,
+        list: Result<Vec<Listed>, String>,
+        out: &mut Effects,
+    ) {
+        let note = match list {
+            Ok(list) => {
+                let before = self.shape();
+                self.servers.listed(cx.now, list);
+                let (servers, leaving) = self.shape();
+                if (servers, leaving) == before {
+                    return;
+                }
+                Note::Listed { servers, leaving }
+            }
+            Err(error) => {
+                let age = self
+                    .servers
+                    .read_at()
+                    .map_or(cx.now.0, |at| cx.now.since(at).as_micros() as u64);
+                Note::Unlisted { error, age_ms: age / 1_000 }
+            }
+        };
+        out.push(Effect::Note(Box::new(note)));
+    }
+
+    fn shape(&self) -> (usize, usize) {
+        let leaving = self.servers.iter().filter(|(_, server)| server.listed.leaving).count();
+        (self.servers.iter().count(), leaving)
+    }
+
+    pub(super) fn reported(&mut self, cx: &Context<'_>, id: &Name, version: u64, load: Load) {
+        if let Some(server) = self.servers.by_id(id) {
+            server.holds(version);
+            server.told(cx.now, load);
+        }
+    }
+
+    pub(super) fn changed(&mut self, id: &Name, taken: bool) {
+        let key = self.servers.iter().find(|(_, server)| server.listed.id == *id);
+        if let Some((key, _)) = key
+            && !taken
+        {
+            self.rollout.failed(key);
+        }
+    }
+
+    /// Orders what is due, if this process leads and its predecessor has stopped.
+    pub(super) fn order(&mut self, cx: &Context<'_>, out: &mut Effects) {
+        let Some(term) = cx.term else {
+            self.leading = None;
+            return;
+        };
+        let since = match self.leading {
+            Some((known, since)) if known == term => since,
+            _ => cx.now,
+        };
+        self.leading = Some((term, since));
+        if cx.now < self.next_orders || cx.now.since(since) < self.config.lease {
+            return;
+        }
+        self.next_orders = cx.now + ROUND;
+        for key in self.rollout.under_way() {
+            if let Some(server) = self.servers.get(key) {
+                let (id, addr) = (server.listed.id.clone(), server.listed.addr);
+                out.push(Effect::Report { id, addr });
+            }
+        }
+        for (model, version) in cx.view.all_weights() {
+            for order in self.rollout.due(cx.now, &self.servers, &model, version) {
+                let Some(server) = self.servers.get(order.server) else { continue };
+                let change = Change {
+                    id: server.listed.id.clone(),
+                    addr: server.listed.addr,
+                    model: order.model,
+                    version: order.version,
+                    token: term,
+                };
+                let note = Note::Ordered { change: change.clone(), from: server.version };
+                out.push(Effect::Note(Box::new(note)));
+                out.push(Effect::Change(Box::new(change)));
+            }
+        }
+    }
+}
--- a/crates/node/src/keeper.rs
+++ b/crates/node/src/keeper.rs
@@ -9,8 +9,8 @@
 use state::{Command, Order, Reply, State};
 use wire::{Answer, Beat, Frame, Hello, Mark, Request};
 
-use crate::fleet;
 use crate::members::Members;
+use crate::rollout;
 use crate::{Effect, Effects};
 
 /// Time between two rounds of rollouts.
@@ -31,6 +31,7 @@
 enum Reading {
     Mark,
     Standing { workspace: Name, key: Name },
+    Adopted,
 }
 
 /// The keeper's reducer.
@@ -105,8 +106,10 @@
     /// What a heartbeat of this keeper says: whether it is in touch, and whether nobody leads.
     pub fn attest(&self, now: Time) -> (bool, Option<u32>) {
         let in_touch = self.quorum.in_touch(now);
-        let voters = self.quorum.config().voters.len() as u32;
-        (in_touch, (!in_touch && voters > 0).then_some(voters))
+        let config = self.quorum.config();
+        // Only voters count towards a majority that knows no leader.
+        let counts = !in_touch && config.votes(self.quorum.me());
+        (in_touch, counts.then_some(config.voters.len() as u32))
     }
 
     /// A link is up.
@@ -169,6 +172,7 @@
             Request::Standing { workspace, key } => {
                 self.read(now, id, from, Reading::Standing { workspace, key }, out);
             }
+            Request::Adopted => self.read(now, id, from, Reading::Adopted, out),
         }
     }
 
@@ -310,6 +314,7 @@
                 Reading::Standing { workspace, key } => {
                     Answer::Standing(self.state.standing(&workspace, &key))
                 }
+                Reading::Adopted => Answer::Adopted(self.state.adopted().cloned()),
             };
             answer_to(from, answer, out);
         }
@@ -351,7 +356,7 @@
         let mut tell = Vec::new();
         for rollout in self.view.rollouts().values() {
             let members: Vec<_> = self.members.iter().collect();
-            let plan = fleet::plan(now, rollout, &members, self.state.orders());
+            let plan = rollout::plan(now, rollout, &members, self.state.orders());
             for name in plan.issue {
                 let member = members.iter().find(|member| member.hello.name == name);
                 let Some(member) = member else { continue };
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! A [`Node`] takes one [`Event`] at a time and answers with [`Effect`]s. It holds the reducers of
 //! the roles the process plays: [`Entry`] towards callers, [`Agent`] beside a backend server,
-//! [`Keeper`] of the agreed state. Nothing here reads a clock, a socket or a file, so any failure
+//! [`Keeper`] of the agreed state, and [`forward::Forward`] for servers without an agent. Nothing here reads a clock, a socket or a file, so any failure
 //! can be replayed from its events.
 
 pub mod admin;
@@ -14,10 +14,11 @@
 mod effect;
 mod entry;
 mod event;
-mod fleet;
+pub mod forward;
 mod keeper;
 mod members;
 mod process;
+mod rollout;
 mod run;
 mod watch;
 
@@ -28,9 +29,9 @@
 pub use effect::{Effect, Effects, Reply};
 pub use entry::{Entry, Explained, Server as EntryServer};
 pub use event::{CacheEvent, Event, Moved, Server};
-pub use fleet::{Plan, plan};
 pub use keeper::Keeper;
 pub use members::{Member, Members, Standing};
 pub use process::{Me, Node};
+pub use rollout::{Plan, plan};
 pub use run::Run;
 pub use watch::{LEASE, Watch};
--- a/crates/node/src/process/mod.rs
+++ b/crates/node/src/process/mod.rs
@@ -2,7 +2,8 @@
 
 mod show;
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
 
 use base::prelude::*;
 use serde_json::Value;
@@ -11,6 +12,7 @@
 use crate::admin::{self, Admin};
 use crate::asker::{Asker, Purpose};
 use crate::entry::{self, standing_in};
+use crate::forward::{self, Forward};
 use crate::watch::Watch;
 use crate::{Agent, Config, Effect, Effects, Entry, Event, Keeper, agent, api};
 
@@ -24,6 +26,8 @@
 const MANY_PEERS: u32 = 32;
 /// Longest wait for the keepers on an operator's request.
 const OPERATOR: Duration = Duration::from_secs(10);
+/// Longest wait for the keepers on an operator's read: the operator asks elsewhere after a second.
+const OPERATOR_READ: Duration = Duration::from_secs(1);
 /// Longest wait for the first agreed read before it is asked for again.
 const MARK: Duration = Duration::from_secs(2);
 
@@ -48,7 +52,10 @@
     entry: Option<Entry>,
     agent: Option<Agent>,
     keeper: Option<Keeper>,
+    forward: Option<Forward>,
     peers: BTreeMap<Name, Hello>,
+    /// Addresses of keepers that were learned from others.
+    dialled: BTreeSet<SocketAddr>,
     /// Each peer's clock in its last heartbeat.
     heard: BTreeMap<Name, Time>,
     next_beat: Time,
@@ -73,6 +80,10 @@
             .server
             .as_ref()
             .map(|server| Agent::new(&config, hello.incarnation, server, me.version.clone()));
+        let forward = config
+            .forward
+            .clone()
+            .map(|config| Forward::new(config, hello.zone.clone(), hello.incarnation.0));
         let mut watch = Watch::default();
         watch.serve_unconfirmed = config.serve_unconfirmed;
         Self {
@@ -83,7 +94,9 @@
             entry,
             agent,
             keeper,
+            forward,
             peers: BTreeMap::new(),
+            dialled: BTreeSet::new(),
             heard: BTreeMap::new(),
             next_beat: Time::ZERO,
             next_mark: Time::ZERO,
@@ -112,6 +125,11 @@
         self.keeper.as_ref()
     }
 
+    /// The reducer of forwarded requests, if the process forwards any.
+    pub fn forward(&self) -> Option<&Forward> {
+        self.forward.as_ref()
+    }
+
     /// The configuration.
     pub fn watch(&self) -> &Watch {
         &self.watch
@@ -167,6 +185,9 @@
             Event::Server(news) => {
                 self.with_agent(now, |agent, cx| agent.server(cx, news, out));
             }
+            Event::Forward(event) => {
+                self.with_forward(now, |forward, cx| forward.event(cx, event, out));
+            }
             Event::Persisted { seq } => {
                 if let Some(keeper) = &mut self.keeper {
                     keeper.persisted(now, seq, out);
@@ -200,6 +221,21 @@
         }
     }
 
+    fn with_forward(&mut self, now: Time, run: impl FnOnce(&mut Forward, &forward::Context<'_>)) {
+        if let Some(forward) = &mut self.forward {
+            let leads = self.keeper.as_ref().map(Keeper::quorum);
+            let leads = leads.filter(|quorum| quorum.lease_holds(now));
+            let cx = forward::Context {
+                now,
+                view: &self.watch.view,
+                ready: self.watch.ready(now),
+                entries: self.entry.as_ref().map_or(1, Entry::entries),
+                term: leads.map(quorum::Quorum::term),
+            };
+            run(forward, &cx);
+        }
+    }
+
     fn linked(&mut self, now: Time, hello: Hello, out: &mut Effects) {
         if hello.keeper {
             self.asker.linked(&hello.name);
@@ -267,6 +303,7 @@
                 }
             }
             Frame::Members(hellos) => {
+                self.dial_keepers(&hellos, out);
                 if let Some(entry) = &mut self.entry {
                     entry.members(&hellos, out);
                 }
@@ -304,6 +341,16 @@
         }
     }
 
+    /// Links to keepers that the settings do not name.
+    fn dial_keepers(&mut self, hellos: &[Hello], out: &mut Effects) {
+        for hello in hellos.iter().filter(|hello| hello.keeper && hello.name != self.me.hello.name)
+        {
+            if !self.peers.contains_key(&hello.name) && self.dialled.insert(hello.addr) {
+                out.push(Effect::Dial { addr: hello.addr });
+            }
+        }
+    }
+
     /// A keeper sends changes from then on; another process only what it has now.
     fn watched(&mut self, peer: &Name, revision: Revision, out: &mut Effects) {
         if let Some(keeper) = &mut self.keeper {
@@ -341,6 +388,16 @@
             (Purpose::Mark, Answer::Mark(mark)) => {
                 self.watch.mark.get_or_insert(mark);
             }
+            (Purpose::Adopted { call }, Answer::Adopted(Some(adopted))) => {
+                let reply =
+                    crate::Reply { status: 200, kind: api::JSON.to_owned(), headers: Vec::new() };
+                out.push(Effect::Begin { call, reply });
+                out.push(Effect::Body { call, bytes: adopted.source.to_vec() });
+                out.push(Effect::Finish { call, whole: true });
+            }
+            (Purpose::Adopted { call }, _) => {
+                refuse(call, Code::NoSuchRecord, "no whole configuration was put yet", out);
+            }
             (Purpose::Operator { call }, Answer::Reply(reply)) => {
                 let (status, body) = admin::reply(&reply);
                 respond(call, status, &body, out);
@@ -358,18 +415,16 @@
             self.asker.ask(now, Purpose::Mark, Request::Mark, now + MARK, out);
         }
         for purpose in self.asker.tick(now, out) {
-            if let Purpose::Operator { call } = purpose {
+            if let Purpose::Operator { call } | Purpose::Adopted { call } = purpose {
                 let text = "the keepers did not answer in time; ask again with the same request id";
-                let (reply, bytes) = api::refusal(None, Code::NoQuorum, text, HEARTBEAT);
-                out.push(Effect::Begin { call, reply });
-                out.push(Effect::Body { call, bytes });
-                out.push(Effect::Finish { call, whole: true });
+                refuse(call, Code::NoQuorum, text, out);
             } else {
                 self.with_entry(now, |entry, cx| entry.unanswered(cx, &purpose, out));
             }
         }
         self.with_entry(now, |entry, cx| entry.tick(cx, out));
         self.with_agent(now, |agent, cx| agent.tick(cx, out));
+        self.with_forward(now, |forward, cx| forward.tick(cx, out));
         self.tell_keepers(now, out);
         if now >= self.next_beat {
             let many = self.peers.len() as u32 / MANY_PEERS;
@@ -466,18 +521,23 @@
         if self.exited {
             return;
         }
-        let runs =
-            self.entry.as_ref().map_or(0, Entry::open) + self.agent.as_ref().map_or(0, Agent::open);
+        let forwarded = self.forward.as_ref().map_or(0, Forward::open);
+        let runs = self.entry.as_ref().map_or(0, Entry::open)
+            + self.agent.as_ref().map_or(0, Agent::open)
+            + forwarded;
+        let linger = self.forward.as_ref().map_or(Duration::ZERO, |found| found.config().linger);
         // Settlements must reach the keepers before the agent that knows them goes.
         let open = runs + self.agent.as_ref().map_or(0, |_| self.asker.open());
         let forced = self.stops > 1 || now.since(since) >= self.config.drain;
-        if open > 0 && !forced {
+        let lingers = now.since(since) < linger;
+        if (open > 0 || lingers) && !forced {
             return;
         }
         self.exited = true;
         self.with_entry(now, |entry, cx| {
             entry.cut_all(cx, out);
         });
+        self.with_forward(now, |forward, cx| forward.cut_all(cx, out));
         out.push(Effect::Exit { cut: runs });
     }
 
@@ -488,6 +548,11 @@
             self.asker.ask(now, purpose, request, now + OPERATOR, out);
             return;
         }
+        if *admin == Admin::Adopted {
+            let purpose = Purpose::Adopted { call };
+            self.asker.ask(now, purpose, Request::Adopted, now + OPERATOR_READ, out);
+            return;
+        }
         let (status, body) = self.look(now, admin);
         respond(call, status, &body, out);
     }
@@ -499,3 +564,10 @@
     out.push(Effect::Body { call, bytes: format!("{body}\n").into_bytes() });
     out.push(Effect::Finish { call, whole: true });
 }
+
+fn refuse(call: u64, code: Code, text: &str, out: &mut Effects) {
+    let (reply, bytes) = api::refusal(None, code, text, HEARTBEAT);
+    out.push(Effect::Begin { call, reply });
+    out.push(Effect::Body { call, bytes });
+    out.push(Effect::Finish { call, whole: true });
+}
--- a/crates/node/src/process/show.rs
+++ b/crates/node/src/process/show.rs
@@ -56,7 +56,11 @@
                 Some((found, table)) => (200, explained(found, &table)),
                 None => missing("no decision of that request is kept here"),
             },
-            Admin::Put(_) | Admin::Delete(_) => missing("a change"),
+            Admin::Put(_)
+            | Admin::Delete(_)
+            | Admin::Adopt(_)
+            | Admin::Adopted
+            | Admin::Promote(_) => missing("the keepers answer this"),
         }
     }
 
--- a/crates/quorum/src/io.rs
+++ b/crates/quorum/src/io.rs
@@ -60,6 +60,17 @@
     pub names: Vec<Name>,
     /// Epoch of a configuration that this member forms; greater than any earlier one.
     pub epoch: u64,
+    /// Voters wanted; a learner that has caught up fills a place that is free.
+    pub voters: usize,
+    /// Whether members beyond the founders are taken in as learners, to fill such places later.
+    pub spares: bool,
+}
+
+impl Founding {
+    /// A quorum of exactly these names.
+    pub fn of(names: Vec<Name>, epoch: u64) -> Self {
+        Self { voters: names.len(), names, epoch, spares: false }
+    }
 }
 
 /// What a member found on its disk.
--- a/crates/quorum/src/leader.rs
+++ b/crates/quorum/src/leader.rs
@@ -284,6 +284,9 @@
                 config.voters.remove(old);
                 return Some(config);
             }
+            if config.voters.len() >= self.founding.voters {
+                continue;
+            }
             config.learners.retain(|other| other != learner);
             config.voters.push(learner.clone());
             return Some(config);
@@ -293,7 +296,8 @@
             let known = config.all().any(|other| *other == member);
             let voter = config.voters.iter().find(|voter| voter.name == member.name);
             let silent = voter.is_some_and(|voter| self.silent(now, voter));
-            let expected = self.founding.names.contains(&member.name) && voter.is_none();
+            let named = self.founding.spares || self.founding.names.contains(&member.name);
+            let expected = named && voter.is_none();
             if known || !(silent || expected) || !self.is_fresh_now(now, &member) {
                 continue;
             }
--- a/crates/quorum/tests/bed/mod.rs
+++ b/crates/quorum/tests/bed/mod.rs
@@ -177,7 +177,7 @@
 
     fn boot(&mut self, name: &Name) {
         let seed = self.rng.random();
-        let founding = Founding { names: self.names(), epoch: 1 };
+        let founding = Founding::of(self.names(), 1);
         let timing = Timing {
             heartbeat: Duration::from_millis(50),
             election: Duration::from_millis(300),
--- a/crates/record/src/kind.rs
+++ b/crates/record/src/kind.rs
@@ -26,11 +26,13 @@
     Server,
     /// The weight version that a model's replicas shall hold.
     Rollout,
+    /// Where requests of a host and path go.
+    Route,
 }
 
 impl Kind {
     /// Every kind.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 10] = [
         Self::Model,
         Self::Version,
         Self::Adapter,
@@ -40,6 +42,7 @@
         Self::Service,
         Self::Server,
         Self::Rollout,
+        Self::Route,
     ];
 
     /// The word in paths and on the command line.
@@ -54,6 +57,7 @@
             Self::Service => "service",
             Self::Server => "server",
             Self::Rollout => "rollout",
+            Self::Route => "route",
         }
     }
 }
--- a/crates/record/src/lib.rs
+++ b/crates/record/src/lib.rs
@@ -3,13 +3,17 @@
 //! A [`Record`] has a kind, a name, a version and a body in JSON. The body is kept as it was
 //! written, so fields that this build does not know survive. [`schema`] knows the fields of each
 //! kind by schema version, carries a newer record's fields through an older writer, and upgrades
-//! old bodies; the typed views ([`Workspace`], [`Rollout`], …) read only records they understand.
+//! old bodies; the typed views ([`Workspace`], [`Route`], …) read only records they understand.
 
 mod kind;
 mod record;
+mod routes;
 pub mod schema;
 mod view;
+pub mod weights;
+pub mod whole;
 
 pub use kind::Kind;
 pub use record::{Change, Record};
+pub use routes::{Backend, Engine, Repeat, Route, Service, Store, Table};
 pub use view::{Rollout, Rule, Server, View, Workspace};
--- a/crates/record/src/schema.rs
+++ b/crates/record/src/schema.rs
@@ -7,7 +7,8 @@
 /// The newest schema version of a kind that this build knows.
 pub const fn newest(kind: Kind) -> u32 {
     match kind {
-        Kind::Workspace => 2,
+        Kind::Workspace => 3,
+        Kind::Service => 2,
         _ => 1,
     }
 }
@@ -18,12 +19,30 @@
         (Kind::Model, _) => &["max_tokens", "description"],
         (Kind::Version | Kind::Adapter, _) => &["model", "digest"],
         (Kind::Workspace, 1) => &["key", "models", "concurrency", "share", "description"],
-        (Kind::Workspace, _) => &["keys", "models", "concurrency", "share", "description"],
+        (Kind::Workspace, 2) => &["keys", "models", "concurrency", "share", "description"],
+        (Kind::Workspace, _) => {
+            &["keys", "models", "concurrency", "share", "description", "isolated", "rank"]
+        }
         (Kind::Priority, _) => &["class"],
         (Kind::Role, _) => &["models", "description"],
-        (Kind::Service, _) => &["once", "description"],
+        (Kind::Service, 1) => &["once", "description"],
+        (Kind::Service, _) => &["once", "description", "connections", "engine", "store"],
         (Kind::Server, _) => &["drain", "checks_tokens", "role"],
         (Kind::Rollout, _) => &["model", "version", "parallel", "floor", "paused"],
+        (Kind::Route, _) => &[
+            "host",
+            "prefix",
+            "repeat",
+            "timeout_ms",
+            "target_ms",
+            "rank",
+            "backends",
+            "attempts",
+            "public",
+            "sticky",
+            "gap_ms",
+            "description",
+        ],
     }
 }
 
@@ -103,8 +122,26 @@
         }
         "models" | "keys" => Some(("a list of strings", texts)),
         "concurrency" | "share" | "max_tokens" | "parallel" => Some(("1 to 1000000", count)),
-        "floor" => Some(("a whole number", Value::is_u64)),
-        "drain" | "checks_tokens" | "paused" => Some(("true, false", Value::is_boolean)),
+        "timeout_ms" | "attempts" => Some(("1 or more", |value| value.as_u64() > Some(0))),
+        "host" => Some(("a string", Value::is_string)),
+        "prefix" => Some(("a path that begins and ends with a slash", |value| {
+            value.as_str().is_some_and(|text| text.starts_with('/') && text.ends_with('/'))
+        })),
+        "repeat" => Some(("never, always, resume", |value| {
+            value.as_str().is_some_and(|word| ["never", "always", "resume"].contains(&word))
+        })),
+        "backends" => Some(("a list of {service, weight} with a weight above 0", |value| {
+            value.as_array().is_some_and(|list| {
+                let good = |part: &Value| part["service"].is_string() && part["weight"].is_u64();
+                list.iter().all(good) && list.iter().any(|part| part["weight"].as_u64() > Some(0))
+            })
+        })),
+        "floor" | "target_ms" | "rank" | "gap_ms" | "connections" => {
+            Some(("a whole number", Value::is_u64))
+        }
+        "drain" | "checks_tokens" | "paused" | "public" | "sticky" | "isolated" => {
+            Some(("true, false", Value::is_boolean))
+        }
         "class" => Some(("low, normal, high", |value| {
             value.as_str().is_some_and(|class| ["low", "normal", "high"].contains(&class))
         })),
@@ -122,6 +159,7 @@
         Kind::Version | Kind::Adapter => &["model"],
         Kind::Priority => &["class"],
         Kind::Rollout => &["model", "version"],
+        Kind::Route => &["host", "prefix", "timeout_ms", "backends"],
         _ => &[],
     }
 }
@@ -150,6 +188,11 @@
                 one(Kind::Role, role);
             }
         }
+        Kind::Route => {
+            for part in body.get("backends").and_then(Value::as_array).into_iter().flatten() {
+                one(Kind::Service, &part["service"]);
+            }
+        }
         Kind::Model | Kind::Priority | Kind::Service => {}
     }
     found
--- a/crates/record/src/view.rs
+++ b/crates/record/src/view.rs
@@ -5,7 +5,8 @@
 use base::{Name, Revision};
 use serde_json::{Map, Value};
 
-use crate::{Change, Kind, Record, schema};
+use crate::routes::{self, Table};
+use crate::{Change, Kind, Record, Service, schema, weights};
 
 /// A workspace.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -20,6 +21,10 @@
     pub share: u32,
     /// Goes into the keys of its cache blocks.
     pub salt: [u8; 16],
+    /// Whether its prompt parts are shared with no other workspace.
+    pub isolated: bool,
+    /// Rank of its requests, 0 first, before that of the route.
+    pub rank: Option<u8>,
 }
 
 /// A call of a plain service that may run at most once.
@@ -53,6 +58,13 @@
     pub paused: bool,
 }
 
+impl Rollout {
+    /// The number of the version, where it is numbered; else 0.
+    pub fn number(&self) -> u64 {
+        weights::number(&self.version)
+    }
+}
+
 /// All records as one process knows them, and the views of those it understands.
 #[derive(Clone, Debug, Default)]
 pub struct View {
@@ -61,7 +73,9 @@
     records: BTreeMap<(Kind, Name), Record>,
     workspaces: HashMap<Name, Workspace>,
     keys: HashMap<String, Name>,
-    services: HashMap<Name, Vec<Rule>>,
+    rules: HashMap<Name, Vec<Rule>>,
+    services: HashMap<Name, Service>,
+    table: Table,
     servers: HashMap<Name, Server>,
     rollouts: BTreeMap<Name, Rollout>,
     shares: u64,
@@ -70,8 +84,10 @@
 impl View {
     /// Applies changes that are newer than what is known; an older one is left out.
     pub fn apply(&mut self, changes: &[Change]) {
+        // Changes that were accepted together share one revision.
+        let known = self.revision;
         for change in changes {
-            if change.revision <= self.revision {
+            if change.revision <= known {
                 continue;
             }
             self.revision = change.revision;
@@ -126,15 +142,46 @@
 
     /// Whether a plain call may run at most once.
     pub fn once(&self, service: &str, method: &str, path: &str) -> bool {
-        let rules = self.services.get(service).map(Vec::as_slice).unwrap_or_default();
+        let rules = self.rules.get(service).map(Vec::as_slice).unwrap_or_default();
         rules.iter().any(|rule| rule.method == method && path.starts_with(&rule.prefix))
     }
 
+    /// What is set for a service.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.services.get(name)
+    }
+
+    /// Every service.
+    pub fn services(&self) -> impl Iterator<Item = (&Name, &Service)> {
+        self.services.iter()
+    }
+
+    /// The routes.
+    pub fn table(&self) -> &Table {
+        &self.table
+    }
+
+    /// Whether any workspace has keys.
+    pub fn has_keys(&self) -> bool {
+        !self.keys.is_empty()
+    }
+
     /// What is set for a backend server.
     pub fn server(&self, name: &str) -> Server {
         self.servers.get(name).cloned().unwrap_or_default()
     }
 
+    /// The weight version that a model's replicas shall hold, where versions are numbered.
+    pub fn weights(&self, model: &str) -> u64 {
+        self.rollouts.get(model).map_or(0, Rollout::number)
+    }
+
+    /// Every model whose weight version is numbered.
+    pub fn all_weights(&self) -> Vec<(Name, u64)> {
+        let numbered = self.rollouts.values().map(|found| (found.model.clone(), found.number()));
+        numbered.filter(|(_, number)| *number > 0).collect()
+    }
+
     /// The rollouts, by name.
     pub fn rollouts(&self) -> &BTreeMap<Name, Rollout> {
         &self.rollouts
@@ -150,8 +197,10 @@
                 self.keys.retain(|_, workspace| workspace != name);
             }
             Kind::Service => {
+                self.rules.remove(name);
                 self.services.remove(name);
             }
+            Kind::Route => self.table.remove(name),
             Kind::Server => {
                 self.servers.remove(name);
             }
@@ -183,8 +232,10 @@
                 self.workspaces.insert(name, workspace);
             }
             Kind::Service => {
-                self.services.insert(name, rules(&body));
+                self.rules.insert(name.clone(), rules(&body));
+                self.services.insert(name, routes::service(&body));
             }
+            Kind::Route => self.table.insert(routes::route(&name, &body)),
             Kind::Server => {
                 let drain = body.get("drain").and_then(Value::as_bool).unwrap_or(false);
                 self.servers.insert(name, Server { drain });
@@ -225,6 +276,8 @@
         concurrency: count(body, "concurrency", CONCURRENCY) as usize,
         share: count(body, "share", SHARE) as u32,
         salt,
+        isolated: body.get("isolated").and_then(Value::as_bool).unwrap_or(false),
+        rank: body.get("rank").and_then(Value::as_u64).map(|rank| rank.min(9) as u8),
     }
 }
 
--- a/crates/replay/src/world/mod.rs
+++ b/crates/replay/src/world/mod.rs
@@ -224,7 +224,7 @@
         let me = Me { hello: hello.clone(), version: process.version.clone(), started_ms: 1_000 };
         let keeper = hello.keeper.then(|| {
             let member = Member { name: hello.name.clone(), disk: 1 };
-            let founding = Founding { names: vec![hello.name.clone()], epoch: 1 };
+            let founding = Founding::of(vec![hello.name.clone()], 1);
             let saved = Saved::default();
             let quorum = Quorum::new(member, founding, Timing::default(), 1, saved);
             Keeper::new(hello.name.clone(), quorum).expect("an empty state")
@@ -426,7 +426,15 @@
             }
             Effect::Log { run, code, .. } => self.ended.push((run, code)),
             Effect::Usage { computed, .. } => self.out.computed += u64::from(computed),
-            Effect::Dial { .. } | Effect::Undial { .. } | Effect::Exit { .. } => {}
+            // Links are always up here, and no process forwards to servers without an agent.
+            Effect::Dial { .. }
+            | Effect::Undial { .. }
+            | Effect::Exit { .. }
+            | Effect::Door { .. }
+            | Effect::ReadList
+            | Effect::Report { .. }
+            | Effect::Change(_)
+            | Effect::Note(_) => {}
             Effect::Fail { text } => self.broke("goes on", text),
         }
     }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -16,6 +16,7 @@
 //! ```
 
 mod choice;
+pub mod direct;
 mod estimate;
 
 pub use choice::{Choice, choose};
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -4,7 +4,7 @@
 
 use base::{Code, Incarnation, Name, Revision, RunId};
 use bincode::config::standard;
-use record::{Kind, Record};
+use record::{Kind, Record, whole};
 use serde::{Deserialize, Serialize};
 
 use crate::{Claim, Outcome, Standing};
@@ -62,6 +62,34 @@
     pub by: Name,
 }
 
+/// A whole configuration; the highest version of its writers wins.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Adopt {
+    /// Who writes.
+    pub by: Name,
+    /// When, milliseconds since 1970 by the writer's clock.
+    pub at_ms: u64,
+    /// Version given by the writer.
+    pub version: u64,
+    /// The document as the writer sent it, given back to readers byte for byte.
+    pub source: Arc<[u8]>,
+    /// The records in it.
+    pub parts: Vec<whole::Part>,
+}
+
+/// A weight version that all replicas of a model shall hold; the highest wins.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Promote {
+    /// Who writes.
+    pub by: Name,
+    /// When, milliseconds since 1970 by the writer's clock.
+    pub at_ms: u64,
+    /// Model.
+    pub model: Name,
+    /// Weight version.
+    pub version: u64,
+}
+
 /// A command in the log.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Command {
@@ -89,6 +117,10 @@
     },
     /// Issue an order.
     Issue(Order),
+    /// Put a whole configuration.
+    Adopt(Adopt),
+    /// Name a weight version.
+    Promote(Promote),
 }
 
 impl Command {
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -4,10 +4,12 @@
 //! it reads no clock, and times come from the writers. Every command may come twice, since a writer
 //! that heard nothing sends it again.
 
+mod adopt;
 mod claim;
 mod command;
 mod machine;
 
+pub use adopt::Adopted;
 pub use claim::{Claim, Outcome, Standing};
-pub use command::{Command, Delete, Order, Put, Reply};
+pub use command::{Adopt, Command, Delete, Order, Promote, Put, Reply};
 pub use machine::State;
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -8,7 +8,7 @@
 use record::{Change, Kind, Record, schema};
 use serde::{Deserialize, Serialize};
 
-use crate::{Claim, Command, Delete, Order, Outcome, Put, Reply, Standing};
+use crate::{Adopted, Claim, Command, Delete, Order, Outcome, Put, Reply, Standing};
 
 /// Changes kept for those who are behind and for the audit.
 const CHANGES_KEPT: usize = 10_000;
@@ -26,10 +26,10 @@
 /// Everything that is agreed.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct State {
-    revision: Revision,
+    pub(crate) revision: Revision,
     /// The place of the last command of any kind.
     place: Revision,
-    records: BTreeMap<(Kind, Name), Record>,
+    pub(crate) records: BTreeMap<(Kind, Name), Record>,
     changes: VecDeque<Change>,
     /// The place after which `changes` is complete.
     complete_after: Revision,
@@ -39,6 +39,9 @@
     claim_order: BTreeSet<(u64, Name, Name)>,
     orders: BTreeMap<Name, (Revision, Order)>,
     time_ms: u64,
+    /// Stands behind the rest in a snapshot, so that one without it can be read.
+    #[serde(skip)]
+    pub(crate) adopted: Option<Adopted>,
 }
 
 impl State {
@@ -50,14 +53,20 @@
         if bytes.is_empty() {
             return Ok(Self::default());
         }
-        let decoded = bincode::serde::decode_from_slice(bytes, standard());
-        decoded.map(|(state, _)| state).map_err(|error| error.to_string())
+        let decode = |error: bincode::error::DecodeError| error.to_string();
+        let (mut state, read): (Self, usize) =
+            bincode::serde::decode_from_slice(bytes, standard()).map_err(decode)?;
+        if read < bytes.len() {
+            let rest = bincode::serde::decode_from_slice(&bytes[read..], standard());
+            state.adopted = rest.map_err(decode)?.0;
+        }
+        Ok(state)
     }
 
     /// The bytes for a snapshot.
     pub fn encode(&self) -> Arc<[u8]> {
         // Encoding into memory fails only for types bincode cannot hold, and this has none.
-        bincode::serde::encode_to_vec(self, standard()).unwrap_or_default().into()
+        bincode::serde::encode_to_vec((self, &self.adopted), standard()).unwrap_or_default().into()
     }
 
     /// Makes this the state at a place in a new epoch, after a restore from a copy.
@@ -107,6 +116,11 @@
         &self.orders
     }
 
+    /// The whole configuration that was written last, if one was.
+    pub fn adopted(&self) -> Option<&Adopted> {
+        self.adopted.as_ref()
+    }
+
     /// Claims kept.
     pub fn claims(&self) -> usize {
         self.claims.len()
@@ -142,6 +156,8 @@
                 self.orders.insert(order.server.clone(), (place, order));
                 Reply::Issued(place)
             }
+            Command::Adopt(adopt) => self.adopt(place, adopt),
+            Command::Promote(promote) => self.promote(place, &promote),
         }
     }
 
@@ -255,7 +271,7 @@
         Reply::Accepted { revision: place, version }
     }
 
-    fn note(&mut self, change: Change) {
+    pub(crate) fn note(&mut self, change: Change) {
         self.revision = change.revision;
         self.changes.push_back(change);
         if self.changes.len() > CHANGES_KEPT
@@ -314,6 +330,6 @@
     }
 }
 
-fn refuse(code: Code, text: &str, winner: Option<Record>) -> Reply {
+pub(crate) fn refuse(code: Code, text: &str, winner: Option<Record>) -> Reply {
     Reply::Refused { code, text: text.to_owned(), winner }
 }
--- a/crates/wire/src/ask.rs
+++ b/crates/wire/src/ask.rs
@@ -2,7 +2,7 @@
 
 use base::{Name, Revision};
 use serde::{Deserialize, Serialize};
-use state::{Command, Reply, Standing};
+use state::{Adopted, Command, Reply, Standing};
 
 /// A request to a keeper.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -18,6 +18,8 @@
         /// The caller's key.
         key: Name,
     },
+    /// Read the whole configuration that was written last.
+    Adopted,
 }
 
 /// How far the log has come, by a linearizable read.
@@ -40,4 +42,6 @@
     Standing(Option<Standing>),
     /// This keeper cannot answer; the leader, if it knows one.
     Elsewhere(Option<Name>),
+    /// The reply to [`Request::Adopted`].
+    Adopted(Option<Adopted>),
 }
