Idle connections are closed once the balancer has noticed a stop

Ruled out: closing at SIGTERM, which would lose callers their connections while the balancer still sends new ones.

Tests: platform/tests drives the real process between stand-ins of list, servers, operator and callers; the one on stops fails without the change.

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -3,9 +3,9 @@
 //! One task holds a request, its caller and its connection to a server. It tells the reducer what
 //! happens and does what the reducer orders; bytes go straight from the server to the caller.
 
-use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::pending;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -20,7 +20,7 @@
 use node::forward::{Event, Loss, Order, Refusal, Try};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{Sender, UnboundedReceiver, channel, unbounded_channel};
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 use tokio_stream::wrappers::ReceiverStream;
@@ -59,8 +59,19 @@
     pub pool: Rc<Pool>,
     /// Takes what happens.
     pub inputs: Inputs,
-    /// Whether the process was asked to stop: callers shall not use their connections again.
-    pub stopping: Cell<bool>,
+    /// How far the stop of the process has come.
+    pub phase: watch::Receiver<Phase>,
+}
+
+/// How far the stop of a process has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// It serves.
+    Serves,
+    /// It was asked to stop: callers shall not use their connections again.
+    Stops,
+    /// The balancer knows: idle connections are closed.
+    Closes,
 }
 
 type Piece = Result<Frame<Bytes>, &'static str>;
@@ -90,6 +101,7 @@
         log::debug!("caller's connection: {error}");
     }
     let limits = shared.limits;
+    let mut phase = shared.phase.clone();
     let service = service_fn(move |request| exchange(shared.clone(), request));
     let mut builder = hyper::server::conn::http1::Builder::new();
     builder
@@ -97,7 +109,16 @@
         .header_read_timeout(limits.idle)
         .max_buf_size(limits.head.max(8 << 10))
         .half_close(false);
-    if let Err(error) = builder.serve_connection(TokioIo::new(socket), service).await {
+    let mut connection = pin!(builder.serve_connection(TokioIo::new(socket), service));
+    let result = tokio::select! {
+        result = connection.as_mut() => result,
+        // The sender of the phase lives as long as the process.
+        _ = phase.wait_for(|phase| *phase == Phase::Closes) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = result {
         log::debug!("caller's connection: {error}");
     }
 }
@@ -144,7 +165,7 @@
         Ok(answer) => answer,
         Err(_) => shared.reject("", Code::Internal, "no answer was made"),
     };
-    if shared.stopping.get() {
+    if *shared.phase.borrow() != Phase::Serves {
         answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     Ok(answer)
--- a/crates/edge/src/single.rs
+++ b/crates/edge/src/single.rs
@@ -3,21 +3,23 @@
 //! Reducer, links, callers, operators and calls to servers share one loop; only a keeper's files
 //! have a thread of their own, so that no sync holds the loop up.
 
-use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use conf::{Role, Settings};
 use node::{Config, Event, Node};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc::unbounded_channel;
+use tokio::sync::watch;
 use tokio::task::{LocalSet, spawn_local};
+use tokio::time::sleep;
 
 use crate::control::Control;
-use crate::forward::Shared;
+use crate::forward::{Phase, Shared};
 use crate::host::Sinks;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
@@ -78,13 +80,14 @@
         let _ = commands.send(net::Command::Dial { addr: seed.addr });
     }
 
+    let (phases, phase) = watch::channel(Phase::Serves);
     let pool = Rc::new(Pool::default());
     let shared = Rc::new(Shared {
         limits: ports.limits,
         dialect: dialect.clone(),
         pool: pool.clone(),
         inputs: inputs.clone(),
-        stopping: Cell::new(false),
+        phase,
     });
     let client = Rc::new(direct::Client {
         pool,
@@ -102,7 +105,8 @@
     for addr in &ports.operators {
         spawn_local(control::run(TcpListener::bind(addr).await?, spoken.clone()));
     }
-    spawn_local(stop_on_signals(inputs.clone(), shared.clone()));
+    let linger = config.forward.as_ref().map_or(Duration::ZERO, |forward| forward.linger);
+    spawn_local(stop_on_signals(inputs.clone(), phases, linger));
     let sinks = Sinks { net: commands, server: None, files, direct: Some(calls), metrics, exit };
     spawn_local(host::run(Node::new(me, config, keeper), Clock::default(), sinks, inputs_out));
     spawn_local(forward::run(callers, shared));
@@ -110,7 +114,11 @@
 }
 
 /// Asks the process to stop on SIGTERM and SIGINT; SIGHUP says that the settings may have changed.
-async fn stop_on_signals(inputs: Inputs, shared: Rc<Shared>) -> io::Result<()> {
+async fn stop_on_signals(
+    inputs: Inputs,
+    phases: watch::Sender<Phase>,
+    linger: Duration,
+) -> io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut reload = signal(SignalKind::hangup())?;
@@ -125,9 +133,11 @@
             }
         }
         log::info!("asked to stop");
-        shared.stopping.set(true);
         if inputs.send(Input::Event(Event::Stop)).is_err() {
             return Ok(());
         }
+        phases.send_replace(Phase::Stops);
+        sleep(linger).await;
+        phases.send_replace(Phase::Closes);
     }
 }
--- a/crates/node/src/forward/admit.rs
+++ b/crates/node/src/forward/admit.rs
@@ -39,6 +39,9 @@
         cx: &Context<'_>,
         head: Box<Head>,
     ) -> Result<Run, (Box<Head>, Code, &'static str)> {
+        if cx.closing {
+            return Err((head, Code::Draining, "this entry is stopping"));
+        }
         if !cx.ready {
             return Err((head, Code::NotReady, "no configuration is known here yet"));
         }
--- a/crates/node/src/forward/mod.rs
+++ b/crates/node/src/forward/mod.rs
@@ -70,6 +70,8 @@
     pub view: &'a View,
     /// Whether the configuration is known.
     pub ready: bool,
+    /// Whether the process leaves and the balancer has had the time to notice.
+    pub closing: bool,
     /// Entries that share the retry budget.
     pub entries: usize,
     /// Term in which this process leads the keepers, if it does.
