Histories are saved to the stores once read, and fetched when their subject returns

Change: the leader among the keepers reads the stores (few readers fit there) and tells the entries; each part is fetched from the nearest store that said it is complete, and saved where none has it, short parts where the wait is short, long ones where there is room.

Ruled out: events read by every entry (a store takes 12 readers; priced as probes); fetching on belief (a part may still be written).

Nothing is freed yet, so a filled store keeps what it has.

--- a/crates/cache/src/lib.rs
+++ b/crates/cache/src/lib.rs
@@ -6,7 +6,7 @@
 //! header; [`unseal`] gives nothing for a block that is torn, replaced or foreign, which is a miss.
 //!
 //! Prompts whose callers name the parts themselves go by [`Named`] parts instead, and [`Held`] is
-//! what a server is believed to hold of them.
+//! what a server is believed to hold of them, [`Stock`] what lies on the stores.
 
 mod block;
 mod directory;
@@ -15,6 +15,7 @@
 mod link;
 mod named;
 mod shelf;
+mod stock;
 
 pub use block::{BadBlock, seal, unseal};
 pub use directory::{Directory, Holder};
@@ -23,3 +24,4 @@
 pub use link::Link;
 pub use named::{Held, Named};
 pub use shelf::{Freed, Phase, Shelf};
+pub use stock::{Place, Stock, salt_number};
--- a/crates/cache/src/named.rs
+++ b/crates/cache/src/named.rs
@@ -21,11 +21,10 @@
 }
 
 impl Held {
-    /// Tokens at the start of a prompt that need not be read again; `salt` tells apart what
-    /// must not be shared.
-    pub fn found(&self, salt: u64, prompt: &[Named]) -> u64 {
-        let held = prompt.iter().take_while(|part| self.parts.contains_key(&(salt, part.id)));
-        held.map(|part| u64::from(part.tokens)).sum()
+    /// Parts at the start of a prompt that need not be read again; `salt` tells apart what must
+    /// not be shared.
+    pub fn found(&self, salt: u64, prompt: &[Named]) -> usize {
+        prompt.iter().take_while(|part| self.parts.contains_key(&(salt, part.id))).count()
     }
 
     /// A prompt was given to the server; the least recently used parts yield beyond `most` tokens.
--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -1,10 +1,11 @@
 //! How a deployment speaks: the words for what the edges exchange with callers, servers and operators.
 
 use std::fmt::Debug;
+use std::time::Duration;
 
 use base::Code;
 use bytes::Bytes;
-use fleet::{Listed, Load};
+use fleet::{Listed, Load, News};
 use http::{HeaderMap, Response, request, response};
 use node::admin::Admin;
 use node::forward::{Answer, Change, Head, Refusal, Try};
@@ -78,6 +79,16 @@
     /// What is wrong with it.
     fn reported(&self, body: &[u8]) -> Result<(u64, Load), String>;
 
+    /// The call that asks a store for its events from a number on, waiting this long for one, or
+    /// for all that it holds.
+    fn store(&self, since: Option<u64>, wait: Duration) -> Call;
+
+    /// Reads what a store told: all that it holds, or its events.
+    ///
+    /// # Errors
+    /// What is wrong with it.
+    fn news(&self, whole: bool, body: &[u8]) -> Result<News, String>;
+
     /// The call that orders a server to a weight version.
     fn change(&self, change: &Change, holder: &str) -> Call;
 }
--- a/crates/edge/src/direct.rs
+++ b/crates/edge/src/direct.rs
@@ -19,6 +19,8 @@
 
 /// Longest wait for an answer; the list is read more often than a server may change unnoticed.
 const ANSWER: Duration = Duration::from_secs(1);
+/// Longest wait of a store for events.
+const EVENTS: Duration = Duration::from_secs(1);
 /// Largest answer, bytes: some thousand servers.
 const MOST: usize = 4 << 20;
 /// Most pages of the list; more would be a list without an end.
@@ -38,6 +40,13 @@
         /// Its address.
         addr: SocketAddr,
     },
+    /// Ask a store for its events from a number on, or for all that it holds.
+    Store {
+        /// Its address.
+        addr: SocketAddr,
+        /// The number.
+        since: Option<u64>,
+    },
     /// Order a server to a weight version.
     Change(Box<forward::Change>),
 }
@@ -96,6 +105,19 @@
                     }
                 }
             }
+            Command::Store { addr, since } => {
+                let call = self.dialect.store(since, EVENTS);
+                let answer = timeout(EVENTS + ANSWER, self.call(addr, call)).await;
+                let answer = answer.unwrap_or_else(|_| Err("no answer in time".to_owned()));
+                let news = answer.and_then(|(status, body)| match status {
+                    200 => self.dialect.news(since.is_none(), &body),
+                    _ => Err(format!("status {status}")),
+                });
+                if let Err(error) = &news {
+                    log::warn!(store:% = addr, error:% = error; "store not read");
+                }
+                Some(forward::Event::StoreRead { addr, whole: since.is_none(), news })
+            }
             Command::Change(change) => {
                 let call = self.dialect.change(&change, &self.holder);
                 let answer = timeout(ANSWER, self.call(change.addr, call)).await;
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -203,6 +203,9 @@
             }
             Effect::ReadList => self.direct(direct::Command::List),
             Effect::Report { id, addr } => self.direct(direct::Command::Report { id, addr }),
+            Effect::ReadStore { addr, since } => {
+                self.direct(direct::Command::Store { addr, since });
+            }
             Effect::Change(change) => self.direct(direct::Command::Change(change)),
             Effect::Note(note) => notes::write(&note, &self.sinks.metrics),
             Effect::Exit { cut } => {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,9 +4,11 @@
 //! the servers themselves; and what this process has sent them. [`rollout::Rollout::due`] says which of them
 //! to order to another weight version next.
 
+mod news;
 pub mod rollout;
 mod server;
 mod servers;
 
+pub use news::{News, Stored};
 pub use server::{Listed, Load, Server};
 pub use servers::{Key, Servers};
--- a/crates/node/src/effect.rs
+++ b/crates/node/src/effect.rs
@@ -161,6 +161,13 @@
         /// Its address.
         addr: SocketAddr,
     },
+    /// Ask a store for its events from a number on, or for all that it holds.
+    ReadStore {
+        /// Address of the store.
+        addr: SocketAddr,
+        /// The number.
+        since: Option<u64>,
+    },
     /// Order a backend server that has no agent to load a weight version.
     Change(Box<forward::Change>),
     /// Write a decision to the log.
--- a/crates/node/src/forward/event.rs
+++ b/crates/node/src/forward/event.rs
@@ -4,7 +4,7 @@
 
 use base::prelude::*;
 use cache::Named;
-use fleet::{Listed, Load};
+use fleet::{Listed, Load, News};
 
 /// A prompt whose parts the caller names.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -53,6 +53,10 @@
     pub version: Option<u64>,
     /// What its cached prompt parts are shared under.
     pub salt: Option<Name>,
+    /// Where each part of the prompt is fetched from, unless the server holds it.
+    pub fetch: Vec<Option<SocketAddr>>,
+    /// The store that each part is saved to once it is read.
+    pub save: Vec<Option<SocketAddr>>,
 }
 
 /// What a server answered, before the body.
@@ -145,6 +149,15 @@
         /// Its load.
         load: Load,
     },
+    /// A store told what it holds, or could not be read.
+    StoreRead {
+        /// Address of the store.
+        addr: SocketAddr,
+        /// Whether all that it holds was asked for.
+        whole: bool,
+        /// What it told, or what went wrong.
+        news: Result<News, String>,
+    },
     /// An order to a server was answered.
     Changed {
         /// Identity of the server.
--- a/crates/node/src/forward/mod.rs
+++ b/crates/node/src/forward/mod.rs
@@ -6,6 +6,7 @@
 //! | `admit` | takes a request or refuses it at once |
 //! | `place` | chooses a backend server |
 //! | `follow` | takes answers, losses and ends |
+//! | `stores` | reads the stores of prompt parts, fetches and saves |
 //! | `weights` | keeps the list of servers and their weight versions |
 //!
 //! The edge that read a request holds its caller and its connection to the server; bytes never pass
@@ -16,6 +17,7 @@
 mod event;
 mod follow;
 mod place;
+mod stores;
 mod weights;
 
 use std::collections::{BTreeSet, HashMap};
@@ -29,6 +31,7 @@
 use record::{Repeat, View};
 
 use crate::{Effect, Effects};
+use stores::Stores;
 
 pub use event::{Answer, Change, Event, Head, Loss, Note, Order, Prompt, Refusal, Try};
 
@@ -125,6 +128,7 @@
     zone: Name,
     servers: Servers,
     rollout: Rollout,
+    stores: Stores,
     runs: HashMap<u64, Run>,
     deadlines: BTreeSet<(Time, u64)>,
     retries: HashMap<Name, Retries>,
@@ -142,6 +146,7 @@
             zone,
             servers: Servers::default(),
             rollout: Rollout::default(),
+            stores: Stores::default(),
             runs: HashMap::new(),
             deadlines: BTreeSet::new(),
             retries: HashMap::new(),
@@ -179,6 +184,9 @@
             Event::Listed { list } => self.listed(cx, list, out),
             Event::Reported { id, version, load } => self.reported(cx, &id, version, load),
             Event::Changed { id, taken } => self.changed(&id, taken),
+            Event::StoreRead { addr, whole, news } => {
+                self.stores.was_read(cx, addr, whole, news);
+            }
         }
     }
 
@@ -194,6 +202,7 @@
             out.push(Effect::ReadList);
         }
         self.order(cx, out);
+        self.stores.read(cx, out);
     }
 
     /// Every request under way ends, since the process leaves.
--- a/crates/node/src/process/mod.rs
+++ b/crates/node/src/process/mod.rs
@@ -187,6 +187,7 @@
             }
             Event::Forward(event) => {
                 self.with_forward(now, |forward, cx| forward.event(cx, event, out));
+                self.tell_stock(out);
             }
             Event::Persisted { seq } => {
                 if let Some(keeper) = &mut self.keeper {
@@ -252,6 +253,11 @@
         }
         let beat = self.heartbeat(now, &hello.name);
         out.push(Effect::Send { to: hello.name.clone(), frame: Frame::Beat(beat) });
+        let leads = self.keeper.as_ref().is_some_and(|keeper| keeper.quorum().lease_holds(now));
+        if let Some(forward) = self.forward.as_ref().filter(|_| leads && hello.entry) {
+            let frame = Frame::Stock(forward.stock());
+            out.push(Effect::Send { to: hello.name.clone(), frame });
+        }
         self.with_entry(now, |entry, cx| entry.linked(cx, &hello, out));
         self.peers.insert(hello.name.clone(), hello);
     }
@@ -329,6 +335,11 @@
                 self.watch.view.replace(revision, records);
                 self.configured();
             }
+            Frame::Stock(told) => {
+                if let Some(forward) = &mut self.forward {
+                    forward.stocked(&told);
+                }
+            }
             Frame::Hello(_) | Frame::Idle => {}
         }
     }
@@ -342,6 +353,17 @@
         }
     }
 
+    /// Tells the entries what this process read at the stores.
+    fn tell_stock(&mut self, out: &mut Effects) {
+        let Some(news) = self.forward.as_mut().and_then(Forward::take_news) else {
+            return;
+        };
+        let me = &self.me.hello.name;
+        for hello in self.peers.values().filter(|hello| hello.entry && hello.name != *me) {
+            out.push(Effect::Send { to: hello.name.clone(), frame: Frame::Stock(news.clone()) });
+        }
+    }
+
     /// Links to keepers that the settings do not name.
     fn dial_keepers(&mut self, hellos: &[Hello], out: &mut Effects) {
         for hello in hellos.iter().filter(|hello| hello.keeper && hello.name != self.me.hello.name)
--- a/crates/replay/src/world/mod.rs
+++ b/crates/replay/src/world/mod.rs
@@ -433,6 +433,7 @@
             | Effect::Door { .. }
             | Effect::ReadList
             | Effect::Report { .. }
+            | Effect::ReadStore { .. }
             | Effect::Change(_)
             | Effect::Note(_) => {}
             Effect::Fail { text } => self.broke("goes on", text),
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -7,7 +7,7 @@
 use record::{Change, Record};
 use serde::{Deserialize, Serialize};
 
-use crate::{Answer, News, Part, Piece, Priority, Request, Work};
+use crate::{Answer, News, Part, Piece, Priority, Request, Stock, Work};
 
 /// What an agent stands beside.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -226,6 +226,8 @@
     },
     /// Agent to entry: what its caches hold.
     Cache(News),
+    /// Keeper to entry: what lies on the stores.
+    Stock(Stock),
     /// Nothing to say; the link is alive.
     Idle,
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -17,6 +17,7 @@
 mod digest;
 mod frame;
 mod part;
+mod stock;
 mod work;
 
 pub use ask::{Answer, Mark, Request};
@@ -25,4 +26,5 @@
 pub use digest::Digest;
 pub use frame::{Beat, Engine, Frame, Hello, Load, Output, Start};
 pub use part::Part;
+pub use stock::{Shelf, Stock, Stored};
 pub use work::{Call, Priority, Prompt, Work};
--- /dev/null
+++ b/crates/wire/src/stock.rs
@@ -0,0 +1,38 @@
+//! What lies on the stores, as the keeper that reads them tells it.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+/// A prompt part on a store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Stored {
+    /// Number of the salt that it is shared under.
+    pub salt: u64,
+    /// ID of the part.
+    pub id: u64,
+    /// Its length in tokens; 0 when it is gone.
+    pub tokens: u32,
+}
+
+/// A change of what one store holds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Shelf {
+    /// Address of the store.
+    pub store: SocketAddr,
+    /// Life of the store; none while it cannot be reached.
+    pub epoch: Option<u64>,
+    /// Whether these are all parts that it holds.
+    pub whole: bool,
+    /// The parts that came and went.
+    pub parts: Vec<Stored>,
+}
+
+/// Changes told by one reader.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Stock {
+    /// Term in which the reader leads the keepers; a later one's word goes first.
+    pub term: u64,
+    /// The changes, in their order.
+    pub shelves: Vec<Shelf>,
+}
