What servers hold is told by their events, and waits at sources are learned

Change: the leader reads the events of servers too, so a part is taken where it lies, from servers as well as stores, and histories that a server still has are found by every entry. The wait at each source is learned from late first tokens and fades; a part is read where its fetch takes over twice as long.

--- a/crates/cache/src/named.rs
+++ b/crates/cache/src/named.rs
@@ -21,10 +21,12 @@
 }
 
 impl Held {
-    /// Parts at the start of a prompt that need not be read again; `salt` tells apart what must
-    /// not be shared.
-    pub fn found(&self, salt: u64, prompt: &[Named]) -> usize {
-        prompt.iter().take_while(|part| self.parts.contains_key(&(salt, part.id))).count()
+    /// Parts at the start of a prompt that were sent to the server since a time, and so need not be
+    /// read again; `salt` tells apart what must not be shared.
+    pub fn found(&self, salt: u64, prompt: &[Named], since: Time) -> usize {
+        let sent =
+            |part: &&Named| self.parts.get(&(salt, part.id)).is_some_and(|(_, at)| *at >= since);
+        prompt.iter().take_while(sent).count()
     }
 
     /// A prompt was given to the server; the least recently used parts yield beyond `most` tokens.
--- a/crates/cache/src/stock.rs
+++ b/crates/cache/src/stock.rs
@@ -82,6 +82,11 @@
         self.shelves.contains_key(&store)
     }
 
+    /// Every store.
+    pub fn places(&self) -> impl Iterator<Item = SocketAddr> {
+        self.shelves.keys().copied()
+    }
+
     /// Tokens on a store.
     pub fn tokens(&self, store: SocketAddr) -> u64 {
         self.shelves.get(&store).map_or(0, |shelf| shelf.tokens)
--- a/crates/edge/src/direct.rs
+++ b/crates/edge/src/direct.rs
@@ -116,7 +116,7 @@
                 if let Err(error) = &news {
                     log::warn!(store:% = addr, error:% = error; "store not read");
                 }
-                Some(forward::Event::StoreRead { addr, whole: since.is_none(), news })
+                Some(forward::Event::StoreRead { addr, since, news })
             }
             Command::Change(change) => {
                 let call = self.dialect.change(&change, &self.holder);
--- a/crates/edge/src/notes.rs
+++ b/crates/edge/src/notes.rs
@@ -8,12 +8,14 @@
 pub fn write(note: &Note, metrics: &Metrics) {
     let millis = |time: std::time::Duration| time.as_millis() as u64;
     match note {
-        Note::Ended { request, route, server, tries, code, status, took, first } => {
+        Note::Ended { request, route, server, tries, basis, code, status, took, first } => {
             metrics.ended(*code, *took, *first);
             log::info!(
                 request:% = request, route:% = route,
                 server = server.as_deref().unwrap_or_default(), tries = u64::from(*tries),
-                code = code.number(), status = u64::from(*status), took_ms = millis(*took),
+                reading = basis.reading, fetching = basis.fetching, ahead = basis.ahead,
+                beside = u64::from(basis.beside), cost_ms = basis.cost_ms as u64,
+                list_age_ms = millis(basis.list_age), code = code.number(), status = u64::from(*status), took_ms = millis(*took),
                 first_ms = first.map_or(0, millis);
                 "request ended"
             );
--- a/crates/fleet/src/servers.rs
+++ b/crates/fleet/src/servers.rs
@@ -1,6 +1,7 @@
 //! All servers.
 
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 
 use base::prelude::*;
 use slotmap::SlotMap;
@@ -18,6 +19,7 @@
     all: SlotMap<Key, Server>,
     ids: HashMap<Name, Key>,
     services: BTreeMap<Name, Vec<Key>>,
+    addrs: HashMap<SocketAddr, Key>,
     read_at: Option<Time>,
 }
 
@@ -47,8 +49,10 @@
         let live: Vec<Key> = self.ids.values().copied().collect();
         self.all.retain(|key, _| live.contains(&key));
         self.services.clear();
+        self.addrs.clear();
         for (key, server) in &self.all {
             self.services.entry(server.listed.service.clone()).or_default().push(key);
+            self.addrs.insert(server.listed.addr, key);
         }
     }
 
@@ -72,6 +76,11 @@
         self.all.get_mut(*self.ids.get(id)?)
     }
 
+    /// The server at an address.
+    pub fn at(&self, addr: SocketAddr) -> Option<&Server> {
+        self.all.get(*self.addrs.get(&addr)?)
+    }
+
     /// The servers of a service.
     pub fn of(&self, service: &str) -> impl Iterator<Item = (Key, &Server)> {
         let keys = self.services.get(service).map(Vec::as_slice).unwrap_or_default();
--- a/crates/node/src/forward/admit.rs
+++ b/crates/node/src/forward/admit.rs
@@ -4,7 +4,7 @@
 use rand::Rng;
 use record::Workspace;
 
-use super::{Context, Forward, Head, Note, Order, Refusal, Run, spread};
+use super::{Basis, Context, Forward, Head, Note, Order, Refusal, Run, spread};
 use crate::{Effect, Effects};
 
 /// Least time to come back after a refusal because nothing can be done here at present.
@@ -76,6 +76,7 @@
             tried: Vec::new(),
             place: None,
             last: None,
+            basis: Basis::default(),
             passed: false,
             status: 0,
             first: None,
@@ -97,6 +98,7 @@
             route: Name::default(),
             server: None,
             tries: 0,
+            basis: Basis::default(),
             code,
             status: refusal.status,
             took: Duration::ZERO,
--- a/crates/node/src/forward/event.rs
+++ b/crates/node/src/forward/event.rs
@@ -153,8 +153,8 @@
     StoreRead {
         /// Address of the store.
         addr: SocketAddr,
-        /// Whether all that it holds was asked for.
-        whole: bool,
+        /// The number of the first event asked for; none for all that it holds.
+        since: Option<u64>,
         /// What it told, or what went wrong.
         news: Result<News, String>,
     },
@@ -206,8 +206,25 @@
     pub token: u64,
 }
 
+/// What a server was chosen on, as believed then.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Basis {
+    /// Prompt tokens that it would read.
+    pub reading: u64,
+    /// Prompt tokens that it would fetch.
+    pub fetching: u64,
+    /// Prompt tokens of earlier requests that it still read.
+    pub ahead: u64,
+    /// Runs there.
+    pub beside: u32,
+    /// Estimated time to the first token, milliseconds.
+    pub cost_ms: f64,
+    /// Age of the list of servers.
+    pub list_age: Duration,
+}
+
 /// A decision for the log.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Note {
     /// A request has ended.
     Ended {
@@ -219,6 +236,8 @@
         server: Option<Name>,
         /// Tries in all.
         tries: u32,
+        /// What the last server was chosen on.
+        basis: Basis,
         /// How it ended.
         code: Code,
         /// HTTP status.
--- a/crates/node/src/forward/follow.rs
+++ b/crates/node/src/forward/follow.rs
@@ -6,6 +6,8 @@
 use super::{Answer, Context, Forward, Loss, Note, Order, Run};
 use crate::{Effect, Effects};
 
+/// Weight of the latest first token in the time that they take beyond the estimate.
+const BASE_WEIGHT: f64 = 0.05;
 /// Most tries of a request that servers rejected unrun.
 const MOST_TRIES: u32 = 3;
 
@@ -66,11 +68,19 @@
             return;
         };
         run.first.get_or_insert(cx.now);
-        if let Some(place) = &mut run.place
-            && let Some(server) = self.servers.get_mut(place.server)
-        {
+        let Some(place) = &mut run.place else {
+            return;
+        };
+        if let Some(server) = self.servers.get_mut(place.server) {
             server.reading = server.reading.saturating_sub(std::mem::take(&mut place.reading));
         }
+        if run.head.prompt.is_some() {
+            let late = cx.now.since(place.sent).as_secs_f64() * 1_000.0 - place.cost_ms;
+            match place.from {
+                Some(source) => self.stores.waited(cx.now, source, late - self.base_ms),
+                None => self.base_ms += BASE_WEIGHT * (late.max(0.0) - self.base_ms),
+            }
+        }
     }
 
     pub(super) fn failed(&mut self, cx: &Context<'_>, call: u64, loss: Loss, out: &mut Effects) {
@@ -207,6 +217,7 @@
             route: run.route,
             server: run.last,
             tries: run.tries,
+            basis: run.basis,
             code,
         })));
     }
--- a/crates/node/src/forward/mod.rs
+++ b/crates/node/src/forward/mod.rs
@@ -21,6 +21,7 @@
 mod weights;
 
 use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
 
 use base::prelude::*;
 use cache::Named;
@@ -33,7 +34,7 @@
 use crate::{Effect, Effects};
 use stores::Stores;
 
-pub use event::{Answer, Change, Event, Head, Loss, Note, Order, Prompt, Refusal, Try};
+pub use event::{Answer, Basis, Change, Event, Head, Loss, Note, Order, Prompt, Refusal, Try};
 
 /// Settings of forwarding.
 #[derive(Clone, Debug)]
@@ -87,6 +88,11 @@
     server: Key,
     /// Prompt tokens counted as being read there.
     reading: u64,
+    /// When it was sent, and the estimated time to its first token, milliseconds.
+    sent: Time,
+    cost_ms: f64,
+    /// Where most of its prompt is fetched from.
+    from: Option<SocketAddr>,
 }
 
 /// A request under way.
@@ -109,6 +115,7 @@
     tried: Vec<Key>,
     place: Option<Place>,
     last: Option<Name>,
+    basis: Basis,
     /// Whether an answer has begun to reach the caller.
     passed: bool,
     status: u16,
@@ -136,6 +143,8 @@
     next_list: Time,
     next_orders: Time,
     leading: Option<(u64, Time)>,
+    /// Time to the first token beyond the estimate, where nothing is fetched, milliseconds.
+    base_ms: f64,
 }
 
 impl Forward {
@@ -154,6 +163,7 @@
             next_list: Time::ZERO,
             next_orders: Time::ZERO,
             leading: None,
+            base_ms: 0.0,
         }
     }
 
@@ -184,8 +194,8 @@
             Event::Listed { list } => self.listed(cx, list, out),
             Event::Reported { id, version, load } => self.reported(cx, &id, version, load),
             Event::Changed { id, taken } => self.changed(&id, taken),
-            Event::StoreRead { addr, whole, news } => {
-                self.stores.was_read(cx, addr, whole, news);
+            Event::StoreRead { addr, since, news } => {
+                self.stores.was_read(cx, addr, since, news);
             }
         }
     }
@@ -202,7 +212,7 @@
             out.push(Effect::ReadList);
         }
         self.order(cx, out);
-        self.stores.read(cx, out);
+        self.stores.read(cx, &self.servers, out);
     }
 
     /// Every request under way ends, since the process leaves.
--- a/crates/node/src/forward/place.rs
+++ b/crates/node/src/forward/place.rs
@@ -1,23 +1,22 @@
 //! Chooses the server of a request's next try.
 
 use base::prelude::*;
-use cache::{Named, salt_number};
+use cache::salt_number;
 use fleet::{Key, Server};
 use rand::Rng;
 use record::Engine;
 use route::direct::{self, Candidate};
 
-use super::stores::Transfer;
-use super::{Context, Forward, Order, Place, Run, Try};
+use super::stores::{Sources, Transfer};
+use super::{Basis, Context, Forward, Order, Place, Prompt, Run, Try};
 use crate::{Effect, Effects};
 
 /// Prompt tokens that an engine reads in a millisecond, where nothing better is known.
 const READ_PER_MS: f64 = 45.0;
 /// Part of an engine's memory that is believed to keep prompt parts; the rest is for runs.
 const KEPT: f64 = 0.6;
-/// Part of a prompt's history that is believed to lie at the server where its subject belongs, when
-/// this entry has not sent it there itself: other entries choose the same server.
-const LIKELY: f64 = 0.5;
+/// How long what this entry sent to a server may take to show in its events.
+const UNTOLD: Duration = Duration::from_millis(1_500);
 /// Time added to a server that holds old weights while others hold new ones, milliseconds.
 const OLD_WEIGHTS_MS: f64 = 1_000.0;
 
@@ -32,7 +31,9 @@
             self.give_up(cx, call, Code::NoServer, "no backend server can take it now", out);
             return;
         };
-        let Choice { key, reading, mut transfer } = choice;
+        let Choice { key, transfer, sources, candidate } = choice;
+        let reading = candidate.missing;
+        let list_age = self.servers.read_at().map_or(Duration::MAX, |at| cx.now.since(at));
         let engine = cx.view.service(&run.service).and_then(|service| service.engine.as_ref());
         let (Some(run), Some(server)) = (self.runs.get_mut(&call), self.servers.get_mut(key))
         else {
@@ -44,14 +45,28 @@
         run.ran += 1;
         run.tried.push(key);
         run.last = Some(server.listed.id.clone());
-        run.place = Some(Place { server: key, reading });
+        run.basis = Basis {
+            reading,
+            fetching: transfer.tokens,
+            ahead: candidate.ahead,
+            beside: candidate.running,
+            cost_ms: direct::cost(&candidate),
+            list_age,
+        };
+        run.place = Some(Place {
+            server: key,
+            reading,
+            sent: cx.now,
+            cost_ms: run.basis.cost_ms,
+            from: transfer.from,
+        });
         server.running += 1;
         server.reading += reading;
-        if let (Some(salt), Some(engine)) = (&salt, engine) {
+        let mut save = Vec::new();
+        if let (Some(_), Some(engine)) = (&salt, engine) {
             let kept = (engine.tokens as f64 * KEPT) as u64;
-            let number = salt_number(salt);
-            server.held.used(cx.now, number, run.parts(), kept);
-            self.stores.save(cx, number, run.parts(), &mut transfer);
+            server.held.used(cx.now, sources.salt(), run.parts(), kept);
+            save = self.stores.save(cx, &sources);
         }
         let order = Try {
             id: server.listed.id.clone(),
@@ -61,8 +76,9 @@
             rank: run.rank,
             version,
             salt,
-            fetch: transfer.fetch,
-            save: transfer.save,
+            // The last part is the request's own: nowhere else, and of no use to others.
+            fetch: transfer.fetch.into_iter().chain([None]).collect(),
+            save: save.into_iter().chain([None]).collect(),
         };
         out.push(Effect::Door { call, order: Order::Try(Box::new(order)) });
     }
@@ -70,84 +86,76 @@
     /// The server with the earliest first token; `point` picks among equal ones.
     fn choose(&self, cx: &Context<'_>, run: &Run, point: f64) -> Option<Choice> {
         let engine = cx.view.service(&run.service).and_then(|service| service.engine.as_ref());
-        let model = run.head.prompt.as_ref().map(|prompt| &prompt.model);
-        let newest = model.map_or(0, |model| cx.view.weights(model));
-        let home = self.home(run);
-        let mut choices = Vec::new();
+        let prompt = run.head.prompt.as_ref().zip(engine);
+        let newest = prompt.map_or(0, |(prompt, _)| cx.view.weights(&prompt.model));
+        let mut known: Vec<(u64, Sources)> = Vec::new();
         let mut candidates = Vec::new();
+        let mut choices = Vec::new();
         for (key, server) in self.servers.of(&run.service) {
             if !server.usable(cx.now) || run.tried.contains(&key) {
                 continue;
             }
-            let choice = self.consider(cx, run, engine, key, server, home == Some(key));
+            let mut transfer = Transfer::default();
+            let mut reading = 0;
+            if let Some((prompt, engine)) = prompt {
+                let sources = known.iter().position(|(version, _)| *version == server.version);
+                let sources = sources.unwrap_or_else(|| {
+                    let salt = salt_number(&salt(run, &prompt.model, server.version));
+                    let found = self.stores.sources(cx, &self.servers, engine, salt, &prompt.parts);
+                    known.push((server.version, found));
+                    known.len() - 1
+                });
+                transfer = self.consider(cx, &known[sources].1, prompt, engine, server);
+                let all = prompt.parts.iter().map(|part| u64::from(part.tokens)).sum::<u64>();
+                reading = all - transfer.held - transfer.tokens;
+            }
             let old = newest > server.version && server.version > 0;
             candidates.push(Candidate {
                 running: server.runs(cx.now),
                 slots: server.listed.slots,
-                missing: choice.reading,
+                missing: reading,
                 ahead: server.reading,
                 per_ms: READ_PER_MS,
                 near: server.listed.zone == self.zone,
-                penalty_ms: choice.transfer.millis + if old { OLD_WEIGHTS_MS } else { 0.0 },
+                penalty_ms: transfer.millis + if old { OLD_WEIGHTS_MS } else { 0.0 },
             });
-            choices.push(choice);
+            choices.push((key, transfer));
         }
         let index = direct::choose(&candidates, point)?;
-        Some(choices.swap_remove(index))
+        let (key, transfer) = choices.swap_remove(index);
+        let version = self.servers.get(key)?.version;
+        let sources = known.into_iter().find(|(found, _)| *found == version);
+        let sources = sources.map(|(_, sources)| sources).unwrap_or_default();
+        Some(Choice { key, transfer, sources, candidate: candidates[index] })
     }
 
     /// What a prompt would need at a server.
     fn consider(
         &self,
         cx: &Context<'_>,
-        run: &Run,
-        engine: Option<&Engine>,
-        key: Key,
+        sources: &Sources,
+        prompt: &Prompt,
+        engine: &Engine,
         server: &Server,
-        home: bool,
-    ) -> Choice {
-        let (Some(prompt), Some(engine)) = (&run.head.prompt, engine) else {
-            return Choice { key, reading: 0, transfer: Transfer::default() };
+    ) -> Transfer {
+        let addr = server.listed.addr;
+        let since = if self.stores.knows(addr) {
+            Time(cx.now.0.saturating_sub(UNTOLD.as_micros() as u64))
+        } else {
+            Time::ZERO
         };
-        let parts = &prompt.parts;
-        let tokens = |parts: &[Named]| parts.iter().map(|part| u64::from(part.tokens)).sum::<u64>();
-        let salt = salt_number(&salt(run, &prompt.model, server.version));
-        let held = server.held.found(salt, parts);
-        let mut transfer = self.stores.sources(cx, engine, &server.listed.zone, salt, parts, held);
-        let own = parts.last().map_or(0, |part| u64::from(part.tokens));
-        let history = tokens(parts).saturating_sub(own).saturating_sub(tokens(&parts[..held]));
-        let unread = history.saturating_sub(transfer.tokens);
-        let mut reading = unread + own;
-        if home {
-            reading -= (unread as f64 * LIKELY) as u64;
-            transfer.millis *= 1.0 - LIKELY;
-        }
-        Choice { key, reading, transfer }
-    }
-
-    /// Where the subject of a prompt belongs: every entry finds the same server for it.
-    fn home(&self, run: &Run) -> Option<Key> {
-        let subject = subject(run)?;
-        let servers = self.servers.of(&run.service);
-        let fits = servers.filter(|(_, server)| !server.listed.leaving);
-        fits.max_by_key(|(_, server)| salt_number(&format!("{subject}/{}", server.listed.id)))
-            .map(|(key, _)| key)
+        let own = server.held.found(sources.salt(), &prompt.parts, since);
+        let place = (addr, &server.listed.zone);
+        self.stores.transfer(cx.now, sources, engine, place, own, READ_PER_MS)
     }
 }
 
-/// A server that a prompt could go to.
+/// A server that a request can go to.
 struct Choice {
     key: Key,
-    /// Prompt tokens that it would read.
-    reading: u64,
     transfer: Transfer,
-}
-
-/// ID of the last part that a prompt shares with others.
-fn subject(run: &Run) -> Option<u64> {
-    let parts = run.parts();
-    let shared = parts.len().saturating_sub(1);
-    parts.get(shared.checked_sub(1)?).map(|part| part.id)
+    sources: Sources,
+    candidate: Candidate,
 }
 
 /// What cached parts are shared under: never across weight versions, nor with a workspace that is
--- a/crates/node/src/forward/stores.rs
+++ b/crates/node/src/forward/stores.rs
@@ -1,23 +1,27 @@
-//! Stores of prompt parts: who reads them, what lies there, where a part is fetched from and saved.
+//! What lies where of the prompts' parts: who reads it, where a part is fetched from and saved.
 //!
 //! Answers the pattern in which the histories of all subjects are several times what the servers'
-//! own memory keeps: a history that was read once is saved, and fetched when its subject returns.
-//! Only the leader among the keepers reads the stores, since they take few readers, and it tells
-//! the entries. A part is fetched only when its store has said that it is complete.
+//! own memory keeps: a history that was read once is saved, and fetched when its subject returns,
+//! from a store or from a server that still has it. Only the leader among the keepers reads their
+//! events, since they take few readers, and it tells the entries. A part is fetched from a store
+//! only when the store has said that it is complete.
+//!
+//! Fetches from one place wait for each other. How long is learned from first tokens that come later
+//! than estimated, so a link that is slow or crowded is left alone while reading is faster.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
 use base::prelude::*;
 use cache::{Named, Place, Stock, salt_number};
-use fleet::News;
-use record::{Engine, Service, Store};
+use fleet::{News, Servers};
+use record::{Engine, Store};
 use wire::{Shelf, Stored};
 
 use super::{Context, Forward};
 use crate::{Effect, Effects};
 
-/// Pause between two reads of a store's events, so that one read brings several.
+/// Pause between two reads of events at one place, so that one read brings several.
 const PAUSE: Duration = Duration::from_millis(150);
 /// Pause after a read that failed.
 const AGAIN: Duration = Duration::from_millis(500);
@@ -34,8 +38,17 @@
 const BITS: f64 = 8.0;
 /// How much longer a transfer between availability zones takes.
 const OTHER_ZONE: f64 = 2.0;
+/// Wait before a transfer between two servers, milliseconds.
+const SETUP_MS: f64 = 4.0;
+/// A part is read rather than fetched when the fetch takes this many times as long: reading also
+/// takes the server's time from other requests.
+const READ_COSTS: f64 = 2.0;
+/// Weight of the latest wait seen at a source.
+const WEIGHT: f64 = 0.4;
+/// Time in which the wait last seen at a source loses half of its weight, so that it is tried again.
+const HALF_LIFE: Duration = Duration::from_millis(800);
 
-/// Reading of one store.
+/// Reading of one place.
 #[derive(Debug, Default)]
 struct Reading {
     since: Option<u64>,
@@ -43,30 +56,71 @@
     pending: bool,
     next: Time,
     next_list: Time,
+    store: bool,
+}
+
+/// A wait that was seen at a source.
+#[derive(Clone, Copy, Debug, Default)]
+struct Wait {
+    millis: f64,
+    at: Time,
+}
+
+impl Wait {
+    fn at(&self, now: Time) -> f64 {
+        let halves = now.since(self.at).as_secs_f64() / HALF_LIFE.as_secs_f64();
+        self.millis * 0.5_f64.powf(halves)
+    }
 }
 
-/// The stores as this process knows them.
+/// What this process knows of the places that hold prompt parts.
 #[derive(Debug, Default)]
 pub(super) struct Stores {
     stock: Stock,
     readings: HashMap<SocketAddr, Reading>,
     /// Parts that this entry has had saved lately.
     saving: HashMap<Place, Time>,
+    waits: HashMap<SocketAddr, Wait>,
     news: Vec<Shelf>,
     term: u64,
 }
 
+/// A place that a part can be fetched from.
+#[derive(Clone, Debug)]
+pub(super) struct Source {
+    addr: SocketAddr,
+    zone: Name,
+    rate: u64,
+    latency_ms: f64,
+}
+
+/// A prompt's shared parts, each with the places that hold it.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Sources {
+    salt: u64,
+    parts: Vec<(Named, Vec<Source>)>,
+}
+
 /// Where the parts of a prompt come from and go to, for one server.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub(super) struct Transfer {
     /// Source of each part.
     pub fetch: Vec<Option<SocketAddr>>,
-    /// Store that each part is saved to.
-    pub save: Vec<Option<SocketAddr>>,
+    /// Tokens that the server holds.
+    pub held: u64,
     /// Tokens that are fetched and not read.
     pub tokens: u64,
     /// Estimated time of the fetch, milliseconds.
     pub millis: f64,
+    /// Where most of it comes from.
+    pub from: Option<SocketAddr>,
+}
+
+impl Sources {
+    /// Number of what the parts are shared under.
+    pub fn salt(&self) -> u64 {
+        self.salt
+    }
 }
 
 impl Stores {
@@ -118,24 +172,38 @@
     }
 
     /// Reads what is due, if this process leads.
-    pub fn read(&mut self, cx: &Context<'_>, out: &mut Effects) {
+    pub fn read(&mut self, cx: &Context<'_>, servers: &Servers, out: &mut Effects) {
         let Some(term) = cx.term else {
             self.readings.clear();
             return;
         };
         self.term = self.term.max(term);
-        for (_, service) in cx.view.services() {
-            let Some(store) = &service.store else { continue };
-            let reading = self.readings.entry(store.addr).or_default();
+        let stores = cx.view.services().filter_map(|(_, service)| service.store.as_ref());
+        let stores = stores.map(|store| (store.addr, true));
+        let engines = servers.iter().filter(|(_, server)| !server.listed.models.is_empty());
+        let engines = engines.map(|(_, server)| (server.listed.addr, false));
+        let places: BTreeMap<SocketAddr, bool> = stores.chain(engines).collect();
+        self.readings.retain(|addr, _| places.contains_key(addr));
+        let gone: Vec<SocketAddr> =
+            self.stock.places().filter(|addr| !places.contains_key(addr)).collect();
+        for addr in gone {
+            self.tell(Shelf { store: addr, epoch: None, whole: true, parts: Vec::new() });
+        }
+        for (addr, store) in places {
+            let reading = self.readings.entry(addr).or_default();
+            reading.store = store;
             if reading.pending || cx.now < reading.next {
                 continue;
             }
-            if cx.now >= reading.next_list {
+            if store && cx.now >= reading.next_list {
                 reading.next_list = cx.now + LIST_EVERY;
                 reading.since = None;
+            } else if !store {
+                // The list of a server would stall its runs.
+                reading.since.get_or_insert(0);
             }
             reading.pending = true;
-            out.push(Effect::ReadStore { addr: store.addr, since: reading.since });
+            out.push(Effect::ReadStore { addr, since: reading.since });
         }
     }
 
@@ -144,38 +212,45 @@
         &mut self,
         cx: &Context<'_>,
         addr: SocketAddr,
-        whole: bool,
+        since: Option<u64>,
         news: Result<News, String>,
     ) {
         let Some(reading) = self.readings.get_mut(&addr) else {
             return;
         };
         reading.pending = false;
-        let news = match news {
-            Ok(news) if !news.gap && (whole || news.epoch == reading.epoch) => news,
-            // What it holds now is not known: all is read again.
-            other => {
-                reading.since = None;
-                let failed = other.is_err();
-                reading.next = cx.now + if failed { AGAIN } else { Duration::ZERO };
-                if self.stock.knows(addr) && failed {
-                    self.tell(Shelf { store: addr, epoch: None, whole: true, parts: Vec::new() });
-                }
-                return;
+        let Ok(news) = news else {
+            reading.since = None;
+            reading.next = cx.now + AGAIN;
+            if self.stock.knows(addr) {
+                self.tell(Shelf { store: addr, epoch: None, whole: true, parts: Vec::new() });
             }
+            return;
         };
+        let whole = since.is_none() || (!reading.store && since == Some(0));
+        let broken = news.epoch != reading.epoch || news.gap;
+        if broken && !whole {
+            // What it holds now is not known: it is read from the start.
+            reading.since = None;
+            reading.next = cx.now;
+            if news.epoch != reading.epoch {
+                self.tell(Shelf { store: addr, epoch: None, whole: true, parts: Vec::new() });
+            }
+            return;
+        }
         reading.since = Some(news.next);
         reading.epoch = news.epoch;
         reading.next = cx.now + PAUSE;
         if news.parts.is_empty() && !whole {
             return;
         }
-        let stored = |part: &fleet::Stored| Stored {
-            salt: salt_number(&part.salt),
-            id: part.id,
-            tokens: part.tokens,
-        };
-        let parts = news.parts.iter().map(stored).collect();
+        // The last event of a part tells where it stands.
+        let mut parts = BTreeMap::new();
+        for part in &news.parts {
+            parts.insert((salt_number(&part.salt), part.id), part.tokens);
+        }
+        let stored = |((salt, id), tokens)| Stored { salt, id, tokens };
+        let parts = parts.into_iter().map(stored).collect();
         self.tell(Shelf { store: addr, epoch: Some(news.epoch), whole, parts });
     }
 
@@ -184,38 +259,73 @@
         self.news.push(shelf);
     }
 
-    /// Sources for the parts of a prompt that a server lacks; `held` of them it has itself.
+    /// Whether what lies at a server is told by its events.
+    pub fn knows(&self, server: SocketAddr) -> bool {
+        self.stock.knows(server)
+    }
+
+    /// The places that hold the shared parts of a prompt.
     pub fn sources(
         &self,
         cx: &Context<'_>,
+        servers: &Servers,
         engine: &Engine,
-        zone: &Name,
         salt: u64,
-        parts: &[Named],
-        held: usize,
-    ) -> Transfer {
-        let shared = parts.len().saturating_sub(1);
-        let mut transfer = Transfer {
-            fetch: vec![None; parts.len()],
-            save: vec![None; parts.len()],
-            ..Transfer::default()
+        prompt: &[Named],
+    ) -> Sources {
+        let shared = prompt.len().saturating_sub(1);
+        let source = |addr: SocketAddr| {
+            if let Some(store) = store_at(cx, addr) {
+                let latency_ms = store.latency.as_secs_f64() * 1_000.0;
+                let zone = store.zone.clone();
+                return Some(Source { addr, zone, rate: store.link_rate, latency_ms });
+            }
+            let server = servers.at(addr).filter(|server| server.usable(cx.now))?;
+            let zone = server.listed.zone.clone();
+            Some(Source { addr, zone, rate: engine.link_rate, latency_ms: SETUP_MS })
         };
+        let parts = prompt.iter().take(shared).map(|part| {
+            let holders = self.stock.holders(Place { salt, id: part.id }, part.tokens);
+            (*part, holders.filter_map(source).collect())
+        });
+        Sources { salt, parts: parts.collect() }
+    }
+
+    /// What a server at an address would hold, fetch and lack; `own` parts at the start are believed
+    /// to be there, since this entry has just sent them.
+    pub fn transfer(
+        &self,
+        now: Time,
+        sources: &Sources,
+        engine: &Engine,
+        (addr, zone): (SocketAddr, &Name),
+        own: usize,
+        read_per_ms: f64,
+    ) -> Transfer {
+        let mut transfer = Transfer::default();
+        let mut holds = true;
         let mut unbroken = true;
-        for (index, part) in parts.iter().enumerate().take(shared) {
-            let place = Place { salt, id: part.id };
-            let holders = self.stock.holders(place, part.tokens);
-            let best = holders
-                .filter_map(|addr| Some((addr, store_at(cx, addr)?)))
-                .map(|(addr, store)| (addr, millis(engine, store, zone, part.tokens)))
+        let mut most = 0;
+        for (index, (part, places)) in sources.parts.iter().enumerate() {
+            holds &= index < own || places.iter().any(|source| source.addr == addr);
+            let best = places
+                .iter()
+                .filter(|source| source.addr != addr)
+                .map(|source| (source.addr, self.millis(now, source, engine, zone, part.tokens)))
                 .min_by(|a, b| a.1.total_cmp(&b.1));
-            transfer.fetch[index] = best.map(|(addr, _)| addr);
-            if index < held {
-                continue;
-            }
+            let read_ms = f64::from(part.tokens) / read_per_ms;
+            let best = best.filter(|(_, millis)| *millis <= read_ms * READ_COSTS);
+            transfer.fetch.push(best.map(|(source, _)| source));
+            let tokens = u64::from(part.tokens);
             match best {
-                Some((_, millis)) if unbroken => {
-                    transfer.tokens += u64::from(part.tokens);
+                _ if holds => transfer.held += tokens,
+                Some((source, millis)) if unbroken => {
+                    transfer.tokens += tokens;
                     transfer.millis += millis;
+                    if tokens > most {
+                        most = tokens;
+                        transfer.from = Some(source);
+                    }
                 }
                 _ => unbroken = false,
             }
@@ -223,20 +333,38 @@
         transfer
     }
 
+    /// Estimated time of a fetch, milliseconds.
+    fn millis(&self, now: Time, source: &Source, engine: &Engine, zone: &Name, tokens: u32) -> f64 {
+        let rate = source.rate.min(engine.link_rate).max(1) as f64;
+        let bits = f64::from(tokens) * engine.token_bytes as f64 * BITS;
+        let far = if source.zone == *zone { 1.0 } else { OTHER_ZONE };
+        let wait = self.waits.get(&source.addr).map_or(0.0, |wait| wait.at(now));
+        source.latency_ms + wait + bits / rate * 1_000.0 * far
+    }
+
+    /// A first token came this much later than estimated, after a fetch from there.
+    pub fn waited(&mut self, now: Time, source: SocketAddr, millis: f64) {
+        let wait = self.waits.entry(source).or_default();
+        let before = wait.at(now);
+        *wait = Wait { millis: before + WEIGHT * (millis.max(0.0) - before), at: now };
+    }
+
     /// Chooses stores for the shared parts of a prompt that lie on none.
-    pub fn save(&mut self, cx: &Context<'_>, salt: u64, parts: &[Named], transfer: &mut Transfer) {
+    pub fn save(&mut self, cx: &Context<'_>, sources: &Sources) -> Vec<Option<SocketAddr>> {
         let now = cx.now;
         self.saving.retain(|_, at| now.since(*at) < SAVING);
-        let shared = parts.len().saturating_sub(1);
-        for (index, part) in parts.iter().enumerate().take(shared) {
-            let place = Place { salt, id: part.id };
-            if transfer.fetch[index].is_some() || self.saving.contains_key(&place) {
+        let mut save = vec![None; sources.parts.len()];
+        for (index, (part, places)) in sources.parts.iter().enumerate() {
+            let place = Place { salt: sources.salt, id: part.id };
+            let stored = places.iter().any(|source| store_at(cx, source.addr).is_some());
+            if stored || self.saving.contains_key(&place) {
                 continue;
             }
             let Some(addr) = self.shelf_for(cx, part) else { continue };
-            transfer.save[index] = Some(addr);
+            save[index] = Some(addr);
             self.saving.insert(place, now);
         }
+        save
     }
 
     /// The store where a part belongs: short parts where the wait is short, long ones where there
@@ -246,8 +374,8 @@
             cx.view.services().filter_map(|(_, service)| service.store.as_ref()).collect();
         let room = |store: &&&Store| {
             let most = (store.tokens as f64 * FILLED) as u64;
-            self.stock.knows(store.addr)
-                && self.stock.tokens(store.addr) + u64::from(part.tokens) <= most
+            let filled = self.stock.tokens(store.addr) + u64::from(part.tokens);
+            self.stock.knows(store.addr) && filled <= most
         };
         let fast = stores.iter().map(|store| store.latency).min()?;
         let slow = stores.iter().map(|store| store.latency).max()?;
@@ -261,19 +389,10 @@
 }
 
 fn store_at<'a>(cx: &Context<'a>, addr: SocketAddr) -> Option<&'a Store> {
-    let mut stores =
-        cx.view.services().filter_map(|(_, service): (_, &Service)| service.store.as_ref());
+    let mut stores = cx.view.services().filter_map(|(_, service)| service.store.as_ref());
     stores.find(|store| store.addr == addr)
 }
 
-/// Estimated time of a fetch, milliseconds.
-fn millis(engine: &Engine, store: &Store, zone: &Name, tokens: u32) -> f64 {
-    let rate = store.link_rate.min(engine.link_rate.max(1)) as f64;
-    let bits = f64::from(tokens) * engine.token_bytes as f64 * BITS;
-    let far = if store.zone == *zone { 1.0 } else { OTHER_ZONE };
-    store.latency.as_secs_f64() * 1_000.0 + bits / rate * 1_000.0 * far
-}
-
 impl Forward {
     /// What this process, as the reader of the stores, has to tell the entries.
     pub fn take_news(&mut self) -> Option<wire::Stock> {
