A request waits for the configuration of an entry that has just started; queues at sources are shared

Cause: after all processes lost power, entries refused for 1.7 s: a dial to a VM that is still starting hung for a second, the election took another, and clients who came back were refused again. Waits at sources, learned from late first tokens, blamed sources for crowded servers.

Change: a request waits up to 1.5 s for the configuration and is refused only then; dials give up after 150 ms at first; a member that has just started stands after one election timeout, 450 ms; entries share the transfers under way at each source.

Ruled out: refusing with a time to return, which costs callers one of their two tries.

--- a/crates/edge/src/net.rs
+++ b/crates/edge/src/net.rs
@@ -22,8 +22,12 @@
 use crate::metrics::Metrics;
 use crate::{Input, Inputs};
 
+/// Longest wait for the handshake of a link.
 const CONNECT: Duration = Duration::from_secs(1);
-const REDIAL: Duration = Duration::from_millis(200);
+/// First wait for a connection, doubled after each that failed: the first packet to a VM that is
+/// still starting is lost, and is sent again only after a second.
+const FIRST_CONNECT: Duration = Duration::from_millis(150);
+const REDIAL: Duration = Duration::from_millis(100);
 /// Longest pause between two tries of an address that does not answer.
 const REDIAL_MOST: Duration = Duration::from_secs(1);
 const SILENCE: Duration = Duration::from_secs(2);
@@ -188,20 +192,22 @@
 
 async fn dial(shared: Shared, addr: SocketAddr) {
     let mut pause = REDIAL;
+    let mut wait = FIRST_CONNECT;
     loop {
-        match dial_once(&shared, addr).await {
-            Ok(()) => pause = REDIAL,
+        match dial_once(&shared, addr, wait).await {
+            Ok(()) => (pause, wait) = (REDIAL, FIRST_CONNECT),
             Err(error) => {
                 log::debug!("link to {addr}: {error}");
                 pause = (2 * pause).min(REDIAL_MOST);
+                wait = (2 * wait).min(CONNECT);
             }
         }
         sleep(pause).await;
     }
 }
 
-async fn dial_once(shared: &Shared, addr: SocketAddr) -> Result<(), Error> {
-    let socket = timeout(CONNECT, TcpStream::connect(addr)).await??;
+async fn dial_once(shared: &Shared, addr: SocketAddr, wait: Duration) -> Result<(), Error> {
+    let socket = timeout(wait, TcpStream::connect(addr)).await??;
     socket.set_nodelay(true)?;
     let mut builder = h2::client::Builder::new();
     builder.initial_window_size(WINDOW).initial_connection_window_size(WINDOW);
--- a/crates/node/src/forward/admit.rs
+++ b/crates/node/src/forward/admit.rs
@@ -7,6 +7,11 @@
 use super::{Basis, Context, Forward, Head, Note, Order, Refusal, Run, spread};
 use crate::{Effect, Effects};
 
+/// How long a request waits for a configuration that this process is just about to learn: the
+/// keepers agree and answer within about a second of a start.
+const HOLD: Duration = Duration::from_millis(1_500);
+/// Most requests that wait so; more are refused at once.
+const MOST_HELD: usize = 1_000;
 /// Least time to come back after a refusal because nothing can be done here at present.
 const COME_BACK: Duration = Duration::from_millis(500);
 
@@ -18,7 +23,27 @@
         head: Box<Head>,
         out: &mut Effects,
     ) {
-        let run = match self.admitted(cx, head) {
+        if !cx.ready && !cx.closing && self.held.len() < MOST_HELD {
+            self.held.push_back((cx.now, call, head));
+            return;
+        }
+        self.admit(cx, cx.now, call, head, out);
+    }
+
+    /// Admits what waited for the configuration, and refuses what has waited for too long.
+    pub(super) fn admit_held(&mut self, cx: &Context<'_>, out: &mut Effects) {
+        while let Some((at, ..)) = self.held.front() {
+            if !cx.ready && cx.now.since(*at) < HOLD {
+                return;
+            }
+            if let Some((at, call, head)) = self.held.pop_front() {
+                self.admit(cx, at, call, head, out);
+            }
+        }
+    }
+
+    fn admit(&mut self, cx: &Context<'_>, at: Time, call: u64, head: Box<Head>, out: &mut Effects) {
+        let run = match self.admitted(cx, at, head) {
             Ok(run) => run,
             Err((head, code, text)) => {
                 self.refuse_new(call, head.id, code, text, out);
@@ -37,6 +62,7 @@
     fn admitted(
         &mut self,
         cx: &Context<'_>,
+        at: Time,
         head: Box<Head>,
     ) -> Result<Run, (Box<Head>, Code, &'static str)> {
         if cx.closing {
@@ -69,8 +95,8 @@
             isolated: workspace.is_some_and(|workspace| workspace.isolated),
             rank: own_rank.unwrap_or(route.rank),
             attempts: route.attempts,
-            arrived: cx.now,
-            deadline: cx.now + patience,
+            arrived: at,
+            deadline: at + patience,
             ran: 0,
             tries: 0,
             tried: Vec::new(),
@@ -84,7 +110,7 @@
         })
     }
 
-    fn refuse_new(
+    pub(super) fn refuse_new(
         &mut self,
         call: u64,
         request: Name,
--- a/crates/node/src/forward/follow.rs
+++ b/crates/node/src/forward/follow.rs
@@ -6,8 +6,6 @@
 use super::{Answer, Context, Forward, Loss, Note, Order, Run};
 use crate::{Effect, Effects};
 
-/// Weight of the latest first token in the time that they take beyond the estimate.
-const BASE_WEIGHT: f64 = 0.05;
 /// Most tries of a request that servers rejected unrun.
 const MOST_TRIES: u32 = 3;
 
@@ -75,12 +73,9 @@
             server.reading = server.reading.saturating_sub(std::mem::take(&mut place.reading));
             self.shares.touched(server.listed.addr);
         }
-        if run.head.prompt.is_some() {
-            let late = cx.now.since(place.sent).as_secs_f64() * 1_000.0 - place.cost_ms;
-            match place.from {
-                Some(source) => self.stores.waited(cx.now, source, late - self.base_ms),
-                None => self.base_ms += BASE_WEIGHT * (late.max(0.0) - self.base_ms),
-            }
+        if let Some((source, millis)) = place.from.take() {
+            self.stores.sent(source, millis);
+            self.shares.touched(source);
         }
     }
 
@@ -166,6 +161,7 @@
     }
 
     pub(super) fn left(&mut self, cx: &Context<'_>, call: u64, out: &mut Effects) {
+        self.held.retain(|(_, held, _)| *held != call);
         self.end(cx, call, Code::Cancelled, Some(0), out);
     }
 
@@ -233,6 +229,10 @@
             server.reading = server.reading.saturating_sub(place.reading);
             self.shares.touched(server.listed.addr);
         }
+        if let Some((source, millis)) = place.from {
+            self.stores.sent(source, millis);
+            self.shares.touched(source);
+        }
     }
 }
 
--- a/crates/node/src/forward/mod.rs
+++ b/crates/node/src/forward/mod.rs
@@ -22,7 +22,7 @@
 mod stores;
 mod weights;
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 
 use base::prelude::*;
@@ -91,11 +91,8 @@
     server: Key,
     /// Prompt tokens counted as being read there.
     reading: u64,
-    /// When it was sent, and the estimated time to its first token, milliseconds.
-    sent: Time,
-    cost_ms: f64,
-    /// Where most of its prompt is fetched from.
-    from: Option<SocketAddr>,
+    /// Where most of its prompt is fetched from, and for how long, milliseconds.
+    from: Option<(SocketAddr, f64)>,
 }
 
 /// A request under way.
@@ -140,6 +137,8 @@
     rollout: Rollout,
     stores: Stores,
     shares: Shares,
+    /// Requests that wait for the configuration, and when each was taken.
+    held: VecDeque<(Time, u64, Box<Head>)>,
     runs: HashMap<u64, Run>,
     deadlines: BTreeSet<(Time, u64)>,
     retries: HashMap<Name, Retries>,
@@ -147,8 +146,6 @@
     next_list: Time,
     next_orders: Time,
     leading: Option<(u64, Time)>,
-    /// Time to the first token beyond the estimate, where nothing is fetched, milliseconds.
-    base_ms: f64,
 }
 
 impl Forward {
@@ -161,6 +158,7 @@
             rollout: Rollout::default(),
             stores: Stores::default(),
             shares: Shares::default(),
+            held: VecDeque::new(),
             runs: HashMap::new(),
             deadlines: BTreeSet::new(),
             retries: HashMap::new(),
@@ -168,7 +166,6 @@
             next_list: Time::ZERO,
             next_orders: Time::ZERO,
             leading: None,
-            base_ms: 0.0,
         }
     }
 
@@ -179,7 +176,7 @@
 
     /// Requests under way.
     pub fn open(&self) -> usize {
-        self.runs.len()
+        self.runs.len() + self.held.len()
     }
 
     /// The servers known.
@@ -212,6 +209,7 @@
             self.deadlines.pop_first();
             self.overdue(cx, call, out);
         }
+        self.admit_held(cx, out);
         if cx.now >= self.next_list {
             self.next_list = cx.now + self.config.list_every;
             out.push(Effect::ReadList);
@@ -226,6 +224,9 @@
         for call in calls {
             self.give_up(cx, call, Code::Draining, "this entry is stopping", out);
         }
+        for (_, call, head) in std::mem::take(&mut self.held) {
+            self.refuse_new(call, head.id, Code::Draining, "this entry is stopping", out);
+        }
     }
 }
 
--- a/crates/node/src/forward/place.rs
+++ b/crates/node/src/forward/place.rs
@@ -53,13 +53,7 @@
             cost_ms: direct::cost(&candidate),
             list_age,
         };
-        run.place = Some(Place {
-            server: key,
-            reading,
-            sent: cx.now,
-            cost_ms: run.basis.cost_ms,
-            from: transfer.from,
-        });
+        run.place = Some(Place { server: key, reading, from: transfer.from });
         server.running += 1;
         server.reading += reading;
         let mut save = Vec::new();
@@ -82,6 +76,10 @@
             save: save.into_iter().chain([None]).collect(),
         };
         self.shares.touched(addr);
+        if let Some((source, millis)) = transfer.from {
+            self.stores.asked(source, millis);
+            self.shares.touched(source);
+        }
         out.push(Effect::Door { call, order: Order::Try(Box::new(order)) });
     }
 
--- a/crates/node/src/forward/share.rs
+++ b/crates/node/src/forward/share.rs
@@ -54,13 +54,16 @@
             let busy = self.servers.iter().filter(|(_, server)| server.running > 0);
             let busy: Vec<SocketAddr> = busy.map(|(_, server)| server.listed.addr).collect();
             self.shares.changed.extend(busy);
+            self.shares.changed.extend(self.stores.senders());
         }
         let changed = std::mem::take(&mut self.shares.changed);
         let share = |server: SocketAddr| {
-            let found = self.servers.at(server)?;
-            Some(Share { server, runs: found.running, reading: found.reading })
+            let (runs, reading) =
+                self.servers.at(server).map_or((0, 0), |found| (found.running, found.reading));
+            let sending_ms = self.stores.sending(server);
+            Share { server, runs, reading, sending_ms }
         };
-        let shares: Vec<Share> = changed.into_iter().filter_map(share).collect();
+        let shares: Vec<Share> = changed.into_iter().map(share).collect();
         for share in &shares {
             self.shares.told.insert(share.server, *share);
         }
@@ -98,10 +101,13 @@
         let sum = |server: SocketAddr| {
             let heard = self.shares.heard.get(&server)?;
             let shares = heard.values().map(|(share, _)| share);
-            let (runs, reading) = shares.fold((0, 0), |(runs, reading), share| {
-                (runs + share.runs, reading + share.reading)
-            });
-            Some(Share { server, runs, reading })
+            let none = Share { server, runs: 0, reading: 0, sending_ms: 0 };
+            Some(shares.fold(none, |sum, share| Share {
+                server,
+                runs: sum.runs + share.runs,
+                reading: sum.reading + share.reading,
+                sending_ms: sum.sending_ms + share.sending_ms,
+            }))
         };
         moved.into_iter().filter_map(sum).collect()
     }
@@ -109,10 +115,11 @@
     /// The leader told the sums: what is not this entry's own is that of others.
     pub fn summed(&mut self, now: Time, sums: &[Share]) {
         for sum in sums {
-            let own = self.shares.told.get(&sum.server).copied();
-            let (runs, reading) = own.map_or((0, 0), |own| (own.runs, own.reading));
-            let runs = sum.runs.saturating_sub(runs);
-            let reading = sum.reading.saturating_sub(reading);
+            let none = Share { server: sum.server, runs: 0, reading: 0, sending_ms: 0 };
+            let own = self.shares.told.get(&sum.server).copied().unwrap_or(none);
+            let runs = sum.runs.saturating_sub(own.runs);
+            let reading = sum.reading.saturating_sub(own.reading);
+            self.stores.others(now, sum.server, sum.sending_ms.saturating_sub(own.sending_ms));
             if let Some(server) = self.servers.at_mut(sum.server) {
                 server.others(now, runs, reading);
             }
--- a/crates/node/src/forward/stores.rs
+++ b/crates/node/src/forward/stores.rs
@@ -6,8 +6,8 @@
 //! events, since they take few readers, and it tells the entries. A part is fetched from a store
 //! only when the store has said that it is complete.
 //!
-//! Fetches from one place wait for each other. How long is learned from first tokens that come later
-//! than estimated, so a link that is slow or crowded is left alone while reading is faster.
+//! Transfers from one place wait for each other. All entries know what is under way there, so a link
+//! that is slow or crowded is left alone while reading is faster.
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -43,10 +43,8 @@
 /// A part is read rather than fetched when the fetch takes this many times as long: reading also
 /// takes the server's time from other requests.
 const READ_COSTS: f64 = 4.0;
-/// Weight of the latest wait seen at a source.
-const WEIGHT: f64 = 0.4;
-/// Time in which the wait last seen at a source loses half of its weight, so that it is tried again.
-const HALF_LIFE: Duration = Duration::from_millis(800);
+/// Age at which what other entries have asked of a source says nothing more.
+const OTHERS_AGE: Duration = Duration::from_secs(1);
 
 /// Reading of one place.
 #[derive(Debug, Default)]
@@ -59,17 +57,19 @@
     store: bool,
 }
 
-/// A wait that was seen at a source.
+/// Transfers that were asked of a source and whose first tokens have not come.
 #[derive(Clone, Copy, Debug, Default)]
-struct Wait {
-    millis: f64,
+struct Queue {
+    own_ms: f64,
+    others_ms: u32,
+    /// When the others' was told.
     at: Time,
 }
 
-impl Wait {
-    fn at(&self, now: Time) -> f64 {
-        let halves = now.since(self.at).as_secs_f64() / HALF_LIFE.as_secs_f64();
-        self.millis * 0.5_f64.powf(halves)
+impl Queue {
+    fn millis(&self, now: Time) -> f64 {
+        let others = if now.since(self.at) < OTHERS_AGE { self.others_ms } else { 0 };
+        self.own_ms + f64::from(others)
     }
 }
 
@@ -80,7 +80,7 @@
     readings: HashMap<SocketAddr, Reading>,
     /// Parts that this entry has had saved lately.
     saving: HashMap<Place, Time>,
-    waits: HashMap<SocketAddr, Wait>,
+    queues: HashMap<SocketAddr, Queue>,
     news: Vec<Shelf>,
     term: u64,
 }
@@ -112,8 +112,8 @@
     pub tokens: u64,
     /// Estimated time of the fetch, milliseconds.
     pub millis: f64,
-    /// Where most of it comes from.
-    pub from: Option<SocketAddr>,
+    /// Where most of it comes from, and the time of that transfer alone, milliseconds.
+    pub from: Option<(SocketAddr, f64)>,
 }
 
 impl Sources {
@@ -325,7 +325,8 @@
                     transfer.millis += millis;
                     if tokens > most {
                         most = tokens;
-                        transfer.from = Some(source);
+                        let wait = self.wait(now, source);
+                        transfer.from = Some((source, millis - wait));
                     }
                 }
                 _ => unbroken = false,
@@ -339,15 +340,42 @@
         let rate = source.rate.min(engine.link_rate).max(1) as f64;
         let bits = f64::from(tokens) * engine.token_bytes as f64 * BITS;
         let far = if source.zone == *zone { 1.0 } else { OTHER_ZONE };
-        let wait = self.waits.get(&source.addr).map_or(0.0, |wait| wait.at(now));
-        source.latency_ms + wait + bits / rate * 1_000.0 * far
+        source.latency_ms + self.wait(now, source.addr) + bits / rate * 1_000.0 * far
     }
 
-    /// A first token came this much later than estimated, after a fetch from there.
-    pub fn waited(&mut self, now: Time, source: SocketAddr, millis: f64) {
-        let wait = self.waits.entry(source).or_default();
-        let before = wait.at(now);
-        *wait = Wait { millis: before + WEIGHT * (millis.max(0.0) - before), at: now };
+    fn wait(&self, now: Time, source: SocketAddr) -> f64 {
+        self.queues.get(&source).map_or(0.0, |queue| queue.millis(now))
+    }
+
+    /// A transfer was asked of a source.
+    pub fn asked(&mut self, source: SocketAddr, millis: f64) {
+        self.queues.entry(source).or_default().own_ms += millis;
+    }
+
+    /// The first token after a transfer has come, or never will.
+    pub fn sent(&mut self, source: SocketAddr, millis: f64) {
+        if let Some(queue) = self.queues.get_mut(&source) {
+            queue.own_ms = (queue.own_ms - millis).max(0.0);
+        }
+    }
+
+    /// What this entry has asked of a source, milliseconds.
+    pub fn sending(&self, source: SocketAddr) -> u32 {
+        self.queues.get(&source).map_or(0, |queue| queue.own_ms as u32)
+    }
+
+    /// The sources that this entry has asked.
+    pub fn senders(&self) -> impl Iterator<Item = SocketAddr> {
+        self.queues.iter().filter(|(_, queue)| queue.own_ms >= 1.0).map(|(addr, _)| *addr)
+    }
+
+    /// Other entries have asked this much of a source.
+    pub fn others(&mut self, now: Time, source: SocketAddr, millis: u32) {
+        if millis > 0 || self.queues.contains_key(&source) {
+            let queue = self.queues.entry(source).or_default();
+            queue.others_ms = millis;
+            queue.at = now;
+        }
     }
 
     /// Chooses stores for the shared parts of a prompt that lie on none.
--- a/crates/quorum/src/io.rs
+++ b/crates/quorum/src/io.rs
@@ -24,8 +24,8 @@
 impl Default for Timing {
     fn default() -> Self {
         Self {
-            heartbeat: Duration::from_millis(100),
-            election: Duration::from_millis(600),
+            heartbeat: Duration::from_millis(80),
+            election: Duration::from_millis(450),
             drift_permille: 50,
             snapshot_after: 10_000,
             replace_after: Duration::from_secs(3),
--- a/crates/quorum/src/replica.rs
+++ b/crates/quorum/src/replica.rs
@@ -156,9 +156,12 @@
     pub fn step(&mut self, now: Time, input: Input, out: &mut Vec<Output>) {
         if !self.started {
             self.started = true;
-            self.reset_election(now);
             // Before its restart it may have promised a leader's lease that still runs.
             self.blocked_until = now + self.timing.election;
+            // Nobody has led since the start, so it stands soon after that.
+            let least = self.timing.election.as_micros() as u64;
+            let wait = self.rng.random_range(least..least + least / 2);
+            self.election_at = now + Duration::from_micros(wait);
         }
         match input {
             Input::Tick => self.tick(now, out),
--- a/crates/wire/src/stock.rs
+++ b/crates/wire/src/stock.rs
@@ -37,13 +37,15 @@
     pub shelves: Vec<Shelf>,
 }
 
-/// What an entry has at a server, or what all entries have there.
+/// What an entry has at a server or store, or what all entries have there.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Share {
-    /// Address of the server.
+    /// Address of the server or store.
     pub server: SocketAddr,
     /// Runs.
     pub runs: u32,
     /// Prompt tokens that are still to be read.
     pub reading: u64,
+    /// Time of the transfers that were asked of it, milliseconds.
+    pub sending_ms: u32,
 }
