--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -66,6 +66,8 @@
     pub linger: Duration,
     /// How long a new leader waits before it orders.
     pub lease: Duration,
+    /// How long after a newer weight version runs may still begin on an older one.
+    pub old_weights: Duration,
 }
 
 /// The whole settings of one process.
@@ -160,7 +162,15 @@
     ("keeper", &["voters", "voters_wanted", "spares"]),
     (
         "forward",
-        &["list_ms", "retry_permille", "retry_slack", "retry_window_ms", "linger_ms", "lease_ms"],
+        &[
+            "list_ms",
+            "retry_permille",
+            "retry_slack",
+            "retry_window_ms",
+            "linger_ms",
+            "lease_ms",
+            "old_weights_ms",
+        ],
     ),
     ("agent", &["kind", "server", "serves", "version", "slots", "checks_tokens"]),
     ("cache", &["piece_bytes", "link_bytes_per_s", "store_bytes"]),
@@ -364,6 +374,7 @@
             retry_window: self.millis("forward", "retry_window_ms", 10_000, 600_000),
             linger: self.millis("forward", "linger_ms", 3_000, 60_000),
             lease: self.millis("forward", "lease_ms", 3_000, 60_000),
+            old_weights: self.millis("forward", "old_weights_ms", 6_000, 3_600_000),
         })
     }
 
--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -3,7 +3,7 @@
 use std::fmt::Debug;
 use std::time::Duration;
 
-use base::Code;
+use base::{Code, Name};
 use bytes::Bytes;
 use fleet::{Listed, Load, News};
 use http::{HeaderMap, Response, request, response};
@@ -32,6 +32,17 @@
     pub next: Option<String>,
 }
 
+/// What a server reports of itself.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Report {
+    /// Weight version that it holds.
+    pub version: u64,
+    /// Its load.
+    pub load: Load,
+    /// Orders that it has taken in this life.
+    pub orders: u64,
+}
+
 /// The words of one deployment; only translates, and never decides.
 pub trait Dialect: Debug {
     /// Reads a caller's request.
@@ -73,11 +84,11 @@
     /// The call that asks a server what it holds.
     fn report(&self) -> Call;
 
-    /// Reads a server's report: the weight version that it holds, and its load.
+    /// Reads a server's report.
     ///
     /// # Errors
     /// What is wrong with it.
-    fn reported(&self, body: &[u8]) -> Result<(u64, Load), String>;
+    fn reported(&self, body: &[u8]) -> Result<Report, String>;
 
     /// The call that asks a store for its events from a number on, waiting this long for one, or
     /// for all that it holds.
@@ -89,6 +100,9 @@
     /// What is wrong with it.
     fn news(&self, whole: bool, body: &[u8]) -> Result<News, String>;
 
+    /// The call that frees parts, by salt and ID, on a store that lives as stated.
+    fn free(&self, epoch: u64, parts: &[(Name, u64)]) -> Call;
+
     /// The call that orders a server to a weight version.
     fn change(&self, change: &Change, holder: &str) -> Call;
 }
--- a/crates/edge/src/direct.rs
+++ b/crates/edge/src/direct.rs
@@ -15,10 +15,13 @@
 use tokio::time::{sleep, timeout};
 
 use crate::pool::Pool;
-use crate::{Call, Dialect, Input, Inputs};
+use crate::{Call, Dialect, Input, Inputs, Report};
 
 /// Longest wait for an answer; the list is read more often than a server may change unnoticed.
 const ANSWER: Duration = Duration::from_secs(1);
+/// Longest wait for the answer to an order: servers take or refuse it at once, and it may be given
+/// again.
+const ORDER: Duration = Duration::from_millis(400);
 /// Longest wait of a store for events.
 const EVENTS: Duration = Duration::from_secs(1);
 /// Largest answer, bytes: some thousand servers.
@@ -47,6 +50,15 @@
         /// The number.
         since: Option<u64>,
     },
+    /// Free parts on a store that lives as stated.
+    Free {
+        /// Its address.
+        addr: SocketAddr,
+        /// Its life.
+        epoch: u64,
+        /// Salt and ID of each part.
+        parts: Vec<(Name, u64)>,
+    },
     /// Order a server to a weight version.
     Change(Box<forward::Change>),
 }
@@ -98,7 +110,9 @@
                 let answer = timeout(ANSWER, self.call(addr, self.dialect.report())).await;
                 let answer = answer.unwrap_or_else(|_| Err("no answer in time".to_owned()));
                 match answer.and_then(|(_, body)| self.dialect.reported(&body)) {
-                    Ok((version, load)) => Some(forward::Event::Reported { id, version, load }),
+                    Ok(Report { version, load, orders }) => {
+                        Some(forward::Event::Reported { id, version, load, orders })
+                    }
                     Err(error) => {
                         log::warn!(server:% = id, error; "report not read");
                         None
@@ -118,9 +132,22 @@
                 }
                 Some(forward::Event::StoreRead { addr, since, news })
             }
+            Command::Free { addr, epoch, parts } => {
+                let call = self.dialect.free(epoch, &parts);
+                let answer = timeout(ANSWER, self.call(addr, call)).await;
+                let answer = answer.unwrap_or_else(|_| Err("no answer in time".to_owned()));
+                let status = answer.as_ref().map_or(0, |(status, _)| *status);
+                let error = answer.err().unwrap_or_default();
+                // What went shows in the store's events.
+                log::info!(
+                    store:% = addr, parts = parts.len(), status = u64::from(status), error:% = error;
+                    "old parts freed"
+                );
+                None
+            }
             Command::Change(change) => {
                 let call = self.dialect.change(&change, &self.holder);
-                let answer = timeout(ANSWER, self.call(change.addr, call)).await;
+                let answer = timeout(ORDER, self.call(change.addr, call)).await;
                 let answer = answer.unwrap_or_else(|_| Err("no answer in time".to_owned()));
                 let status = match &answer {
                     Ok((status, _)) => *status,
@@ -130,8 +157,8 @@
                     }
                 };
                 log::info!(server:% = change.id, status = u64::from(status); "order answered");
-                // One without an answer may have been taken.
-                let taken = answer.is_err() || matches!(status, 200 | 202);
+                // 409: it carries out another order, most likely this one.
+                let taken = matches!(status, 200 | 202 | 409);
                 Some(forward::Event::Changed { id: change.id, taken })
             }
         }
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -206,6 +206,9 @@
             Effect::ReadStore { addr, since } => {
                 self.direct(direct::Command::Store { addr, since });
             }
+            Effect::FreeParts { addr, epoch, parts } => {
+                self.direct(direct::Command::Free { addr, epoch, parts });
+            }
             Effect::Change(change) => self.direct(direct::Command::Change(change)),
             Effect::Note(note) => notes::write(&note, &self.sinks.metrics),
             Effect::Exit { cut } => {
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -9,9 +9,20 @@
 const AWAY: Duration = Duration::from_millis(500);
 /// Longest such time; a server that crashed stays on the list for some seconds.
 const AWAY_MOST: Duration = Duration::from_secs(4);
+/// First time for which a server is left alone that rejected a request.
+const REJECTED: Duration = Duration::from_millis(50);
+/// Longest such time: a server that changes its weights is back after about half a second.
+const REJECTED_MOST: Duration = Duration::from_millis(400);
 /// Age at which a server's word of its load says nothing more.
 const LOAD_AGE: Duration = Duration::from_secs(1);
 
+/// Time by which the list may be older than a server's own word.
+const LIST_LAG: Duration = Duration::from_secs(3);
+/// Age at which a report's number of orders is asked for again before an order.
+const REPORT_AGE: Duration = Duration::from_secs(1);
+/// Least time between two questions for a report: reports are some hundred milliseconds old.
+const ASK_EVERY: Duration = Duration::from_millis(300);
+
 /// An entry of the platform's list.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Listed {
@@ -52,7 +63,7 @@
 pub struct Server {
     /// Its last entry on the list.
     pub listed: Listed,
-    /// Highest weight version heard of, for its model.
+    /// Weight version that it holds, as last heard.
     pub version: u64,
     /// Runs of this process there.
     pub running: u32,
@@ -63,7 +74,13 @@
     load: Option<(Load, u32, Time)>,
     /// Runs and prompt tokens of other entries, and when they were told.
     others: Option<(u32, u64, Time)>,
+    /// Until when it is taken to be changing its weights.
+    changing_until: Time,
+    next_ask: Time,
+    told_version: Option<Time>,
+    orders: Option<(u64, Time)>,
     failures: u32,
+    rejections: u32,
     away_until: Time,
 }
 
@@ -78,14 +95,28 @@
             held: Held::default(),
             load: None,
             others: None,
+            changing_until: Time::ZERO,
+            next_ask: Time::ZERO,
+            told_version: None,
+            orders: None,
             failures: 0,
+            rejections: 0,
             away_until: Time::ZERO,
         }
     }
 
     /// Whether new work may go there.
     pub fn usable(&self, now: Time) -> bool {
-        !self.listed.leaving && now >= self.away_until
+        !self.listed.leaving && now >= self.away_until && now >= self.changing_until
+    }
+
+    /// Whether it may be asked for a report now; then not again for a while.
+    pub fn ask(&mut self, now: Time) -> bool {
+        let due = now >= self.next_ask;
+        if due {
+            self.next_ask = now + ASK_EVERY;
+        }
+        due
     }
 
     /// Other entries have this much there.
@@ -93,6 +124,11 @@
         self.others = Some((runs, reading, now));
     }
 
+    /// It was ordered to other weights, or has changed them: until then it rejects new runs.
+    pub fn changing(&mut self, now: Time, changing: bool) {
+        self.changing_until = if changing { now + LOAD_AGE } else { Time::ZERO };
+    }
+
     /// Prompt tokens that it still reads, those of other entries as last told.
     pub fn ahead(&self, now: Time) -> u64 {
         let others = self.others.filter(|(.., at)| now.since(*at) < LOAD_AGE);
@@ -118,20 +154,52 @@
         self.load = Some((load, self.running, now));
     }
 
-    /// The server told the weight version that it holds; versions only rise.
-    pub fn holds(&mut self, version: u64) {
-        if version > self.version {
+    /// The server itself told the weight version that it holds. An order that was carried out late
+    /// may take it back to an older one.
+    pub fn holds(&mut self, now: Time, version: u64) {
+        self.told_version = Some(now);
+        self.set_version(version);
+    }
+
+    /// The list told the version, which counts only where the server has not told it lately.
+    pub(crate) fn listed_version(&mut self, now: Time, version: u64) {
+        if self.told_version.is_none_or(|at| now.since(at) >= LIST_LAG) {
+            self.set_version(version);
+        }
+    }
+
+    fn set_version(&mut self, version: u64) {
+        if version != self.version {
             self.version = version;
             self.held.clear();
         }
     }
 
+    /// It reported how many orders it has taken in this life.
+    pub fn took(&mut self, now: Time, orders: u64) {
+        self.orders = Some((orders, now));
+    }
+
+    /// How many orders it has taken, if that was reported lately.
+    pub fn orders(&self, now: Time) -> Option<u64> {
+        self.orders.filter(|(_, at)| now.since(*at) < REPORT_AGE).map(|(orders, _)| orders)
+    }
+
     /// The server answered as it should.
     pub fn answered(&mut self) {
         self.failures = 0;
+        self.rejections = 0;
         self.away_until = Time::ZERO;
     }
 
+    /// The server rejected a request unrun. It looks empty for that very reason, so it is left alone
+    /// for a moment, longer each time.
+    pub fn rejected(&mut self, now: Time) {
+        let away = REJECTED * 2_u32.saturating_pow(self.rejections.min(8));
+        self.rejections += 1;
+        self.away_until = self.away_until.max(now + away.min(REJECTED_MOST));
+    }
+
     /// The server could not be reached or broke off.
     pub fn failed(&mut self, now: Time) {
         let away = AWAY * 2_u32.saturating_pow(self.failures.min(8));
--- a/crates/fleet/src/servers.rs
+++ b/crates/fleet/src/servers.rs
@@ -37,7 +37,7 @@
             let key = match known.and_then(|key| Some((key, self.all.get_mut(key)?))) {
                 Some((key, server)) => {
                     let version = listed.models.iter().map(|(_, version)| *version).max();
-                    server.holds(version.unwrap_or(0));
+                    server.listed_version(now, version.unwrap_or(0));
                     server.listed = listed;
                     key
                 }
--- a/crates/node/src/effect.rs
+++ b/crates/node/src/effect.rs
@@ -168,6 +168,15 @@
         /// The number.
         since: Option<u64>,
     },
+    /// Free parts on a store that lives as stated.
+    FreeParts {
+        /// Address of the store.
+        addr: SocketAddr,
+        /// Life of the store.
+        epoch: u64,
+        /// Salt and ID of each part.
+        parts: Vec<(Name, u64)>,
+    },
     /// Order a backend server that has no agent to load a weight version.
     Change(Box<forward::Change>),
     /// Write a decision to the log.
--- a/crates/node/src/forward/event.rs
+++ b/crates/node/src/forward/event.rs
@@ -148,6 +148,8 @@
         version: u64,
         /// Its load.
         load: Load,
+        /// Orders that it has taken in this life.
+        orders: u64,
     },
     /// A store told what it holds, or could not be read.
     StoreRead {
@@ -204,6 +206,8 @@
     pub version: u64,
     /// Fencing token.
     pub token: u64,
+    /// Orders that the server must have taken before.
+    pub after: u64,
 }
 
 /// What a server was chosen on, as believed then.
--- a/crates/node/src/forward/follow.rs
+++ b/crates/node/src/forward/follow.rs
@@ -6,6 +6,8 @@
 use super::{Answer, Context, Forward, Loss, Note, Order, Run};
 use crate::{Effect, Effects};
 
+/// Status of a server that is not, or does not hold, what the request expects.
+const MISDIRECTED: u16 = 421;
 /// Most tries of a request that servers rejected unrun.
 const MOST_TRIES: u32 = 3;
 
@@ -25,7 +27,14 @@
             if let Some(load) = answer.load {
                 server.told(cx.now, load);
             }
-            server.holds(answer.version.unwrap_or(0));
+            if let Some(version) = answer.version {
+                server.holds(cx.now, version);
+            }
+            if answer.status == MISDIRECTED && server.ask(cx.now) {
+                // It holds other weights than it was believed to, or is another server.
+                let (id, addr) = (server.listed.id.clone(), server.listed.addr);
+                out.push(Effect::Report { id, addr });
+            }
         }
         if !answer.own {
             // Bytes of another request: what became of this one is not known.
@@ -34,6 +43,9 @@
         }
         if answer.not_run {
             run.ran = run.ran.saturating_sub(1);
+            if let Some(server) = run.place.and_then(|place| self.servers.get_mut(place.server)) {
+                server.rejected(cx.now);
+            }
             self.rejected(cx, call, answer.status, out);
             return;
         }
--- a/crates/node/src/forward/mod.rs
+++ b/crates/node/src/forward/mod.rs
@@ -51,6 +51,8 @@
     pub linger: Duration,
     /// How long a new leader waits before it orders: until its predecessor has stopped.
     pub lease: Duration,
+    /// How long after a newer weight version runs may still begin on an older one.
+    pub old_weights: Duration,
 }
 
 impl From<&conf::Forward> for Config {
@@ -64,6 +66,7 @@
             list_every: settings.list,
             linger: settings.linger,
             lease: settings.lease,
+            old_weights: settings.old_weights,
         }
     }
 }
@@ -146,6 +149,8 @@
     next_list: Time,
     next_orders: Time,
     leading: Option<(u64, Time)>,
+    /// The newest weight version of each model, and when it came into force here.
+    named: HashMap<Name, (u64, Time)>,
 }
 
 impl Forward {
@@ -166,6 +171,7 @@
             next_list: Time::ZERO,
             next_orders: Time::ZERO,
             leading: None,
+            named: HashMap::new(),
         }
     }
 
@@ -194,8 +200,10 @@
             Event::Done { call } => self.done(cx, call, out),
             Event::Left { call } => self.left(cx, call, out),
             Event::Listed { list } => self.listed(cx, list, out),
-            Event::Reported { id, version, load } => self.reported(cx, &id, version, load),
-            Event::Changed { id, taken } => self.changed(&id, taken),
+            Event::Reported { id, version, load, orders } => {
+                self.reported(cx, &id, version, load, orders);
+            }
+            Event::Changed { id, taken } => self.changed(cx.now, &id, taken),
             Event::StoreRead { addr, since, news } => {
                 self.stores.was_read(cx, addr, since, news);
             }
@@ -214,8 +222,10 @@
             self.next_list = cx.now + self.config.list_every;
             out.push(Effect::ReadList);
         }
+        self.note_weights(cx);
         self.order(cx, out);
         self.stores.read(cx, &self.servers, out);
+        self.stores.free(cx, &self.servers, out);
     }
 
     /// Every request under way ends, since the process leaves.
--- a/crates/node/src/forward/place.rs
+++ b/crates/node/src/forward/place.rs
@@ -87,12 +87,15 @@
     fn choose(&self, cx: &Context<'_>, run: &Run, point: f64) -> Option<Choice> {
         let engine = cx.view.service(&run.service).and_then(|service| service.engine.as_ref());
         let prompt = run.head.prompt.as_ref().zip(engine);
-        let newest = prompt.map_or(0, |(prompt, _)| cx.view.weights(&prompt.model));
+        let (least, newest) =
+            prompt.map_or((0, 0), |(prompt, _)| self.bound(cx.now, &prompt.model));
         let mut known: Vec<(u64, Sources)> = Vec::new();
         let mut candidates = Vec::new();
         let mut choices = Vec::new();
         for (key, server) in self.servers.of(&run.service) {
-            if !server.usable(cx.now) || run.tried.contains(&key) {
+            // A server that has told no version yet holds the newest.
+            let too_old = server.version > 0 && server.version < least;
+            if !server.usable(cx.now) || too_old || run.tried.contains(&key) {
                 continue;
             }
             let mut transfer = Transfer::default();
--- a/crates/node/src/forward/share.rs
+++ b/crates/node/src/forward/share.rs
@@ -33,6 +33,13 @@
     /// As the leader: the servers whose sums have changed.
     moved: BTreeSet<SocketAddr>,
     next_sums: Time,
+    /// As the leader: the servers that were told to be changing their weights.
+    changing: BTreeSet<SocketAddr>,
+    next_changing: Time,
+}
+
+fn nothing(server: SocketAddr) -> Share {
+    Share { server, runs: 0, reading: 0, sending_ms: 0, changing: false }
 }
 
 impl Shares {
@@ -61,7 +68,7 @@
             let (runs, reading) =
                 self.servers.at(server).map_or((0, 0), |found| (found.running, found.reading));
             let sending_ms = self.stores.sending(server);
-            Share { server, runs, reading, sending_ms }
+            Share { server, runs, reading, sending_ms, changing: false }
         };
         let shares: Vec<Share> = changed.into_iter().map(share).collect();
         for share in &shares {
@@ -97,31 +104,45 @@
                 self.shares.moved.insert(*server);
             }
         }
+        let changing: BTreeSet<SocketAddr> = self
+            .rollout
+            .under_way()
+            .filter_map(|key| Some(self.servers.get(key)?.listed.addr))
+            .collect();
+        // Those that were told before and are through are told once more.
+        let before = std::mem::replace(&mut self.shares.changing, changing.clone());
+        self.shares.moved.extend(before.symmetric_difference(&changing));
+        if cx.now >= self.shares.next_changing {
+            self.shares.next_changing = cx.now + TELL_ALL;
+            self.shares.moved.extend(&changing);
+        }
         let moved = std::mem::take(&mut self.shares.moved);
         let sum = |server: SocketAddr| {
-            let heard = self.shares.heard.get(&server)?;
-            let shares = heard.values().map(|(share, _)| share);
-            let none = Share { server, runs: 0, reading: 0, sending_ms: 0 };
-            Some(shares.fold(none, |sum, share| Share {
+            let heard = self.shares.heard.get(&server);
+            let shares = heard.into_iter().flat_map(HashMap::values).map(|(share, _)| share);
+            let none = Share { changing: changing.contains(&server), ..nothing(server) };
+            shares.fold(none, |sum, share| Share {
                 server,
                 runs: sum.runs + share.runs,
                 reading: sum.reading + share.reading,
                 sending_ms: sum.sending_ms + share.sending_ms,
-            }))
+                changing: sum.changing,
+            })
         };
-        moved.into_iter().filter_map(sum).collect()
+        moved.into_iter().map(sum).collect()
     }
 
     /// The leader told the sums: what is not this entry's own is that of others.
     pub fn summed(&mut self, now: Time, sums: &[Share]) {
         for sum in sums {
-            let none = Share { server: sum.server, runs: 0, reading: 0, sending_ms: 0 };
+            let none = nothing(sum.server);
             let own = self.shares.told.get(&sum.server).copied().unwrap_or(none);
             let runs = sum.runs.saturating_sub(own.runs);
             let reading = sum.reading.saturating_sub(own.reading);
             self.stores.others(now, sum.server, sum.sending_ms.saturating_sub(own.sending_ms));
             if let Some(server) = self.servers.at_mut(sum.server) {
                 server.others(now, runs, reading);
+                server.changing(now, sum.changing);
             }
         }
     }
--- a/crates/node/src/forward/stores.rs
+++ b/crates/node/src/forward/stores.rs
@@ -46,6 +46,13 @@
 /// Age at which what other entries have asked of a source says nothing more.
 const OTHERS_AGE: Duration = Duration::from_secs(1);
 
+/// Time between two looks for what can be freed.
+const FREE_EVERY: Duration = Duration::from_secs(1);
+/// How long no server must have held old weights before what they made is freed.
+const SETTLED: Duration = Duration::from_secs(2);
+/// Most parts that one call frees.
+const MOST_FREED: usize = 1_000;
+
 /// Reading of one place.
 #[derive(Debug, Default)]
 struct Reading {
@@ -83,6 +90,11 @@
     queues: HashMap<SocketAddr, Queue>,
     news: Vec<Shelf>,
     term: u64,
+    /// As the reader: texts of the salts that were read.
+    salts: HashMap<u64, Name>,
+    next_free: Time,
+    /// As the reader: the oldest weights that any server of a model holds, and since when.
+    oldest: HashMap<Name, (u64, Time)>,
 }
 
 /// A place that a part can be fetched from.
@@ -248,13 +260,56 @@
         // The last event of a part tells where it stands.
         let mut parts = BTreeMap::new();
         for part in &news.parts {
-            parts.insert((salt_number(&part.salt), part.id), part.tokens);
+            let salt = salt_number(&part.salt);
+            self.salts.entry(salt).or_insert_with(|| Name::new(&part.salt));
+            parts.insert((salt, part.id), part.tokens);
         }
         let stored = |((salt, id), tokens)| Stored { salt, id, tokens };
         let parts = parts.into_iter().map(stored).collect();
         self.tell(Shelf { store: addr, epoch: Some(news.epoch), whole, parts });
     }
 
+    /// As the reader: frees what was made with weights that no server holds any more, so that what
+    /// is made with new ones finds room. Nothing fetches it: a server refuses a request that expects
+    /// other weights, and has ended its runs before it changed them.
+    pub fn free(&mut self, cx: &Context<'_>, servers: &Servers, out: &mut Effects) {
+        if cx.term.is_none() || cx.now < self.next_free {
+            return;
+        }
+        self.next_free = cx.now + FREE_EVERY;
+        let mut oldest: HashMap<Name, u64> = HashMap::new();
+        for (_, server) in servers.iter() {
+            for (model, _) in &server.listed.models {
+                let least = oldest.entry(model.clone()).or_insert(u64::MAX);
+                *least = (*least).min(server.version);
+            }
+        }
+        for (model, version) in oldest {
+            let known = self.oldest.entry(model).or_insert((version, cx.now));
+            if known.0 != version {
+                *known = (version, cx.now);
+            }
+        }
+        let made_old = |salt: u64| {
+            let (model, version) = made_with(self.salts.get(&salt)?)?;
+            let (oldest, since) = self.oldest.get(model)?;
+            (version < *oldest && cx.now.since(*since) >= SETTLED).then_some(())
+        };
+        for (addr, epoch, parts) in self.stock.shelves() {
+            if store_at(cx, addr).is_none() {
+                continue;
+            }
+            let old = parts.into_iter().filter(|(place, _)| made_old(place.salt).is_some());
+            let parts: Vec<(Name, u64)> = old
+                .filter_map(|(place, _)| Some((self.salts.get(&place.salt)?.clone(), place.id)))
+                .take(MOST_FREED)
+                .collect();
+            if !parts.is_empty() {
+                out.push(Effect::FreeParts { addr, epoch, parts });
+            }
+        }
+    }
+
     fn tell(&mut self, shelf: Shelf) {
         self.apply(&shelf);
         self.news.push(shelf);
@@ -417,6 +472,13 @@
     }
 }
 
+/// The model and weight version that parts under a salt were made with.
+fn made_with(salt: &str) -> Option<(&str, u64)> {
+    let (rest, version) = salt.rsplit_once('/')?;
+    let (_, model) = rest.rsplit_once('/')?;
+    Some((model, version.parse().ok()?))
+}
+
 fn store_at<'a>(cx: &Context<'a>, addr: SocketAddr) -> Option<&'a Store> {
     let mut stores = cx.view.services().filter_map(|(_, service)| service.store.as_ref());
     stores.find(|store| store.addr == addr)
--- a/crates/node/src/forward/weights.rs
+++ b/crates/node/src/forward/weights.rs
@@ -42,26 +42,54 @@
         (self.servers.iter().count(), leaving)
     }
 
-    pub(super) fn reported(&mut self, cx: &Context<'_>, id: &Name, version: u64, load: Load) {
+    pub(super) fn reported(
+        &mut self,
+        cx: &Context<'_>,
+        id: &Name,
+        version: u64,
+        load: Load,
+        orders: u64,
+    ) {
         if let Some(server) = self.servers.by_id(id) {
-            server.holds(version);
+            server.holds(cx.now, version);
+            server.took(cx.now, orders);
             server.told(cx.now, load);
         }
     }
 
-    pub(super) fn changed(&mut self, id: &Name, taken: bool) {
+    pub(super) fn changed(&mut self, now: Time, id: &Name, taken: bool) {
         let key = self.servers.iter().find(|(_, server)| server.listed.id == *id);
         if let Some((key, _)) = key
             && !taken
         {
-            self.rollout.failed(key);
+            self.rollout.failed(now, key);
         }
     }
 
+    /// Notes when each weight version came into force here.
+    pub(super) fn note_weights(&mut self, cx: &Context<'_>) {
+        for (model, version) in cx.view.all_weights() {
+            let known = self.named.get(&model).is_some_and(|(known, _)| *known == version);
+            if !known {
+                self.named.insert(model, (version, cx.now));
+            }
+        }
+    }
+
+    /// The weight version that runs of a model must have by now, and the newest one.
+    pub(super) fn bound(&self, now: Time, model: &Name) -> (u64, u64) {
+        let Some((newest, at)) = self.named.get(model) else {
+            return (0, 0);
+        };
+        let over = now.since(*at) >= self.config.old_weights;
+        (if over { *newest } else { 0 }, *newest)
+    }
+
     /// Orders what is due, if this process leads and its predecessor has stopped.
     pub(super) fn order(&mut self, cx: &Context<'_>, out: &mut Effects) {
         let Some(term) = cx.term else {
             self.leading = None;
+            self.rollout.clear();
             return;
         };
         let since = match self.leading {
@@ -80,7 +108,16 @@
             }
         }
         for (model, version) in cx.view.all_weights() {
-            for order in self.rollout.due(cx.now, &self.servers, &model, version) {
+            let due = self.rollout.due(cx.now, &self.servers, &model, version);
+            for key in due.ask {
+                if let Some(server) = self.servers.get_mut(key)
+                    && server.ask(cx.now)
+                {
+                    let (id, addr) = (server.listed.id.clone(), server.listed.addr);
+                    out.push(Effect::Report { id, addr });
+                }
+            }
+            for order in due.orders {
                 let Some(server) = self.servers.get(order.server) else { continue };
                 let change = Change {
                     id: server.listed.id.clone(),
@@ -88,6 +125,7 @@
                     model: order.model,
                     version: order.version,
                     token: term,
+                    after: order.after,
                 };
                 let note = Note::Ordered { change: change.clone(), from: server.version };
                 out.push(Effect::Note(Box::new(note)));
--- a/crates/replay/src/world/mod.rs
+++ b/crates/replay/src/world/mod.rs
@@ -434,6 +434,7 @@
             | Effect::ReadList
             | Effect::Report { .. }
             | Effect::ReadStore { .. }
+            | Effect::FreeParts { .. }
             | Effect::Change(_)
             | Effect::Note(_) => {}
             Effect::Fail { text } => self.broke("goes on", text),
--- a/crates/wire/src/stock.rs
+++ b/crates/wire/src/stock.rs
@@ -48,4 +48,6 @@
     pub reading: u64,
     /// Time of the transfers that were asked of it, milliseconds.
     pub sending_ms: u32,
+    /// Whether the server was ordered to other weights and has not shown them.
+    pub changing: bool,
 }
