--- a/crates/disk/src/error.rs
+++ b/crates/disk/src/error.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::path::{Path, PathBuf};
 
-/// A failure of the files; the keeper must stop.
+/// A failure of the files; unless the disk is only full, the keeper must stop.
 #[derive(Debug)]
 pub enum Error {
     /// The system refused.
@@ -26,6 +26,12 @@
 }
 
 impl Error {
+    /// Whether the disk takes no more bytes; nothing that was synced is harmed.
+    pub fn is_full(&self) -> bool {
+        use io::ErrorKind::{QuotaExceeded, StorageFull};
+        matches!(self, Self::Io { error, .. } if matches!(error.kind(), StorageFull | QuotaExceeded))
+    }
+
     pub(crate) fn io(path: &Path) -> impl FnOnce(io::Error) -> Self {
         let path = path.to_owned();
         move |error| Self::Io { path, error }
--- a/crates/disk/src/store.rs
+++ b/crates/disk/src/store.rs
@@ -48,6 +48,8 @@
     folder: PathBuf,
     number: u64,
     log: File,
+    /// Bytes of the log that are synced.
+    length: u64,
     hard: Hard,
     syncs: u64,
     _lock: File,
@@ -84,7 +86,9 @@
         log.sync_all().map_err(Error::io(&path))?;
         sync_folder(folder)?;
         let hard = saved.hard.clone();
-        let store = Self { folder: folder.to_owned(), number, log, hard, syncs: 0, _lock: lock };
+        let length = read.end as u64;
+        let folder = folder.to_owned();
+        let store = Self { folder, number, log, length, hard, syncs: 0, _lock: lock };
         Ok(Opened { store, saved, identity, torn })
     }
 
@@ -96,7 +100,8 @@
     /// Writes all requests in their order, with one sync for those without a snapshot.
     ///
     /// # Errors
-    /// The disk is full or fails; nothing more may be written or promised.
+    /// The disk is full: the same may be written again. Or it fails: nothing more may be written or
+    /// promised.
     pub fn write(&mut self, writes: &[Write]) -> Result<(), Error> {
         let mut buffer = Vec::new();
         for write in writes {
@@ -123,9 +128,14 @@
             return Ok(());
         }
         let path = log_path(&self.folder, self.number);
-        self.log.write_all(buffer).map_err(Error::io(&path))?;
+        if let Err(error) = self.log.write_all(buffer) {
+            // A part may stand there; what is written next must follow what is synced.
+            self.log.set_len(self.length).map_err(Error::io(&path))?;
+            return Err(Error::io(&path)(error));
+        }
         self.log.sync_data().map_err(Error::io(&path))?;
         self.syncs += 1;
+        self.length += buffer.len() as u64;
         buffer.clear();
         Ok(())
     }
@@ -138,12 +148,12 @@
         let mut bytes = Vec::new();
         segment::append(&mut bytes, &base);
         let path = log_path(&self.folder, number);
-        self.log = open_log(&path)?;
-        self.log.set_len(0).map_err(Error::io(&path))?;
+        let log = open_log(&path)?;
+        log.set_len(0).map_err(Error::io(&path))?;
         write_synced(&self.folder, &format!("{SNAPSHOT}{number}"), &bytes)?;
         self.syncs += 1;
         let old = self.number;
-        self.number = number;
+        (self.number, self.log, self.length) = (number, log, 0);
         remove(&log_path(&self.folder, old))?;
         remove(&self.folder.join(format!("{SNAPSHOT}{old}")))
     }
--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -81,8 +81,8 @@
     /// What is wrong with it.
     fn page(&self, body: &[u8]) -> Result<Page, String>;
 
-    /// The call that asks a server what it holds.
-    fn report(&self) -> Call;
+    /// The call that asks the server of this identity what it holds; any other must refuse.
+    fn report(&self, id: &str) -> Call;
 
     /// Reads a server's report.
     ///
--- a/crates/edge/src/direct.rs
+++ b/crates/edge/src/direct.rs
@@ -107,9 +107,13 @@
                 Some(forward::Event::Listed { list })
             }
             Command::Report { id, addr } => {
-                let answer = timeout(ANSWER, self.call(addr, self.dialect.report())).await;
+                let answer = timeout(ANSWER, self.call(addr, self.dialect.report(&id))).await;
                 let answer = answer.unwrap_or_else(|_| Err("no answer in time".to_owned()));
-                match answer.and_then(|(_, body)| self.dialect.reported(&body)) {
+                let report = answer.and_then(|(status, body)| match status {
+                    200 => self.dialect.reported(&body),
+                    _ => Err(format!("status {status}")),
+                });
+                match report {
                     Ok(Report { version, load, orders }) => {
                         Some(forward::Event::Reported { id, version, load, orders })
                     }
--- a/crates/edge/src/files.rs
+++ b/crates/edge/src/files.rs
@@ -3,6 +3,7 @@
 use std::path::Path;
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::thread;
+use std::time::Duration;
 
 use disk::{Opened, Store};
 use node::Event;
@@ -10,6 +11,9 @@
 
 use crate::{Input, Inputs};
 
+/// Pause before a write to a full disk is tried again.
+const FULL_PAUSE: Duration = Duration::from_millis(200);
+
 /// A request to write.
 #[derive(Debug)]
 pub struct Command {
@@ -50,7 +54,7 @@
             seq = command.seq;
             writes.push(command.write);
         }
-        let event = match store.write(&writes) {
+        let event = match write(&mut store, &writes) {
             Ok(()) => Event::Persisted { seq },
             Err(error) => Event::DiskFailed { text: error.to_string() },
         };
@@ -60,3 +64,25 @@
         }
     }
 }
+
+/// Writes, and waits while the disk takes no more bytes: nothing is promised meanwhile.
+fn write(store: &mut Store, writes: &[Write]) -> Result<(), disk::Error> {
+    let mut told = false;
+    loop {
+        match store.write(writes) {
+            Err(error) if error.is_full() => {
+                if !told {
+                    log::warn!("disk full: {error}");
+                    told = true;
+                }
+                thread::sleep(FULL_PAUSE);
+            }
+            result => {
+                if told {
+                    log::info!("disk takes bytes again");
+                }
+                return result;
+            }
+        }
+    }
+}
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -200,6 +200,17 @@
         self.away_until = self.away_until.max(now + away.min(REJECTED_MOST));
     }
 
+    /// Another server answers at its address, or it holds other weights than believed: only its own
+    /// report, or a newer list, brings it back.
+    pub fn misdirected(&mut self, now: Time) {
+        self.away_until = self.away_until.max(now + LIST_LAG);
+    }
+
+    /// It reported of itself, so it is there.
+    pub fn reported(&mut self) {
+        self.away_until = Time::ZERO;
+    }
+
     /// The server could not be reached or broke off.
     pub fn failed(&mut self, now: Time) {
         let away = AWAY * 2_u32.saturating_pow(self.failures.min(8));
--- a/crates/node/src/forward/follow.rs
+++ b/crates/node/src/forward/follow.rs
@@ -30,10 +30,12 @@
             if let Some(version) = answer.version {
                 server.holds(cx.now, version);
             }
-            if answer.status == MISDIRECTED && server.ask(cx.now) {
-                // It holds other weights than it was believed to, or is another server.
-                let (id, addr) = (server.listed.id.clone(), server.listed.addr);
-                out.push(Effect::Report { id, addr });
+            if answer.status == MISDIRECTED {
+                server.misdirected(cx.now);
+                if server.ask(cx.now) {
+                    let (id, addr) = (server.listed.id.clone(), server.listed.addr);
+                    out.push(Effect::Report { id, addr });
+                }
             }
         }
         if !answer.own {
--- a/crates/node/src/forward/weights.rs
+++ b/crates/node/src/forward/weights.rs
@@ -53,6 +53,7 @@
         if let Some(server) = self.servers.by_id(id) {
             server.holds(cx.now, version);
             server.took(cx.now, orders);
+            server.reported();
             server.told(cx.now, load);
         }
     }
