--- /dev/null
+++ b/crates/fleet/tests/servers.rs
@@ -0,0 +1,179 @@
+//! Servers from a lagging list, their own words, and orders to new weights.
+
+use std::time::Duration;
+
+use base::prelude::*;
+use cache::Named;
+use fleet::{Key, Listed, Load, Servers, rollout::Rollout};
+use test_case::test_case;
+
+fn listed(id: &str, port: u16) -> Listed {
+    Listed {
+        id: Name::new(id),
+        born: None,
+        service: Name::new("llm"),
+        addr: ([127, 0, 0, 1], port).into(),
+        zone: Name::new("z"),
+        slots: 8,
+        leaving: false,
+        cold: Duration::ZERO,
+        models: vec![(Name::new("m"), 1)],
+    }
+}
+
+fn fleet(count: u16) -> Servers {
+    let mut servers = Servers::default();
+    servers.listed(Time::ZERO, (0..count).map(|n| listed(&format!("i-{n}"), n + 1)).collect());
+    servers
+}
+
+fn key(servers: &Servers, id: &str) -> Key {
+    servers.iter().find(|(_, server)| &*server.listed.id == id).expect("listed").0
+}
+
+#[test_case(&|listed: &mut Listed| listed.born = Some(9); "born again under its identity")]
+#[test_case(&|listed: &mut Listed| listed.addr.set_port(99); "at another address")]
+#[test_case(&|listed: &mut Listed| listed.service = Name::new("other"); "of another service")]
+fn another_life_starts_anew(change: &dyn Fn(&mut Listed)) {
+    let mut servers = fleet(2);
+    let old = key(&servers, "i-0");
+    let prompt = [Named { id: 1, tokens: 10 }];
+    servers.get_mut(old).expect("there").held.used(Time::ZERO, 1, &prompt, 100);
+    let mut list = vec![listed("i-0", 1), listed("i-1", 2)];
+    change(&mut list[0]);
+    servers.listed(Time(1), list);
+    assert!(servers.get(old).is_none(), "the key of the earlier life leads nowhere");
+    let server = servers.by_id("i-0").expect("the new life");
+    assert_eq!((server.running, server.held.found(1, &prompt, Time::ZERO)), (0, 0));
+}
+
+#[test]
+fn a_list_read_again_keeps_what_is_known() {
+    let mut servers = fleet(2);
+    let same = key(&servers, "i-0");
+    servers.get_mut(same).expect("there").running = 3;
+    let mut list = vec![listed("i-0", 1)];
+    list[0].leaving = true;
+    servers.listed(Time(1), list);
+    assert_eq!(servers.get(same).map(|server| server.running), Some(3));
+    assert!(!servers.get(same).expect("there").usable(Time(2)), "it takes no new work");
+    assert!(servers.by_id("i-1").is_none(), "gone from the list");
+}
+
+#[test]
+fn a_server_that_rejects_is_left_alone_though_it_looks_empty() {
+    let mut servers = fleet(1);
+    let server = servers.by_id("i-0").expect("there");
+    let mut now = Time::from_millis(1_000);
+    let mut away = Vec::new();
+    for _ in 0..5 {
+        server.rejected(now);
+        let back = (0..10_000).find(|ms| server.usable(now + Duration::from_millis(*ms)));
+        away.push(back.expect("it is tried again"));
+        now = now + Duration::from_millis(away[away.len() - 1]);
+    }
+    assert_eq!(away, [50, 100, 200, 400, 400]);
+    server.answered();
+    server.rejected(now);
+    assert!(server.usable(now + Duration::from_millis(50)), "an answer ends the row");
+}
+
+#[test]
+fn only_its_own_report_brings_a_misdirected_server_back() {
+    let mut servers = fleet(1);
+    let server = servers.by_id("i-0").expect("there");
+    server.misdirected(Time::ZERO);
+    assert!(!server.usable(Time::from_millis(2_900)));
+    server.reported();
+    assert!(server.usable(Time::from_millis(1)));
+}
+
+#[test]
+fn what_others_have_there_counts_while_it_is_fresh() {
+    let mut servers = fleet(1);
+    let server = servers.by_id("i-0").expect("there");
+    server.running = 2;
+    server.reading = 100;
+    server.told(Time::ZERO, Load { running: 9, waiting: 0, slots: 8 });
+    assert_eq!(server.runs(Time(1)), 9, "2 were this entry's when 9 were told");
+    server.others(Time(2), 4, 900);
+    assert_eq!((server.runs(Time(3)), server.ahead(Time(3))), (6, 1_000));
+    let late = Time::from_millis(5_000);
+    assert_eq!((server.runs(late), server.ahead(late)), (2, 100));
+}
+
+#[test]
+fn a_servers_own_word_of_its_weights_goes_before_the_list() {
+    let mut servers = fleet(1);
+    servers.by_id("i-0").expect("there").holds(Time::ZERO, 3);
+    servers.listed(Time::from_millis(1_000), vec![listed("i-0", 1)]);
+    assert_eq!(servers.by_id("i-0").expect("there").version, 3, "the list lags");
+    servers.by_id("i-0").expect("there").holds(Time::from_millis(1_500), 2);
+    assert_eq!(servers.by_id("i-0").expect("there").version, 2, "a late order took it back");
+    servers.listed(Time::from_millis(9_000), vec![listed("i-0", 1)]);
+    assert_eq!(servers.by_id("i-0").expect("there").version, 1, "nothing newer is known");
+}
+
+/// Reports of all servers that they have taken no order.
+fn report(servers: &mut Servers, now: Time) {
+    let keys: Vec<Key> = servers.iter().map(|(key, _)| key).collect();
+    for key in keys {
+        servers.get_mut(key).expect("there").took(now, 0);
+    }
+}
+
+#[test]
+fn a_part_of_the_servers_changes_at_once_those_with_the_fewest_runs_first() {
+    let mut servers = fleet(6);
+    for (number, runs) in [5, 0, 4, 1, 3, 2].into_iter().enumerate() {
+        servers.by_id(&format!("i-{number}")).expect("there").running = runs;
+    }
+    let mut rollout = Rollout::default();
+    let model = Name::new("m");
+    let now = Time::from_millis(10);
+    let due = rollout.due(now, &servers, &model, 2);
+    assert_eq!((due.orders.len(), due.ask.len()), (0, 3), "first it must be known what they took");
+    report(&mut servers, now);
+    let due = rollout.due(now, &servers, &model, 2);
+    let name = |key: Key| servers.get(key).expect("there").listed.id.to_string();
+    let names: Vec<String> = due.orders.iter().map(|order| name(order.server)).collect();
+    assert_eq!(names, ["i-1", "i-3", "i-5"]);
+    assert!(rollout.due(now, &servers, &model, 2).orders.is_empty(), "the rest waits");
+    let first = due.orders[0].server;
+    servers.get_mut(first).expect("there").holds(now, 2);
+    assert_eq!(rollout.due(now, &servers, &model, 2).orders.len(), 1, "one place is free");
+}
+
+#[test]
+fn an_order_that_was_not_taken_is_given_again_and_holds_no_place() {
+    let mut servers = fleet(2);
+    let mut rollout = Rollout::default();
+    let model = Name::new("m");
+    report(&mut servers, Time::ZERO);
+    let first = rollout.due(Time::ZERO, &servers, &model, 2).orders;
+    assert_eq!(first.len(), 1);
+    rollout.failed(Time::ZERO, first[0].server);
+    let other = rollout.due(Time(1), &servers, &model, 2).orders;
+    assert_eq!(other.len(), 1);
+    assert_ne!(other[0].server, first[0].server, "the next takes its place");
+    assert_eq!(rollout.under_way().count(), 1);
+    servers.get_mut(other[0].server).expect("there").holds(Time(2), 2);
+    report(&mut servers, Time::from_millis(500));
+    let again = rollout.due(Time::from_millis(500), &servers, &model, 2).orders;
+    assert_eq!(again.len(), 1);
+    assert_eq!(again[0].server, first[0].server);
+}
+
+#[test]
+fn a_server_that_was_taken_back_is_ordered_again() {
+    let mut servers = fleet(1);
+    let mut rollout = Rollout::default();
+    let model = Name::new("m");
+    report(&mut servers, Time::ZERO);
+    assert_eq!(rollout.due(Time::ZERO, &servers, &model, 2).orders.len(), 1);
+    let now = Time::from_millis(900);
+    servers.by_id("i-0").expect("there").holds(now, 2);
+    assert!(rollout.due(now, &servers, &model, 2).orders.is_empty());
+    servers.by_id("i-0").expect("there").holds(now, 1);
+    assert_eq!(rollout.due(now, &servers, &model, 2).orders.len(), 1);
+}
--- /dev/null
+++ b/crates/limit/tests/retries.rs
@@ -0,0 +1,43 @@
+//! Servers fail and every entry repeats at once: together they stay under the shared budget.
+
+use std::time::Duration;
+
+use base::Time;
+use limit::{Allowance, Retries};
+use test_case::test_case;
+
+const ALLOWANCE: Allowance = Allowance { ratio: 0.2, slack: 60.0, window: Duration::from_secs(10) };
+
+#[test_case(1, 100, 0; "one entry")]
+#[test_case(8, 100, 3; "eight entries that start within a window")]
+#[test_case(8, 0, 0; "entries without requests")]
+#[test_case(30, 400, 7; "many entries under load")]
+fn all_entries_together_stay_under_the_budget(entries: usize, requests: u32, shift: u64) {
+    let mut all = vec![Retries::default(); entries];
+    let mut repeats: Vec<u64> = Vec::new();
+    let mut served: Vec<u64> = Vec::new();
+    // 30 seconds in steps of 10 ms, every entry repeating whenever it may.
+    for step in 0..3_000_u64 {
+        for (number, entry) in all.iter_mut().enumerate() {
+            let now = Time::from_millis(step * 10 + shift * number as u64);
+            if (step * u64::from(requests)) % 1_000 < u64::from(requests) {
+                entry.request(now, &ALLOWANCE);
+                served.push(now.0);
+            }
+            if entry.spend(now, &ALLOWANCE, entries) {
+                repeats.push(now.0);
+            }
+        }
+    }
+    let within = |times: &[u64], from: u64| {
+        times.iter().filter(|at| (from..from + 10_000_000).contains(*at)).count() as f64
+    };
+    for from in (0..20_000_000).step_by(250_000) {
+        // Requests may count in the window before as well, as the budget has it.
+        let counted = within(&served, from).max(within(&served, from.saturating_sub(10_000_000)));
+        let most = ALLOWANCE.ratio * counted + ALLOWANCE.slack;
+        let found = within(&repeats, from);
+        assert!(found <= most, "{found} repeats from {from} us on, {most} allowed");
+    }
+    assert!(!repeats.is_empty(), "the fixed number is for times without requests");
+}
--- /dev/null
+++ b/crates/node/tests/forward.rs
@@ -0,0 +1,563 @@
+//! Forwarded requests: admission, choice, the truthful fate of each try, and what entries share.
+
+use std::net::SocketAddr;
+
+use base::prelude::*;
+use cache::Named;
+use fleet::{Listed, News, Stored};
+use limit::Allowance;
+use node::forward::{
+    Answer, Config, Context, Event, Forward, Head, Loss, Note, Order, Prompt, Try,
+};
+use node::{Effect, Effects};
+use record::{Change, Kind, Record, View, schema};
+use serde_json::{Value, json};
+use test_case::test_case;
+
+const STORE: &str = "10.0.0.9:1";
+
+fn record(kind: Kind, name: &str, body: &Value) -> Change {
+    let place = Revision { epoch: 1, index: 1 };
+    let by = Name::new("op");
+    Change {
+        kind,
+        name: Name::new(name),
+        revision: place,
+        by: by.clone(),
+        at_ms: 0,
+        record: Some(Record {
+            kind,
+            name: Name::new(name),
+            version: 1,
+            schema: schema::newest(kind),
+            min_schema: 1,
+            body: body.to_string().into(),
+            created: place,
+            revision: place,
+            by,
+            at_ms: 0,
+        }),
+    }
+}
+
+fn view(weights: u64) -> View {
+    let route = |prefix: &str, repeat: &str, attempts: u64| {
+        json!({
+            "host": "shop", "prefix": prefix, "repeat": repeat, "timeout_ms": 4_000,
+            "backends": [{ "service": "llm", "weight": 1 }], "attempts": attempts,
+        })
+    };
+    let engine = json!({
+        "model": "m", "slots": 8, "tokens": 50_000, "token_bytes": 300_000,
+        "link_rate": 500_000_000_000_u64,
+    });
+    let store = json!({
+        "addr": STORE, "zone": "a", "tokens": 1_000_000, "link_rate": 400_000_000_000_u64,
+        "latency_us": 6_000,
+    });
+    let mut view = View::default();
+    view.apply(&[
+        record(Kind::Service, "llm", &json!({ "engine": engine })),
+        record(Kind::Service, "store", &json!({ "store": store })),
+        record(
+            Kind::Workspace,
+            "shop",
+            &json!({ "keys": [blake3::hash(b"key").to_hex().as_str()] }),
+        ),
+        record(
+            Kind::Workspace,
+            "wall",
+            &json!({ "keys": [blake3::hash(b"own").to_hex().as_str()], "isolated": true }),
+        ),
+        record(Kind::Route, "once", &route("/once/", "never", 1)),
+        record(Kind::Route, "safe", &route("/safe/", "always", 2)),
+        record(Kind::Route, "stream", &route("/stream/", "resume", 2)),
+        record(Kind::Rollout, "m", &json!({ "model": "m", "version": format!("m@{weights}") })),
+    ]);
+    view
+}
+
+fn addr(number: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, 1, 1], number))
+}
+
+fn listed(number: u16) -> Listed {
+    Listed {
+        id: Name::from(format!("i-{number}")),
+        born: None,
+        service: Name::new("llm"),
+        addr: addr(number),
+        zone: Name::new("a"),
+        slots: 8,
+        leaving: false,
+        cold: Duration::ZERO,
+        models: vec![(Name::new("m"), 1)],
+    }
+}
+
+struct Bed {
+    forward: Forward,
+    view: View,
+    now: Time,
+    ready: bool,
+    closing: bool,
+    term: Option<u64>,
+    out: Effects,
+}
+
+impl Bed {
+    fn new(servers: u16) -> Self {
+        let config = Config {
+            allowance: Allowance { ratio: 0.2, slack: 60.0, window: Duration::from_secs(10) },
+            list_every: Duration::from_secs(1),
+            linger: Duration::from_secs(3),
+            lease: Duration::from_secs(1),
+            old_weights: Duration::from_secs(5),
+        };
+        let mut bed = Self {
+            forward: Forward::new(config, Name::new("a"), 7),
+            view: view(1),
+            now: Time::from_millis(1_000),
+            ready: true,
+            closing: false,
+            term: None,
+            out: Vec::new(),
+        };
+        bed.event(Event::Listed { list: Ok((1..=servers).map(listed).collect()) });
+        bed.tick();
+        bed.out.clear();
+        bed
+    }
+
+    fn step(&mut self, run: impl FnOnce(&mut Forward, &Context<'_>, &mut Effects)) {
+        let cx = Context {
+            now: self.now,
+            view: &self.view,
+            ready: self.ready,
+            closing: self.closing,
+            entries: 4,
+            term: self.term,
+        };
+        run(&mut self.forward, &cx, &mut self.out);
+    }
+
+    fn event(&mut self, event: Event) {
+        self.step(|forward, cx, out| forward.event(cx, event, out));
+    }
+
+    fn tick(&mut self) {
+        self.step(Forward::tick);
+    }
+
+    fn wait(&mut self, millis: u64) {
+        self.now = self.now + Duration::from_millis(millis);
+        self.tick();
+    }
+
+    fn ask(&mut self, call: u64, path: &str) {
+        self.prompt(call, path, "key", &[]);
+    }
+
+    fn prompt(&mut self, call: u64, path: &str, key: &str, parts: &[(u64, u32)]) {
+        let named = |(id, tokens): &(u64, u32)| Named { id: *id, tokens: *tokens };
+        let prompt = Prompt {
+            model: Name::new("m"),
+            parts: parts.iter().map(named).collect(),
+            tokens: parts.iter().map(|(_, tokens)| tokens).sum(),
+            most: 10,
+        };
+        let head = Head {
+            id: Name::from(format!("r{call}")),
+            host: "shop".to_owned(),
+            path: path.to_owned(),
+            key: Some(key.to_owned()),
+            patience: None,
+            prompt: (!parts.is_empty()).then_some(prompt),
+        };
+        self.event(Event::Arrived { call, head: Box::new(head) });
+    }
+
+    fn answer(&mut self, call: u64, status: u16, not_run: bool) {
+        let answer = Answer { status, own: true, not_run, ..Answer::default() };
+        self.event(Event::Answered { call, answer });
+    }
+
+    /// The orders to one exchange since the last look.
+    fn orders(&mut self, call: u64) -> Vec<Order> {
+        let mut found = Vec::new();
+        self.out.retain(|effect| match effect {
+            Effect::Door { call: to, order } if *to == call => {
+                found.push(order.clone());
+                false
+            }
+            _ => true,
+        });
+        found
+    }
+
+    fn tried(&mut self, call: u64) -> Try {
+        match self.orders(call).as_slice() {
+            [Order::Try(to)] => (**to).clone(),
+            other => panic!("{other:?}"),
+        }
+    }
+
+    fn refused(&mut self, call: u64) -> (Code, u16, bool) {
+        match self.orders(call).as_slice() {
+            [Order::Refuse(found)] => (found.code, found.status, found.retry.is_some()),
+            other => panic!("{other:?}"),
+        }
+    }
+
+    /// What a store or server tells of itself.
+    fn told(&mut self, place: SocketAddr, salt: &str, parts: &[(u64, u32)]) {
+        let stored =
+            |(id, tokens): &(u64, u32)| Stored { salt: salt.to_owned(), id: *id, tokens: *tokens };
+        let parts = parts.iter().map(stored).collect();
+        let news = News { epoch: 1, next: 9, gap: false, parts };
+        let store = place.to_string() == STORE;
+        let since = if store { None } else { Some(0) };
+        self.event(Event::StoreRead { addr: place, since, news: Ok(news) });
+    }
+}
+
+#[test_case("/nowhere/x", "key", Code::NoSuchPath, 404; "no route")]
+#[test_case("/safe/x", "other", Code::BadKey, 401; "no workspace")]
+fn what_no_configuration_allows_is_refused_at_once(path: &str, key: &str, code: Code, status: u16) {
+    let mut bed = Bed::new(1);
+    bed.prompt(1, path, key, &[]);
+    assert_eq!(bed.refused(1), (code, status, false));
+    assert_eq!(bed.forward.open(), 0);
+}
+
+#[test]
+fn a_request_waits_for_the_configuration_of_a_start_and_keeps_its_time() {
+    let mut bed = Bed::new(1);
+    bed.ready = false;
+    bed.ask(1, "/safe/x");
+    bed.wait(700);
+    assert_eq!(bed.orders(1), []);
+    bed.ready = true;
+    bed.wait(10);
+    assert_eq!(bed.tried(1).left, Duration::from_millis(4_000 - 710));
+}
+
+#[test]
+fn a_request_that_waited_in_vain_is_told_when_to_come_back() {
+    let mut bed = Bed::new(1);
+    bed.ready = false;
+    bed.ask(1, "/safe/x");
+    bed.wait(1_490);
+    assert_eq!(bed.orders(1), []);
+    bed.wait(20);
+    assert_eq!(bed.refused(1), (Code::NotReady, 503, true));
+}
+
+#[test]
+fn a_caller_who_leaves_while_waiting_is_forgotten() {
+    let mut bed = Bed::new(1);
+    bed.ready = false;
+    bed.ask(1, "/safe/x");
+    bed.event(Event::Left { call: 1 });
+    bed.ready = true;
+    bed.wait(10);
+    assert_eq!((bed.orders(1), bed.forward.open()), (vec![], 0));
+}
+
+#[test]
+fn nothing_is_taken_once_the_balancer_knows_of_the_stop() {
+    let mut bed = Bed::new(1);
+    bed.closing = true;
+    bed.ask(1, "/safe/x");
+    assert_eq!(bed.refused(1), (Code::Draining, 503, true));
+}
+
+#[test_case("/once/x", Loss::Silent, Code::Unknown, 502; "it may have run")]
+#[test_case("/once/x", Loss::Broken, Code::Unknown, 502; "it has begun to answer")]
+fn what_may_have_run_once_is_never_sent_again(path: &str, loss: Loss, code: Code, status: u16) {
+    let mut bed = Bed::new(3);
+    bed.ask(1, path);
+    bed.tried(1);
+    bed.event(Event::Failed { call: 1, loss });
+    assert_eq!(bed.refused(1), (code, status, false));
+}
+
+#[test]
+fn what_was_not_sent_goes_elsewhere_even_if_it_may_run_once_only() {
+    let mut bed = Bed::new(3);
+    bed.ask(1, "/once/x");
+    let first = bed.tried(1);
+    bed.event(Event::Failed { call: 1, loss: Loss::NotSent });
+    let second = bed.tried(1);
+    assert_ne!(first.id, second.id);
+    bed.answer(1, 503, true);
+    assert_ne!(bed.tried(1).id, second.id, "rejected unrun");
+    bed.answer(1, 503, true);
+    assert_eq!(bed.refused(1), (Code::Overloaded, 503, true), "true: nothing has run it");
+}
+
+#[test]
+fn a_route_bounds_the_servers_that_may_run_a_request() {
+    let mut bed = Bed::new(4);
+    bed.ask(1, "/safe/x");
+    bed.tried(1);
+    bed.event(Event::Failed { call: 1, loss: Loss::Silent });
+    bed.tried(1);
+    bed.event(Event::Failed { call: 1, loss: Loss::Silent });
+    assert_eq!(bed.refused(1), (Code::Unknown, 502, false));
+}
+
+#[test]
+fn an_answer_of_another_request_says_nothing_of_this_one() {
+    let mut bed = Bed::new(2);
+    bed.ask(1, "/once/x");
+    bed.tried(1);
+    let answer = Answer { status: 200, own: false, ..Answer::default() };
+    bed.event(Event::Answered { call: 1, answer });
+    assert_eq!(bed.refused(1), (Code::Unknown, 502, false));
+}
+
+#[test]
+fn a_stream_goes_on_elsewhere_and_its_time_ends_all_the_same() {
+    let mut bed = Bed::new(3);
+    bed.ask(1, "/stream/x");
+    let first = bed.tried(1);
+    bed.answer(1, 200, false);
+    assert_eq!(bed.orders(1), [Order::Pass]);
+    bed.event(Event::Began { call: 1 });
+    bed.event(Event::Failed { call: 1, loss: Loss::Broken });
+    assert_ne!(bed.tried(1).id, first.id);
+    bed.answer(1, 200, false);
+    assert_eq!(bed.orders(1), [Order::Pass]);
+    bed.wait(4_001);
+    assert_eq!(bed.refused(1).0, Code::DeadlineRunning);
+}
+
+#[test]
+fn servers_that_fail_are_left_alone_and_come_back() {
+    let mut bed = Bed::new(2);
+    bed.ask(1, "/once/x");
+    let dead = bed.tried(1).id;
+    bed.event(Event::Failed { call: 1, loss: Loss::Silent });
+    for call in 2..10 {
+        bed.ask(call, "/once/x");
+        assert_ne!(bed.tried(call).id, dead);
+        bed.answer(call, 200, false);
+        bed.event(Event::Done { call });
+    }
+    bed.wait(600);
+    let back = (20..60).any(|call| {
+        bed.ask(call, "/once/x");
+        bed.tried(call).id == dead
+    });
+    assert!(back);
+}
+
+#[test]
+fn each_end_leaves_a_line_with_what_decided() {
+    let mut bed = Bed::new(1);
+    bed.prompt(1, "/once/x", "key", &[(1, 1_000), (2, 500)]);
+    bed.tried(1);
+    bed.answer(1, 200, false);
+    bed.wait(30);
+    bed.event(Event::Done { call: 1 });
+    let ended = bed.out.iter().find_map(|effect| match effect {
+        Effect::Note(note) => match &**note {
+            Note::Ended { request, code, status, basis, .. } => {
+                Some((request.to_string(), *code, *status, basis.reading))
+            }
+            _ => None,
+        },
+        _ => None,
+    });
+    assert_eq!(ended, Some(("r1".to_owned(), Code::Ok, 200, 1_500)));
+}
+
+const PROMPT: [(u64, u32); 3] = [(1, 2_500), (2, 5_000), (3, 1_700)];
+
+#[test]
+fn a_history_is_saved_once_and_fetched_when_its_subject_returns() {
+    let mut bed = Bed::new(2);
+    let store: SocketAddr = STORE.parse().expect("an address");
+    bed.term = Some(1);
+    bed.tick();
+    bed.told(store, "", &[]);
+    bed.prompt(1, "/stream/x", "key", &PROMPT);
+    let first = bed.tried(1);
+    assert_eq!(first.salt.as_deref(), Some("*/m/1"));
+    assert_eq!(first.fetch, [None; 3]);
+    assert_eq!(first.save, [Some(store), Some(store), None], "the last part is of use to no other");
+    bed.prompt(2, "/stream/x", "key", &PROMPT);
+    assert_eq!(bed.tried(2).save, [None; 3], "it is being saved");
+    bed.wait(200);
+    bed.told(store, "*/m/1", &[(1, 2_500), (2, 4_000)]);
+    bed.wait(3_000);
+    bed.prompt(3, "/stream/x", "key", &PROMPT);
+    let third = bed.tried(3);
+    assert_eq!(third.fetch, [Some(store), None, None], "a part that is not whole is not fetched");
+}
+
+#[test]
+fn no_part_crosses_weights_or_the_wall_of_a_workspace() {
+    let mut bed = Bed::new(1);
+    let store: SocketAddr = STORE.parse().expect("an address");
+    bed.term = Some(1);
+    bed.tick();
+    bed.told(store, "*/m/1", &[(1, 2_500), (2, 5_000)]);
+    bed.prompt(1, "/stream/x", "own", &PROMPT);
+    let walled = bed.tried(1);
+    assert_eq!((walled.salt.as_deref(), walled.fetch), (Some("wall/m/1"), vec![None; 3]));
+    bed.event(Event::Reported {
+        id: Name::new("i-1"),
+        version: 2,
+        load: fleet::Load::default(),
+        orders: 1,
+    });
+    bed.prompt(2, "/stream/x", "key", &PROMPT);
+    let newer = bed.tried(2);
+    assert_eq!((newer.version, newer.salt.as_deref()), (Some(2), Some("*/m/2")));
+    assert_eq!(newer.fetch, [None; 3]);
+}
+
+#[test]
+fn a_prompt_goes_where_its_history_lies() {
+    let mut bed = Bed::new(5);
+    bed.term = Some(1);
+    bed.tick();
+    bed.told(addr(4), "*/m/1", &[(1, 2_500), (2, 5_000)]);
+    for call in 1..6 {
+        bed.prompt(call, "/stream/x", "key", &PROMPT);
+        assert_eq!(&*bed.tried(call).id, "i-4");
+        bed.answer(call, 200, false);
+        bed.event(Event::Done { call });
+    }
+}
+
+#[test]
+fn a_crowded_source_is_left_alone_and_the_part_read() {
+    let mut bed = Bed::new(1);
+    let store: SocketAddr = STORE.parse().expect("an address");
+    bed.term = Some(1);
+    bed.tick();
+    bed.told(store, "*/m/1", &[(1, 2_500), (2, 5_000)]);
+    let share =
+        wire::Share { server: store, runs: 0, reading: 0, sending_ms: 900, changing: false };
+    let now = bed.now;
+    bed.forward.summed(now, &[share]);
+    bed.prompt(1, "/stream/x", "key", &PROMPT);
+    assert_eq!(bed.tried(1).fetch, [None; 3]);
+    bed.wait(1_100);
+    bed.prompt(2, "/stream/x", "key", &PROMPT);
+    assert_eq!(bed.tried(2).fetch[1], Some(store), "nothing new was heard of the crowd");
+}
+
+#[test]
+fn entries_that_share_their_load_do_not_meet_at_one_server() {
+    // Two entries with the same list and the same chance; the second hears of the first's prompt.
+    let mut first = Bed::new(2);
+    first.prompt(1, "/stream/x", "key", &PROMPT);
+    let taken = first.tried(1).addr;
+    let now = first.now + Duration::from_millis(30);
+    let shares = first.forward.take_shares(now);
+    let own = shares.iter().find(|share| share.server == taken).expect("told");
+    assert_eq!((own.runs, own.reading), (1, 9_200));
+    for call in 1..20 {
+        let mut second = Bed::new(2);
+        second.forward.summed(second.now, &shares);
+        second.prompt(call, "/stream/x", "key", &PROMPT);
+        assert_ne!(second.tried(call).addr, taken);
+    }
+}
+
+#[test]
+fn the_leader_adds_up_what_entries_tell_and_forgets_the_silent() {
+    let mut bed = Bed::new(2);
+    bed.term = Some(1);
+    let share =
+        |runs| wire::Share { server: addr(1), runs, reading: 100, sending_ms: 0, changing: false };
+    let now = bed.now;
+    bed.forward.shared(now, &Name::new("a"), &[share(2)]);
+    bed.forward.shared(now, &Name::new("b"), &[share(3)]);
+    let sums = |bed: &mut Bed| {
+        let mut sums = Vec::new();
+        bed.step(|forward, cx, _| sums = forward.take_sums(cx));
+        sums.iter().map(|sum| (sum.runs, sum.reading)).collect::<Vec<(u32, u64)>>()
+    };
+    assert_eq!(sums(&mut bed), [(5, 200)]);
+    bed.now = bed.now + Duration::from_secs(1);
+    let now = bed.now;
+    bed.forward.shared(now, &Name::new("b"), &[share(1)]);
+    bed.now = bed.now + Duration::from_millis(700);
+    assert_eq!(sums(&mut bed), [(1, 100)], "the first entry is frozen or gone");
+}
+
+#[test]
+fn no_run_begins_on_old_weights_after_their_time() {
+    let mut bed = Bed::new(2);
+    bed.view = view(2);
+    bed.wait(10);
+    bed.prompt(1, "/once/x", "key", &PROMPT);
+    assert_eq!(bed.tried(1).version, Some(1), "nothing newer is there yet");
+    bed.wait(5_000);
+    bed.prompt(2, "/once/x", "key", &PROMPT);
+    assert_eq!(bed.refused(2), (Code::NoServer, 503, true));
+    bed.event(Event::Reported {
+        id: Name::new("i-2"),
+        version: 2,
+        load: fleet::Load::default(),
+        orders: 1,
+    });
+    bed.prompt(3, "/once/x", "key", &PROMPT);
+    assert_eq!(bed.tried(3).version, Some(2));
+}
+
+#[test]
+fn only_a_leader_orders_and_only_after_its_predecessor_has_stopped() {
+    let mut bed = Bed::new(4);
+    bed.view = view(2);
+    let report = |bed: &mut Bed| {
+        for number in 1..5 {
+            let id = Name::from(format!("i-{number}"));
+            let load = fleet::Load::default();
+            bed.event(Event::Reported { id, version: 1, load, orders: 3 });
+        }
+    };
+    let orders = |bed: &mut Bed| -> Vec<(u64, u64, u64)> {
+        let found = bed.out.drain(..).filter_map(|effect| match effect {
+            Effect::Change(change) => Some((change.version, change.token, change.after)),
+            _ => None,
+        });
+        found.collect()
+    };
+    bed.wait(2_000);
+    assert_eq!(orders(&mut bed), [], "it does not lead");
+    bed.term = Some(6);
+    bed.wait(10);
+    report(&mut bed);
+    bed.wait(900);
+    assert_eq!(orders(&mut bed), [], "the one before may still order");
+    report(&mut bed);
+    bed.wait(200);
+    assert_eq!(orders(&mut bed), [(2, 6, 3), (2, 6, 3)]);
+}
+
+#[test]
+fn parts_of_weights_that_nobody_holds_are_freed_and_no_others() {
+    let mut bed = Bed::new(1);
+    let store: SocketAddr = STORE.parse().expect("an address");
+    bed.view = view(2);
+    bed.term = Some(1);
+    bed.tick();
+    bed.told(store, "*/m/1", &[(1, 2_500)]);
+    let freed =
+        |bed: &mut Bed| bed.out.drain(..).any(|effect| matches!(effect, Effect::FreeParts { .. }));
+    bed.wait(4_000);
+    assert!(!freed(&mut bed), "a server still holds those weights");
+    let load = fleet::Load::default();
+    bed.event(Event::Reported { id: Name::new("i-1"), version: 2, load, orders: 1 });
+    bed.wait(1_000);
+    bed.wait(1_000);
+    assert!(!freed(&mut bed), "not settled yet");
+    bed.wait(1_000);
+    assert!(freed(&mut bed));
+}
--- /dev/null
+++ b/crates/route/tests/direct.rs
@@ -0,0 +1,48 @@
+//! Long prompts among short ones: where the first token comes first.
+
+use route::direct::{Candidate, choose, cost};
+use test_case::test_case;
+
+const FREE: Candidate = Candidate {
+    running: 0,
+    slots: 48,
+    missing: 9_000,
+    ahead: 0,
+    per_ms: 50.0,
+    near: true,
+    penalty_ms: 0.0,
+};
+
+#[test_case(Candidate { ahead: 9_000, ..FREE }; "another prompt is read there")]
+#[test_case(Candidate { running: 48, ..FREE }; "no place is free")]
+#[test_case(Candidate { running: 30, ..FREE }; "many runs beside")]
+#[test_case(Candidate { penalty_ms: 500.0, ..FREE }; "old weights or a long fetch")]
+fn a_server_that_would_answer_later_is_left(other: Candidate) {
+    for point in [0.0, 0.5, 0.999] {
+        assert_eq!(choose(&[other, FREE], point), Some(1));
+    }
+}
+
+#[test]
+fn a_history_that_lies_there_is_worth_a_few_runs_beside() {
+    let holds = Candidate { missing: 1_700, running: 20, ..FREE };
+    assert_eq!(choose(&[FREE, holds], 0.3), Some(1));
+    let crowded = Candidate { ahead: 20_000, ..holds };
+    assert_eq!(choose(&[FREE, crowded], 0.3), Some(0));
+}
+
+#[test]
+fn equal_servers_share_the_load() {
+    let many = [FREE; 4];
+    let taken: Vec<Option<usize>> =
+        [0.0, 0.3, 0.6, 0.99].iter().map(|point| choose(&many, *point)).collect();
+    assert_eq!(taken, [Some(0), Some(1), Some(2), Some(3)]);
+    assert_eq!(choose(&[], 0.5), None);
+}
+
+#[test]
+fn a_full_server_costs_more_for_each_who_waits() {
+    let waits = |running| cost(&Candidate { running, ..FREE });
+    assert!(waits(50) > waits(48) + 1.0);
+    assert!(waits(48) > waits(47));
+}
