The leader reads the list of servers and tells it

Change: the leader reads and tells the entries, the whole list only when it has changed or every fourth time; an entry that has heard none for 1.6 to 3.2 readings reads it itself, so a leader that is cut off or frozen hides no leaving server.

--- a/crates/fleet/src/servers.rs
+++ b/crates/fleet/src/servers.rs
@@ -56,6 +56,11 @@
         }
     }
 
+    /// The list was read and is the same.
+    pub fn same(&mut self, now: Time) {
+        self.read_at = Some(now);
+    }
+
     /// When the list was last read.
     pub fn read_at(&self) -> Option<Time> {
         self.read_at
--- /dev/null
+++ b/crates/node/src/forward/list.rs
@@ -0,0 +1,135 @@
+//! The list of servers: one process reads it and tells the others.
+//!
+//! The platform answers few calls, so the leader among the keepers reads for all. An entry that has
+//! heard no list for a while reads it itself: a server that leaves must be seen also by those whom
+//! the leader does not reach.
+
+use base::prelude::*;
+use cache::salt_number;
+use fleet::Listed;
+use rand::Rng;
+use wire::List;
+
+use super::{Context, Forward, Note};
+use crate::{Effect, Effects};
+
+/// Readings after which the whole list is told again, for those who missed it.
+const WHOLE_EVERY: u32 = 4;
+/// Least age of the list, in readings, at which an entry reads it itself; spread up to twice that.
+const OWN_AFTER: f64 = 1.6;
+
+/// What is told of the list.
+#[derive(Debug, Default)]
+pub(super) struct Lists {
+    next: Time,
+    /// Checksum of the list in use.
+    sum: u64,
+    /// As the leader: readings since the whole list was told.
+    since_whole: u32,
+    news: Option<List>,
+}
+
+impl Forward {
+    /// Reads the list if it is due.
+    pub(super) fn read_list(&mut self, cx: &Context<'_>, out: &mut Effects) {
+        if cx.now >= self.lists.next {
+            self.lists.next = cx.now + self.config.list_every;
+            out.push(Effect::ReadList);
+        }
+    }
+
+    /// The list was read here, or could not be.
+    pub(super) fn listed(
+        &mut self,
+        cx: &Context<'_>,
+        list: Result<Vec<Listed>, String>,
+        out: &mut Effects,
+    ) {
+        let list = match list {
+            Ok(list) => list,
+            Err(error) => {
+                let age = self
+                    .servers
+                    .read_at()
+                    .map_or(cx.now.0, |at| cx.now.since(at).as_micros() as u64);
+                let note = Note::Unlisted { error, age_ms: age / 1_000 };
+                out.push(Effect::Note(Box::new(note)));
+                return;
+            }
+        };
+        if cx.term.is_some() {
+            let servers: Vec<wire::Listed> = list.iter().map(told).collect();
+            let sum = salt_number(&format!("{servers:?}"));
+            self.lists.since_whole += 1;
+            let whole = sum != self.lists.sum || self.lists.since_whole >= WHOLE_EVERY;
+            if whole {
+                self.lists.since_whole = 0;
+            }
+            self.lists.sum = sum;
+            self.lists.news = Some(List { sum, servers: whole.then_some(servers) });
+        }
+        self.take_list(cx.now, list, out);
+    }
+
+    /// What this process, as the reader of the list, has to tell the entries.
+    pub fn take_list_news(&mut self) -> Option<List> {
+        self.lists.news.take()
+    }
+
+    /// The reader told the list.
+    pub fn list_told(&mut self, now: Time, list: List, out: &mut Effects) {
+        match list.servers {
+            Some(servers) => {
+                self.lists.sum = list.sum;
+                self.take_list(now, servers.into_iter().map(heard).collect(), out);
+            }
+            // It is not the list that is known here: this process reads it itself in time.
+            None if list.sum != self.lists.sum => return,
+            None => self.servers.same(now),
+        }
+        let wait = self.config.list_every.mul_f64(OWN_AFTER * self.rng.random_range(1.0..2.0));
+        self.lists.next = now + wait;
+    }
+
+    fn take_list(&mut self, now: Time, list: Vec<Listed>, out: &mut Effects) {
+        let before = self.shape();
+        self.servers.listed(now, list);
+        let (servers, leaving) = self.shape();
+        if (servers, leaving) != before {
+            out.push(Effect::Note(Box::new(Note::Listed { servers, leaving })));
+        }
+    }
+
+    fn shape(&self) -> (usize, usize) {
+        let leaving = self.servers.iter().filter(|(_, server)| server.listed.leaving).count();
+        (self.servers.iter().count(), leaving)
+    }
+}
+
+fn told(listed: &Listed) -> wire::Listed {
+    wire::Listed {
+        id: listed.id.clone(),
+        born: listed.born,
+        service: listed.service.clone(),
+        addr: listed.addr,
+        zone: listed.zone.clone(),
+        slots: listed.slots,
+        leaving: listed.leaving,
+        cold_ms: listed.cold.as_millis() as u32,
+        models: listed.models.clone(),
+    }
+}
+
+fn heard(listed: wire::Listed) -> Listed {
+    Listed {
+        id: listed.id,
+        born: listed.born,
+        service: listed.service,
+        addr: listed.addr,
+        zone: listed.zone,
+        slots: listed.slots,
+        leaving: listed.leaving,
+        cold: Duration::from_millis(u64::from(listed.cold_ms)),
+        models: listed.models,
+    }
+}
--- a/crates/node/src/forward/mod.rs
+++ b/crates/node/src/forward/mod.rs
@@ -8,7 +8,8 @@
 //! | `follow` | takes answers, losses and ends |
 //! | `share` | tells what this entry has at the servers, and hears of the others |
 //! | `stores` | reads the stores of prompt parts, fetches and saves |
-//! | `weights` | keeps the list of servers and their weight versions |
+//! | `list` | reads the list of servers, and tells it |
+//! | `weights` | orders servers to the weight versions that are named |
 //!
 //! The edge that read a request holds its caller and its connection to the server; bytes never pass
 //! through here. What may be said and done after each try is decided here: a status that promises
@@ -17,6 +18,7 @@
 mod admit;
 mod event;
 mod follow;
+mod list;
 mod place;
 mod share;
 mod stores;
@@ -33,7 +35,8 @@
 use rand_pcg::Pcg64Mcg;
 use record::{Repeat, View};
 
-use crate::{Effect, Effects};
+use crate::Effects;
+use list::Lists;
 use share::Shares;
 use stores::Stores;
 
@@ -146,7 +149,7 @@
     deadlines: BTreeSet<(Time, u64)>,
     retries: HashMap<Name, Retries>,
     rng: Pcg64Mcg,
-    next_list: Time,
+    lists: Lists,
     next_orders: Time,
     leading: Option<(u64, Time)>,
     /// The newest weight version of each model, and when it came into force here.
@@ -168,7 +171,7 @@
             deadlines: BTreeSet::new(),
             retries: HashMap::new(),
             rng: Pcg64Mcg::seed_from_u64(seed),
-            next_list: Time::ZERO,
+            lists: Lists::default(),
             next_orders: Time::ZERO,
             leading: None,
             named: HashMap::new(),
@@ -218,10 +221,7 @@
             self.overdue(cx, call, out);
         }
         self.admit_held(cx, out);
-        if cx.now >= self.next_list {
-            self.next_list = cx.now + self.config.list_every;
-            out.push(Effect::ReadList);
-        }
+        self.read_list(cx, out);
         self.note_weights(cx);
         self.order(cx, out);
         self.stores.read(cx, &self.servers, out);
--- a/crates/node/src/forward/weights.rs
+++ b/crates/node/src/forward/weights.rs
@@ -1,7 +1,7 @@
-//! Keeps the list of servers, and orders them to the weight versions that are named.
+//! Orders servers to the weight versions that are named.
 
 use base::prelude::*;
-use fleet::{Listed, Load};
+use fleet::Load;
 
 use super::{Change, Context, Forward, Note};
 use crate::{Effect, Effects};
@@ -10,38 +10,6 @@
 const ROUND: Duration = Duration::from_millis(200);
 
 impl Forward {
-    pub(super) fn listed(
-        &mut self,
-        cx: &Context<'_>,
-        list: Result<Vec<Listed>, String>,
-        out: &mut Effects,
-    ) {
-        let note = match list {
-            Ok(list) => {
-                let before = self.shape();
-                self.servers.listed(cx.now, list);
-                let (servers, leaving) = self.shape();
-                if (servers, leaving) == before {
-                    return;
-                }
-                Note::Listed { servers, leaving }
-            }
-            Err(error) => {
-                let age = self
-                    .servers
-                    .read_at()
-                    .map_or(cx.now.0, |at| cx.now.since(at).as_micros() as u64);
-                Note::Unlisted { error, age_ms: age / 1_000 }
-            }
-        };
-        out.push(Effect::Note(Box::new(note)));
-    }
-
-    fn shape(&self) -> (usize, usize) {
-        let leaving = self.servers.iter().filter(|(_, server)| server.listed.leaving).count();
-        (self.servers.iter().count(), leaving)
-    }
-
     pub(super) fn reported(
         &mut self,
         cx: &Context<'_>,
--- a/crates/node/src/process/mod.rs
+++ b/crates/node/src/process/mod.rs
@@ -190,7 +190,7 @@
             }
             Event::Forward(event) => {
                 self.with_forward(now, |forward, cx| forward.event(cx, event, out));
-                self.tell_stock(out);
+                self.tell_read(out);
             }
             Event::Persisted { seq } => {
                 if let Some(keeper) = &mut self.keeper {
@@ -345,6 +345,11 @@
                     self.reader = Some(peer.clone());
                 }
             }
+            Frame::List(list) => {
+                if let Some(forward) = &mut self.forward {
+                    forward.list_told(now, list, out);
+                }
+            }
             Frame::Shares(shares) => {
                 if let Some(forward) = &mut self.forward {
                     forward.shared(now, peer, &shares);
@@ -368,14 +373,22 @@
         }
     }
 
-    /// Tells the entries what this process read at the stores.
-    fn tell_stock(&mut self, out: &mut Effects) {
-        let Some(news) = self.forward.as_mut().and_then(Forward::take_news) else {
+    /// Tells the entries what this process read: the stores, and the list of servers.
+    fn tell_read(&mut self, out: &mut Effects) {
+        let Some(forward) = &mut self.forward else {
             return;
         };
+        let stock = forward.take_news().map(Frame::Stock);
+        let list = forward.take_list_news().map(Frame::List);
+        for frame in stock.into_iter().chain(list) {
+            self.tell_entries(&frame, out);
+        }
+    }
+
+    fn tell_entries(&self, frame: &Frame, out: &mut Effects) {
         let me = &self.me.hello.name;
         for hello in self.peers.values().filter(|hello| hello.entry && hello.name != *me) {
-            out.push(Effect::Send { to: hello.name.clone(), frame: Frame::Stock(news.clone()) });
+            out.push(Effect::Send { to: hello.name.clone(), frame: frame.clone() });
         }
     }
 
@@ -401,9 +414,7 @@
         if sums.is_empty() {
             return;
         }
-        for hello in self.peers.values().filter(|hello| hello.entry && hello.name != me) {
-            out.push(Effect::Send { to: hello.name.clone(), frame: Frame::Sums(sums.clone()) });
-        }
+        self.tell_entries(&Frame::Sums(sums), out);
     }
 
     /// Links to keepers that the settings do not name.
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -7,7 +7,7 @@
 use record::{Change, Record};
 use serde::{Deserialize, Serialize};
 
-use crate::{Answer, News, Part, Piece, Priority, Request, Share, Stock, Work};
+use crate::{Answer, List, News, Part, Piece, Priority, Request, Share, Stock, Work};
 
 /// What an agent stands beside.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -232,6 +232,8 @@
     Shares(Vec<Share>),
     /// Keeper to entry: what all entries have there.
     Sums(Vec<Share>),
+    /// Keeper to entry: a reading of the list of servers.
+    List(List),
     /// Nothing to say; the link is alive.
     Idle,
 }
