--- a/bin/tamarack/src/args.rs
+++ b/bin/tamarack/src/args.rs
@@ -50,11 +50,24 @@
     Dump(Dump),
     Ready(Ready),
     Explain(Explain),
+    Story(Story),
     Trace(Generate),
     Replay(Replay),
     Bench(Bench),
 }
 
+/// Tell the story of one request from the logs of several processes.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "story")]
+pub struct Story {
+    /// ID of the request
+    #[argh(positional)]
+    pub id: String,
+    /// log files, one or more
+    #[argh(positional)]
+    pub logs: Vec<PathBuf>,
+}
+
 /// Show records: all, those of a kind, or one.
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "get")]
--- a/bin/tamarack/src/main.rs
+++ b/bin/tamarack/src/main.rs
@@ -7,6 +7,7 @@
 mod client;
 mod orders;
 mod records;
+mod story;
 mod table;
 mod trace;
 
@@ -36,6 +37,7 @@
         Command::Dump(_) => orders::show(&client, "/dump"),
         Command::Ready(_) => orders::show(&client, "/ready"),
         Command::Explain(explain) => orders::explain(&client, &explain.request),
+        Command::Story(story) => story::tell(&story),
         Command::Trace(generate) => trace::generate(&generate),
         Command::Bench(bench) => bench::run(&bench),
         Command::Replay(replay) => trace::replay(&replay, args.json),
--- a/bin/tamarack/tests/cli.rs
+++ b/bin/tamarack/tests/cli.rs
@@ -5,6 +5,8 @@
 use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 
+use test_case::test_case;
+
 fn tamarack(at: &str, input: &str, args: &[&str]) -> (Option<i32>, String) {
     let mut child = Command::new(env!("CARGO_BIN_EXE_tamarack"))
         .args(["--at", at, "--by", "ann"])
@@ -65,3 +67,22 @@
     running.stopper().stop();
     assert!(matches!(running.wait(), edge::Exit::Done { cut: 0 }));
 }
+
+#[test_case("given-up.log", "c98c08f99fad98b7", &["code=3003", "took_ms=401"]; "given up")]
+#[test_case("cut.log", "c36e1bf88a8a7dc8", &["stalled_ms=3018", "code=2008"]; "cut midway")]
+#[test_case("late.log", "c129c6563c08cd33", &["ahead=2892", "first_ms=1320"]; "late")]
+fn the_story_of_a_request_leads_to_its_cause(log: &str, id: &str, told: &[&str]) {
+    let log = format!("{}/../../docs/logs/{log}", env!("CARGO_MANIFEST_DIR"));
+    let output = Command::new(env!("CARGO_BIN_EXE_tamarack"))
+        .args(["story", id, &log])
+        .output()
+        .expect("the binary runs");
+    let text = String::from_utf8_lossy(&output.stdout);
+    let places: Vec<Option<usize>> = told.iter().map(|part| text.find(part)).collect();
+    assert!(places.is_sorted() && places.iter().all(Option::is_some), "{text}");
+    let other = Command::new(env!("CARGO_BIN_EXE_tamarack"))
+        .args(["story", "nobody", &log])
+        .output()
+        .expect("the binary runs");
+    assert_eq!(other.status.code(), Some(1));
+}
--- a/crates/edge/src/notes.rs
+++ b/crates/edge/src/notes.rs
@@ -1,6 +1,6 @@
-//! Decisions about forwarded requests as log lines and counts.
+//! Decisions and changes of belief as log lines and counts.
 
-use node::forward::Note;
+use node::note::Note;
 
 use crate::metrics::Metrics;
 
@@ -37,5 +37,17 @@
                 "server ordered to a weight version"
             );
         }
+        Note::Away { server, why } => {
+            log::warn!(server:% = server, why:% = why; "server left alone");
+        }
+        Note::InForce { revision, routes, ready } => {
+            log::info!(revision:% = revision, routes, ready; "configuration in force");
+        }
+        Note::Stalled { time } => {
+            log::warn!(stalled_ms = millis(*time); "the process stood still");
+        }
+        Note::Leads { term: Some(term) } => log::info!(term; "leads the keepers"),
+        Note::Leads { term: None } => log::info!("no longer leads the keepers"),
+        Note::Keeper { keeper, up } => log::info!(keeper:% = keeper, up; "link to a keeper"),
     }
 }
--- a/crates/node/src/effect.rs
+++ b/crates/node/src/effect.rs
@@ -8,6 +8,7 @@
 use wire::{Frame, Work};
 
 use crate::forward;
+use crate::note::Note;
 
 /// The head of an answer to a caller.
 #[derive(Clone, Debug, Default)]
@@ -180,7 +181,7 @@
     /// Order a backend server that has no agent to load a weight version.
     Change(Box<forward::Change>),
     /// Write a decision to the log.
-    Note(Box<forward::Note>),
+    Note(Box<Note>),
     /// Leave the process; `cut` requests were not finished.
     Exit {
         /// Requests cut.
--- a/crates/node/src/forward/admit.rs
+++ b/crates/node/src/forward/admit.rs
@@ -4,7 +4,8 @@
 use rand::Rng;
 use record::Workspace;
 
-use super::{Basis, Context, Forward, Head, Note, Order, Refusal, Run, spread};
+use super::{Context, Forward, Head, Order, Refusal, Run, spread};
+use crate::note::{Basis, Note};
 use crate::{Effect, Effects};
 
 /// How long a request waits for a configuration that this process is just about to learn: the
--- a/crates/node/src/forward/follow.rs
+++ b/crates/node/src/forward/follow.rs
@@ -3,7 +3,8 @@
 use base::prelude::*;
 use record::Repeat;
 
-use super::{Answer, Context, Forward, Loss, Note, Order, Run};
+use super::{Answer, Context, Forward, Loss, Order, Run};
+use crate::note::Note;
 use crate::{Effect, Effects};
 
 /// Status of a server that is not, or does not hold, what the request expects.
@@ -98,6 +99,10 @@
             return;
         };
         if let Some(server) = run.place.and_then(|place| self.servers.get_mut(place.server)) {
+            if server.usable(cx.now) {
+                let (server, why) = (server.listed.id.clone(), loss.as_str().to_owned());
+                out.push(Effect::Note(Box::new(Note::Away { server, why })));
+            }
             server.failed(cx.now);
         }
         if loss == Loss::NotSent {
--- a/crates/node/src/forward/list.rs
+++ b/crates/node/src/forward/list.rs
@@ -10,7 +10,8 @@
 use rand::Rng;
 use wire::List;
 
-use super::{Context, Forward, Note};
+use super::{Context, Forward};
+use crate::note::Note;
 use crate::{Effect, Effects};
 
 /// Readings after which the whole list is told again, for those who missed it.
--- a/crates/node/src/forward/mod.rs
+++ b/crates/node/src/forward/mod.rs
@@ -36,11 +36,12 @@
 use record::{Repeat, View};
 
 use crate::Effects;
+use crate::note::Basis;
 use list::Lists;
 use share::Shares;
 use stores::Stores;
 
-pub use event::{Answer, Basis, Change, Event, Head, Loss, Note, Order, Prompt, Refusal, Try};
+pub use event::{Answer, Change, Event, Head, Loss, Order, Prompt, Refusal, Try};
 
 /// Settings of forwarding.
 #[derive(Clone, Debug)]
--- a/crates/node/src/forward/place.rs
+++ b/crates/node/src/forward/place.rs
@@ -8,7 +8,8 @@
 use route::direct::{self, Candidate};
 
 use super::stores::{Sources, Transfer};
-use super::{Basis, Context, Forward, Order, Place, Prompt, Run, Try};
+use super::{Context, Forward, Order, Place, Prompt, Run, Try};
+use crate::note::Basis;
 use crate::{Effect, Effects};
 
 /// Prompt tokens that an engine reads in a millisecond, where nothing better is known.
--- a/crates/node/src/forward/weights.rs
+++ b/crates/node/src/forward/weights.rs
@@ -3,7 +3,8 @@
 use base::prelude::*;
 use fleet::Load;
 
-use super::{Change, Context, Forward, Note};
+use super::{Change, Context, Forward};
+use crate::note::Note;
 use crate::{Effect, Effects};
 
 /// Time between two looks at what is due.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod forward;
 mod keeper;
 mod members;
+pub mod note;
 mod process;
 mod rollout;
 mod run;
--- /dev/null
+++ b/crates/node/src/note.rs
@@ -0,0 +1,115 @@
+//! Decisions and changes of belief, for the log.
+
+use std::time::Duration;
+
+use base::{Code, Name, Revision};
+
+use crate::forward;
+
+/// What a server was chosen on, as believed then.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Basis {
+    /// Prompt tokens that it would read.
+    pub reading: u64,
+    /// Prompt tokens that it would fetch.
+    pub fetching: u64,
+    /// Prompt tokens of earlier requests that it still read.
+    pub ahead: u64,
+    /// Runs there.
+    pub beside: u32,
+    /// Estimated time to the first token, milliseconds.
+    pub cost_ms: f64,
+    /// Age of the list of servers.
+    pub list_age: Duration,
+}
+
+/// A decision for the log.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Note {
+    /// A request has ended.
+    Ended {
+        /// The caller's ID of the request.
+        request: Name,
+        /// Route.
+        route: Name,
+        /// Server of the last try.
+        server: Option<Name>,
+        /// Tries in all.
+        tries: u32,
+        /// What the last server was chosen on.
+        basis: Basis,
+        /// How it ended.
+        code: Code,
+        /// HTTP status.
+        status: u16,
+        /// Time from arrival to end.
+        took: Duration,
+        /// Time from arrival to the first bytes of the answer.
+        first: Option<Duration>,
+    },
+    /// A try failed.
+    Lost {
+        /// The caller's ID of the request.
+        request: Name,
+        /// The server.
+        server: Name,
+        /// How, or which status.
+        why: String,
+        /// What was done then.
+        then: &'static str,
+    },
+    /// The set of servers has changed.
+    Listed {
+        /// Servers.
+        servers: usize,
+        /// Those that take no new work.
+        leaving: usize,
+    },
+    /// The list could not be read.
+    Unlisted {
+        /// What went wrong.
+        error: String,
+        /// Age of the list in use, milliseconds.
+        age_ms: u64,
+    },
+    /// A server was ordered to another weight version.
+    Ordered {
+        /// The order.
+        change: forward::Change,
+        /// Version that it holds.
+        from: u64,
+    },
+    /// A server is left alone.
+    Away {
+        /// The server.
+        server: Name,
+        /// Why.
+        why: String,
+    },
+    /// A configuration came into force here.
+    InForce {
+        /// Where it stands in the log.
+        revision: Revision,
+        /// Its routes.
+        routes: usize,
+        /// Whether this process serves by it.
+        ready: bool,
+    },
+    /// This process stood still: frozen, suspended, or without its processor.
+    Stalled {
+        /// For how long.
+        time: Duration,
+    },
+    /// This process began to lead the keepers, or no longer does.
+    Leads {
+        /// Term; none when it no longer leads.
+        term: Option<u64>,
+    },
+    /// A keeper can be reached, or no longer.
+    Keeper {
+        /// The keeper.
+        keeper: Name,
+        /// Whether it can be reached.
+        up: bool,
+    },
+}
--- a/crates/node/src/process/mod.rs
+++ b/crates/node/src/process/mod.rs
@@ -1,6 +1,7 @@
 //! The reducer of a whole process: its roles, its peers, its heartbeats and its end.
 
 mod show;
+mod told;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
@@ -12,7 +13,8 @@
 use crate::admin::{self, Admin};
 use crate::asker::{Asker, Purpose};
 use crate::entry::{self, standing_in};
-use crate::forward::{self, Forward};
+use crate::forward::Forward;
+use crate::note::Note;
 use crate::watch::Watch;
 use crate::{Agent, Config, Effect, Effects, Entry, Event, Keeper, agent, api};
 
@@ -55,6 +57,11 @@
     forward: Option<Forward>,
     /// The keeper that tells what lies on the stores.
     reader: Option<Name>,
+    last_tick: Time,
+    /// Term in which this process was last told to lead.
+    leads: Option<u64>,
+    /// The configuration that was last told to be in force, and whether it served by it.
+    noted: (Revision, bool),
     peers: BTreeMap<Name, Hello>,
     /// Addresses of keepers that were learned from others.
     dialled: BTreeSet<SocketAddr>,
@@ -98,6 +105,9 @@
             keeper,
             forward,
             reader: None,
+            last_tick: Time::ZERO,
+            leads: None,
+            noted: (Revision::default(), false),
             peers: BTreeMap::new(),
             dialled: BTreeSet::new(),
             heard: BTreeMap::new(),
@@ -225,24 +235,12 @@
         }
     }
 
-    fn with_forward(&mut self, now: Time, run: impl FnOnce(&mut Forward, &forward::Context<'_>)) {
-        if let Some(forward) = &mut self.forward {
-            let leads = self.keeper.as_ref().map(Keeper::quorum);
-            let leads = leads.filter(|quorum| quorum.lease_holds(now));
-            let cx = forward::Context {
-                now,
-                view: &self.watch.view,
-                ready: self.watch.ready(now),
-                closing: self.stopping.is_some_and(|at| now.since(at) >= forward.config().linger),
-                entries: self.entry.as_ref().map_or(1, Entry::entries),
-                term: leads.map(quorum::Quorum::term),
-            };
-            run(forward, &cx);
-        }
-    }
-
     fn linked(&mut self, now: Time, hello: Hello, out: &mut Effects) {
         if hello.keeper {
+            if self.forward.is_some() && !self.peers.contains_key(&hello.name) {
+                let note = Note::Keeper { keeper: hello.name.clone(), up: true };
+                out.push(Effect::Note(Box::new(note)));
+            }
             self.asker.linked(&hello.name);
             self.watch.linked(&hello.name, out);
         }
@@ -266,7 +264,11 @@
     }
 
     fn unlinked(&mut self, now: Time, peer: &Name, out: &mut Effects) {
-        self.peers.remove(peer);
+        let lost = self.peers.remove(peer);
+        if self.forward.is_some() && lost.is_some_and(|hello| hello.keeper) {
+            let note = Note::Keeper { keeper: peer.clone(), up: false };
+            out.push(Effect::Note(Box::new(note)));
+        }
         self.heard.remove(peer);
         self.asker.unlinked(now, peer);
         self.watch.unlinked(peer);
@@ -373,60 +375,6 @@
         }
     }
 
-    /// Tells the entries what this process read: the stores, and the list of servers.
-    fn tell_read(&mut self, out: &mut Effects) {
-        let Some(forward) = &mut self.forward else {
-            return;
-        };
-        let stock = forward.take_news().map(Frame::Stock);
-        let list = forward.take_list_news().map(Frame::List);
-        for frame in stock.into_iter().chain(list) {
-            self.tell_entries(&frame, out);
-        }
-    }
-
-    fn tell_entries(&self, frame: &Frame, out: &mut Effects) {
-        let me = &self.me.hello.name;
-        for hello in self.peers.values().filter(|hello| hello.entry && hello.name != *me) {
-            out.push(Effect::Send { to: hello.name.clone(), frame: frame.clone() });
-        }
-    }
-
-    /// Tells the leader what this entry has at the servers, and as the leader tells the sums.
-    fn tell_shares(&mut self, now: Time, out: &mut Effects) {
-        let me = self.me.hello.name.clone();
-        let mut sums = Vec::new();
-        let mut leads = false;
-        self.with_forward(now, |forward, cx| {
-            leads = cx.term.is_some();
-            sums = forward.take_sums(cx);
-        });
-        let Some(forward) = &mut self.forward else {
-            return;
-        };
-        let shares = forward.take_shares(now);
-        if leads {
-            forward.shared(now, &me, &shares);
-            forward.summed(now, &sums);
-        } else if let Some(reader) = self.reader.as_ref().filter(|_| !shares.is_empty()) {
-            out.push(Effect::Send { to: reader.clone(), frame: Frame::Shares(shares) });
-        }
-        if sums.is_empty() {
-            return;
-        }
-        self.tell_entries(&Frame::Sums(sums), out);
-    }
-
-    /// Links to keepers that the settings do not name.
-    fn dial_keepers(&mut self, hellos: &[Hello], out: &mut Effects) {
-        for hello in hellos.iter().filter(|hello| hello.keeper && hello.name != self.me.hello.name)
-        {
-            if !self.peers.contains_key(&hello.name) && self.dialled.insert(hello.addr) {
-                out.push(Effect::Dial { addr: hello.addr });
-            }
-        }
-    }
-
     /// A keeper sends changes from then on; another process only what it has now.
     fn watched(&mut self, peer: &Name, revision: Revision, out: &mut Effects) {
         if let Some(keeper) = &mut self.keeper {
@@ -502,6 +450,7 @@
         self.with_agent(now, |agent, cx| agent.tick(cx, out));
         self.with_forward(now, |forward, cx| forward.tick(cx, out));
         self.tell_shares(now, out);
+        self.note(now, out);
         self.tell_keepers(now, out);
         if now >= self.next_beat {
             let many = self.peers.len() as u32 / MANY_PEERS;
--- /dev/null
+++ b/crates/node/src/process/told.rs
@@ -0,0 +1,112 @@
+//! What a process with forwarded requests tells the other entries, hears of keepers, and notes.
+
+use base::prelude::*;
+use wire::{Frame, Hello};
+
+use super::Node;
+use crate::forward::{self, Forward};
+use crate::note::Note;
+use crate::{Effect, Effects, Entry, Keeper};
+
+/// Time between two ticks from which a process is said to have stood still; ticks come every 10 ms.
+const STALLED: Duration = Duration::from_millis(500);
+impl Node {
+    pub(super) fn with_forward(
+        &mut self,
+        now: Time,
+        run: impl FnOnce(&mut Forward, &forward::Context<'_>),
+    ) {
+        if let Some(forward) = &mut self.forward {
+            let leads = self.keeper.as_ref().map(Keeper::quorum);
+            let leads = leads.filter(|quorum| quorum.lease_holds(now));
+            let cx = forward::Context {
+                now,
+                view: &self.watch.view,
+                ready: self.watch.ready(now),
+                closing: self.stopping.is_some_and(|at| now.since(at) >= forward.config().linger),
+                entries: self.entry.as_ref().map_or(1, Entry::entries),
+                term: leads.map(quorum::Quorum::term),
+            };
+            run(forward, &cx);
+        }
+    }
+
+    /// Tells the entries what this process read: the stores, and the list of servers.
+    pub(super) fn tell_read(&mut self, out: &mut Effects) {
+        let Some(forward) = &mut self.forward else {
+            return;
+        };
+        let stock = forward.take_news().map(Frame::Stock);
+        let list = forward.take_list_news().map(Frame::List);
+        for frame in stock.into_iter().chain(list) {
+            self.tell_entries(&frame, out);
+        }
+    }
+
+    fn tell_entries(&self, frame: &Frame, out: &mut Effects) {
+        let me = &self.me.hello.name;
+        for hello in self.peers.values().filter(|hello| hello.entry && hello.name != *me) {
+            out.push(Effect::Send { to: hello.name.clone(), frame: frame.clone() });
+        }
+    }
+
+    /// Notes what has changed in what this process believes.
+    pub(super) fn note(&mut self, now: Time, out: &mut Effects) {
+        if self.forward.is_none() {
+            return;
+        }
+        let time = now.since(std::mem::replace(&mut self.last_tick, now));
+        if time >= STALLED {
+            out.push(Effect::Note(Box::new(Note::Stalled { time })));
+        }
+        let leads = self.keeper.as_ref().map(Keeper::quorum);
+        let leads = leads.filter(|quorum| quorum.lease_holds(now)).map(quorum::Quorum::term);
+        if leads != self.leads {
+            self.leads = leads;
+            out.push(Effect::Note(Box::new(Note::Leads { term: leads })));
+        }
+        let view = &self.watch.view;
+        let in_force = (view.revision, self.watch.ready(now));
+        if in_force != self.noted {
+            self.noted = in_force;
+            let (revision, ready) = in_force;
+            let routes = view.table().iter().count();
+            out.push(Effect::Note(Box::new(Note::InForce { revision, routes, ready })));
+        }
+    }
+
+    /// Tells the leader what this entry has at the servers, and as the leader tells the sums.
+    pub(super) fn tell_shares(&mut self, now: Time, out: &mut Effects) {
+        let me = self.me.hello.name.clone();
+        let mut sums = Vec::new();
+        let mut leads = false;
+        self.with_forward(now, |forward, cx| {
+            leads = cx.term.is_some();
+            sums = forward.take_sums(cx);
+        });
+        let Some(forward) = &mut self.forward else {
+            return;
+        };
+        let shares = forward.take_shares(now);
+        if leads {
+            forward.shared(now, &me, &shares);
+            forward.summed(now, &sums);
+        } else if let Some(reader) = self.reader.as_ref().filter(|_| !shares.is_empty()) {
+            out.push(Effect::Send { to: reader.clone(), frame: Frame::Shares(shares) });
+        }
+        if sums.is_empty() {
+            return;
+        }
+        self.tell_entries(&Frame::Sums(sums), out);
+    }
+
+    /// Links to keepers that the settings do not name.
+    pub(super) fn dial_keepers(&mut self, hellos: &[Hello], out: &mut Effects) {
+        for hello in hellos.iter().filter(|hello| hello.keeper && hello.name != self.me.hello.name)
+        {
+            if !self.peers.contains_key(&hello.name) && self.dialled.insert(hello.addr) {
+                out.push(Effect::Dial { addr: hello.addr });
+            }
+        }
+    }
+}
--- a/crates/node/tests/forward.rs
+++ b/crates/node/tests/forward.rs
@@ -6,9 +6,8 @@
 use cache::Named;
 use fleet::{Listed, News, Stored};
 use limit::Allowance;
-use node::forward::{
-    Answer, Config, Context, Event, Forward, Head, Loss, Note, Order, Prompt, Try,
-};
+use node::forward::{Answer, Config, Context, Event, Forward, Head, Loss, Order, Prompt, Try};
+use node::note::Note;
 use node::{Effect, Effects};
 use record::{Change, Kind, Record, View, schema};
 use serde_json::{Value, json};
