A spare takes the place of a voter that is gone, and a member that was replaced comes back as a spare

A member that hears of no leader for four election timeouts says so and is taken in as a learner; for an empty disk that word proves that a configuration exists.

Ruled out: more voters (four bear no more than three); words of an empty disk for the returning member (founders would take it for empty).

--- a/crates/quorum/src/election.rs
+++ b/crates/quorum/src/election.rs
@@ -222,8 +222,21 @@
         self.become_follower(now, self.hard.term, None, out);
     }
 
-    /// Says that this disk is empty; the edge sends it to every keeper it is linked to.
+    /// Says that this disk is empty, or that its member may have been replaced, and wants to be taken
+    /// in; the edge sends it to every keeper it is linked to.
     pub fn announce(&self) -> Option<Message> {
-        self.is_fresh().then_some(Message::Fresh)
+        if self.is_fresh() {
+            return Some(Message::Fresh);
+        }
+        (self.founding.spares && self.lonely).then_some(Message::Returning)
+    }
+
+    /// Another member wants to be taken in. One with a log proves that a configuration exists.
+    pub(crate) fn returning(&mut self, now: Time, from: Member) {
+        if self.is_fresh() {
+            self.exists = true;
+        } else if self.founding.spares {
+            self.fresh.insert(from.name.clone(), (from, now));
+        }
     }
 }
--- a/crates/quorum/src/leader.rs
+++ b/crates/quorum/src/leader.rs
@@ -285,6 +285,15 @@
                 return Some(config);
             }
             if config.voters.len() >= self.founding.voters {
+                // A voter that is gone gives its place to a spare, so that the next loss is borne.
+                let gone = config
+                    .voters
+                    .iter()
+                    .position(|voter| *voter != self.me && self.silent(now, voter));
+                if let Some(gone) = gone.filter(|_| self.founding.spares) {
+                    config.voters.remove(gone);
+                    return Some(config);
+                }
                 continue;
             }
             config.learners.retain(|other| other != learner);
--- a/crates/quorum/src/message.rs
+++ b/crates/quorum/src/message.rs
@@ -93,4 +93,7 @@
         /// Term of the leader.
         term: u64,
     },
+    /// A member that has a log says that nobody counts on it: it may have been replaced while it was
+    /// silent, and wants to be taken in again.
+    Returning,
 }
--- a/crates/quorum/src/replica.rs
+++ b/crates/quorum/src/replica.rs
@@ -14,6 +14,9 @@
     Timing, Write,
 };
 
+/// Election timeouts without a leader after which a member asks to be taken in again.
+const LONELY: u32 = 4;
+
 /// One member of the quorum.
 #[derive(Debug)]
 pub struct Quorum {
@@ -46,6 +49,8 @@
     pub(crate) incoming: Option<(Snapshot, Vec<u8>)>,
     pub(crate) snapshotting: bool,
     pub(crate) started: bool,
+    /// Whether no leader has been heard of for several election timeouts.
+    pub(crate) lonely: bool,
 }
 
 impl Quorum {
@@ -86,6 +91,7 @@
             incoming: None,
             snapshotting: false,
             started: false,
+            lonely: false,
         };
         quorum.refresh_config();
         quorum
@@ -176,6 +182,9 @@
     }
 
     fn tick(&mut self, now: Time, out: &mut Vec<Output>) {
+        let heard = self.heard.unwrap_or(self.blocked_until);
+        let silent = now.since(heard) >= self.timing.election * LONELY;
+        self.lonely = self.role != Role::Leader && silent;
         if self.is_fresh() {
             self.tick_fresh(now, out);
             return;
@@ -192,6 +201,7 @@
             Message::Fresh => {
                 self.fresh.insert(from.name.clone(), (from, now));
             }
+            Message::Returning => self.returning(now, from),
             Message::Form(snapshot) => self.form_from(now, snapshot, out),
             Message::Ask { term, pre, transfer, last_index, last_term } => {
                 let last = (last_term, last_index);
--- a/crates/quorum/tests/schedule.rs
+++ b/crates/quorum/tests/schedule.rs
@@ -11,6 +11,7 @@
 const SEEDS: u64 = 40;
 const ROUNDS: u64 = 150;
 const THREE: &[&str] = &["a", "b", "c"];
+const SPARE: &[&str] = &["a", "b", "c", "spare"];
 const FIVE: &[&str] = &["a", "b", "c", "d", "e"];
 
 fn seeds() -> u64 {
@@ -47,6 +48,8 @@
 #[test_case(THREE, Faults { lose_disk: 30, ..Faults::default() }; "lost disks")]
 #[test_case(THREE, all(); "all but lost disks among three")]
 #[test_case(FIVE, Faults { lose_disk: 20, ..all() }; "all among five")]
+#[test_case(SPARE, Faults { lose_disk: 30, ..Faults::default() }; "lost disks beside a spare")]
+#[test_case(SPARE, Faults { lose_disk: 20, ..all() }; "all beside a spare")]
 fn nothing_accepted_is_lost(names: &[&str], faults: Faults) {
     let (mut acked, mut lost) = (0, 0);
     for seed in 0..seeds() {
@@ -92,6 +95,29 @@
     }
 }
 
+/// A voter is gone for good and a spare is there; once that is repaired, a second disk is lost.
+#[test]
+fn a_spare_takes_the_place_of_a_voter_that_is_gone_so_that_the_next_loss_is_borne() {
+    for seed in 0..seeds() {
+        let mut bed = Bed::new(seed, SPARE, Faults::default(), Sabotage::None);
+        bed.run(Duration::from_secs(3));
+        let gone = ["a", "b", "c"][seed as usize % 3];
+        bed.crash(gone, Duration::from_secs(3_600));
+        bed.run(Duration::from_secs(4));
+        let leader = bed.leader().expect("two of three lead");
+        bed.propose(&leader, 1);
+        bed.run(Duration::from_millis(100));
+        let second = bed.names().into_iter().find(|name| **name != *gone && !name.starts_with('s'));
+        bed.lose_disk(&second.expect("a founder"), Duration::from_millis(50));
+        bed.run(Duration::from_secs(4));
+        let leader = bed.leader().unwrap_or_else(|| panic!("seed {seed}: nobody leads"));
+        bed.propose(&leader, 2);
+        bed.run(Duration::from_secs(1));
+        assert_eq!(bed.acked.len(), 2, "seed {seed}");
+        bed.check();
+    }
+}
+
 fn fails(run: impl Fn(u64), seeds: u64) -> bool {
     (0..seeds).any(|seed| catch_unwind(AssertUnwindSafe(|| run(seed))).is_err())
 }
