--- a/crates/node/src/forward/mod.rs
+++ b/crates/node/src/forward/mod.rs
@@ -7,7 +7,8 @@
 //! | `place` | chooses a backend server |
 //! | `follow` | takes answers, losses and ends |
 //! | `share` | tells what this entry has at the servers, and hears of the others |
-//! | `stores` | reads the stores of prompt parts, fetches and saves |
+//! | `stores` | where prompt parts are fetched from and saved |
+//! | `reader` | reads what stores and servers hold |
 //! | `list` | reads the list of servers, and tells it |
 //! | `weights` | orders servers to the weight versions that are named |
 //!
@@ -20,11 +21,12 @@
 mod follow;
 mod list;
 mod place;
+mod reader;
 mod share;
 mod stores;
 mod weights;
 
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 
 use base::prelude::*;
@@ -34,6 +36,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use record::{Repeat, View};
+use serde_json::{Value, json};
 
 use crate::Effects;
 use crate::note::Basis;
@@ -189,6 +192,32 @@
         self.runs.len() + self.held.len()
     }
 
+    /// The state as JSON, without anything of callers.
+    pub fn dump(&self, now: Time) -> Value {
+        let server = |server: &fleet::Server| {
+            json!({
+                "server": &*server.listed.id,
+                "service": &*server.listed.service,
+                "address": server.listed.addr.to_string(),
+                "zone": &*server.listed.zone,
+                "leaving": server.listed.leaving,
+                "usable": server.usable(now),
+                "runs": server.runs(now),
+                "reading": server.ahead(now),
+                "version": server.version,
+            })
+        };
+        json!({
+            "open": self.runs.len(),
+            "waiting": self.held.len(),
+            "list_age_ms": self.servers.read_at().map(|at| now.since(at).as_millis() as u64),
+            "servers": self.servers.iter().map(|(_, found)| server(found)).collect::<Vec<_>>(),
+            "stored": self.stores.tokens().into_iter().collect::<BTreeMap<_, _>>(),
+            "weights": self.named.iter().map(|(model, (version, _))| (&**model, *version))
+                .collect::<BTreeMap<_, _>>(),
+        })
+    }
+
     /// The servers known.
     pub fn servers(&self) -> &Servers {
         &self.servers
--- a/crates/node/src/forward/stores.rs
+++ b/crates/node/src/forward/stores.rs
@@ -1,32 +1,25 @@
-//! What lies where of the prompts' parts: who reads it, where a part is fetched from and saved.
+//! What lies where of the prompts' parts: where a part is fetched from and saved.
 //!
 //! Answers the pattern in which the histories of all subjects are several times what the servers'
 //! own memory keeps: a history that was read once is saved, and fetched when its subject returns,
-//! from a store or from a server that still has it. Only the leader among the keepers reads their
-//! events, since they take few readers, and it tells the entries. A part is fetched from a store
-//! only when the store has said that it is complete.
+//! from a store or from a server that still has it. A part is fetched from a store only when the
+//! store has said that it is complete.
 //!
 //! Transfers from one place wait for each other. All entries know what is under way there, so a link
 //! that is slow or crowded is left alone while reading is faster.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 
 use base::prelude::*;
 use cache::{Named, Place, Stock, salt_number};
-use fleet::{News, Servers};
+use fleet::Servers;
 use record::{Engine, Store};
 use wire::{Shelf, Stored};
 
+use super::reader::Reading;
 use super::{Context, Forward};
-use crate::{Effect, Effects};
-
-/// Pause between two reads of events at one place, so that one read brings several.
-const PAUSE: Duration = Duration::from_millis(150);
-/// Pause after a read that failed.
-const AGAIN: Duration = Duration::from_millis(500);
-/// Time between two reads of all that a store holds: single events may be lost.
-const LIST_EVERY: Duration = Duration::from_secs(8);
+
 /// How long a save that this entry asked for may take to show.
 const SAVING: Duration = Duration::from_secs(2);
 /// Part of a store that is filled.
@@ -46,24 +39,6 @@
 /// Age at which what other entries have asked of a source says nothing more.
 const OTHERS_AGE: Duration = Duration::from_secs(1);
 
-/// Time between two looks for what can be freed.
-const FREE_EVERY: Duration = Duration::from_secs(1);
-/// How long no server must have held old weights before what they made is freed.
-const SETTLED: Duration = Duration::from_secs(2);
-/// Most parts that one call frees.
-const MOST_FREED: usize = 1_000;
-
-/// Reading of one place.
-#[derive(Debug, Default)]
-struct Reading {
-    since: Option<u64>,
-    epoch: u64,
-    pending: bool,
-    next: Time,
-    next_list: Time,
-    store: bool,
-}
-
 /// Transfers that were asked of a source and whose first tokens have not come.
 #[derive(Clone, Copy, Debug, Default)]
 struct Queue {
@@ -83,18 +58,18 @@
 /// What this process knows of the places that hold prompt parts.
 #[derive(Debug, Default)]
 pub(super) struct Stores {
-    stock: Stock,
-    readings: HashMap<SocketAddr, Reading>,
+    pub(super) stock: Stock,
+    pub(super) readings: HashMap<SocketAddr, Reading>,
     /// Parts that this entry has had saved lately.
     saving: HashMap<Place, Time>,
     queues: HashMap<SocketAddr, Queue>,
-    news: Vec<Shelf>,
-    term: u64,
+    pub(super) news: Vec<Shelf>,
+    pub(super) term: u64,
     /// As the reader: texts of the salts that were read.
-    salts: HashMap<u64, Name>,
-    next_free: Time,
+    pub(super) salts: HashMap<u64, Name>,
+    pub(super) next_free: Time,
     /// As the reader: the oldest weights that any server of a model holds, and since when.
-    oldest: HashMap<Name, (u64, Time)>,
+    pub(super) oldest: HashMap<Name, (u64, Time)>,
 }
 
 /// A place that a part can be fetched from.
@@ -167,7 +142,7 @@
         true
     }
 
-    fn apply(&mut self, shelf: &Shelf) {
+    pub(super) fn apply(&mut self, shelf: &Shelf) {
         let Some(epoch) = shelf.epoch else {
             self.stock.forget(shelf.store);
             return;
@@ -184,135 +159,10 @@
         self.stock.change(shelf.store, epoch, &added, &removed);
     }
 
-    /// Reads what is due, if this process leads.
-    pub fn read(&mut self, cx: &Context<'_>, servers: &Servers, out: &mut Effects) {
-        let Some(term) = cx.term else {
-            self.readings.clear();
-            return;
-        };
-        self.term = self.term.max(term);
-        let stores = cx.view.services().filter_map(|(_, service)| service.store.as_ref());
-        let stores = stores.map(|store| (store.addr, true));
-        let engines = servers.iter().filter(|(_, server)| !server.listed.models.is_empty());
-        let engines = engines.map(|(_, server)| (server.listed.addr, false));
-        let places: BTreeMap<SocketAddr, bool> = stores.chain(engines).collect();
-        self.readings.retain(|addr, _| places.contains_key(addr));
-        let gone: Vec<SocketAddr> =
-            self.stock.places().filter(|addr| !places.contains_key(addr)).collect();
-        for addr in gone {
-            self.tell(Shelf { store: addr, epoch: None, whole: true, parts: Vec::new() });
-        }
-        for (addr, store) in places {
-            let reading = self.readings.entry(addr).or_default();
-            reading.store = store;
-            if reading.pending || cx.now < reading.next {
-                continue;
-            }
-            if store && cx.now >= reading.next_list {
-                reading.next_list = cx.now + LIST_EVERY;
-                reading.since = None;
-            } else if !store {
-                // The list of a server would stall its runs.
-                reading.since.get_or_insert(0);
-            }
-            reading.pending = true;
-            out.push(Effect::ReadStore { addr, since: reading.since });
-        }
-    }
-
-    /// A read has ended.
-    pub fn was_read(
-        &mut self,
-        cx: &Context<'_>,
-        addr: SocketAddr,
-        since: Option<u64>,
-        news: Result<News, String>,
-    ) {
-        let Some(reading) = self.readings.get_mut(&addr) else {
-            return;
-        };
-        reading.pending = false;
-        let Ok(news) = news else {
-            reading.since = None;
-            reading.next = cx.now + AGAIN;
-            if self.stock.knows(addr) {
-                self.tell(Shelf { store: addr, epoch: None, whole: true, parts: Vec::new() });
-            }
-            return;
-        };
-        let whole = since.is_none() || (!reading.store && since == Some(0));
-        let broken = news.epoch != reading.epoch || news.gap;
-        if broken && !whole {
-            // What it holds now is not known: it is read from the start.
-            reading.since = None;
-            reading.next = cx.now;
-            if news.epoch != reading.epoch {
-                self.tell(Shelf { store: addr, epoch: None, whole: true, parts: Vec::new() });
-            }
-            return;
-        }
-        reading.since = Some(news.next);
-        reading.epoch = news.epoch;
-        reading.next = cx.now + PAUSE;
-        if news.parts.is_empty() && !whole {
-            return;
-        }
-        // The last event of a part tells where it stands.
-        let mut parts = BTreeMap::new();
-        for part in &news.parts {
-            let salt = salt_number(&part.salt);
-            self.salts.entry(salt).or_insert_with(|| Name::new(&part.salt));
-            parts.insert((salt, part.id), part.tokens);
-        }
-        let stored = |((salt, id), tokens)| Stored { salt, id, tokens };
-        let parts = parts.into_iter().map(stored).collect();
-        self.tell(Shelf { store: addr, epoch: Some(news.epoch), whole, parts });
-    }
-
-    /// As the reader: frees what was made with weights that no server holds any more, so that what
-    /// is made with new ones finds room. Nothing fetches it: a server refuses a request that expects
-    /// other weights, and has ended its runs before it changed them.
-    pub fn free(&mut self, cx: &Context<'_>, servers: &Servers, out: &mut Effects) {
-        if cx.term.is_none() || cx.now < self.next_free {
-            return;
-        }
-        self.next_free = cx.now + FREE_EVERY;
-        let mut oldest: HashMap<Name, u64> = HashMap::new();
-        for (_, server) in servers.iter() {
-            for (model, _) in &server.listed.models {
-                let least = oldest.entry(model.clone()).or_insert(u64::MAX);
-                *least = (*least).min(server.version);
-            }
-        }
-        for (model, version) in oldest {
-            let known = self.oldest.entry(model).or_insert((version, cx.now));
-            if known.0 != version {
-                *known = (version, cx.now);
-            }
-        }
-        let made_old = |salt: u64| {
-            let (model, version) = made_with(self.salts.get(&salt)?)?;
-            let (oldest, since) = self.oldest.get(model)?;
-            (version < *oldest && cx.now.since(*since) >= SETTLED).then_some(())
-        };
-        for (addr, epoch, parts) in self.stock.shelves() {
-            if store_at(cx, addr).is_none() {
-                continue;
-            }
-            let old = parts.into_iter().filter(|(place, _)| made_old(place.salt).is_some());
-            let parts: Vec<(Name, u64)> = old
-                .filter_map(|(place, _)| Some((self.salts.get(&place.salt)?.clone(), place.id)))
-                .take(MOST_FREED)
-                .collect();
-            if !parts.is_empty() {
-                out.push(Effect::FreeParts { addr, epoch, parts });
-            }
-        }
-    }
-
-    fn tell(&mut self, shelf: Shelf) {
-        self.apply(&shelf);
-        self.news.push(shelf);
+    /// Tokens at each place.
+    pub fn tokens(&self) -> Vec<(String, u64)> {
+        let tokens = |place| (format!("{place}"), self.stock.tokens(place));
+        self.stock.places().map(tokens).collect()
     }
 
     /// Whether what lies at a server is told by its events.
@@ -472,14 +322,7 @@
     }
 }
 
-/// The model and weight version that parts under a salt were made with.
-fn made_with(salt: &str) -> Option<(&str, u64)> {
-    let (rest, version) = salt.rsplit_once('/')?;
-    let (_, model) = rest.rsplit_once('/')?;
-    Some((model, version.parse().ok()?))
-}
-
-fn store_at<'a>(cx: &Context<'a>, addr: SocketAddr) -> Option<&'a Store> {
+pub(super) fn store_at<'a>(cx: &Context<'a>, addr: SocketAddr) -> Option<&'a Store> {
     let mut stores = cx.view.services().filter_map(|(_, service)| service.store.as_ref());
     stores.find(|store| store.addr == addr)
 }
--- a/crates/node/src/process/show.rs
+++ b/crates/node/src/process/show.rs
@@ -84,6 +84,7 @@
             "peers": self.peers.keys().map(|name| &**name).collect::<Vec<&str>>(),
             "requests_to_keepers": self.asker.open(),
             "entry": self.entry.as_ref().map(|entry| entry.dump(now)),
+            "forward": self.forward.as_ref().map(|forward| forward.dump(now)),
             "agent": self.agent.as_ref().map(|agent| agent.dump(now)),
             "keeper": self.keeper.as_ref().map(|keeper| keeper.dump(now)),
         })
@@ -101,6 +102,14 @@
         if let Some(ago) = self.watch.confirmed_ago(now) {
             all.push(("tamarack_config_confirmed_seconds_ago", ago.as_secs_f64()));
         }
+        if let Some(forward) = &self.forward {
+            let usable = forward.servers().iter().filter(|(_, server)| server.usable(now)).count();
+            all.push(("tamarack_forward_open", forward.open() as f64));
+            all.push(("tamarack_forward_usable_servers", usable as f64));
+            if let Some(at) = forward.servers().read_at() {
+                all.push(("tamarack_forward_list_age_seconds", now.since(at).as_secs_f64()));
+            }
+        }
         if let Some(entry) = &self.entry {
             all.push(("tamarack_entry_open", entry.open() as f64));
             all.push(("tamarack_entry_waiting", entry.waiting() as f64));
