--- a/crates/node/tests/forward.rs
+++ b/crates/node/tests/forward.rs
@@ -69,6 +69,7 @@
             &json!({ "keys": [blake3::hash(b"own").to_hex().as_str()], "isolated": true }),
         ),
         record(Kind::Route, "once", &route("/once/", "never", 1)),
+        record(Kind::Route, "twice", &route("/twice/", "never", 2)),
         record(Kind::Route, "safe", &route("/safe/", "always", 2)),
         record(Kind::Route, "stream", &route("/stream/", "resume", 2)),
         record(Kind::Rollout, "m", &json!({ "model": "m", "version": format!("m@{weights}") })),
@@ -273,6 +274,7 @@
 
 #[test_case("/once/x", Loss::Silent, Code::Unknown, 502; "it may have run")]
 #[test_case("/once/x", Loss::Broken, Code::Unknown, 502; "it has begun to answer")]
+#[test_case("/twice/x", Loss::Silent, Code::Unknown, 502; "though its route allows two servers")]
 fn what_may_have_run_once_is_never_sent_again(path: &str, loss: Loss, code: Code, status: u16) {
     let mut bed = Bed::new(3);
     bed.ask(1, path);
