One piece of code where forwarding stood twice; work that grew with servers

Cause: read once more, the change had one time-out and status check five times, the gathering of an operator's answer and the largest body in two listeners, leadership derived three times, one effect built three times, a code chosen that give_up chooses itself, a list pass quadratic in the servers, and a copy of every shelf each second to free parts on a few.

Change: Client::call takes its time, good and within read its end; outlet::Whole serves both listeners; Node::term; weights::report; Listed::version; Servers::key; a set for the servers that are live; Stock::shelf. Behaviour is as it was, and no test changed.

Left as it is: wire::Listed beside fleet::Listed, since types of the border stand apart from the domain's.

--- a/crates/cache/src/stock.rs
+++ b/crates/cache/src/stock.rs
@@ -92,6 +92,12 @@
         self.shelves.get(&store).map_or(0, |shelf| shelf.tokens)
     }
 
+    /// Life of a store and the parts on it.
+    pub fn shelf(&self, store: SocketAddr) -> Option<(u64, impl Iterator<Item = Place>)> {
+        let shelf = self.shelves.get(&store)?;
+        Some((shelf.epoch, shelf.parts.keys().copied()))
+    }
+
     /// Life and parts of each store.
     pub fn shelves(&self) -> impl Iterator<Item = (SocketAddr, u64, Vec<(Place, u32)>)> {
         self.shelves.iter().map(|(store, shelf)| {
--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -20,11 +20,9 @@
 
 use crate::clock::unix_ms;
 use crate::metrics::Metrics;
-use crate::outlet::{self, Out};
-use crate::{Dialect, Input, Inputs, start};
+use crate::outlet::{self, Whole};
+use crate::{Dialect, Input, Inputs, operators, start};
 
-/// Largest body of an operator's request, bytes.
-const MAX_BODY: usize = 4 << 20;
 /// Longest wait for a request, and for an idle connection's next one.
 const ARRIVAL: Duration = Duration::from_secs(10);
 
@@ -70,14 +68,15 @@
     let (head, body) = request.into_parts();
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
     if control.dialect.is_none() && path == "/metrics" {
-        let reply = Reply { status: 200, kind: "text/plain".to_owned(), headers: Vec::new() };
-        return Ok(response(reply, control.metrics.text()));
+        let (reply, body) = operators::plain(control.metrics.text());
+        return Ok(response(reply, body));
     }
-    let body = match timeout(ARRIVAL, Limited::new(body, MAX_BODY).collect()).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) => return Ok(refuse(Code::BadBody, &error.to_string())),
-        Err(_) => return Ok(refuse(Code::SlowCaller, "the body did not arrive in time")),
-    };
+    let body =
+        match timeout(ARRIVAL, Limited::new(body, operators::MAX_BODY as usize).collect()).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(error)) => return Ok(refuse(Code::BadBody, &error.to_string())),
+            Err(_) => return Ok(refuse(Code::SlowCaller, "the body did not arrive in time")),
+        };
     let parsed = match &control.dialect {
         Some(dialect) => dialect.operator(&head, &body, unix_ms()),
         None => admin::parse(&own(&head, path, &body), unix_ms()),
@@ -107,22 +106,15 @@
     let call = start::call_number();
     let (outlet, mut inlet) = outlet::pair();
     let event = Event::Admin { call, admin: Box::new(admin) };
-    let mut reply = Reply { status: 503, ..Reply::default() };
-    let mut body = Vec::new();
-    if control.inputs.send(Input::Open { call, outlet, event }).is_err() {
-        return response(reply, body);
-    }
-    while let Some(out) = inlet.receiver.recv().await {
-        match out {
-            Out::Begin(head) => reply = head,
-            Out::Body(bytes) => {
-                inlet.taken(bytes.len());
-                body.extend(bytes);
+    let mut whole = Whole::default();
+    if control.inputs.send(Input::Open { call, outlet, event }).is_ok() {
+        while let Some(out) = inlet.receiver.recv().await {
+            if whole.take(&inlet, out) {
+                break;
             }
-            Out::Finish(_) => break,
         }
     }
-    response(reply, body)
+    response(whole.reply, whole.body)
 }
 
 fn refuse(code: Code, text: &str) -> Response<Full<Bytes>> {
--- a/crates/edge/src/direct.rs
+++ b/crates/edge/src/direct.rs
@@ -31,6 +31,9 @@
 /// Time between two looks for connections that were idle for too long.
 const SWEEP: Duration = Duration::from_secs(1);
 
+/// Status and body of an answer, or what went wrong.
+type Answer = Result<(u16, Bytes), String>;
+
 /// What the host asks for.
 #[derive(Debug)]
 pub enum Command {
@@ -102,18 +105,12 @@
         match command {
             Command::List => {
                 let addr = self.list?;
-                let read = timeout(ANSWER, self.read_list(addr)).await;
-                let list = read.unwrap_or_else(|_| Err("no answer in time".to_owned()));
+                let list = within(ANSWER, self.read_list(addr)).await;
                 Some(forward::Event::Listed { list })
             }
             Command::Report { id, addr } => {
-                let answer = timeout(ANSWER, self.call(addr, self.dialect.report(&id))).await;
-                let answer = answer.unwrap_or_else(|_| Err("no answer in time".to_owned()));
-                let report = answer.and_then(|(status, body)| match status {
-                    200 => self.dialect.reported(&body),
-                    _ => Err(format!("status {status}")),
-                });
-                match report {
+                let answer = self.call(addr, self.dialect.report(&id), ANSWER).await;
+                match good(answer).and_then(|body| self.dialect.reported(&body)) {
                     Ok(Report { version, load, orders }) => {
                         Some(forward::Event::Reported { id, version, load, orders })
                     }
@@ -125,12 +122,8 @@
             }
             Command::Store { addr, since } => {
                 let call = self.dialect.store(since, EVENTS);
-                let answer = timeout(EVENTS + ANSWER, self.call(addr, call)).await;
-                let answer = answer.unwrap_or_else(|_| Err("no answer in time".to_owned()));
-                let news = answer.and_then(|(status, body)| match status {
-                    200 => self.dialect.news(since.is_none(), &body),
-                    _ => Err(format!("status {status}")),
-                });
+                let answer = self.call(addr, call, EVENTS + ANSWER).await;
+                let news = good(answer).and_then(|body| self.dialect.news(since.is_none(), &body));
                 if let Err(error) = &news {
                     log::warn!(store:% = addr, error:% = error; "store not read");
                 }
@@ -138,8 +131,7 @@
             }
             Command::Free { addr, epoch, parts } => {
                 let call = self.dialect.free(epoch, &parts);
-                let answer = timeout(ANSWER, self.call(addr, call)).await;
-                let answer = answer.unwrap_or_else(|_| Err("no answer in time".to_owned()));
+                let answer = self.call(addr, call, ANSWER).await;
                 let status = answer.as_ref().map_or(0, |(status, _)| *status);
                 let error = answer.err().unwrap_or_default();
                 // What went shows in the store's events.
@@ -151,8 +143,7 @@
             }
             Command::Change(change) => {
                 let call = self.dialect.change(&change, &self.holder);
-                let answer = timeout(ORDER, self.call(change.addr, call)).await;
-                let answer = answer.unwrap_or_else(|_| Err("no answer in time".to_owned()));
+                let answer = self.call(change.addr, call, ORDER).await;
                 let status = match &answer {
                     Ok((status, _)) => *status,
                     Err(error) => {
@@ -172,11 +163,9 @@
         let mut servers = Vec::new();
         let mut from = None;
         for _ in 0..MOST_PAGES {
-            let (status, body) = self.call(addr, self.dialect.list(from.as_deref())).await?;
-            if status != 200 {
-                return Err(format!("status {status}"));
-            }
-            let page = self.dialect.page(&body)?;
+            // All pages together have the time of one call.
+            let answer = self.send(addr, self.dialect.list(from.as_deref())).await;
+            let page = self.dialect.page(&good(answer)?)?;
             servers.extend(page.servers);
             from = page.next;
             if from.is_none() {
@@ -186,7 +175,11 @@
         Err("the list has no end".to_owned())
     }
 
-    async fn call(&self, addr: SocketAddr, call: Call) -> Result<(u16, Bytes), String> {
+    async fn call(&self, addr: SocketAddr, call: Call, time: Duration) -> Answer {
+        within(time, self.send(addr, call)).await
+    }
+
+    async fn send(&self, addr: SocketAddr, call: Call) -> Answer {
         let mut request = Request::new(Full::new(call.body));
         *request.method_mut() = call.method;
         *request.uri_mut() = call.path.parse().map_err(|error| format!("path: {error}"))?;
@@ -202,3 +195,18 @@
         Ok((status, body))
     }
 }
+
+/// The body of an answer that is a success.
+fn good(answer: Answer) -> Result<Bytes, String> {
+    match answer? {
+        (200, body) => Ok(body),
+        (status, _) => Err(format!("status {status}")),
+    }
+}
+
+async fn within<T>(
+    time: Duration,
+    call: impl Future<Output = Result<T, String>>,
+) -> Result<T, String> {
+    timeout(time, call).await.unwrap_or_else(|_| Err("no answer in time".to_owned()))
+}
--- a/crates/edge/src/operators.rs
+++ b/crates/edge/src/operators.rs
@@ -12,12 +12,12 @@
 
 use crate::clock::unix_ms;
 use crate::metrics::Metrics;
-use crate::outlet::{self, Out};
+use crate::outlet::{self, Whole};
 use crate::{Input, Inputs, start};
 
 const THREADS: usize = 8;
 /// Largest body of an operator's request, bytes.
-const MAX_BODY: u64 = 4 << 20;
+pub(crate) const MAX_BODY: u64 = 4 << 20;
 
 struct Shared {
     inputs: Inputs,
@@ -108,25 +108,18 @@
     let call = start::call_number();
     let (outlet, mut inlet) = outlet::pair();
     let event = Event::Admin { call, admin: Box::new(admin) };
-    let mut reply = Reply { status: 503, ..Reply::default() };
-    let mut body = Vec::new();
-    if shared.inputs.send(Input::Open { call, outlet, event }).is_err() {
-        return (reply, body);
-    }
-    while let Some(out) = inlet.receiver.blocking_recv() {
-        match out {
-            Out::Begin(head) => reply = head,
-            Out::Body(bytes) => {
-                inlet.taken(bytes.len());
-                body.extend(bytes);
+    let mut whole = Whole::default();
+    if shared.inputs.send(Input::Open { call, outlet, event }).is_ok() {
+        while let Some(out) = inlet.receiver.blocking_recv() {
+            if whole.take(&inlet, out) {
+                break;
             }
-            Out::Finish(_) => break,
         }
     }
-    (reply, body)
+    (whole.reply, whole.body)
 }
 
-fn plain(body: Vec<u8>) -> (Reply, Vec<u8>) {
+pub(crate) fn plain(body: Vec<u8>) -> (Reply, Vec<u8>) {
     let reply = Reply { status: 200, kind: "text/plain".to_owned(), headers: Vec::new() };
     (reply, body)
 }
--- a/crates/edge/src/outlet.rs
+++ b/crates/edge/src/outlet.rs
@@ -61,3 +61,34 @@
         self.pending.fetch_sub(bytes, Ordering::Relaxed);
     }
 }
+
+/// A whole answer, put together from its messages.
+#[derive(Debug)]
+pub struct Whole {
+    /// The head.
+    pub reply: Reply,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+impl Default for Whole {
+    /// What stands until an answer begins: the process is leaving.
+    fn default() -> Self {
+        Self { reply: Reply { status: 503, ..Reply::default() }, body: Vec::new() }
+    }
+}
+
+impl Whole {
+    /// Takes a message; true when it was the last.
+    pub fn take(&mut self, inlet: &Inlet, out: Out) -> bool {
+        match out {
+            Out::Begin(head) => self.reply = head,
+            Out::Body(bytes) => {
+                inlet.taken(bytes.len());
+                self.body.extend(bytes);
+            }
+            Out::Finish(_) => return true,
+        }
+        false
+    }
+}
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -47,6 +47,13 @@
     pub models: Vec<(Name, u64)>,
 }
 
+impl Listed {
+    /// Its weight version; 0 where the list names none.
+    pub fn version(&self) -> u64 {
+        self.models.iter().map(|(_, version)| *version).max().unwrap_or(0)
+    }
+}
+
 /// A server's own word of its load.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Load {
@@ -86,10 +93,9 @@
 
 impl Server {
     pub(crate) fn new(listed: Listed) -> Self {
-        let version = listed.models.iter().map(|(_, version)| *version).max().unwrap_or(0);
         Self {
+            version: listed.version(),
             listed,
-            version,
             running: 0,
             reading: 0,
             held: Held::default(),
--- a/crates/fleet/src/servers.rs
+++ b/crates/fleet/src/servers.rs
@@ -1,6 +1,6 @@
 //! All servers.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 
 use base::prelude::*;
@@ -36,8 +36,7 @@
             });
             let key = match known.and_then(|key| Some((key, self.all.get_mut(key)?))) {
                 Some((key, server)) => {
-                    let version = listed.models.iter().map(|(_, version)| *version).max();
-                    server.listed_version(now, version.unwrap_or(0));
+                    server.listed_version(now, listed.version());
                     server.listed = listed;
                     key
                 }
@@ -46,7 +45,7 @@
             ids.insert(id, key);
         }
         self.ids = ids;
-        let live: Vec<Key> = self.ids.values().copied().collect();
+        let live: HashSet<Key> = self.ids.values().copied().collect();
         self.all.retain(|key, _| live.contains(&key));
         self.services.clear();
         self.addrs.clear();
@@ -76,9 +75,14 @@
         self.all.get_mut(key)
     }
 
+    /// Key of the server of this identity.
+    pub fn key(&self, id: &str) -> Option<Key> {
+        self.ids.get(id).copied()
+    }
+
     /// The server of this identity.
     pub fn by_id(&mut self, id: &str) -> Option<&mut Server> {
-        self.all.get_mut(*self.ids.get(id)?)
+        self.all.get_mut(self.key(id)?)
     }
 
     /// The server at an address.
--- a/crates/node/src/forward/follow.rs
+++ b/crates/node/src/forward/follow.rs
@@ -3,7 +3,8 @@
 use base::prelude::*;
 use record::Repeat;
 
-use super::{Answer, Context, Forward, Loss, Order, Run};
+use super::weights::report;
+use super::{Answer, Context, Forward, Loss, Order};
 use crate::note::Note;
 use crate::{Effect, Effects};
 
@@ -34,8 +35,7 @@
             if answer.status == MISDIRECTED {
                 server.misdirected(cx.now);
                 if server.ask(cx.now) {
-                    let (id, addr) = (server.listed.id.clone(), server.listed.addr);
-                    out.push(Effect::Report { id, addr });
+                    out.push(report(server));
                 }
             }
         }
@@ -110,16 +110,17 @@
             self.rejected(cx, call, 0, out);
             return;
         }
+        let passed = run.passed;
         let may = match run.repeat {
             Repeat::Never => false,
-            Repeat::Always => !run.passed,
+            Repeat::Always => !passed,
             Repeat::Resume => true,
         };
         if may && self.again(cx, call) {
             self.retry(cx, call, loss.as_str().to_owned(), out);
             return;
         }
-        let code = if run_passed(self.runs.get(&call)) { Code::Cut } else { Code::Unknown };
+        let code = if passed { Code::Cut } else { Code::Unknown };
         self.lost(call, loss.as_str().to_owned(), "given up", out);
         self.give_up(cx, call, code, "the backend server broke off", out);
     }
@@ -142,9 +143,7 @@
             return;
         }
         self.lost(call, why, "given up", out);
-        let ran = self.runs.get(&call).is_some_and(|run| run.ran > 0);
-        let code = if ran { Code::Unknown } else { Code::Overloaded };
-        self.give_up(cx, call, code, "the backend servers are full", out);
+        self.give_up(cx, call, Code::Overloaded, "the backend servers are full", out);
     }
 
     /// Whether a request that may have run may be tried once more; takes a part of the budget.
@@ -254,7 +253,3 @@
         }
     }
 }
-
-fn run_passed(run: Option<&Run>) -> bool {
-    run.is_some_and(|run| run.passed)
-}
--- a/crates/node/src/forward/reader.rs
+++ b/crates/node/src/forward/reader.rs
@@ -11,7 +11,7 @@
 use wire::{Shelf, Stored};
 
 use super::Context;
-use super::stores::{Stores, store_at};
+use super::stores::Stores;
 use crate::{Effect, Effects};
 
 /// Pause between two reads of events at one place, so that one read brings several.
@@ -150,13 +150,12 @@
             let (oldest, since) = self.oldest.get(model)?;
             (version < *oldest && cx.now.since(*since) >= SETTLED).then_some(())
         };
-        for (addr, epoch, parts) in self.stock.shelves() {
-            if store_at(cx, addr).is_none() {
-                continue;
-            }
-            let old = parts.into_iter().filter(|(place, _)| made_old(place.salt).is_some());
+        for store in cx.view.services().filter_map(|(_, service)| service.store.as_ref()) {
+            let addr = store.addr;
+            let Some((epoch, places)) = self.stock.shelf(addr) else { continue };
+            let old = places.filter(|place| made_old(place.salt).is_some());
             let parts: Vec<(Name, u64)> = old
-                .filter_map(|(place, _)| Some((self.salts.get(&place.salt)?.clone(), place.id)))
+                .filter_map(|place| Some((self.salts.get(&place.salt)?.clone(), place.id)))
                 .take(MOST_FREED)
                 .collect();
             if !parts.is_empty() {
--- a/crates/node/src/forward/stores.rs
+++ b/crates/node/src/forward/stores.rs
@@ -322,7 +322,7 @@
     }
 }
 
-pub(super) fn store_at<'a>(cx: &Context<'a>, addr: SocketAddr) -> Option<&'a Store> {
+fn store_at<'a>(cx: &Context<'a>, addr: SocketAddr) -> Option<&'a Store> {
     let mut stores = cx.view.services().filter_map(|(_, service)| service.store.as_ref());
     stores.find(|store| store.addr == addr)
 }
--- a/crates/node/src/forward/weights.rs
+++ b/crates/node/src/forward/weights.rs
@@ -1,7 +1,7 @@
 //! Orders servers to the weight versions that are named.
 
 use base::prelude::*;
-use fleet::Load;
+use fleet::{Load, Server};
 
 use super::{Change, Context, Forward};
 use crate::note::Note;
@@ -28,10 +28,7 @@
     }
 
     pub(super) fn changed(&mut self, now: Time, id: &Name, taken: bool) {
-        let key = self.servers.iter().find(|(_, server)| server.listed.id == *id);
-        if let Some((key, _)) = key
-            && !taken
-        {
+        if let Some(key) = self.servers.key(id).filter(|_| !taken) {
             self.rollout.failed(now, key);
         }
     }
@@ -73,8 +70,7 @@
         self.next_orders = cx.now + ROUND;
         for key in self.rollout.under_way() {
             if let Some(server) = self.servers.get(key) {
-                let (id, addr) = (server.listed.id.clone(), server.listed.addr);
-                out.push(Effect::Report { id, addr });
+                out.push(report(server));
             }
         }
         for (model, version) in cx.view.all_weights() {
@@ -83,8 +79,7 @@
                 if let Some(server) = self.servers.get_mut(key)
                     && server.ask(cx.now)
                 {
-                    let (id, addr) = (server.listed.id.clone(), server.listed.addr);
-                    out.push(Effect::Report { id, addr });
+                    out.push(report(server));
                 }
             }
             for order in due.orders {
@@ -104,3 +99,8 @@
         }
     }
 }
+
+/// Asks a server what it holds.
+pub(super) fn report(server: &Server) -> Effect {
+    Effect::Report { id: server.listed.id.clone(), addr: server.listed.addr }
+}
--- a/crates/node/src/process/mod.rs
+++ b/crates/node/src/process/mod.rs
@@ -254,7 +254,7 @@
         }
         let beat = self.heartbeat(now, &hello.name);
         out.push(Effect::Send { to: hello.name.clone(), frame: Frame::Beat(beat) });
-        let leads = self.keeper.as_ref().is_some_and(|keeper| keeper.quorum().lease_holds(now));
+        let leads = self.term(now).is_some();
         if let Some(forward) = self.forward.as_ref().filter(|_| leads && hello.entry) {
             let frame = Frame::Stock(forward.stock());
             out.push(Effect::Send { to: hello.name.clone(), frame });
--- a/crates/node/src/process/told.rs
+++ b/crates/node/src/process/told.rs
@@ -10,22 +10,28 @@
 
 /// Time between two ticks from which a process is said to have stood still; ticks come every 10 ms.
 const STALLED: Duration = Duration::from_millis(500);
+
 impl Node {
+    /// Term in which this process leads the keepers, if its lease holds.
+    pub(super) fn term(&self, now: Time) -> Option<u64> {
+        let quorum = self.keeper.as_ref().map(Keeper::quorum);
+        quorum.filter(|quorum| quorum.lease_holds(now)).map(quorum::Quorum::term)
+    }
+
     pub(super) fn with_forward(
         &mut self,
         now: Time,
         run: impl FnOnce(&mut Forward, &forward::Context<'_>),
     ) {
+        let term = self.term(now);
         if let Some(forward) = &mut self.forward {
-            let leads = self.keeper.as_ref().map(Keeper::quorum);
-            let leads = leads.filter(|quorum| quorum.lease_holds(now));
             let cx = forward::Context {
                 now,
                 view: &self.watch.view,
                 ready: self.watch.ready(now),
                 closing: self.stopping.is_some_and(|at| now.since(at) >= forward.config().linger),
                 entries: self.entry.as_ref().map_or(1, Entry::entries),
-                term: leads.map(quorum::Quorum::term),
+                term,
             };
             run(forward, &cx);
         }
@@ -59,8 +65,7 @@
         if time >= STALLED {
             out.push(Effect::Note(Box::new(Note::Stalled { time })));
         }
-        let leads = self.keeper.as_ref().map(Keeper::quorum);
-        let leads = leads.filter(|quorum| quorum.lease_holds(now)).map(quorum::Quorum::term);
+        let leads = self.term(now);
         if leads != self.leads {
             self.leads = leads;
             out.push(Effect::Note(Box::new(Note::Leads { term: leads })));
