The known red test asked an entry before the change could be known there

Cause: keepers.rs:106 sent its first completion as soon as one keeper had acknowledged the workspace. Trace (eight runs with the revision of that entry printed beside each answer): the 401 came 1.5 ms after the acknowledgement, with revision 0 and commit 2 of 3 there; the leader's commit arrived within 6 ms of it in every run, after which the answer was 200. An entry that served before the workspace was made may refuse an unknown key until the commit reaches it; the bound for a change is 5 s. Ruled out: the shorter elections change only how often a process is ready so early (its mark is read before the workspace is made); the commit is already sent at once, not with the next heartbeat. Change: the bed waits until each keeper knows the workspace it made. No assertion changed; the bed's wait is the one other tests use (until ... knows).

--- a/bin/tamarackbank/tests/bed/mod.rs
+++ b/bin/tamarackbank/tests/bed/mod.rs
@@ -303,10 +303,15 @@
     member(folder, &name, &text)
 }
 
-/// Starts three keepers and makes the workspace "demo".
+/// Starts three keepers and makes the workspace "demo", which is in force at each of them.
+///
+/// An accepted change is in force elsewhere only once the leader has told of its commit: a caller
+/// who asks before that is refused with 401, rightly.
 pub fn keepers(folder: &std::path::Path, test: u8) -> Vec<Member> {
     let keepers: Vec<Member> = (1..=3).map(|number| keeper(folder, test, number)).collect();
     workspace(&keepers[0].operators);
+    let all_know = || keepers.iter().all(|keeper| knows(&keeper.operators, "workspace/demo", 1));
+    until("the workspace is in force at all", all_know);
     keepers
 }
 
