check reads the platform's settings; settings of the product may go before those made of them

Cause: a wrong file of the platform told its mistakes without a line and without what is allowed, and only at a start; nothing could be set on a hosted process beyond what the platform names.

--- a/bin/tamarackbank/src/args.rs
+++ b/bin/tamarackbank/src/args.rs
@@ -35,7 +35,11 @@
 /// Run the process that the users' platform describes, in its words.
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "hosted")]
-pub struct Hosted {}
+pub struct Hosted {
+    /// settings file of the product whose values go before those made of the platform's
+    #[argh(option)]
+    pub over: Option<PathBuf>,
+}
 
 /// Check a settings file and print every mistake in it.
 #[derive(FromArgs, Debug)]
@@ -44,6 +48,9 @@
     /// settings file
     #[argh(positional)]
     pub settings: PathBuf,
+    /// the file is one that the platform leaves for a process; print what is made of it
+    #[argh(switch)]
+    pub hosted: bool,
 }
 
 /// Restore a keeper's data from a copy of any keeper's folder, under a new epoch.
--- a/bin/tamarackbank/src/main.rs
+++ b/bin/tamarackbank/src/main.rs
@@ -9,9 +9,9 @@
 use std::process::ExitCode;
 
 use args::{Args, Command};
-use conf::Settings;
+use conf::{Mistake, Settings};
 use edge::{Exit, Running};
-use eyre::{WrapErr, bail};
+use eyre::{WrapErr, bail, eyre};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
@@ -23,8 +23,9 @@
         edge::log_to_stderr();
     }
     let result = match args.command {
-        Command::Hosted(_) => platform::run(),
+        Command::Hosted(hosted) => platform::run(hosted.over.as_deref()),
         Command::Run(run) => run_file(&run.settings),
+        Command::Check(check) if check.hosted => check_hosted(&check.settings),
         Command::Check(check) => check_file(&check.settings),
         Command::Restore(args) => {
             read(&args.settings).and_then(|settings| restore::run(&settings, &args.from))
@@ -47,19 +48,33 @@
     Ok(())
 }
 
-fn read(path: &Path) -> eyre::Result<Settings> {
-    let text = fs::read_to_string(path).wrap_err_with(|| path.display().to_string())?;
-    match Settings::parse(&text) {
-        Ok(settings) => Ok(settings),
-        Err(mistakes) => {
-            for mistake in &mistakes {
-                eprintln!("{}: {mistake}", path.display());
-            }
-            bail!("{} mistakes in {}", mistakes.len(), path.display());
+/// Checks a file that the platform leaves for a process, and prints what is made of it.
+fn check_hosted(path: &Path) -> eyre::Result<()> {
+    match platform::check(&text(path)?) {
+        Ok(settings) => {
+            println!("{}: no mistakes; the settings made of it:\n\n{settings}", path.display());
+            Ok(())
         }
+        Err(mistakes) => Err(tell(path, &mistakes)),
     }
 }
 
+fn text(path: &Path) -> eyre::Result<String> {
+    fs::read_to_string(path).wrap_err_with(|| path.display().to_string())
+}
+
+/// Prints each mistake and gives the error that counts them.
+fn tell(path: &Path, mistakes: &[Mistake]) -> eyre::Report {
+    for mistake in mistakes {
+        eprintln!("{}: {mistake}", path.display());
+    }
+    eyre!("{} mistakes in {}", mistakes.len(), path.display())
+}
+
+fn read(path: &Path) -> eyre::Result<Settings> {
+    Settings::parse(&text(path)?).map_err(|mistakes| tell(path, &mistakes))
+}
+
 fn run_file(path: &Path) -> eyre::Result<()> {
     run(&read(path)?)
 }
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -79,8 +79,10 @@
     pub zone: Name,
     /// Roles it plays.
     pub roles: Vec<Role>,
-    /// Address on which other processes reach it.
+    /// Address of its link listener.
     pub link: SocketAddr,
+    /// Address at which others reach that listener, where it is another one.
+    pub advertise: Option<SocketAddr>,
     /// Address of the operators' HTTP listener.
     pub operators: SocketAddr,
     /// Bearer key that operators show; empty allows everyone.
@@ -142,7 +144,17 @@
 const KEYS: &[(&str, &[&str])] = &[
     (
         "process",
-        &["name", "zone", "roles", "link", "operators", "operator_key", "data", "drain_ms"],
+        &[
+            "name",
+            "zone",
+            "roles",
+            "link",
+            "advertise",
+            "operators",
+            "operator_key",
+            "data",
+            "drain_ms",
+        ],
     ),
     ("peers", &[]),
     (
@@ -189,7 +201,18 @@
     /// # Errors
     /// Every mistake found, in the order of their lines.
     pub fn parse(text: &str) -> Result<Self, Vec<Mistake>> {
+        Self::parse_over(text, "")
+    }
+
+    /// Reads and checks settings of which those in `over` go before those in `text`.
+    ///
+    /// # Errors
+    /// Every mistake found, in the order of their lines.
+    pub fn parse_over(text: &str, over: &str) -> Result<Self, Vec<Mistake>> {
         let mut table = Table::read(text);
+        let over = Table::read(over);
+        table.values.extend(over.values);
+        table.mistakes.extend(over.mistakes);
         let settings = table.settings();
         if table.mistakes.is_empty() {
             return Ok(settings);
@@ -387,6 +410,9 @@
             name: self.text("process", "name", None).into(),
             zone: self.text("process", "zone", Some("zone-1")).into(),
             link: self.addr("process", "link", "127.0.0.1:7410"),
+            advertise: self
+                .get("process", "advertise")
+                .map(|_| self.addr("process", "advertise", "")),
             operators: self.addr("process", "operators", "127.0.0.1:7401"),
             operator_key: self.text("process", "operator_key", Some("")),
             data: self.text("process", "data", Some("data")).into(),
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -157,7 +157,7 @@
             name: settings.name.clone(),
             incarnation: clock::incarnation(),
             zone: settings.zone.clone(),
-            addr,
+            addr: settings.advertise.unwrap_or(addr),
             entry: settings.plays(Role::Entry),
             keeper: settings.plays(Role::Keeper),
             server,
