A leader reads few places whole at once, and none anew after its lease lapsed for a moment

Cause (from the new ages in the line 'no longer leads': all voters' answers stop together, 430 ms): the leader read all 65 places from the start at once, and its link and processor, shared with its heartbeats, were full for longer than its lease. The lapse dropped the cursors, so the next leading began the same reads again. Ruled out: a slow voter (all late at once), disks (no writes then), load of callers (it went on after traffic ended). Change: cursors are kept through a lapse within one term, at most 4 places are read whole at once, stores first; one lost answer no longer makes all entries forget a place, only 1.5 s of silence.

--- a/crates/edge/src/notes.rs
+++ b/crates/edge/src/notes.rs
@@ -46,8 +46,20 @@
         Note::Stalled { time } => {
             log::warn!(stalled_ms = millis(*time); "the process stood still");
         }
-        Note::Leads { term: Some(term) } => log::info!(term; "leads the keepers"),
-        Note::Leads { term: None } => log::info!("no longer leads the keepers"),
+        Note::Leads { term, voters } => {
+            let voters: Vec<String> = voters
+                .iter()
+                .map(|(name, answered)| match answered {
+                    Some(ago) => format!("{name} {} ms", millis(*ago)),
+                    None => format!("{name} never"),
+                })
+                .collect();
+            let voters = voters.join(", ");
+            match term {
+                Some(term) => log::info!(term, voters; "leads the keepers"),
+                None => log::info!(voters; "no longer leads the keepers"),
+            }
+        }
         Note::Keeper { keeper, up } => log::info!(keeper:% = keeper, up; "link to a keeper"),
     }
 }
--- a/crates/node/src/forward/reader.rs
+++ b/crates/node/src/forward/reader.rs
@@ -1,8 +1,9 @@
 //! Reads what the stores and servers hold, for all entries, and frees what nobody can use.
 //!
-//! Only the leader among the keepers reads their events, since they take few readers.
+//! Only the leader among the keepers reads their events, since they take few readers. What a place has
+//! told is kept while its lease lapses: nobody else can have led before it leads again in that term.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 
 use base::prelude::*;
@@ -18,6 +19,11 @@
 const PAUSE: Duration = Duration::from_millis(150);
 /// Pause after a read that failed.
 const AGAIN: Duration = Duration::from_millis(500);
+/// Most places that are read whole at once: a new leader reads all of them, and the heartbeats that its
+/// lease lives on share its link and its processor with what they tell.
+const MOST_WHOLE: usize = 4;
+/// Silence after which what a place holds is forgotten: longer than one read may take.
+const SILENT: Duration = Duration::from_millis(1_500);
 /// Time between two reads of all that a store holds: single events may be lost.
 const LIST_EVERY: Duration = Duration::from_secs(8);
 /// Time between two looks for what can be freed.
@@ -36,40 +42,69 @@
     next: Time,
     next_list: Time,
     store: bool,
+    /// Since when no read has succeeded.
+    silent: Option<Time>,
+}
+
+impl Reading {
+    /// Whether the next read brings all that the place holds, rather than what has changed.
+    fn is_whole(&self) -> bool {
+        is_whole(self.store, self.since)
+    }
+}
+
+/// A store can list what it holds; a server tells its events from the first.
+fn is_whole(store: bool, since: Option<u64>) -> bool {
+    since.is_none() || (!store && since == Some(0))
 }
 
 impl Stores {
     /// Reads what is due, if this process leads.
     pub fn read(&mut self, cx: &Context<'_>, servers: &Servers, out: &mut Effects) {
         let Some(term) = cx.term else {
-            self.readings.clear();
             return;
         };
         self.term = self.term.max(term);
+        if self.reading_term != term {
+            self.reading_term = term;
+            self.readings.clear();
+        }
         let stores = cx.view.services().filter_map(|(_, service)| service.store.as_ref());
-        let stores = stores.map(|store| (store.addr, true));
+        let stores: BTreeSet<SocketAddr> = stores.map(|store| store.addr).collect();
         let engines = servers.iter().filter(|(_, server)| !server.listed.models.is_empty());
-        let engines = engines.map(|(_, server)| (server.listed.addr, false));
-        let places: BTreeMap<SocketAddr, bool> = stores.chain(engines).collect();
-        self.readings.retain(|addr, _| places.contains_key(addr));
-        let gone: Vec<SocketAddr> =
-            self.stock.places().filter(|addr| !places.contains_key(addr)).collect();
+        let engines: BTreeSet<SocketAddr> = engines
+            .map(|(_, server)| server.listed.addr)
+            .filter(|at| !stores.contains(at))
+            .collect();
+        let is_place = |addr: &SocketAddr| stores.contains(addr) || engines.contains(addr);
+        self.readings.retain(|addr, _| is_place(addr));
+        let gone: Vec<SocketAddr> = self.stock.places().filter(|addr| !is_place(addr)).collect();
         for addr in gone {
             self.tell(Shelf { store: addr, epoch: None, whole: true, parts: Vec::new() });
         }
-        for (addr, store) in places {
+        let whole = self.readings.values().filter(|reading| reading.pending && reading.is_whole());
+        let mut room = MOST_WHOLE.saturating_sub(whole.count());
+        // Histories lie on the stores, so these are read before the servers.
+        let stores = stores.into_iter().map(|addr| (addr, true));
+        for (addr, store) in stores.chain(engines.into_iter().map(|addr| (addr, false))) {
             let reading = self.readings.entry(addr).or_default();
             reading.store = store;
             if reading.pending || cx.now < reading.next {
                 continue;
             }
             if store && cx.now >= reading.next_list {
-                reading.next_list = cx.now + LIST_EVERY;
                 reading.since = None;
             } else if !store {
                 // The list of a server would stall its runs.
                 reading.since.get_or_insert(0);
             }
+            if reading.is_whole() {
+                if room == 0 {
+                    continue;
+                }
+                room -= 1;
+                reading.next_list = cx.now + LIST_EVERY;
+            }
             reading.pending = true;
             out.push(Effect::ReadStore { addr, since: reading.since });
         }
@@ -87,15 +122,21 @@
             return;
         };
         reading.pending = false;
+        if self.reading_term != self.term {
+            // Another process has led since, and has told more.
+            return;
+        }
         let Ok(news) = news else {
-            reading.since = None;
             reading.next = cx.now + AGAIN;
-            if self.stock.knows(addr) {
+            let silent = *reading.silent.get_or_insert(cx.now);
+            if cx.now.since(silent) >= SILENT && self.stock.knows(addr) {
+                reading.since = None;
                 self.tell(Shelf { store: addr, epoch: None, whole: true, parts: Vec::new() });
             }
             return;
         };
-        let whole = since.is_none() || (!reading.store && since == Some(0));
+        reading.silent = None;
+        let whole = is_whole(reading.store, since);
         let broken = news.epoch != reading.epoch || news.gap;
         if broken && !whole {
             // What it holds now is not known: it is read from the start.
--- a/crates/node/src/forward/stores.rs
+++ b/crates/node/src/forward/stores.rs
@@ -60,6 +60,8 @@
 pub(super) struct Stores {
     pub(super) stock: Stock,
     pub(super) readings: HashMap<SocketAddr, Reading>,
+    /// Term in which these were begun.
+    pub(super) reading_term: u64,
     /// Parts that this entry has had saved lately.
     saving: HashMap<Place, Time>,
     queues: HashMap<SocketAddr, Queue>,
--- a/crates/node/src/note.rs
+++ b/crates/node/src/note.rs
@@ -104,6 +104,8 @@
     Leads {
         /// Term; none when it no longer leads.
         term: Option<u64>,
+        /// The other voters, each with the time since it was sent what it answered last.
+        voters: Vec<(Name, Option<Duration>)>,
     },
     /// A keeper can be reached, or no longer.
     Keeper {
--- a/crates/node/src/process/told.rs
+++ b/crates/node/src/process/told.rs
@@ -68,7 +68,9 @@
         let leads = self.term(now);
         if leads != self.leads {
             self.leads = leads;
-            out.push(Effect::Note(Box::new(Note::Leads { term: leads })));
+            let voters = self.keeper.as_ref().map(|keeper| keeper.quorum().answers(now));
+            let voters = voters.unwrap_or_default();
+            out.push(Effect::Note(Box::new(Note::Leads { term: leads, voters })));
         }
         let view = &self.watch.view;
         let in_force = (view.revision, self.watch.ready(now));
--- a/crates/node/tests/forward.rs
+++ b/crates/node/tests/forward.rs
@@ -398,6 +398,83 @@
     assert_eq!(third.fetch, [Some(store), None, None], "a part that is not whole is not fetched");
 }
 
+/// The places that are to be read since the last look, and from where.
+fn reads(bed: &mut Bed) -> Vec<(SocketAddr, Option<u64>)> {
+    let found = bed.out.drain(..).filter_map(|effect| match effect {
+        Effect::ReadStore { addr, since } => Some((addr, since)),
+        _ => None,
+    });
+    found.collect()
+}
+
+#[test]
+fn a_lease_that_lapses_for_a_moment_makes_nothing_be_read_anew() {
+    let mut bed = Bed::new(2);
+    let store: SocketAddr = STORE.parse().expect("an address");
+    bed.term = Some(3);
+    bed.tick();
+    for place in [store, addr(1), addr(2)] {
+        bed.told(place, "*/m/1", &[(1, 2_500)]);
+    }
+    reads(&mut bed);
+    bed.term = None;
+    bed.wait(300);
+    assert_eq!(reads(&mut bed), [], "only a leader reads");
+    bed.term = Some(3);
+    bed.wait(10);
+    let mut seen = reads(&mut bed);
+    seen.sort_unstable();
+    assert_eq!(seen, [(store, Some(9)), (addr(1), Some(9)), (addr(2), Some(9))]);
+    // Somebody else may have led before a later term, so what was known may be old.
+    bed.event(Event::StoreRead { addr: store, since: Some(9), news: Err("late".to_owned()) });
+    bed.term = Some(5);
+    bed.wait(10);
+    assert!(reads(&mut bed).contains(&(store, None)));
+}
+
+#[test]
+fn a_new_leader_reads_few_places_whole_at_once_and_the_stores_first() {
+    let mut bed = Bed::new(20);
+    let store: SocketAddr = STORE.parse().expect("an address");
+    bed.term = Some(1);
+    bed.tick();
+    let mut open = reads(&mut bed);
+    assert_eq!(open[0], (store, None));
+    let mut seen = 0;
+    while let Some((place, _)) = open.pop() {
+        assert!(open.len() < 4, "at once: {open:?}");
+        seen += 1;
+        bed.told(place, "*/m/1", &[(1, 2_500)]);
+        bed.wait(1);
+        open.extend(
+            reads(&mut bed).into_iter().filter(|(_, since)| since.is_none_or(|at| at == 0)),
+        );
+    }
+    assert_eq!(seen, 21, "each place once");
+}
+
+#[test]
+fn what_a_place_holds_is_forgotten_only_when_it_stays_silent() {
+    let mut bed = Bed::new(1);
+    bed.term = Some(1);
+    bed.tick();
+    let store: SocketAddr = STORE.parse().expect("an address");
+    bed.told(store, "*/m/1", &[(1, 2_500), (2, 5_000)]);
+    let failed = |bed: &mut Bed| {
+        let news = Err("no answer in time".to_owned());
+        bed.event(Event::StoreRead { addr: store, since: Some(9), news });
+    };
+    failed(&mut bed);
+    bed.wait(600);
+    bed.prompt(1, "/stream/x", "key", &PROMPT);
+    assert_eq!(bed.tried(1).fetch[1], Some(store), "one lost answer says little");
+    assert!(reads(&mut bed).contains(&(store, Some(9))), "it is asked where it left off");
+    bed.wait(1_000);
+    failed(&mut bed);
+    bed.prompt(2, "/stream/x", "key", &PROMPT);
+    assert_eq!(bed.tried(2).fetch, [None; 3]);
+}
+
 #[test]
 fn no_part_crosses_weights_or_the_wall_of_a_workspace() {
     let mut bed = Bed::new(1);
--- a/crates/quorum/src/read.rs
+++ b/crates/quorum/src/read.rs
@@ -49,6 +49,18 @@
         self.role == Role::Leader && self.majority_echoed_within(now, self.timing.lease())
     }
 
+    /// The other voters, each with the time since a message that it has answered was sent; of use to
+    /// a leader only.
+    pub fn answers(&self, now: Time) -> Vec<(Name, Option<Duration>)> {
+        let others = self.config.voters.iter().filter(|voter| **voter != self.me);
+        others
+            .map(|voter| {
+                let echoed = self.leading.progress.get(voter).and_then(|found| found.echoed);
+                (voter.name.clone(), echoed.map(|at| now.since(at)))
+            })
+            .collect()
+    }
+
     pub(crate) fn majority_echoed_within(&self, now: Time, time: Duration) -> bool {
         if self.config.voters.len() == 1 && self.config.votes(&self.me) {
             return true;
