A line in the log for each place whose prompt parts a leader has read

What decided 'read again' after a loss of power could not be told from the logs: now each whole read leaves place, parts and time.

--- a/crates/edge/src/notes.rs
+++ b/crates/edge/src/notes.rs
@@ -43,6 +43,9 @@
         Note::InForce { revision, routes, ready } => {
             log::info!(revision:% = revision, routes, ready; "configuration in force");
         }
+        Note::Stocked { place, parts, took } => {
+            log::info!(place:% = place, parts, took_ms = millis(*took); "prompt parts of a place read");
+        }
         Note::Stalled { time } => {
             log::warn!(stalled_ms = millis(*time); "the process stood still");
         }
--- a/crates/node/src/forward/mod.rs
+++ b/crates/node/src/forward/mod.rs
@@ -238,7 +238,7 @@
             }
             Event::Changed { id, taken } => self.changed(cx.now, &id, taken),
             Event::StoreRead { addr, since, news } => {
-                self.stores.was_read(cx, addr, since, news);
+                self.stores.was_read(cx, addr, since, news, out);
             }
         }
     }
--- a/crates/node/src/forward/reader.rs
+++ b/crates/node/src/forward/reader.rs
@@ -13,6 +13,7 @@
 
 use super::Context;
 use super::stores::Stores;
+use crate::note::Note;
 use crate::{Effect, Effects};
 
 /// Pause between two reads of events at one place, so that one read brings several.
@@ -42,6 +43,8 @@
     next: Time,
     next_list: Time,
     store: bool,
+    /// When the last read began.
+    begun: Time,
     /// Since when no read has succeeded.
     silent: Option<Time>,
 }
@@ -106,6 +109,7 @@
                 reading.next_list = cx.now + LIST_EVERY;
             }
             reading.pending = true;
+            reading.begun = cx.now;
             out.push(Effect::ReadStore { addr, since: reading.since });
         }
     }
@@ -117,6 +121,7 @@
         addr: SocketAddr,
         since: Option<u64>,
         news: Result<News, String>,
+        out: &mut Effects,
     ) {
         let Some(reading) = self.readings.get_mut(&addr) else {
             return;
@@ -153,6 +158,7 @@
         if news.parts.is_empty() && !whole {
             return;
         }
+        let took = cx.now.since(reading.begun);
         // The last event of a part tells where it stands.
         let mut parts = BTreeMap::new();
         for part in &news.parts {
@@ -161,7 +167,11 @@
             parts.insert((salt, part.id), part.tokens);
         }
         let stored = |((salt, id), tokens)| Stored { salt, id, tokens };
-        let parts = parts.into_iter().map(stored).collect();
+        let parts: Vec<Stored> = parts.into_iter().map(stored).collect();
+        if whole {
+            let parts = parts.iter().filter(|part| part.tokens > 0).count();
+            out.push(Effect::Note(Box::new(Note::Stocked { place: addr, parts, took })));
+        }
         self.tell(Shelf { store: addr, epoch: Some(news.epoch), whole, parts });
     }
 
--- a/crates/node/src/note.rs
+++ b/crates/node/src/note.rs
@@ -1,5 +1,6 @@
 //! Decisions and changes of belief, for the log.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use base::{Code, Name, Revision};
@@ -95,6 +96,15 @@
         /// Whether this process serves by it.
         ready: bool,
     },
+    /// As the leader: all that lies at a store or server was read.
+    Stocked {
+        /// Where.
+        place: SocketAddr,
+        /// Prompt parts there.
+        parts: usize,
+        /// Time that the read took.
+        took: Duration,
+    },
     /// This process stood still: frozen, suspended, or without its processor.
     Stalled {
         /// For how long.
