Logs never hold a decision up, and each kind of line is bounded

Cause: log lines were written to standard output where they arose. A test whose process has a log that nobody reads: request 237 got no answer, since the pipe was full and the one thread of the process waited for it. Volume had no bound. Change: lines go to a queue of 512 KB; a thread writes what is there, every 50 ms; at most process.log_lines of a kind in a second (a module that needs no clock, limit::Lines); what is left out is told by kind each second; the end of a process waits up to 0.3 s for its last lines. A process that is killed loses up to 50 ms of its log.

--- a/bin/tamarackbank/src/main.rs
+++ b/bin/tamarackbank/src/main.rs
@@ -33,6 +33,7 @@
         Command::Dev(dev) => dev::run(&dev),
         Command::Fake(fake) => dev::fake(&fake),
     };
+    log::logger().flush();
     match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
@@ -81,6 +82,7 @@
 
 /// Runs a process until it may leave.
 fn run(settings: &Settings) -> eyre::Result<()> {
+    edge::limit_log(settings.log_lines);
     let mut running = edge::start(settings).wrap_err("cannot start")?;
     log::info!(
         name:% = settings.name, link:% = running.link, operators:% = running.operators,
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -91,6 +91,8 @@
     pub data: PathBuf,
     /// Longest wait for streams to finish after SIGTERM.
     pub drain: Duration,
+    /// Most log lines of one kind in a second.
+    pub log_lines: u32,
     /// Processes to dial at the start.
     pub seeds: Vec<Seed>,
     /// Address of the callers' HTTP listener.
@@ -154,6 +156,7 @@
             "operator_key",
             "data",
             "drain_ms",
+            "log_lines",
         ],
     ),
     ("peers", &[]),
@@ -417,6 +420,7 @@
             operator_key: self.text("process", "operator_key", Some("")),
             data: self.text("process", "data", Some("data")).into(),
             drain: self.millis("process", "drain_ms", 30_000, 3_600_000),
+            log_lines: self.number("process", "log_lines", 2_000, 1, 1_000_000) as u32,
             seeds: self.seeds("peers"),
             callers: self.addr("entry", "callers", "127.0.0.1:7400"),
             max_connections: self.number("entry", "max_connections", 4_000, 1, 60_000) as usize,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -34,5 +34,5 @@
 pub use events::Splitter;
 pub use host::{Exit, Input, Inputs};
 pub use key::key_hash;
-pub use logging::{log_to_stderr, log_to_stdout};
+pub use logging::{limit_log, log_to_stderr, log_to_stdout};
 pub use start::{Running, Stopper, keeper_folder, start};
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -2,10 +2,12 @@
 //!
 //! [`Queue`] holds what waits, fair by workspace inside each priority class. [`Budget`] bounds
 //! retries for a whole pool of servers, and [`Retries`] an entry's part of a budget that all entries share. [`Breaker`] leaves a server alone that fails or is slow.
+//! [`Lines`] bounds the log lines of each kind.
 //! [`Usage`] tells who is over their share. [`Rate`] estimates how fast a pool works, for refusals that say truthfully when to come back.
 
 mod breaker;
 mod budget;
+mod lines;
 mod queue;
 mod rate;
 mod retries;
@@ -13,6 +15,7 @@
 
 pub use breaker::Breaker;
 pub use budget::Budget;
+pub use lines::Lines;
 pub use queue::{Item, Queue};
 pub use rate::Rate;
 pub use retries::{Allowance, Retries};
--- a/crates/limit/tests/limits.rs
+++ b/crates/limit/tests/limits.rs
@@ -149,3 +149,20 @@
     let wait = rate.wait(200).expect("known").as_secs_f64();
     assert!((1.5..2.5).contains(&wait), "{wait}");
 }
+
+#[test]
+fn a_kind_of_log_line_is_bounded_and_what_is_left_out_is_counted() {
+    let mut lines = limit::Lines::new(3);
+    let second = Duration::from_secs(1);
+    let start = Time::ZERO + second;
+    assert_eq!(lines.window(start), []);
+    let written = (0..10).filter(|_| lines.allow("request ended")).count();
+    assert_eq!(written, 3);
+    assert!(lines.allow("leads the keepers"), "a rarer kind still appears");
+    lines.lost("leads the keepers");
+    assert_eq!(lines.window(start + second / 2), [], "the window lasts");
+    let left_out = lines.window(start + second);
+    let left_out: Vec<(&str, u64)> = left_out.iter().map(|(kind, n)| (&**kind, *n)).collect();
+    assert_eq!(left_out, [("leads the keepers", 1), ("request ended", 7)]);
+    assert!(lines.allow("request ended"), "a new window");
+}
