The list of servers is read to its end also where it has many pages and many readers

Cause: all pages of the list together had one second, and a page refused for too many calls ended the reading; every process without a list read it each second, also while a reading was under way, so no reading came to its end: the platform answers 47 calls a second and the list has dozens of pages. Change: a second for each page and five for the list; a refused page is asked for again; no second reading beside one that is under way; an entry whose reading failed leaves out one or two, the leader does not.

--- a/crates/edge/src/direct.rs
+++ b/crates/edge/src/direct.rs
@@ -19,6 +19,11 @@
 
 /// Longest wait for an answer; the list is read more often than a server may change unnoticed.
 const ANSWER: Duration = Duration::from_secs(1);
+/// Longest time for all pages of the list: some thousand servers, at the few calls a second that the
+/// platform answers.
+const LIST: Duration = Duration::from_secs(5);
+/// Pause before a page that was refused for too many calls is asked for again.
+const BUSY: Duration = Duration::from_millis(100);
 /// Longest wait for the answer to an order: servers take or refuse it at once, and it may be given
 /// again.
 const ORDER: Duration = Duration::from_millis(400);
@@ -105,7 +110,7 @@
         match command {
             Command::List => {
                 let addr = self.list?;
-                let list = within(ANSWER, self.read_list(addr)).await;
+                let list = within(LIST, self.read_list(addr)).await;
                 Some(forward::Event::Listed { list })
             }
             Command::Report { id, addr } => {
@@ -163,8 +168,12 @@
         let mut servers = Vec::new();
         let mut from = None;
         for _ in 0..MOST_PAGES {
-            // All pages together have the time of one call.
-            let answer = self.send(addr, self.dialect.list(from.as_deref())).await;
+            let answer = self.call(addr, self.dialect.list(from.as_deref()), ANSWER).await;
+            if matches!(&answer, Ok((429 | 503, _))) {
+                // Others read it too; what was read so far is still good.
+                sleep(BUSY).await;
+                continue;
+            }
             let page = self.dialect.page(&good(answer)?)?;
             servers.extend(page.servers);
             from = page.next;
--- a/crates/node/src/forward/list.rs
+++ b/crates/node/src/forward/list.rs
@@ -18,11 +18,17 @@
 const WHOLE_EVERY: u32 = 4;
 /// Least age of the list, in readings, at which an entry reads it itself; spread up to twice that.
 const OWN_AFTER: f64 = 1.6;
+/// Readings that an entry leaves out after one that failed, doubled up to this: the platform answers few
+/// calls, and those of the leader bring the list to all.
+const MOST_LEFT_OUT: u32 = 2;
 
 /// What is told of the list.
 #[derive(Debug, Default)]
 pub(super) struct Lists {
     next: Time,
+    pending: bool,
+    /// Readings of this process that have failed since one succeeded.
+    failed: u32,
     /// Checksum of the list in use.
     sum: u64,
     /// As the leader: readings since the whole list was told.
@@ -33,7 +39,8 @@
 impl Forward {
     /// Reads the list if it is due.
     pub(super) fn read_list(&mut self, cx: &Context<'_>, out: &mut Effects) {
-        if cx.now >= self.lists.next {
+        if cx.now >= self.lists.next && !self.lists.pending {
+            self.lists.pending = true;
             self.lists.next = cx.now + self.config.list_every;
             out.push(Effect::ReadList);
         }
@@ -46,9 +53,16 @@
         list: Result<Vec<Listed>, String>,
         out: &mut Effects,
     ) {
+        self.lists.pending = false;
         let list = match list {
             Ok(list) => list,
             Err(error) => {
+                if cx.term.is_none() {
+                    let readings = 2_u32.saturating_pow(self.lists.failed).min(MOST_LEFT_OUT);
+                    let wait = f64::from(readings) * self.rng.random_range(1.0..2.0);
+                    self.lists.next = cx.now + self.config.list_every.mul_f64(wait);
+                }
+                self.lists.failed += 1;
                 let age = self
                     .servers
                     .read_at()
@@ -58,6 +72,7 @@
                 return;
             }
         };
+        self.lists.failed = 0;
         if cx.term.is_some() {
             let servers: Vec<wire::Listed> = list.iter().map(told).collect();
             let sum = salt_number(&format!("{servers:?}"));
--- a/crates/node/tests/forward.rs
+++ b/crates/node/tests/forward.rs
@@ -398,6 +398,32 @@
     assert_eq!(third.fetch, [Some(store), None, None], "a part that is not whole is not fetched");
 }
 
+#[test]
+fn a_list_that_takes_long_is_not_asked_for_twice_and_entries_that_get_none_ask_less() {
+    let mut bed = Bed::new(2);
+    let asked = |bed: &mut Bed, millis: u64| -> usize {
+        for _ in 0..millis / 10 {
+            bed.wait(10);
+        }
+        bed.out.drain(..).filter(|effect| matches!(effect, Effect::ReadList)).count()
+    };
+    let failed = |bed: &mut Bed| {
+        bed.event(Event::Listed { list: Err("status 429".to_owned()) });
+    };
+    bed.event(Event::Listed { list: Ok((1..=2).map(listed).collect()) });
+    assert_eq!(asked(&mut bed, 4_000), 1, "one reading is under way");
+    failed(&mut bed);
+    assert_eq!(asked(&mut bed, 900), 0, "after a failure");
+    assert_eq!(asked(&mut bed, 1_200), 1);
+    failed(&mut bed);
+    assert_eq!(asked(&mut bed, 1_900), 0, "after another");
+    assert_eq!(asked(&mut bed, 2_200), 1);
+    // The leader reads for all, so it goes on.
+    bed.term = Some(1);
+    failed(&mut bed);
+    assert_eq!(asked(&mut bed, 1_000), 1);
+}
+
 /// The places that are to be read since the last look, and from where.
 fn reads(bed: &mut Bed) -> Vec<(SocketAddr, Option<u64>)> {
     let found = bed.out.drain(..).filter_map(|effect| match effect {
