A kind of log line that reached its bound appears again also when nothing else is written

Cause, seen while reading the diff: counts began anew only when the writer woke for a line, and no line woke it once its kind was left out. Change: the writer looks at the counts each second.

--- a/crates/edge/src/logging.rs
+++ b/crates/edge/src/logging.rs
@@ -26,6 +26,8 @@
 const ROOM: usize = 4 << 10;
 /// Time that the writer gathers lines for one write; a process that is killed loses as much of its log.
 const GATHER: Duration = Duration::from_millis(50);
+/// Time between two counts of what was left out, where nothing else is written.
+const COUNTS: Duration = Duration::from_secs(1);
 /// Longest wait for the last lines at the end of the process.
 const FLUSH: Duration = Duration::from_millis(300);
 
@@ -112,14 +114,20 @@
     /// Writes what is there until the process ends.
     fn write_all(&self, mut to: impl Write) {
         loop {
-            let mut bytes = self.bytes();
-            while bytes.is_empty() {
-                bytes = self.filled.wait(bytes).unwrap_or_else(PoisonError::into_inner);
+            let bytes = self.bytes();
+            if bytes.is_empty() {
+                // Not for ever: what is left out must be told although nothing is written.
+                let woken = self.filled.wait_timeout(bytes, COUNTS);
+                drop(woken.unwrap_or_else(PoisonError::into_inner));
+            } else {
+                drop(bytes);
             }
-            drop(bytes);
             std::thread::sleep(GATHER);
             self.left_out();
             let taken = self.bytes().clone();
+            if taken.is_empty() {
+                continue;
+            }
             // If nobody can read the log any more there is nowhere else to say so.
             let _ = to.write_all(&taken).and_then(|()| to.flush());
             // Only now, so that a flush knows when everything is out.
