Entries tell each other of addresses that are used again

Cause: eight servers were replaced and their addresses given to others while the list lags. Second change: an entry tells the leader with its shares, and the leader all entries, which servers are misdirected. Tests: a_run_of_before_does_not..., what_one_entry_learns...; both fail without.

--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -89,6 +89,9 @@
     failures: u32,
     rejections: u32,
     away_until: Time,
+    /// Until when another server is taken to answer at its address. Runs on connections of before may
+    /// still end well, which says nothing of new ones.
+    misdirected_until: Time,
 }
 
 impl Server {
@@ -108,12 +111,14 @@
             failures: 0,
             rejections: 0,
             away_until: Time::ZERO,
+            misdirected_until: Time::ZERO,
         }
     }
 
     /// Whether new work may go there.
     pub fn usable(&self, now: Time) -> bool {
-        !self.listed.leaving && now >= self.away_until && now >= self.changing_until
+        let until = self.away_until.max(self.misdirected_until).max(self.changing_until);
+        !self.listed.leaving && now >= until
     }
 
     /// Whether it may be asked for a report now; then not again for a while.
@@ -209,12 +214,18 @@
     /// Another server answers at its address, or it holds other weights than believed: only its own
     /// report, or a newer list, brings it back.
     pub fn misdirected(&mut self, now: Time) {
-        self.away_until = self.away_until.max(now + LIST_LAG);
+        self.misdirected_until = now + LIST_LAG;
+    }
+
+    /// Whether another server is taken to answer at its address.
+    pub fn is_misdirected(&self, now: Time) -> bool {
+        now < self.misdirected_until
     }
 
     /// It reported of itself, so it is there.
     pub fn reported(&mut self) {
         self.away_until = Time::ZERO;
+        self.misdirected_until = Time::ZERO;
     }
 
     /// The server could not be reached or broke off.
--- a/crates/fleet/tests/servers.rs
+++ b/crates/fleet/tests/servers.rs
@@ -88,6 +88,20 @@
     assert!(server.usable(Time::from_millis(1)));
 }
 
+#[test]
+fn a_run_of_before_does_not_bring_a_misdirected_server_back() {
+    let mut servers = fleet(1);
+    let server = servers.by_id("i-0").expect("there");
+    server.misdirected(Time::ZERO);
+    // On a connection of before, to the server that had the address then.
+    server.answered();
+    assert!(!server.usable(Time::from_millis(10)));
+    server.failed(Time::from_millis(20));
+    assert!(!server.usable(Time::from_millis(2_900)));
+    server.reported();
+    assert!(server.usable(Time::from_millis(2_910)));
+}
+
 #[test]
 fn what_others_have_there_counts_while_it_is_fresh() {
     let mut servers = fleet(1);
--- a/crates/node/src/forward/follow.rs
+++ b/crates/node/src/forward/follow.rs
@@ -34,6 +34,7 @@
             }
             if answer.status == MISDIRECTED {
                 server.misdirected(cx.now);
+                self.shares.touched(server.listed.addr);
                 if server.ask(cx.now) {
                     out.push(report(server));
                 }
--- a/crates/node/src/forward/share.rs
+++ b/crates/node/src/forward/share.rs
@@ -4,6 +4,9 @@
 //! the same moment: prompts that meet there wait for each other, while other servers have nothing to
 //! read. Each entry tells the leader among the keepers what it has at the servers, and the leader
 //! tells everybody the sums. All values are absolute, so a lost one is mended by the next.
+//!
+//! A server at whose address another one answers is told in the same way: several addresses that are
+//! used again at once cost each entry a try, and all entries together the retry budget.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -61,14 +64,21 @@
             let busy = self.servers.iter().filter(|(_, server)| server.running > 0);
             let busy: Vec<SocketAddr> = busy.map(|(_, server)| server.listed.addr).collect();
             self.shares.changed.extend(busy);
+            let away = self.servers.iter().filter(|(_, server)| server.is_misdirected(now));
+            let away: Vec<SocketAddr> = away.map(|(_, server)| server.listed.addr).collect();
+            self.shares.changed.extend(away);
             self.shares.changed.extend(self.stores.senders());
         }
         let changed = std::mem::take(&mut self.shares.changed);
         let share = |server: SocketAddr| {
-            let (runs, reading) =
-                self.servers.at(server).map_or((0, 0), |found| (found.running, found.reading));
             let sending_ms = self.stores.sending(server);
-            Share { server, runs, reading, sending_ms, changing: false }
+            let share = Share { sending_ms, ..nothing(server) };
+            self.servers.at(server).map_or(share, |found| Share {
+                runs: found.running,
+                reading: found.reading,
+                changing: found.is_misdirected(now),
+                ..share
+            })
         };
         let shares: Vec<Share> = changed.into_iter().map(share).collect();
         for share in &shares {
@@ -126,7 +136,7 @@
                 runs: sum.runs + share.runs,
                 reading: sum.reading + share.reading,
                 sending_ms: sum.sending_ms + share.sending_ms,
-                changing: sum.changing,
+                changing: sum.changing || share.changing,
             })
         };
         moved.into_iter().map(sum).collect()
--- a/crates/node/src/forward/weights.rs
+++ b/crates/node/src/forward/weights.rs
@@ -22,6 +22,9 @@
         if let Some(server) = self.servers.by_id(id) {
             server.holds(cx.now, version);
             server.took(cx.now, orders);
+            if server.is_misdirected(cx.now) {
+                self.shares.touched(server.listed.addr);
+            }
             server.reported();
             server.told(cx.now, load);
         }
--- a/crates/node/tests/forward.rs
+++ b/crates/node/tests/forward.rs
@@ -398,6 +398,29 @@
     assert_eq!(third.fetch, [Some(store), None, None], "a part that is not whole is not fetched");
 }
 
+#[test]
+fn what_one_entry_learns_of_an_address_used_again_keeps_the_others_away() {
+    let mut first = Bed::new(2);
+    first.ask(1, "/safe/x");
+    let taken = first.tried(1).addr;
+    let answer = Answer { status: 421, own: true, not_run: true, ..Answer::default() };
+    first.event(Event::Answered { call: 1, answer });
+    let shares = first.forward.take_shares(first.now);
+    let mut leader = Bed::new(2);
+    leader.term = Some(1);
+    let mut sums = Vec::new();
+    let now = leader.now;
+    leader.forward.shared(now, &Name::new("first"), &shares);
+    leader.step(|forward, cx, _| sums = forward.take_sums(cx));
+    let mut other = Bed::new(2);
+    let now = other.now;
+    other.forward.summed(now, &sums);
+    for call in 1..8 {
+        other.ask(call, "/safe/x");
+        assert_ne!(other.tried(call).addr, taken);
+    }
+}
+
 #[test]
 fn a_list_that_takes_long_is_not_asked_for_twice_and_entries_that_get_none_ask_less() {
     let mut bed = Bed::new(2);
