A process that is asked to stop again cuts nothing

Two stops of one process overlapped. Cause: a second SIGTERM, looked at 3 s after the first one, ended the process at once with its requests open. The rule for a terminal's second interrupt is of no use on a platform, which has SIGKILL and a bound on the drain. Change: hosted processes note it and go on draining; the signals are looked at meanwhile. 'run' is as it was. Also the comment of a share's field says what it now holds.

--- a/crates/edge/src/single.rs
+++ b/crates/edge/src/single.rs
@@ -122,6 +122,7 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut reload = signal(SignalKind::hangup())?;
+    let mut stops = false;
     loop {
         tokio::select! {
             _ = terminate.recv() => {}
@@ -132,12 +133,21 @@
                 continue;
             }
         }
+        if stops {
+            // The time to drain is bounded, and whoever cannot wait has SIGKILL.
+            log::info!("asked to stop again");
+            continue;
+        }
+        stops = true;
         log::info!("asked to stop");
         if inputs.send(Input::Event(Event::Stop)).is_err() {
             return Ok(());
         }
         phases.send_replace(Phase::Stops);
-        sleep(linger).await;
-        phases.send_replace(Phase::Closes);
+        let phases = phases.clone();
+        spawn_local(async move {
+            sleep(linger).await;
+            phases.send_replace(Phase::Closes);
+        });
     }
 }
--- a/crates/wire/src/stock.rs
+++ b/crates/wire/src/stock.rs
@@ -48,6 +48,7 @@
     pub reading: u64,
     /// Time of the transfers that were asked of it, milliseconds.
     pub sending_ms: u32,
-    /// Whether the server was ordered to other weights and has not shown them.
+    /// Whether no new runs may go there: it was ordered to other weights and has not shown them, or another
+    /// server answers at its address.
     pub changing: bool,
 }
