The leader finds the places to read when they change; calls, listeners and whole answers written once

Found in a reading of the whole change: - reader: the leader built its sets of stores and engines, and looked for places that are gone, at each tick, 100 times a second, though they follow from its term, the configuration and the list. They are made when one of these changes (Places). - direct::Command repeated five effects field by field, and the host copied one into the other: forward::Call is both. - three listeners had one loop each for a failed accept, one with an unnamed pause: accept::next. - Begin, Body, Finish of a whole answer stood seven times: effect::answer; a whole configuration's answer repeated respond. - the keeper and its files were taken apart in both starts: start::keeper gives both or none. - the bound of log lines was written in two crates: conf::LOG_LINES. - two passes over all servers for the shares are one. Left as they are: fleet::Listed and wire::Listed, since types of the border are their own; Listed.cold is of no use yet. Behaviour is meant to be the same; tests name the effects by their new place, with the same assertions.

--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -7,4 +7,4 @@
 mod settings;
 
 pub use mistake::Mistake;
-pub use settings::{Forward, Role, Seed, ServerKind, Settings, Weights};
+pub use settings::{Forward, LOG_LINES, Role, Seed, ServerKind, Settings, Weights};
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -11,6 +11,10 @@
 
 use crate::Mistake;
 
+/// Most log lines of one kind in a second where settings say nothing: over ten times the requests that
+/// one process of the largest deployment serves.
+pub const LOG_LINES: u32 = 2_000;
+
 /// A role that a process plays.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Role {
@@ -420,7 +424,8 @@
             operator_key: self.text("process", "operator_key", Some("")),
             data: self.text("process", "data", Some("data")).into(),
             drain: self.millis("process", "drain_ms", 30_000, 3_600_000),
-            log_lines: self.number("process", "log_lines", 2_000, 1, 1_000_000) as u32,
+            log_lines: self.number("process", "log_lines", u64::from(LOG_LINES), 1, 1_000_000)
+                as u32,
             seeds: self.seeds("peers"),
             callers: self.addr("entry", "callers", "127.0.0.1:7400"),
             max_connections: self.number("entry", "max_connections", 4_000, 1, 60_000) as usize,
--- a/crates/edge/src/callers.rs
+++ b/crates/edge/src/callers.rs
@@ -20,13 +20,12 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
 use crate::outlet::{self, Inlet, Out};
-use crate::{Input, Inputs};
+use crate::{Input, Inputs, accept};
 
 const RETRY: Duration = Duration::from_secs(1);
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Longest time that sent bytes may stay unread by a caller.
 const UNREAD: Duration = Duration::from_secs(20);
 /// Connections that are told at once that there are too many.
@@ -56,14 +55,7 @@
     let aways = Arc::new(Semaphore::new(TURNED_AWAY));
     let shared = Arc::new(Shared { limits, inputs });
     loop {
-        let socket = match listener.accept().await {
-            Ok((socket, _)) => socket,
-            Err(error) => {
-                log::warn!("callers' listener: {error}");
-                sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
+        let socket = accept::next(&listener, "callers' listener").await;
         let Ok(place) = places.clone().try_acquire_owned() else {
             // Beyond these, a connection is closed without a word.
             if let Ok(place) = aways.clone().try_acquire_owned() {
--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -21,7 +21,7 @@
 use crate::clock::unix_ms;
 use crate::metrics::Metrics;
 use crate::outlet::{self, Whole};
-use crate::{Dialect, Input, Inputs, operators, start};
+use crate::{Dialect, Input, Inputs, accept, operators, start};
 
 /// Longest wait for a request, and for an idle connection's next one.
 const ARRIVAL: Duration = Duration::from_secs(10);
@@ -40,15 +40,8 @@
 /// Serves operators until the runtime ends.
 pub async fn run(listener: TcpListener, control: Rc<Control>) {
     loop {
-        match listener.accept().await {
-            Ok((socket, _)) => {
-                spawn_local(connection(socket, control.clone()));
-            }
-            Err(error) => {
-                log::warn!("operators' listener: {error}");
-                tokio::time::sleep(Duration::from_millis(50)).await;
-            }
-        }
+        let socket = accept::next(&listener, "operators' listener").await;
+        spawn_local(connection(socket, control.clone()));
     }
 }
 
--- a/crates/edge/src/direct.rs
+++ b/crates/edge/src/direct.rs
@@ -39,38 +39,6 @@
 /// Status and body of an answer, or what went wrong.
 type Answer = Result<(u16, Bytes), String>;
 
-/// What the host asks for.
-#[derive(Debug)]
-pub enum Command {
-    /// Read the list of servers.
-    List,
-    /// Ask a server what it holds.
-    Report {
-        /// Identity of the server.
-        id: Name,
-        /// Its address.
-        addr: SocketAddr,
-    },
-    /// Ask a store for its events from a number on, or for all that it holds.
-    Store {
-        /// Its address.
-        addr: SocketAddr,
-        /// The number.
-        since: Option<u64>,
-    },
-    /// Free parts on a store that lives as stated.
-    Free {
-        /// Its address.
-        addr: SocketAddr,
-        /// Its life.
-        epoch: u64,
-        /// Salt and ID of each part.
-        parts: Vec<(Name, u64)>,
-    },
-    /// Order a server to a weight version.
-    Change(Box<forward::Change>),
-}
-
 /// What the calls need.
 #[derive(Debug)]
 pub struct Client {
@@ -87,7 +55,7 @@
 }
 
 /// Makes the calls until the host is gone.
-pub async fn run(client: Rc<Client>, mut commands: UnboundedReceiver<Command>) {
+pub async fn run(client: Rc<Client>, mut calls: UnboundedReceiver<forward::Call>) {
     let pool = client.pool.clone();
     spawn_local(async move {
         loop {
@@ -95,10 +63,10 @@
             pool.sweep();
         }
     });
-    while let Some(command) = commands.recv().await {
+    while let Some(call) = calls.recv().await {
         let client = client.clone();
         spawn_local(async move {
-            if let Some(event) = client.perform(command).await {
+            if let Some(event) = client.perform(call).await {
                 let _ = client.inputs.send(Input::Event(Event::Forward(event)));
             }
         });
@@ -106,14 +74,14 @@
 }
 
 impl Client {
-    async fn perform(&self, command: Command) -> Option<forward::Event> {
-        match command {
-            Command::List => {
+    async fn perform(&self, call: forward::Call) -> Option<forward::Event> {
+        match call {
+            forward::Call::ReadList => {
                 let addr = self.list?;
                 let list = within(LIST, self.read_list(addr)).await;
                 Some(forward::Event::Listed { list })
             }
-            Command::Report { id, addr } => {
+            forward::Call::Report { id, addr } => {
                 let answer = self.call(addr, self.dialect.report(&id), ANSWER).await;
                 match good(answer).and_then(|body| self.dialect.reported(&body)) {
                     Ok(Report { version, load, orders }) => {
@@ -125,7 +93,7 @@
                     }
                 }
             }
-            Command::Store { addr, since } => {
+            forward::Call::ReadStore { addr, since } => {
                 let call = self.dialect.store(since, EVENTS);
                 let answer = self.call(addr, call, EVENTS + ANSWER).await;
                 let news = good(answer).and_then(|body| self.dialect.news(since.is_none(), &body));
@@ -134,7 +102,7 @@
                 }
                 Some(forward::Event::StoreRead { addr, since, news })
             }
-            Command::Free { addr, epoch, parts } => {
+            forward::Call::FreeParts { addr, epoch, parts } => {
                 let call = self.dialect.free(epoch, &parts);
                 let answer = self.call(addr, call, ANSWER).await;
                 let status = answer.as_ref().map_or(0, |(status, _)| *status);
@@ -146,7 +114,7 @@
                 );
                 None
             }
-            Command::Change(change) => {
+            forward::Call::Change(change) => {
                 let call = self.dialect.change(&change, &self.holder);
                 let answer = self.call(change.addr, call, ORDER).await;
                 let status = match &answer {
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -22,14 +22,12 @@
 use tokio::sync::mpsc::{Sender, UnboundedReceiver, channel, unbounded_channel};
 use tokio::sync::{oneshot, watch};
 use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 use tokio_stream::wrappers::ReceiverStream;
 
 use crate::pool::{Failure, Lease, Pool};
-use crate::{Dialect, Input, Inputs, Splitter, start};
+use crate::{Dialect, Input, Inputs, Splitter, accept, start};
 
-/// Pause after a listener that failed.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Longest time that sent bytes may stay unread by a caller.
 const UNREAD: Duration = Duration::from_secs(4);
 /// Pieces of an answer that wait for a caller who reads slowly; then the server waits too.
@@ -81,15 +79,8 @@
 /// Serves callers until the runtime ends.
 pub async fn run(listener: TcpListener, shared: Rc<Shared>) {
     loop {
-        match listener.accept().await {
-            Ok((socket, _)) => {
-                spawn_local(connection(shared.clone(), socket));
-            }
-            Err(error) => {
-                log::warn!("callers' listener: {error}");
-                sleep(ACCEPT_PAUSE).await;
-            }
-        }
+        let socket = accept::next(&listener, "callers' listener").await;
+        spawn_local(connection(shared.clone(), socket));
     }
 }
 
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -12,7 +12,7 @@
 
 use crate::metrics::Metrics;
 use crate::outlet::{Out, Outlet};
-use crate::{Clock, direct, files, net, notes, server};
+use crate::{Clock, files, net, notes, server};
 
 /// Time between two ticks of the reducer.
 const TICK: Duration = Duration::from_millis(10);
@@ -61,7 +61,7 @@
     /// The files, for a keeper.
     pub files: Option<Sender<files::Command>>,
     /// Calls to servers without an agent, and to their list.
-    pub direct: Option<UnboundedSender<direct::Command>>,
+    pub direct: Option<UnboundedSender<forward::Call>>,
     /// The metrics.
     pub metrics: Arc<Metrics>,
     /// Told when the process may or must leave.
@@ -201,15 +201,11 @@
                     self.doors.remove(&call);
                 }
             }
-            Effect::ReadList => self.direct(direct::Command::List),
-            Effect::Report { id, addr } => self.direct(direct::Command::Report { id, addr }),
-            Effect::ReadStore { addr, since } => {
-                self.direct(direct::Command::Store { addr, since });
-            }
-            Effect::FreeParts { addr, epoch, parts } => {
-                self.direct(direct::Command::Free { addr, epoch, parts });
+            Effect::Call(call) => {
+                if let Some(direct) = &self.sinks.direct {
+                    let _ = direct.send(call);
+                }
             }
-            Effect::Change(change) => self.direct(direct::Command::Change(change)),
             Effect::Note(note) => notes::write(&note, &self.sinks.metrics),
             Effect::Exit { cut } => {
                 let _ = self.sinks.exit.send(Exit::Done { cut });
@@ -232,12 +228,6 @@
         }
     }
 
-    fn direct(&self, command: direct::Command) {
-        if let Some(direct) = &self.sinks.direct {
-            let _ = direct.send(command);
-        }
-    }
-
     fn answer(&mut self, call: u64, out: Out) {
         let Some(outlet) = self.outlets.get(&call) else {
             return;
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -7,6 +7,7 @@
 //! servers without an agent in the words of a [`Dialect`]. The edges only translate: everything
 //! that decides is in [`node::Node`].
 
+mod accept;
 mod callers;
 mod clock;
 mod control;
--- a/crates/edge/src/logging.rs
+++ b/crates/edge/src/logging.rs
@@ -17,9 +17,6 @@
 
 use crate::clock::unix_ms;
 
-/// Most lines of one kind in a second, until settings say otherwise: over ten times the requests that one
-/// process of the largest deployment serves.
-const LINES: u32 = 2_000;
 /// Most bytes that wait to be written: a second or two of lines under load.
 const QUEUE: usize = 512 << 10;
 /// Room that one more line needs, bytes; longer ones are rare.
@@ -183,7 +180,7 @@
 
 fn log_to(to: impl Write + Send + 'static) {
     let queue = Arc::new(Queue {
-        lines: Mutex::new(Lines::new(LINES)),
+        lines: Mutex::new(Lines::new(conf::LOG_LINES)),
         bytes: Mutex::default(),
         filled: Condvar::new(),
         started: Instant::now(),
--- a/crates/edge/src/single.rs
+++ b/crates/edge/src/single.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use conf::{Role, Settings};
+use conf::Settings;
 use node::{Config, Event, Node};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
@@ -70,12 +70,7 @@
     let (exit, mut exit_out) = unbounded_channel();
     let metrics = Arc::new(Metrics::new().map_err(io::Error::other)?);
     let me = start::me(settings, link.local_addr()?);
-    let (keeper, files) = if settings.plays(Role::Keeper) {
-        let (keeper, files) = start::keeper(settings, &me, &inputs)?;
-        (Some(keeper), Some(files))
-    } else {
-        (None, None)
-    };
+    let (keeper, files) = start::keeper(settings, &me, &inputs)?.unzip();
     for seed in &settings.seeds {
         let _ = commands.send(net::Command::Dial { addr: seed.addr });
     }
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -89,12 +89,7 @@
     let operators_addr = operators::run(settings.operators, key, &inputs, &metrics)?;
 
     let me = me(settings, link_addr);
-    let (keeper, files) = if settings.plays(Role::Keeper) {
-        let (keeper, files) = keeper(settings, &me, &inputs)?;
-        (Some(keeper), Some(files))
-    } else {
-        (None, None)
-    };
+    let (keeper, files) = keeper(settings, &me, &inputs)?.unzip();
     let server = settings.plays(Role::Agent).then(|| {
         let stores = settings.stores.iter().map(|store| (store.name.clone(), store.addr));
         let stores = stores.collect();
@@ -167,11 +162,15 @@
     }
 }
 
+/// The keeper that the process is, if it is one, and its files.
 pub(crate) fn keeper(
     settings: &Settings,
     me: &Me,
     inputs: &Inputs,
-) -> io::Result<(Keeper, Sender<files::Command>)> {
+) -> io::Result<Option<(Keeper, Sender<files::Command>)>> {
+    if !settings.plays(Role::Keeper) {
+        return Ok(None);
+    }
     let name = settings.name.clone();
     // The time of the first start, mixed with the name, tells this disk from every other.
     let incarnation = me.hello.incarnation.0;
@@ -188,5 +187,5 @@
     let quorum = Quorum::new(member, founding, Timing::default(), seed, opened.saved);
     let keeper = Keeper::new(name, quorum).map_err(io::Error::other)?;
     let files = files::start(opened.store, inputs.clone())?;
-    Ok((keeper, files))
+    Ok(Some((keeper, files)))
 }
--- a/crates/fleet/src/servers.rs
+++ b/crates/fleet/src/servers.rs
@@ -21,6 +21,7 @@
     services: BTreeMap<Name, Vec<Key>>,
     addrs: HashMap<SocketAddr, Key>,
     read_at: Option<Time>,
+    lists: u64,
 }
 
 impl Servers {
@@ -28,6 +29,7 @@
     /// same identity, or whose identity moved, starts anew.
     pub fn listed(&mut self, now: Time, list: Vec<Listed>) {
         self.read_at = Some(now);
+        self.lists += 1;
         let mut ids = HashMap::new();
         for listed in list {
             let id = listed.id.clone();
@@ -65,6 +67,11 @@
         self.read_at
     }
 
+    /// How many lists were taken in: without another one, the servers on the list are the same.
+    pub fn lists(&self) -> u64 {
+        self.lists
+    }
+
     /// A server.
     pub fn get(&self, key: Key) -> Option<&Server> {
         self.all.get(key)
--- a/crates/node/src/effect.rs
+++ b/crates/node/src/effect.rs
@@ -153,33 +153,8 @@
         /// What to do.
         order: forward::Order,
     },
-    /// Read the list of backend servers.
-    ReadList,
-    /// Ask a backend server what it holds.
-    Report {
-        /// Identity of the server.
-        id: Name,
-        /// Its address.
-        addr: SocketAddr,
-    },
-    /// Ask a store for its events from a number on, or for all that it holds.
-    ReadStore {
-        /// Address of the store.
-        addr: SocketAddr,
-        /// The number.
-        since: Option<u64>,
-    },
-    /// Free parts on a store that lives as stated.
-    FreeParts {
-        /// Address of the store.
-        addr: SocketAddr,
-        /// Life of the store.
-        epoch: u64,
-        /// Salt and ID of each part.
-        parts: Vec<(Name, u64)>,
-    },
-    /// Order a backend server that has no agent to load a weight version.
-    Change(Box<forward::Change>),
+    /// Call a backend server that has no agent, a store or the list of servers.
+    Call(forward::Call),
     /// Write a decision to the log.
     Note(Box<Note>),
     /// Leave the process; `cut` requests were not finished.
@@ -196,3 +171,10 @@
 
 /// Effects in the order they must happen.
 pub type Effects = Vec<Effect>;
+
+/// Gives a caller or operator a whole answer at once.
+pub(crate) fn answer(call: u64, reply: Reply, bytes: Vec<u8>, out: &mut Effects) {
+    out.push(Effect::Begin { call, reply });
+    out.push(Effect::Body { call, bytes });
+    out.push(Effect::Finish { call, whole: true });
+}
--- a/crates/node/src/entry/admit.rs
+++ b/crates/node/src/entry/admit.rs
@@ -6,7 +6,7 @@
 
 use super::{Context, Entry};
 use crate::run::Stage;
-use crate::{Ask, Effect, Effects, Run, Want, api};
+use crate::{Ask, Effect, Effects, Run, Want, api, effect};
 
 /// Requests of a workspace that may wait here, as a multiple of those that may run.
 const BACKLOG: usize = 4;
@@ -42,9 +42,7 @@
                 let Refusal { code, text, retry } = refusal;
                 let run = self.next_id();
                 let (reply, bytes) = api::refusal(Some(run), code, &text, retry);
-                out.push(Effect::Begin { call, reply });
-                out.push(Effect::Body { call, bytes });
-                out.push(Effect::Finish { call, whole: true });
+                effect::answer(call, reply, bytes, out);
                 let workspace = key_owner.unwrap_or_default();
                 let took = Duration::ZERO;
                 out.push(Effect::Log { run, workspace, code, took, first: None });
@@ -246,8 +244,6 @@
         names.sort();
         names.dedup();
         let reply = api::head(None, Code::Ok, 200, "application/json");
-        out.push(Effect::Begin { call, reply });
-        out.push(Effect::Body { call, bytes: api::models(&names) });
-        out.push(Effect::Finish { call, whole: true });
+        effect::answer(call, reply, api::models(&names), out);
     }
 }
--- a/crates/node/src/entry/finish.rs
+++ b/crates/node/src/entry/finish.rs
@@ -7,7 +7,7 @@
 use super::follow::begin_stream;
 use super::{Context, Entry};
 use crate::run::Stage;
-use crate::{Effect, Effects, Want, api};
+use crate::{Effect, Effects, Want, api, effect};
 
 impl Entry {
     /// A caller went away: its run is cancelled, unless it may be done only once and was sent.
@@ -156,9 +156,7 @@
             out.push(Effect::Finish { call, whole: false });
         } else {
             let (reply, bytes) = api::refusal(Some(run.id), code, text, retry);
-            out.push(Effect::Begin { call, reply });
-            out.push(Effect::Body { call, bytes });
-            out.push(Effect::Finish { call, whole: true });
+            effect::answer(call, reply, bytes, out);
         }
         self.end(cx, number, code, out);
     }
--- a/crates/node/src/entry/once.rs
+++ b/crates/node/src/entry/once.rs
@@ -11,7 +11,7 @@
 use super::{Context, Entry};
 use crate::asker::Purpose;
 use crate::run::Stage;
-use crate::{Effect, Effects, api};
+use crate::{Effect, Effects, api, effect};
 
 /// Pause between two looks at a claim that another holds.
 const LOOK: Duration = Duration::from_millis(100);
@@ -214,9 +214,7 @@
                 let (call, id) = (run.call, run.id);
                 let (kind, body) = api::stored(id, &run.ask.want, kind, body);
                 let reply = api::head(Some(id), Code::Ok, *status, &kind);
-                out.push(Effect::Begin { call, reply });
-                out.push(Effect::Body { call, bytes: body });
-                out.push(Effect::Finish { call, whole: true });
+                effect::answer(call, reply, body, out);
                 self.end(cx, number, Code::Ok, out);
             }
         }
--- a/crates/node/src/forward/event.rs
+++ b/crates/node/src/forward/event.rs
@@ -193,6 +193,38 @@
     Refuse(Refusal),
 }
 
+/// A call that this process makes for itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// Read the list of servers.
+    ReadList,
+    /// Ask a server what it holds.
+    Report {
+        /// Identity of the server.
+        id: Name,
+        /// Its address.
+        addr: SocketAddr,
+    },
+    /// Ask a store for its events from a number on, or for all that it holds.
+    ReadStore {
+        /// Its address.
+        addr: SocketAddr,
+        /// The number.
+        since: Option<u64>,
+    },
+    /// Free parts on a store that lives as stated.
+    FreeParts {
+        /// Its address.
+        addr: SocketAddr,
+        /// Its life.
+        epoch: u64,
+        /// Salt and ID of each part.
+        parts: Vec<(Name, u64)>,
+    },
+    /// Order a server to a weight version.
+    Change(Box<Change>),
+}
+
 /// An order to a server to load a weight version.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Change {
--- a/crates/node/src/forward/list.rs
+++ b/crates/node/src/forward/list.rs
@@ -10,7 +10,7 @@
 use rand::Rng;
 use wire::List;
 
-use super::{Context, Forward};
+use super::{Call, Context, Forward};
 use crate::note::Note;
 use crate::{Effect, Effects};
 
@@ -42,7 +42,7 @@
         if cx.now >= self.lists.next && !self.lists.pending {
             self.lists.pending = true;
             self.lists.next = cx.now + self.config.list_every;
-            out.push(Effect::ReadList);
+            out.push(Effect::Call(Call::ReadList));
         }
     }
 
--- a/crates/node/src/forward/mod.rs
+++ b/crates/node/src/forward/mod.rs
@@ -44,7 +44,7 @@
 use share::Shares;
 use stores::Stores;
 
-pub use event::{Answer, Change, Event, Head, Loss, Order, Prompt, Refusal, Try};
+pub use event::{Answer, Call, Change, Event, Head, Loss, Order, Prompt, Refusal, Try};
 
 /// Settings of forwarding.
 #[derive(Clone, Debug)]
--- a/crates/node/src/forward/reader.rs
+++ b/crates/node/src/forward/reader.rs
@@ -11,8 +11,8 @@
 use fleet::{News, Servers};
 use wire::{Shelf, Stored};
 
-use super::Context;
 use super::stores::Stores;
+use super::{Call, Context};
 use crate::note::Note;
 use crate::{Effect, Effects};
 
@@ -34,6 +34,15 @@
 /// Most parts that one call frees.
 const MOST_FREED: usize = 1_000;
 
+/// What the places to read follow from.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct Places {
+    /// Term in which their reading was begun.
+    term: u64,
+    revision: Revision,
+    lists: u64,
+}
+
 /// Reading of one place.
 #[derive(Debug, Default)]
 pub(super) struct Reading {
@@ -68,36 +77,20 @@
             return;
         };
         self.term = self.term.max(term);
-        if self.reading_term != term {
-            self.reading_term = term;
-            self.readings.clear();
-        }
-        let stores = cx.view.services().filter_map(|(_, service)| service.store.as_ref());
-        let stores: BTreeSet<SocketAddr> = stores.map(|store| store.addr).collect();
-        let engines = servers.iter().filter(|(_, server)| !server.listed.models.is_empty());
-        let engines: BTreeSet<SocketAddr> = engines
-            .map(|(_, server)| server.listed.addr)
-            .filter(|at| !stores.contains(at))
-            .collect();
-        let is_place = |addr: &SocketAddr| stores.contains(addr) || engines.contains(addr);
-        self.readings.retain(|addr, _| is_place(addr));
-        let gone: Vec<SocketAddr> = self.stock.places().filter(|addr| !is_place(addr)).collect();
-        for addr in gone {
-            self.tell(Shelf { store: addr, epoch: None, whole: true, parts: Vec::new() });
+        let places = Places { term, revision: cx.view.revision, lists: servers.lists() };
+        if self.places != places {
+            self.find_places(cx, servers, places);
         }
         let whole = self.readings.values().filter(|reading| reading.pending && reading.is_whole());
         let mut room = MOST_WHOLE.saturating_sub(whole.count());
-        // Histories lie on the stores, so these are read before the servers.
-        let stores = stores.into_iter().map(|addr| (addr, true));
-        for (addr, store) in stores.chain(engines.into_iter().map(|addr| (addr, false))) {
-            let reading = self.readings.entry(addr).or_default();
-            reading.store = store;
+        for addr in &self.order {
+            let Some(reading) = self.readings.get_mut(addr) else { continue };
             if reading.pending || cx.now < reading.next {
                 continue;
             }
-            if store && cx.now >= reading.next_list {
+            if reading.store && cx.now >= reading.next_list {
                 reading.since = None;
-            } else if !store {
+            } else if !reading.store {
                 // The list of a server would stall its runs.
                 reading.since.get_or_insert(0);
             }
@@ -110,7 +103,34 @@
             }
             reading.pending = true;
             reading.begun = cx.now;
-            out.push(Effect::ReadStore { addr, since: reading.since });
+            let (addr, since) = (*addr, reading.since);
+            out.push(Effect::Call(Call::ReadStore { addr, since }));
+        }
+    }
+
+    /// Finds the places to read: the stores of the configuration and the engines on the list.
+    fn find_places(&mut self, cx: &Context<'_>, servers: &Servers, places: Places) {
+        if self.places.term != places.term {
+            self.readings.clear();
+        }
+        self.places = places;
+        let stores = cx.view.services().filter_map(|(_, service)| service.store.as_ref());
+        let stores: BTreeSet<SocketAddr> = stores.map(|store| store.addr).collect();
+        let engines = servers.iter().filter(|(_, server)| !server.listed.models.is_empty());
+        let engines: BTreeSet<SocketAddr> = engines
+            .map(|(_, server)| server.listed.addr)
+            .filter(|at| !stores.contains(at))
+            .collect();
+        let is_place = |addr: &SocketAddr| stores.contains(addr) || engines.contains(addr);
+        self.readings.retain(|addr, _| is_place(addr));
+        let gone: Vec<SocketAddr> = self.stock.places().filter(|addr| !is_place(addr)).collect();
+        for addr in gone {
+            self.tell(Shelf { store: addr, epoch: None, whole: true, parts: Vec::new() });
+        }
+        // Histories lie on the stores, so these are read before the servers.
+        self.order = stores.iter().chain(&engines).copied().collect();
+        for addr in &self.order {
+            self.readings.entry(*addr).or_default().store = stores.contains(addr);
         }
     }
 
@@ -127,7 +147,7 @@
             return;
         };
         reading.pending = false;
-        if self.reading_term != self.term {
+        if self.places.term != self.term {
             // Another process has led since, and has told more.
             return;
         }
@@ -210,7 +230,7 @@
                 .take(MOST_FREED)
                 .collect();
             if !parts.is_empty() {
-                out.push(Effect::FreeParts { addr, epoch, parts });
+                out.push(Effect::Call(Call::FreeParts { addr, epoch, parts }));
             }
         }
     }
--- a/crates/node/src/forward/share.rs
+++ b/crates/node/src/forward/share.rs
@@ -12,6 +12,7 @@
 use std::net::SocketAddr;
 
 use base::prelude::*;
+use fleet::Server;
 use wire::Share;
 
 use super::{Context, Forward};
@@ -61,12 +62,9 @@
         self.shares.next = now + TELL;
         if now >= self.shares.next_all {
             self.shares.next_all = now + TELL_ALL;
-            let busy = self.servers.iter().filter(|(_, server)| server.running > 0);
-            let busy: Vec<SocketAddr> = busy.map(|(_, server)| server.listed.addr).collect();
-            self.shares.changed.extend(busy);
-            let away = self.servers.iter().filter(|(_, server)| server.is_misdirected(now));
-            let away: Vec<SocketAddr> = away.map(|(_, server)| server.listed.addr).collect();
-            self.shares.changed.extend(away);
+            let told = |server: &Server| server.running > 0 || server.is_misdirected(now);
+            let told = self.servers.iter().filter(|(_, server)| told(server));
+            self.shares.changed.extend(told.map(|(_, server)| server.listed.addr));
             self.shares.changed.extend(self.stores.senders());
         }
         let changed = std::mem::take(&mut self.shares.changed);
--- a/crates/node/src/forward/stores.rs
+++ b/crates/node/src/forward/stores.rs
@@ -17,7 +17,7 @@
 use record::{Engine, Store};
 use wire::{Shelf, Stored};
 
-use super::reader::Reading;
+use super::reader::{Places, Reading};
 use super::{Context, Forward};
 
 /// How long a save that this entry asked for may take to show.
@@ -60,8 +60,9 @@
 pub(super) struct Stores {
     pub(super) stock: Stock,
     pub(super) readings: HashMap<SocketAddr, Reading>,
-    /// Term in which these were begun.
-    pub(super) reading_term: u64,
+    pub(super) places: Places,
+    /// Those places, in the order in which they are read.
+    pub(super) order: Vec<SocketAddr>,
     /// Parts that this entry has had saved lately.
     saving: HashMap<Place, Time>,
     queues: HashMap<SocketAddr, Queue>,
--- a/crates/node/src/forward/weights.rs
+++ b/crates/node/src/forward/weights.rs
@@ -3,7 +3,7 @@
 use base::prelude::*;
 use fleet::{Load, Server};
 
-use super::{Change, Context, Forward};
+use super::{Call, Change, Context, Forward};
 use crate::note::Note;
 use crate::{Effect, Effects};
 
@@ -97,7 +97,7 @@
                 };
                 let note = Note::Ordered { change: change.clone(), from: server.version };
                 out.push(Effect::Note(Box::new(note)));
-                out.push(Effect::Change(Box::new(change)));
+                out.push(Effect::Call(Call::Change(Box::new(change))));
             }
         }
     }
@@ -105,5 +105,6 @@
 
 /// Asks a server what it holds.
 pub(super) fn report(server: &Server) -> Effect {
-    Effect::Report { id: server.listed.id.clone(), addr: server.listed.addr }
+    let (id, addr) = (server.listed.id.clone(), server.listed.addr);
+    Effect::Call(Call::Report { id, addr })
 }
--- a/crates/node/src/process/mod.rs
+++ b/crates/node/src/process/mod.rs
@@ -16,7 +16,7 @@
 use crate::forward::Forward;
 use crate::note::Note;
 use crate::watch::Watch;
-use crate::{Agent, Config, Effect, Effects, Entry, Event, Keeper, agent, api};
+use crate::{Agent, Config, Effect, Effects, Entry, Event, Keeper, agent, api, effect};
 
 /// Time between two heartbeats to a peer.
 const HEARTBEAT: Duration = Duration::from_millis(250);
@@ -413,11 +413,7 @@
                 self.watch.mark.get_or_insert(mark);
             }
             (Purpose::Adopted { call }, Answer::Adopted(Some(adopted))) => {
-                let reply =
-                    crate::Reply { status: 200, kind: api::JSON.to_owned(), headers: Vec::new() };
-                out.push(Effect::Begin { call, reply });
-                out.push(Effect::Body { call, bytes: adopted.source.to_vec() });
-                out.push(Effect::Finish { call, whole: true });
+                answer_json(call, 200, adopted.source.to_vec(), out);
             }
             (Purpose::Adopted { call }, _) => {
                 refuse(call, Code::NoSuchRecord, "no whole configuration was put yet", out);
@@ -585,15 +581,15 @@
 }
 
 fn respond(call: u64, status: u16, body: &Value, out: &mut Effects) {
+    answer_json(call, status, format!("{body}\n").into_bytes(), out);
+}
+
+fn answer_json(call: u64, status: u16, bytes: Vec<u8>, out: &mut Effects) {
     let reply = crate::Reply { status, kind: api::JSON.to_owned(), headers: Vec::new() };
-    out.push(Effect::Begin { call, reply });
-    out.push(Effect::Body { call, bytes: format!("{body}\n").into_bytes() });
-    out.push(Effect::Finish { call, whole: true });
+    effect::answer(call, reply, bytes, out);
 }
 
 fn refuse(call: u64, code: Code, text: &str, out: &mut Effects) {
     let (reply, bytes) = api::refusal(None, code, text, HEARTBEAT);
-    out.push(Effect::Begin { call, reply });
-    out.push(Effect::Body { call, bytes });
-    out.push(Effect::Finish { call, whole: true });
+    effect::answer(call, reply, bytes, out);
 }
--- a/crates/node/tests/forward.rs
+++ b/crates/node/tests/forward.rs
@@ -6,7 +6,9 @@
 use cache::Named;
 use fleet::{Listed, News, Stored};
 use limit::Allowance;
-use node::forward::{Answer, Config, Context, Event, Forward, Head, Loss, Order, Prompt, Try};
+use node::forward::{
+    Answer, Call, Config, Context, Event, Forward, Head, Loss, Order, Prompt, Try,
+};
 use node::note::Note;
 use node::{Effect, Effects};
 use record::{Change, Kind, Record, View, schema};
@@ -428,7 +430,7 @@
         for _ in 0..millis / 10 {
             bed.wait(10);
         }
-        bed.out.drain(..).filter(|effect| matches!(effect, Effect::ReadList)).count()
+        bed.out.drain(..).filter(|effect| matches!(effect, Effect::Call(Call::ReadList))).count()
     };
     let failed = |bed: &mut Bed| {
         bed.event(Event::Listed { list: Err("status 429".to_owned()) });
@@ -450,7 +452,7 @@
 /// The places that are to be read since the last look, and from where.
 fn reads(bed: &mut Bed) -> Vec<(SocketAddr, Option<u64>)> {
     let found = bed.out.drain(..).filter_map(|effect| match effect {
-        Effect::ReadStore { addr, since } => Some((addr, since)),
+        Effect::Call(Call::ReadStore { addr, since }) => Some((addr, since)),
         _ => None,
     });
     found.collect()
@@ -651,7 +653,9 @@
     };
     let orders = |bed: &mut Bed| -> Vec<(u64, u64, u64)> {
         let found = bed.out.drain(..).filter_map(|effect| match effect {
-            Effect::Change(change) => Some((change.version, change.token, change.after)),
+            Effect::Call(Call::Change(change)) => {
+                Some((change.version, change.token, change.after))
+            }
             _ => None,
         });
         found.collect()
@@ -676,8 +680,9 @@
     bed.term = Some(1);
     bed.tick();
     bed.told(store, "*/m/1", &[(1, 2_500)]);
-    let freed =
-        |bed: &mut Bed| bed.out.drain(..).any(|effect| matches!(effect, Effect::FreeParts { .. }));
+    let freed = |bed: &mut Bed| {
+        bed.out.drain(..).any(|effect| matches!(effect, Effect::Call(Call::FreeParts { .. })))
+    };
     bed.wait(4_000);
     assert!(!freed(&mut bed), "a server still holds those weights");
     let load = fleet::Load::default();
--- a/crates/replay/src/world/mod.rs
+++ b/crates/replay/src/world/mod.rs
@@ -431,11 +431,7 @@
             | Effect::Undial { .. }
             | Effect::Exit { .. }
             | Effect::Door { .. }
-            | Effect::ReadList
-            | Effect::Report { .. }
-            | Effect::ReadStore { .. }
-            | Effect::FreeParts { .. }
-            | Effect::Change(_)
+            | Effect::Call(_)
             | Effect::Note(_) => {}
             Effect::Fail { text } => self.broke("goes on", text),
         }
