Logs tell on which weights a request could begin, and when a version came into force

Cause: the logs could not tell the three hypotheses apart: no line when a process learns of a version, none of the version that a try expected nor of those it could begin on, none of a server that reports other weights than believed. Change: lines 'weight version in force' and 'server reported its weight version', four fields of 'request ended' (also of a refusal for want of a server), the counter tamarack_old_weights_requests_total. Decisions are the same. Evidence: logs_tell_which_weights_a_request_could_begin_on; it does not compile without the change. Conclusion: the hypotheses differ in these lines: version_least with the age of the newest (1), the time of 'weight version in force' (2), version and the leader's line on the server (3).

--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -22,6 +22,7 @@
     link: IntCounterVec,
     links: IntCounter,
     lost: IntCounter,
+    old_weights: IntCounter,
     gauges: Mutex<HashMap<&'static str, Gauge>>,
 }
 
@@ -54,6 +55,10 @@
             )?,
             links: IntCounter::new("tamarack_links_total", "Links that came up")?,
             lost: IntCounter::new("tamarack_tries_failed_total", "Tries at servers that failed")?,
+            old_weights: IntCounter::new(
+                "tamarack_old_weights_requests_total",
+                "Forwarded requests sent to a server whose weight version was not the newest",
+            )?,
             gauges: Mutex::new(HashMap::new()),
         };
         metrics.registry.register(Box::new(metrics.requests.clone()))?;
@@ -64,6 +69,7 @@
         metrics.registry.register(Box::new(metrics.link.clone()))?;
         metrics.registry.register(Box::new(metrics.links.clone()))?;
         metrics.registry.register(Box::new(metrics.lost.clone()))?;
+        metrics.registry.register(Box::new(metrics.old_weights.clone()))?;
         Ok(metrics)
     }
 
@@ -72,6 +78,11 @@
         self.lost.inc();
     }
 
+    /// Counts a request whose server did not hold the newest weights.
+    pub fn ran_on_old_weights(&self) {
+        self.old_weights.inc();
+    }
+
     /// Counts a request that has ended.
     pub fn ended(&self, code: Code, took: Duration, first: Option<Duration>) {
         self.requests.with_label_values(&[&code.number().to_string()]).inc();
--- a/crates/edge/src/notes.rs
+++ b/crates/edge/src/notes.rs
@@ -10,12 +10,18 @@
     match note {
         Note::Ended { request, route, server, tries, basis, code, status, took, first } => {
             metrics.ended(*code, *took, *first);
+            let allowed = basis.allowed;
+            if *status < 500 && basis.version < allowed.newest {
+                metrics.ran_on_old_weights();
+            }
             log::info!(
                 request:% = request, route:% = route,
                 server = server.as_deref().unwrap_or_default(), tries = u64::from(*tries),
                 reading = basis.reading, fetching = basis.fetching, ahead = basis.ahead,
                 beside = u64::from(basis.beside), cost_ms = basis.cost_ms as u64,
-                list_age_ms = millis(basis.list_age), code = code.number(), status = u64::from(*status), took_ms = millis(*took),
+                list_age_ms = millis(basis.list_age), version = basis.version, version_least = allowed.least,
+                version_newest = allowed.newest, version_newest_age_ms = millis(allowed.newest_age),
+                code = code.number(), status = u64::from(*status), took_ms = millis(*took),
                 first_ms = first.map_or(0, millis);
                 "request ended"
             );
@@ -37,6 +43,12 @@
                 "server ordered to a weight version"
             );
         }
+        Note::Weights { model, version, from } => {
+            log::info!(model:% = model, version, from; "weight version in force");
+        }
+        Note::Holds { server, version, from, orders } => {
+            log::info!(server:% = server, version, from, orders; "server reported its weight version");
+        }
         Note::Away { server, why } => {
             log::warn!(server:% = server, why:% = why; "server left alone");
         }
--- a/crates/node/src/forward/mod.rs
+++ b/crates/node/src/forward/mod.rs
@@ -234,7 +234,7 @@
             Event::Left { call } => self.left(cx, call, out),
             Event::Listed { list } => self.listed(cx, list, out),
             Event::Reported { id, version, load, orders } => {
-                self.reported(cx, &id, version, load, orders);
+                self.reported(cx, &id, version, load, orders, out);
             }
             Event::Changed { id, taken } => self.changed(cx.now, &id, taken),
             Event::StoreRead { addr, since, news } => {
@@ -252,7 +252,7 @@
         }
         self.admit_held(cx, out);
         self.read_list(cx, out);
-        self.note_weights(cx);
+        self.note_weights(cx, out);
         self.order(cx, out);
         self.stores.read(cx, &self.servers, out);
         self.stores.free(cx, &self.servers, out);
--- a/crates/node/src/forward/place.rs
+++ b/crates/node/src/forward/place.rs
@@ -9,7 +9,7 @@
 
 use super::stores::{Sources, Transfer};
 use super::{Context, Forward, Order, Place, Prompt, Run, Try};
-use crate::note::Basis;
+use crate::note::{Allowed, Basis};
 use crate::{Effect, Effects};
 
 /// Prompt tokens that an engine reads in a millisecond, where nothing better is known.
@@ -28,14 +28,19 @@
         let Some(run) = self.runs.get(&call) else {
             return;
         };
-        let Some(choice) = self.choose(cx, run, point) else {
+        let prompt = run.head.prompt.as_ref().filter(|_| engine(cx, run).is_some());
+        let allowed = prompt.map(|prompt| self.allowed(cx.now, &prompt.model)).unwrap_or_default();
+        let Some(choice) = self.choose(cx, run, allowed, point) else {
+            if let Some(run) = self.runs.get_mut(&call) {
+                run.basis.allowed = allowed;
+            }
             self.give_up(cx, call, Code::NoServer, "no backend server can take it now", out);
             return;
         };
         let Choice { key, transfer, sources, candidate } = choice;
         let reading = candidate.missing;
         let list_age = self.servers.read_at().map_or(Duration::MAX, |at| cx.now.since(at));
-        let engine = cx.view.service(&run.service).and_then(|service| service.engine.as_ref());
+        let engine = engine(cx, run);
         let (Some(run), Some(server)) = (self.runs.get_mut(&call), self.servers.get_mut(key))
         else {
             return;
@@ -53,6 +58,8 @@
             beside: candidate.running,
             cost_ms: direct::cost(&candidate),
             list_age,
+            version: server.version,
+            allowed,
         };
         run.place = Some(Place { server: key, reading, from: transfer.from });
         server.running += 1;
@@ -85,17 +92,14 @@
     }
 
     /// The server with the earliest first token; `point` picks among equal ones.
-    fn choose(&self, cx: &Context<'_>, run: &Run, point: f64) -> Option<Choice> {
-        let engine = cx.view.service(&run.service).and_then(|service| service.engine.as_ref());
-        let prompt = run.head.prompt.as_ref().zip(engine);
-        let (least, newest) =
-            prompt.map_or((0, 0), |(prompt, _)| self.bound(cx.now, &prompt.model));
+    fn choose(&self, cx: &Context<'_>, run: &Run, allowed: Allowed, point: f64) -> Option<Choice> {
+        let prompt = run.head.prompt.as_ref().zip(engine(cx, run));
         let mut known: Vec<(u64, Sources)> = Vec::new();
         let mut candidates = Vec::new();
         let mut choices = Vec::new();
         for (key, server) in self.servers.of(&run.service) {
             // A server that has told no version yet holds the newest.
-            let too_old = server.version > 0 && server.version < least;
+            let too_old = server.version > 0 && server.version < allowed.least;
             if !server.usable(cx.now) || too_old || run.tried.contains(&key) {
                 continue;
             }
@@ -113,7 +117,7 @@
                 let all = prompt.parts.iter().map(|part| u64::from(part.tokens)).sum::<u64>();
                 reading = all - transfer.held - transfer.tokens;
             }
-            let old = newest > server.version && server.version > 0;
+            let old = allowed.newest > server.version && server.version > 0;
             candidates.push(Candidate {
                 running: server.runs(cx.now),
                 slots: server.listed.slots,
@@ -162,6 +166,11 @@
     candidate: Candidate,
 }
 
+/// The engine that a request's service runs on, if it does.
+fn engine<'a>(cx: &Context<'a>, run: &Run) -> Option<&'a Engine> {
+    cx.view.service(&run.service).and_then(|service| service.engine.as_ref())
+}
+
 /// What cached parts are shared under: never across weight versions, nor with a workspace that is
 /// isolated.
 fn salt(run: &Run, model: &Name, version: u64) -> Name {
--- a/crates/node/src/forward/weights.rs
+++ b/crates/node/src/forward/weights.rs
@@ -4,7 +4,7 @@
 use fleet::{Load, Server};
 
 use super::{Call, Change, Context, Forward};
-use crate::note::Note;
+use crate::note::{Allowed, Note};
 use crate::{Effect, Effects};
 
 /// Time between two looks at what is due.
@@ -18,9 +18,16 @@
         version: u64,
         load: Load,
         orders: u64,
+        out: &mut Effects,
     ) {
         if let Some(server) = self.servers.by_id(id) {
+            let from = server.version;
             server.holds(cx.now, version);
+            if cx.term.is_some() && from != version {
+                let (server, version) = (server.listed.id.clone(), version);
+                let note = Note::Holds { server, version, from, orders };
+                out.push(Effect::Note(Box::new(note)));
+            }
             server.took(cx.now, orders);
             if server.is_misdirected(cx.now) {
                 self.shares.touched(server.listed.addr);
@@ -37,22 +44,25 @@
     }
 
     /// Notes when each weight version came into force here.
-    pub(super) fn note_weights(&mut self, cx: &Context<'_>) {
+    pub(super) fn note_weights(&mut self, cx: &Context<'_>, out: &mut Effects) {
         for (model, version) in cx.view.all_weights() {
-            let known = self.named.get(&model).is_some_and(|(known, _)| *known == version);
-            if !known {
+            let from = self.named.get(&model).map_or(0, |(known, _)| *known);
+            if from != version {
+                let note = Note::Weights { model: model.clone(), version, from };
+                out.push(Effect::Note(Box::new(note)));
                 self.named.insert(model, (version, cx.now));
             }
         }
     }
 
-    /// The weight version that runs of a model must have by now, and the newest one.
-    pub(super) fn bound(&self, now: Time, model: &Name) -> (u64, u64) {
+    /// The weight versions that runs of a model may begin on now.
+    pub(super) fn allowed(&self, now: Time, model: &Name) -> Allowed {
         let Some((newest, at)) = self.named.get(model) else {
-            return (0, 0);
+            return Allowed::default();
         };
-        let over = now.since(*at) >= self.config.old_weights;
-        (if over { *newest } else { 0 }, *newest)
+        let newest_age = now.since(*at);
+        let over = newest_age >= self.config.old_weights;
+        Allowed { least: if over { *newest } else { 0 }, newest: *newest, newest_age }
     }
 
     /// Orders what is due, if this process leads and its predecessor has stopped.
--- a/crates/node/src/note.rs
+++ b/crates/node/src/note.rs
@@ -22,6 +22,21 @@
     pub cost_ms: f64,
     /// Age of the list of servers.
     pub list_age: Duration,
+    /// Its weight version; 0 where none is known.
+    pub version: u64,
+    /// The weight versions that the model's runs could begin on.
+    pub allowed: Allowed,
+}
+
+/// The weight versions that runs of a model may begin on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Allowed {
+    /// The oldest one; 0 where any may be used.
+    pub least: u64,
+    /// The newest one; 0 where none was named.
+    pub newest: u64,
+    /// Time since the newest came into force here.
+    pub newest_age: Duration,
 }
 
 /// A decision for the log.
@@ -80,6 +95,26 @@
         /// Version that it holds.
         from: u64,
     },
+    /// A newer weight version of a model came into force here.
+    Weights {
+        /// Model.
+        model: Name,
+        /// The version.
+        version: u64,
+        /// The newest one before; 0 where none was known.
+        from: u64,
+    },
+    /// As the leader: a server reported another weight version than was believed.
+    Holds {
+        /// The server.
+        server: Name,
+        /// The version.
+        version: u64,
+        /// Version that it was believed to hold.
+        from: u64,
+        /// Orders that it has taken in this life.
+        orders: u64,
+    },
     /// A server is left alone.
     Away {
         /// The server.
--- a/crates/node/tests/forward.rs
+++ b/crates/node/tests/forward.rs
@@ -9,7 +9,7 @@
 use node::forward::{
     Answer, Call, Config, Context, Event, Forward, Head, Loss, Order, Prompt, Try,
 };
-use node::note::Note;
+use node::note::{Allowed, Note};
 use node::{Effect, Effects};
 use record::{Change, Kind, Record, View, schema};
 use serde_json::{Value, json};
@@ -376,6 +376,34 @@
     assert_eq!(ended, Some(("r1".to_owned(), Code::Ok, 200, 1_500)));
 }
 
+// Guards against an incident whose logs held neither the version a request was sent with nor when it was named.
+#[test]
+fn logs_tell_which_weights_a_request_could_begin_on() {
+    let mut bed = Bed::new(1);
+    bed.view = view(2);
+    bed.wait(10);
+    assert!(bed.out.iter().any(|effect| matches!(effect, Effect::Note(note)
+        if matches!(&**note, Note::Weights { version: 2, from: 1, .. }))));
+    bed.wait(700);
+    bed.prompt(1, "/once/x", "key", &PROMPT);
+    bed.tried(1);
+    bed.answer(1, 200, false);
+    bed.event(Event::Done { call: 1 });
+    bed.wait(5_000);
+    bed.prompt(2, "/once/x", "key", &PROMPT);
+    let ended = bed.out.iter().filter_map(|effect| match effect {
+        Effect::Note(note) => match &**note {
+            Note::Ended { basis, .. } => Some((basis.version, basis.allowed)),
+            _ => None,
+        },
+        _ => None,
+    });
+    let age = Duration::from_millis;
+    let sent = (1, Allowed { least: 0, newest: 2, newest_age: age(700) });
+    let refused = (0, Allowed { least: 2, newest: 2, newest_age: age(5_700) });
+    assert_eq!(ended.collect::<Vec<_>>(), [sent, refused]);
+}
+
 const PROMPT: [(u64, u32); 3] = [(1, 2_500), (2, 5_000), (3, 1_700)];
 
 #[test]
