--- a/crates/node/tests/forward.rs
+++ b/crates/node/tests/forward.rs
@@ -668,6 +668,30 @@
     assert_eq!(bed.tried(3).version, Some(2));
 }
 
+// Guards against issue 17: a newer version restarted the time of the one before it, so that runs still began
+// on weights older than both.
+#[test]
+fn a_newer_version_does_not_extend_the_time_of_the_one_before() {
+    let mut bed = Bed::new(2);
+    bed.view = view(2);
+    bed.wait(10);
+    bed.wait(3_000);
+    bed.view = view(3);
+    bed.wait(10);
+    bed.prompt(1, "/once/x", "key", &PROMPT);
+    assert_eq!(bed.tried(1).version, Some(1), "the time of version 2 is not over");
+    bed.wait(2_000);
+    bed.prompt(2, "/once/x", "key", &PROMPT);
+    assert_eq!(bed.refused(2), (Code::NoServer, 503, true));
+    let load = fleet::Load::default();
+    bed.event(Event::Reported { id: Name::new("i-2"), version: 2, load, orders: 1 });
+    bed.prompt(3, "/once/x", "key", &PROMPT);
+    assert_eq!(bed.tried(3).version, Some(2), "the time of version 3 is not over");
+    bed.wait(3_000);
+    bed.prompt(4, "/once/x", "key", &PROMPT);
+    assert_eq!(bed.refused(4), (Code::NoServer, 503, true));
+}
+
 #[test]
 fn only_a_leader_orders_and_only_after_its_predecessor_has_stopped() {
     let mut bed = Bed::new(4);
