Each weight version has a time of its own, whatever is named after it

Cause: an entry remembered only the newest version of a model and since when. Naming version 5 within the time of 4 replaced both, so version 3 was allowed again until the time of 5 was over. A deadline overwritten by a later event of its own kind. Why it works: fleet::Versions keeps when each version was named, and the oldest that a run may begin on is the newest whose own time is over; what decides nothing any more is dropped when another is named.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -2,13 +2,15 @@
 //!
 //! [`Servers`] joins three sources of different age: the platform's list, which lags; the answers of
 //! the servers themselves; and what this process has sent them. [`rollout::Rollout::due`] says which of them
-//! to order to another weight version next.
+//! to order to another weight version next, and [`Versions`] which versions runs may begin on meanwhile.
 
 mod news;
 pub mod rollout;
 mod server;
 mod servers;
+mod versions;
 
 pub use news::{News, Stored};
 pub use server::{Listed, Load, Server};
 pub use servers::{Key, Servers};
+pub use versions::Versions;
--- /dev/null
+++ b/crates/fleet/src/versions.rs
@@ -0,0 +1,48 @@
+//! Weight versions of a model, and which of them runs may begin on.
+//!
+//! Answers the pattern in which a version is named before the servers hold the one before it. Each
+//! version has a time of its own, counted from when it was named: a newer one neither extends nor
+//! shortens that of the others.
+
+use std::collections::BTreeMap;
+
+use base::prelude::*;
+
+/// The versions named for one model.
+#[derive(Clone, Debug, Default)]
+pub struct Versions {
+    newest: u64,
+    /// When each version was named.
+    named: BTreeMap<u64, Time>,
+}
+
+impl Versions {
+    /// The newest version; 0 where none was named.
+    pub fn newest(&self) -> u64 {
+        self.newest
+    }
+
+    /// Time since the newest version was named.
+    pub fn newest_age(&self, now: Time) -> Duration {
+        self.named.get(&self.newest).map_or(Duration::ZERO, |at| now.since(*at))
+    }
+
+    /// A version was named. One below the newest takes the model back, and the others no longer count.
+    /// Those that decide nothing after `grace` are dropped.
+    pub fn name(&mut self, now: Time, version: u64, grace: Duration) {
+        if version < self.newest {
+            self.named.clear();
+        }
+        let least = self.least(now, grace);
+        self.named.retain(|version, _| *version >= least);
+        self.newest = version;
+        self.named.entry(version).or_insert(now);
+    }
+
+    /// The oldest version that runs may still begin on, if they may begin on an older one for `grace`
+    /// after a version was named; 0 for any.
+    pub fn least(&self, now: Time, grace: Duration) -> u64 {
+        let due = self.named.iter().rev().find(|(_, at)| now.since(**at) >= grace);
+        due.map_or(0, |(version, _)| *version)
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/versions.rs
@@ -0,0 +1,28 @@
+//! Weight versions that are named one after the other.
+
+use base::prelude::*;
+use fleet::Versions;
+use test_case::test_case;
+
+const GRACE: Duration = Duration::from_secs(5);
+
+/// The oldest version allowed, after versions were named at these times in milliseconds.
+fn least(named: &[(u64, u64)], at: u64) -> u64 {
+    let mut versions = Versions::default();
+    for (version, at) in named {
+        versions.name(Time::from_millis(*at), *version, GRACE);
+    }
+    versions.least(Time::from_millis(at), GRACE)
+}
+
+#[test_case(&[], 9_000, 0; "none was named")]
+#[test_case(&[(2, 0)], 4_999, 0; "its time is not over")]
+#[test_case(&[(2, 0)], 5_000, 2; "its time is over")]
+#[test_case(&[(2, 0), (3, 3_000)], 5_000, 2; "a newer one does not extend it")]
+#[test_case(&[(2, 0), (3, 3_000)], 8_000, 3; "nor does the older one shorten that of the newer")]
+#[test_case(&[(2, 0), (3, 3_000), (4, 6_000), (5, 9_000)], 10_999, 3; "of a row each in its turn")]
+#[test_case(&[(2, 0), (7, 6_000)], 10_000, 2; "one that decides is kept when another is named")]
+#[test_case(&[(2, 0), (3, 6_000), (2, 7_000)], 11_999, 0; "taken back, the model starts anew")]
+fn each_version_has_its_own_time(named: &[(u64, u64)], at: u64, expected: u64) {
+    assert_eq!(least(named, at), expected);
+}
--- a/crates/node/src/forward/mod.rs
+++ b/crates/node/src/forward/mod.rs
@@ -31,7 +31,7 @@
 
 use base::prelude::*;
 use cache::Named;
-use fleet::{Key, Servers, rollout::Rollout};
+use fleet::{Key, Servers, Versions, rollout::Rollout};
 use limit::{Allowance, Retries};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -156,8 +156,8 @@
     lists: Lists,
     next_orders: Time,
     leading: Option<(u64, Time)>,
-    /// The newest weight version of each model, and when it came into force here.
-    named: HashMap<Name, (u64, Time)>,
+    /// The weight versions of each model.
+    versions: HashMap<Name, Versions>,
 }
 
 impl Forward {
@@ -178,7 +178,7 @@
             lists: Lists::default(),
             next_orders: Time::ZERO,
             leading: None,
-            named: HashMap::new(),
+            versions: HashMap::new(),
         }
     }
 
@@ -213,7 +213,7 @@
             "list_age_ms": self.servers.read_at().map(|at| now.since(at).as_millis() as u64),
             "servers": self.servers.iter().map(|(_, found)| server(found)).collect::<Vec<_>>(),
             "stored": self.stores.tokens().into_iter().collect::<BTreeMap<_, _>>(),
-            "weights": self.named.iter().map(|(model, (version, _))| (&**model, *version))
+            "weights": self.versions.iter().map(|(model, found)| (&**model, found.newest()))
                 .collect::<BTreeMap<_, _>>(),
         })
     }
--- a/crates/node/src/forward/weights.rs
+++ b/crates/node/src/forward/weights.rs
@@ -46,23 +46,25 @@
     /// Notes when each weight version came into force here.
     pub(super) fn note_weights(&mut self, cx: &Context<'_>, out: &mut Effects) {
         for (model, version) in cx.view.all_weights() {
-            let from = self.named.get(&model).map_or(0, |(known, _)| *known);
+            let versions = self.versions.entry(model.clone()).or_default();
+            let from = versions.newest();
             if from != version {
-                let note = Note::Weights { model: model.clone(), version, from };
-                out.push(Effect::Note(Box::new(note)));
-                self.named.insert(model, (version, cx.now));
+                versions.name(cx.now, version, self.config.old_weights);
+                out.push(Effect::Note(Box::new(Note::Weights { model, version, from })));
             }
         }
     }
 
     /// The weight versions that runs of a model may begin on now.
     pub(super) fn allowed(&self, now: Time, model: &Name) -> Allowed {
-        let Some((newest, at)) = self.named.get(model) else {
+        let Some(versions) = self.versions.get(model) else {
             return Allowed::default();
         };
-        let newest_age = now.since(*at);
-        let over = newest_age >= self.config.old_weights;
-        Allowed { least: if over { *newest } else { 0 }, newest: *newest, newest_age }
+        Allowed {
+            least: versions.least(now, self.config.old_weights),
+            newest: versions.newest(),
+            newest_age: versions.newest_age(now),
+        }
     }
 
     /// Orders what is due, if this process leads and its predecessor has stopped.
