Entries that learn late of a weight version keep to its time

Cause: an entry counted the time of a version from when it learnt of it itself. One that restarted, was frozen or was behind the keepers gave older weights their whole time again, and did not know at all of a version that was overtaken meanwhile. Change: the leader among the keepers tells the entries once a second how long ago each version that still decides was named (wire::Weights); the longest age that was heard counts. A frame has one pair of numbers for each version. Evidence: an_entry_that_learns_late_keeps_to_the_time_of_a_version; without taking the word in, a run is sent on version 1 where it must be refused. Ruled out: taking each version in the first configuration as long named; a restart within the time of a version would refuse prompts that older servers may still take.

--- a/crates/node/src/forward/mod.rs
+++ b/crates/node/src/forward/mod.rs
@@ -158,6 +158,7 @@
     leading: Option<(u64, Time)>,
     /// The weight versions of each model.
     versions: HashMap<Name, Versions>,
+    next_ages: Time,
 }
 
 impl Forward {
@@ -179,6 +180,7 @@
             next_orders: Time::ZERO,
             leading: None,
             versions: HashMap::new(),
+            next_ages: Time::ZERO,
         }
     }
 
--- a/crates/node/src/forward/weights.rs
+++ b/crates/node/src/forward/weights.rs
@@ -1,12 +1,15 @@
 //! Orders servers to the weight versions that are named.
 
 use base::prelude::*;
-use fleet::{Load, Server};
+use fleet::{Load, Server, Versions};
 
 use super::{Call, Change, Context, Forward};
 use crate::note::{Allowed, Note};
 use crate::{Effect, Effects};
 
+/// Time between two words of how long ago versions were named: a part of the time for which an older one may
+/// be used.
+const TELL: Duration = Duration::from_secs(1);
 /// Time between two looks at what is due.
 const ROUND: Duration = Duration::from_millis(200);
 
@@ -67,6 +70,33 @@
         }
     }
 
+    /// As the leader: how long ago versions were named, if it is time to tell the entries.
+    pub fn take_ages(&mut self, cx: &Context<'_>) -> Vec<wire::Weights> {
+        if cx.term.is_none() || cx.now < self.next_ages {
+            return Vec::new();
+        }
+        self.next_ages = cx.now + TELL;
+        let ages = |versions: &Versions| -> Vec<(u64, u64)> {
+            let ages = versions.ages(cx.now);
+            ages.map(|(version, age)| (version, age.as_millis() as u64)).collect()
+        };
+        let told = |(model, versions): (&Name, &Versions)| wire::Weights {
+            model: model.clone(),
+            ages: ages(versions),
+        };
+        self.versions.iter().map(told).collect()
+    }
+
+    /// The leader told how long ago versions were named.
+    pub fn ages_told(&mut self, now: Time, told: &[wire::Weights]) {
+        for weights in told {
+            let versions = self.versions.entry(weights.model.clone()).or_default();
+            for (version, age_ms) in &weights.ages {
+                versions.told(now, *version, Duration::from_millis(*age_ms));
+            }
+        }
+    }
+
     /// Orders what is due, if this process leads and its predecessor has stopped.
     pub(super) fn order(&mut self, cx: &Context<'_>, out: &mut Effects) {
         let Some(term) = cx.term else {
--- a/crates/node/src/process/mod.rs
+++ b/crates/node/src/process/mod.rs
@@ -362,6 +362,11 @@
                     forward.summed(now, &sums);
                 }
             }
+            Frame::Weights(told) => {
+                if let Some(forward) = &mut self.forward {
+                    forward.ages_told(now, &told);
+                }
+            }
             Frame::Hello(_) | Frame::Idle => {}
         }
     }
--- a/crates/node/src/process/told.rs
+++ b/crates/node/src/process/told.rs
@@ -82,15 +82,21 @@
         }
     }
 
-    /// Tells the leader what this entry has at the servers, and as the leader tells the sums.
+    /// Tells the leader what this entry has at the servers, and as the leader tells the sums and
+    /// the ages of weight versions.
     pub(super) fn tell_shares(&mut self, now: Time, out: &mut Effects) {
         let me = self.me.hello.name.clone();
         let mut sums = Vec::new();
+        let mut ages = Vec::new();
         let mut leads = false;
         self.with_forward(now, |forward, cx| {
             leads = cx.term.is_some();
             sums = forward.take_sums(cx);
+            ages = forward.take_ages(cx);
         });
+        if !ages.is_empty() {
+            self.tell_entries(&Frame::Weights(ages), out);
+        }
         let Some(forward) = &mut self.forward else {
             return;
         };
--- a/crates/node/tests/forward.rs
+++ b/crates/node/tests/forward.rs
@@ -692,6 +692,33 @@
     assert_eq!(bed.refused(4), (Code::NoServer, 503, true));
 }
 
+// Guards against the cause of issue 17 at an entry that restarted: it counted the time of a version from when it
+// learnt of it itself.
+#[test]
+fn an_entry_that_learns_late_keeps_to_the_time_of_a_version() {
+    let mut leader = Bed::new(2);
+    leader.term = Some(1);
+    leader.view = view(2);
+    leader.wait(10);
+    leader.wait(3_000);
+    leader.view = view(3);
+    leader.wait(10);
+    leader.wait(1_000);
+    let mut ages = Vec::new();
+    leader.step(|forward, cx, _| ages = forward.take_ages(cx));
+    let mut entry = Bed::new(2);
+    let now = entry.now;
+    // The word may come before the configuration.
+    entry.forward.ages_told(now, &ages);
+    entry.view = view(3);
+    entry.wait(10);
+    entry.prompt(1, "/once/x", "key", &PROMPT);
+    assert_eq!(entry.tried(1).version, Some(1), "the time of version 2 is not over");
+    entry.wait(1_000);
+    entry.prompt(2, "/once/x", "key", &PROMPT);
+    assert_eq!(entry.refused(2), (Code::NoServer, 503, true), "5 s after version 2 was named");
+}
+
 #[test]
 fn only_a_leader_orders_and_only_after_its_predecessor_has_stopped() {
     let mut bed = Bed::new(4);
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -7,7 +7,7 @@
 use record::{Change, Record};
 use serde::{Deserialize, Serialize};
 
-use crate::{Answer, List, News, Part, Piece, Priority, Request, Share, Stock, Work};
+use crate::{Answer, List, News, Part, Piece, Priority, Request, Share, Stock, Weights, Work};
 
 /// What an agent stands beside.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -234,6 +234,8 @@
     Sums(Vec<Share>),
     /// Keeper to entry: a reading of the list of servers.
     List(List),
+    /// Keeper to entry: how long ago weight versions were named.
+    Weights(Vec<Weights>),
     /// Nothing to say; the link is alive.
     Idle,
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -19,6 +19,7 @@
 mod list;
 mod part;
 mod stock;
+mod weights;
 mod work;
 
 pub use ask::{Answer, Mark, Request};
@@ -29,4 +30,5 @@
 pub use list::{List, Listed};
 pub use part::Part;
 pub use stock::{Share, Shelf, Stock, Stored};
+pub use weights::Weights;
 pub use work::{Call, Priority, Prompt, Work};
