The places of a rollout follow what servers report, and servers that serve nobody are ordered at once

The order under way to one version was forgotten once a newer one was named, so that more than half of the servers changed at once; 409 (busy with the version before) counted as taken and held a place for four seconds though the server was through within one; an order without an answer gave its place away though it was carried out late; and servers whose weights no run could begin on any more waited for a place, serving nobody. Change: reports tell whether a server carries an order out (busy); a place is held until a report shows the server through, or the order not taken; one that reports but did not answer keeps its place; below the oldest version allowed no place is needed. fleet::Report is the one copy.

--- a/crates/edge/src/dialect.rs
+++ b/crates/edge/src/dialect.rs
@@ -5,7 +5,7 @@
 
 use base::{Code, Name};
 use bytes::Bytes;
-use fleet::{Listed, Load, News};
+use fleet::{Listed, News, Report};
 use http::{HeaderMap, Response, request, response};
 use node::admin::Admin;
 use node::forward::{Answer, Change, Head, Refusal, Try};
@@ -32,17 +32,6 @@
     pub next: Option<String>,
 }
 
-/// What a server reports of itself.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Report {
-    /// Weight version that it holds.
-    pub version: u64,
-    /// Its load.
-    pub load: Load,
-    /// Orders that it has taken in this life.
-    pub orders: u64,
-}
-
 /// The words of one deployment; only translates, and never decides.
 pub trait Dialect: Debug {
     /// Reads a caller's request.
--- a/crates/edge/src/direct.rs
+++ b/crates/edge/src/direct.rs
@@ -7,6 +7,7 @@
 use base::Name;
 use bytes::Bytes;
 use fleet::Listed;
+use fleet::rollout::Reply;
 use http::{HeaderValue, Request, header};
 use http_body_util::{BodyExt, Full, Limited};
 use node::{Event, forward};
@@ -15,7 +16,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::pool::Pool;
-use crate::{Call, Dialect, Input, Inputs, Report};
+use crate::{Call, Dialect, Input, Inputs};
 
 /// Longest wait for an answer; the list is read more often than a server may change unnoticed.
 const ANSWER: Duration = Duration::from_secs(1);
@@ -84,9 +85,7 @@
             forward::Call::Report { id, addr } => {
                 let answer = self.call(addr, self.dialect.report(&id), ANSWER).await;
                 match good(answer).and_then(|body| self.dialect.reported(&body)) {
-                    Ok(Report { version, load, orders }) => {
-                        Some(forward::Event::Reported { id, version, load, orders })
-                    }
+                    Ok(report) => Some(forward::Event::Reported { id, report }),
                     Err(error) => {
                         log::warn!(server:% = id, error; "report not read");
                         None
@@ -125,9 +124,12 @@
                     }
                 };
                 log::info!(server:% = change.id, status = u64::from(status); "order answered");
-                // 409: it carries out another order, most likely this one.
-                let taken = matches!(status, 200 | 202 | 409);
-                Some(forward::Event::Changed { id: change.id, taken })
+                let reply = match status {
+                    200 | 202 => Reply::Taken,
+                    409 => Reply::Conflict,
+                    _ => Reply::Lost,
+                };
+                Some(forward::Event::Changed { id: change.id, reply })
             }
         }
     }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -31,7 +31,7 @@
 mod transfer;
 
 pub use clock::{Clock, incarnation, unix_ms};
-pub use dialect::{Call, Dialect, Page, Report};
+pub use dialect::{Call, Dialect, Page};
 pub use events::Splitter;
 pub use host::{Exit, Input, Inputs};
 pub use key::key_hash;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -11,6 +11,6 @@
 mod versions;
 
 pub use news::{News, Stored};
-pub use server::{Listed, Load, Server};
+pub use server::{Listed, Load, Report, Server};
 pub use servers::{Key, Servers};
 pub use versions::Versions;
--- a/crates/fleet/src/rollout.rs
+++ b/crates/fleet/src/rollout.rs
@@ -2,24 +2,30 @@
 //!
 //! Answers the pattern in which a version is named while servers are full of runs of seconds: each
 //! server finishes its runs before it loads, so a part of them changes at once, and new runs go to
-//! the others meanwhile. Only the leader among the keepers orders, and only once its predecessor can
-//! no longer act, so each server has one holder at a time. Orders may be lost, late or doubled, so
-//! one that has not shown its effect in time is given again.
+//! the others meanwhile. A newer version may be named before the one before is everywhere: a server
+//! that is changing keeps its place until it is through, and one whose weights no run may begin on any
+//! more is ordered at once, since it serves nobody.
+//!
+//! Only the leader among the keepers orders, and only once its predecessor can no longer act, so each
+//! server has one holder at a time. Orders may be lost, late or doubled. What became of one shows in
+//! the server's reports: it is given again when they do not show it.
 
 use std::collections::HashMap;
 
 use base::prelude::*;
 
-use crate::{Key, Servers};
+use crate::{Key, Server, Servers};
 
 /// Part of a model's servers that change at once. More would leave too few for new runs, and fewer
 /// would not be through in time, since each waits for runs of seconds.
 const SHARE: usize = 2;
-/// Time after which an order without an effect is given again: longer than an order may wait for
-/// runs to end.
+/// Time after which an order without an effect is given again, if the server does not report:
+/// longer than an order may wait for runs to end.
 const AGAIN: Duration = Duration::from_secs(4);
 /// Time after which an order that was refused or not answered is given again.
 const FAILED_AGAIN: Duration = Duration::from_millis(400);
+/// Time after which an order that was taken shows in reports, which are some hundred milliseconds old.
+const SHOWN: Duration = Duration::from_millis(800);
 
 /// An order to a server.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -43,12 +49,45 @@
     pub ask: Vec<Key>,
 }
 
+/// How a server answered an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reply {
+    /// It carries the order out, or holds that version already.
+    Taken,
+    /// It carries out another order, or has taken another number of orders than expected.
+    Conflict,
+    /// It refused otherwise, or did not answer; an order that was not answered may be carried out later.
+    Lost,
+}
+
+/// An order that was given.
 #[derive(Clone, Copy, Debug)]
 struct Given {
     version: u64,
+    after: u64,
+    at: Time,
     again: Time,
-    /// Whether the server may be carrying it out.
-    taken: bool,
+    reply: Reply,
+}
+
+impl Given {
+    /// Whether the server is through with it, or never took it: nothing is to be waited for.
+    fn is_over(&self, server: &Server) -> bool {
+        if server.version >= self.version {
+            return true;
+        }
+        let through = |report: crate::Report| !report.busy && report.orders > self.after;
+        let shown = server.report_since(self.at + SHOWN).is_some_and(|report| !report.busy);
+        shown || server.report_since(self.at).is_some_and(through)
+    }
+
+    /// Whether the server may be carrying it out. One that reports but did not answer is there.
+    fn holds_place(&self, now: Time, server: &Server) -> bool {
+        match self.reply {
+            Reply::Taken | Reply::Conflict => now < self.at + AGAIN,
+            Reply::Lost => server.report_since(self.at).is_some(),
+        }
+    }
 }
 
 /// Orders under way.
@@ -58,46 +97,64 @@
 }
 
 impl Rollout {
-    /// The orders that are due to bring a model's servers to a version.
-    pub fn due(&mut self, now: Time, servers: &Servers, model: &Name, version: u64) -> Due {
-        let held = |key: Key| servers.get(key).map_or(u64::MAX, |server| server.version);
-        self.given.retain(|key, given| held(*key) < given.version);
-        let mut old: Vec<(u32, Key)> = Vec::new();
+    /// The orders that are due to bring a model's servers to a version. No run may begin on versions
+    /// below `least`.
+    pub fn due(
+        &mut self,
+        now: Time,
+        servers: &Servers,
+        model: &Name,
+        version: u64,
+        least: u64,
+    ) -> Due {
+        self.given
+            .retain(|key, given| servers.get(*key).is_some_and(|found| !given.is_over(found)));
+        let mut old: Vec<(bool, u32, Key, &Server)> = Vec::new();
         let mut all = 0;
         for (key, server) in servers.iter() {
-            let serves = server.listed.models.iter().any(|(name, _)| name == model);
-            if !serves || server.listed.leaving {
+            let holds = server.listed.models.iter().any(|(name, _)| name == model);
+            if !holds || server.listed.leaving {
                 continue;
             }
             all += 1;
             if server.version < version {
-                old.push((server.runs(now), key));
+                old.push((server.version >= least, server.runs(now), key, server));
             }
         }
-        let given = |key: &Key| self.given.get(key).filter(|given| given.version >= version);
-        let busy =
-            old.iter().filter(|(_, key)| given(key).is_some_and(|given| given.taken)).count();
+        let changes = |key: Key, server: &Server| {
+            server.report(now).is_some_and(|report| report.busy)
+                || self.given.get(&key).is_some_and(|given| given.holds_place(now, server))
+        };
+        let busy = old.iter().filter(|(.., key, server)| changes(*key, server)).count();
         let mut room = (all / SHARE).max(1).saturating_sub(busy);
         // Those with the fewest runs are through first.
-        old.sort_unstable();
+        old.sort_unstable_by_key(|(serves, runs, key, _)| (*serves, *runs, *key));
         let mut due = Due::default();
-        for (_, key) in old {
-            match given(&key) {
-                Some(given) if now < given.again => continue,
-                // It holds its place already.
-                Some(given) if given.taken => {}
-                _ if room == 0 => continue,
-                _ => room -= 1,
+        for (serves, _, key, server) in old {
+            let report = server.report(now);
+            if self.given.get(&key).is_some_and(|given| now < given.again) {
+                continue;
             }
-            match servers.get(key).and_then(|server| server.orders(now)) {
-                Some(after) => {
-                    due.orders.push(Order { server: key, model: model.clone(), version, after });
+            if !changes(key, server) {
+                if serves && room == 0 {
+                    continue;
                 }
+                room = room.saturating_sub(1);
+            }
+            match report {
+                Some(report) if report.busy => due.ask.push(key),
+                Some(report) => due.orders.push(Order {
+                    server: key,
+                    model: model.clone(),
+                    version,
+                    after: report.orders,
+                }),
                 None => due.ask.push(key),
             }
         }
         for order in &due.orders {
-            let given = Given { version, again: now + AGAIN, taken: true };
+            let (after, again) = (order.after, now + AGAIN);
+            let given = Given { version, after, at: now, again, reply: Reply::Taken };
             self.given.insert(order.server, given);
         }
         due
@@ -105,15 +162,17 @@
 
     /// Servers that were ordered and have not shown the version yet.
     pub fn under_way(&self) -> impl Iterator<Item = Key> {
-        self.given.iter().filter(|(_, given)| given.taken).map(|(key, _)| *key)
+        let under_way = self.given.iter().filter(|(_, given)| given.reply != Reply::Lost);
+        under_way.map(|(key, _)| *key)
     }
 
-    /// An order was refused or not answered: it is given again soon. One that was not answered may
-    /// still be carried out; the same order twice has the effect of one.
-    pub fn failed(&mut self, now: Time, server: Key) {
+    /// A server answered an order, or did not.
+    pub fn answered(&mut self, now: Time, server: Key, reply: Reply) {
         if let Some(given) = self.given.get_mut(&server) {
-            given.taken = false;
-            given.again = now + FAILED_AGAIN;
+            given.reply = reply;
+            if reply != Reply::Taken {
+                given.again = now + FAILED_AGAIN;
+            }
         }
     }
 
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -18,7 +18,7 @@
 
 /// Time by which the list may be older than a server's own word.
 const LIST_LAG: Duration = Duration::from_secs(3);
-/// Age at which a report's number of orders is asked for again before an order.
+/// Age at which a server is asked for another report before an order.
 const REPORT_AGE: Duration = Duration::from_secs(1);
 /// Least time between two questions for a report: reports are some hundred milliseconds old.
 const ASK_EVERY: Duration = Duration::from_millis(300);
@@ -65,6 +65,19 @@
     pub slots: u32,
 }
 
+/// A server's own report of itself, as of some hundred milliseconds ago.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Report {
+    /// Weight version that it holds; 0 where it names none.
+    pub version: u64,
+    /// Its load.
+    pub load: Load,
+    /// Orders that it has taken in this life.
+    pub orders: u64,
+    /// Whether it is carrying one out.
+    pub busy: bool,
+}
+
 /// A server and what this process knows of it.
 #[derive(Clone, Debug)]
 pub struct Server {
@@ -85,7 +98,8 @@
     changing_until: Time,
     next_ask: Time,
     told_version: Option<Time>,
-    orders: Option<(u64, Time)>,
+    /// Its last report, and when it came.
+    report: Option<(Report, Time)>,
     failures: u32,
     rejections: u32,
     away_until: Time,
@@ -107,7 +121,7 @@
             changing_until: Time::ZERO,
             next_ask: Time::ZERO,
             told_version: None,
-            orders: None,
+            report: None,
             failures: 0,
             rejections: 0,
             away_until: Time::ZERO,
@@ -186,14 +200,23 @@
         }
     }
 
-    /// It reported how many orders it has taken in this life.
-    pub fn took(&mut self, now: Time, orders: u64) {
-        self.orders = Some((orders, now));
+    /// It reported of itself, so it is there.
+    pub fn reported(&mut self, now: Time, report: Report) {
+        self.report = Some((report, now));
+        self.away_until = Time::ZERO;
+        self.misdirected_until = Time::ZERO;
+        self.holds(now, report.version);
+        self.told(now, report.load);
+    }
+
+    /// Its last report, if it came after a time.
+    pub fn report_since(&self, since: Time) -> Option<Report> {
+        self.report.filter(|(_, at)| *at > since).map(|(report, _)| report)
     }
 
-    /// How many orders it has taken, if that was reported lately.
-    pub fn orders(&self, now: Time) -> Option<u64> {
-        self.orders.filter(|(_, at)| now.since(*at) < REPORT_AGE).map(|(orders, _)| orders)
+    /// Its last report, if it came lately.
+    pub fn report(&self, now: Time) -> Option<Report> {
+        self.report.filter(|(_, at)| now.since(*at) < REPORT_AGE).map(|(report, _)| report)
     }
 
     /// The server answered as it should.
@@ -222,12 +245,6 @@
         now < self.misdirected_until
     }
 
-    /// It reported of itself, so it is there.
-    pub fn reported(&mut self) {
-        self.away_until = Time::ZERO;
-        self.misdirected_until = Time::ZERO;
-    }
-
     /// The server could not be reached or broke off.
     pub fn failed(&mut self, now: Time) {
         let away = AWAY * 2_u32.saturating_pow(self.failures.min(8));
--- a/crates/fleet/tests/servers.rs
+++ b/crates/fleet/tests/servers.rs
@@ -4,7 +4,8 @@
 
 use base::prelude::*;
 use cache::Named;
-use fleet::{Key, Listed, Load, Servers, rollout::Rollout};
+use fleet::rollout::{Reply, Rollout};
+use fleet::{Key, Listed, Load, Report, Servers};
 use test_case::test_case;
 
 fn listed(id: &str, port: u16) -> Listed {
@@ -84,7 +85,7 @@
     let server = servers.by_id("i-0").expect("there");
     server.misdirected(Time::ZERO);
     assert!(!server.usable(Time::from_millis(2_900)));
-    server.reported();
+    server.reported(Time::ZERO, Report::default());
     assert!(server.usable(Time::from_millis(1)));
 }
 
@@ -98,7 +99,7 @@
     assert!(!server.usable(Time::from_millis(10)));
     server.failed(Time::from_millis(20));
     assert!(!server.usable(Time::from_millis(2_900)));
-    server.reported();
+    server.reported(Time::ZERO, Report::default());
     assert!(server.usable(Time::from_millis(2_910)));
 }
 
@@ -132,7 +133,8 @@
 fn report(servers: &mut Servers, now: Time) {
     let keys: Vec<Key> = servers.iter().map(|(key, _)| key).collect();
     for key in keys {
-        servers.get_mut(key).expect("there").took(now, 0);
+        let server = servers.get_mut(key).expect("there");
+        server.reported(now, Report { version: server.version, ..Report::default() });
     }
 }
 
@@ -145,17 +147,17 @@
     let mut rollout = Rollout::default();
     let model = Name::new("m");
     let now = Time::from_millis(10);
-    let due = rollout.due(now, &servers, &model, 2);
+    let due = rollout.due(now, &servers, &model, 2, 0);
     assert_eq!((due.orders.len(), due.ask.len()), (0, 3), "first it must be known what they took");
     report(&mut servers, now);
-    let due = rollout.due(now, &servers, &model, 2);
+    let due = rollout.due(now, &servers, &model, 2, 0);
     let name = |key: Key| servers.get(key).expect("there").listed.id.to_string();
     let names: Vec<String> = due.orders.iter().map(|order| name(order.server)).collect();
     assert_eq!(names, ["i-1", "i-3", "i-5"]);
-    assert!(rollout.due(now, &servers, &model, 2).orders.is_empty(), "the rest waits");
+    assert!(rollout.due(now, &servers, &model, 2, 0).orders.is_empty(), "the rest waits");
     let first = due.orders[0].server;
     servers.get_mut(first).expect("there").holds(now, 2);
-    assert_eq!(rollout.due(now, &servers, &model, 2).orders.len(), 1, "one place is free");
+    assert_eq!(rollout.due(now, &servers, &model, 2, 0).orders.len(), 1, "one place is free");
 }
 
 #[test]
@@ -164,30 +166,116 @@
     let mut rollout = Rollout::default();
     let model = Name::new("m");
     report(&mut servers, Time::ZERO);
-    let first = rollout.due(Time::ZERO, &servers, &model, 2).orders;
+    let first = rollout.due(Time::ZERO, &servers, &model, 2, 0).orders;
     assert_eq!(first.len(), 1);
-    rollout.failed(Time::ZERO, first[0].server);
-    let other = rollout.due(Time(1), &servers, &model, 2).orders;
+    rollout.answered(Time::ZERO, first[0].server, Reply::Lost);
+    let other = rollout.due(Time(1), &servers, &model, 2, 0).orders;
     assert_eq!(other.len(), 1);
     assert_ne!(other[0].server, first[0].server, "the next takes its place");
     assert_eq!(rollout.under_way().count(), 1);
     servers.get_mut(other[0].server).expect("there").holds(Time(2), 2);
     report(&mut servers, Time::from_millis(500));
-    let again = rollout.due(Time::from_millis(500), &servers, &model, 2).orders;
+    let again = rollout.due(Time::from_millis(500), &servers, &model, 2, 0).orders;
     assert_eq!(again.len(), 1);
     assert_eq!(again[0].server, first[0].server);
 }
 
+/// A report of one server.
+fn reports(servers: &mut Servers, key: Key, now: Time, version: u64, orders: u64, busy: bool) {
+    let report = Report { version, orders, busy, ..Report::default() };
+    servers.get_mut(key).expect("there").reported(now, report);
+}
+
+/// The servers that are ordered now.
+fn ordered(rollout: &mut Rollout, servers: &Servers, now: Time, version: u64) -> Vec<Key> {
+    let due = rollout.due(now, servers, &Name::new("m"), version, 0);
+    due.orders.iter().map(|order| order.server).collect()
+}
+
+// Guards against the cause of issue 17 in the rollout: once a newer version was named, orders under way no longer
+// counted, and more than half of the servers changed at once.
+#[test]
+fn a_newer_version_waits_for_orders_under_way() {
+    let mut servers = fleet(6);
+    let mut rollout = Rollout::default();
+    let now = Time::from_millis(10);
+    report(&mut servers, now);
+    let first = ordered(&mut rollout, &servers, now, 2);
+    assert_eq!(first.len(), 3);
+    assert_eq!(ordered(&mut rollout, &servers, now, 3), [], "half of them change already");
+    assert_eq!(rollout.under_way().count(), 3);
+    let now = Time::from_millis(900);
+    report(&mut servers, now);
+    reports(&mut servers, first[0], now, 2, 1, false);
+    for key in &first[1..] {
+        reports(&mut servers, *key, now, 1, 1, true);
+    }
+    assert_eq!(ordered(&mut rollout, &servers, now, 3).len(), 1, "one is through");
+}
+
+// Guards against refusals in incident VERSION: servers on weights that no run could begin on waited for a place.
+#[test]
+fn a_server_that_no_run_may_begin_on_waits_for_no_place() {
+    let mut servers = fleet(6);
+    let mut rollout = Rollout::default();
+    let model = Name::new("m");
+    let now = Time::from_millis(10);
+    report(&mut servers, now);
+    assert_eq!(rollout.due(now, &servers, &model, 2, 0).orders.len(), 3);
+    assert_eq!(rollout.due(now, &servers, &model, 2, 2).orders.len(), 3, "the other three");
+    assert_eq!(rollout.under_way().count(), 6);
+}
+
+// Guards against refusals in incident VERSION: a server that was busy with the version before was left alone for four
+// seconds and held its place, though it was through within one.
+#[test]
+fn a_server_that_was_busy_is_ordered_as_soon_as_it_is_through() {
+    let mut servers = fleet(1);
+    let mut rollout = Rollout::default();
+    report(&mut servers, Time::ZERO);
+    let key = ordered(&mut rollout, &servers, Time::ZERO, 2)[0];
+    rollout.answered(Time::ZERO, key, Reply::Conflict);
+    let now = Time::from_millis(500);
+    reports(&mut servers, key, now, 1, 1, true);
+    assert_eq!(ordered(&mut rollout, &servers, now, 2), [], "it would refuse again");
+    let now = Time::from_millis(700);
+    reports(&mut servers, key, now, 1, 1, false);
+    let due = rollout.due(now, &servers, &Name::new("m"), 2, 0).orders;
+    assert_eq!(due.iter().map(|order| order.after).collect::<Vec<u64>>(), [1]);
+}
+
+// Guards against all servers changing at once: an order without an answer gave its place to the next server, and
+// was carried out all the same.
+#[test]
+fn an_order_without_an_answer_holds_its_place_while_the_server_reports() {
+    let mut servers = fleet(4);
+    let mut rollout = Rollout::default();
+    report(&mut servers, Time::ZERO);
+    let first = ordered(&mut rollout, &servers, Time::ZERO, 2);
+    assert_eq!(first.len(), 2);
+    for key in &first {
+        rollout.answered(Time::ZERO, *key, Reply::Lost);
+    }
+    let now = Time::from_millis(300);
+    report(&mut servers, now);
+    assert_eq!(ordered(&mut rollout, &servers, now, 2), []);
+    let now = Time::from_millis(600);
+    report(&mut servers, now);
+    let mut again = ordered(&mut rollout, &servers, now, 2);
+    again.sort_unstable();
+    assert_eq!(again, first, "the same two");
+}
+
 #[test]
 fn a_server_that_was_taken_back_is_ordered_again() {
     let mut servers = fleet(1);
     let mut rollout = Rollout::default();
     let model = Name::new("m");
     report(&mut servers, Time::ZERO);
-    assert_eq!(rollout.due(Time::ZERO, &servers, &model, 2).orders.len(), 1);
+    assert_eq!(rollout.due(Time::ZERO, &servers, &model, 2, 0).orders.len(), 1);
     let now = Time::from_millis(900);
     servers.by_id("i-0").expect("there").holds(now, 2);
-    assert!(rollout.due(now, &servers, &model, 2).orders.is_empty());
+    assert!(rollout.due(now, &servers, &model, 2, 0).orders.is_empty());
     servers.by_id("i-0").expect("there").holds(now, 1);
-    assert_eq!(rollout.due(now, &servers, &model, 2).orders.len(), 1);
+    assert_eq!(rollout.due(now, &servers, &model, 2, 0).orders.len(), 1);
 }
--- a/crates/node/src/forward/event.rs
+++ b/crates/node/src/forward/event.rs
@@ -4,7 +4,8 @@
 
 use base::prelude::*;
 use cache::Named;
-use fleet::{Listed, Load, News};
+use fleet::rollout::Reply;
+use fleet::{Listed, Load, News, Report};
 
 /// A prompt whose parts the caller names.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -144,12 +145,8 @@
     Reported {
         /// Identity of the server.
         id: Name,
-        /// Weight version that it holds.
-        version: u64,
-        /// Its load.
-        load: Load,
-        /// Orders that it has taken in this life.
-        orders: u64,
+        /// What it told.
+        report: Report,
     },
     /// A store told what it holds, or could not be read.
     StoreRead {
@@ -164,8 +161,8 @@
     Changed {
         /// Identity of the server.
         id: Name,
-        /// Whether it was taken.
-        taken: bool,
+        /// How.
+        reply: Reply,
     },
 }
 
--- a/crates/node/src/forward/mod.rs
+++ b/crates/node/src/forward/mod.rs
@@ -235,10 +235,8 @@
             Event::Done { call } => self.done(cx, call, out),
             Event::Left { call } => self.left(cx, call, out),
             Event::Listed { list } => self.listed(cx, list, out),
-            Event::Reported { id, version, load, orders } => {
-                self.reported(cx, &id, version, load, orders, out);
-            }
-            Event::Changed { id, taken } => self.changed(cx.now, &id, taken),
+            Event::Reported { id, report } => self.reported(cx, &id, report, out),
+            Event::Changed { id, reply } => self.changed(cx.now, &id, reply),
             Event::StoreRead { addr, since, news } => {
                 self.stores.was_read(cx, addr, since, news, out);
             }
--- a/crates/node/src/forward/weights.rs
+++ b/crates/node/src/forward/weights.rs
@@ -1,7 +1,8 @@
 //! Orders servers to the weight versions that are named.
 
 use base::prelude::*;
-use fleet::{Load, Server, Versions};
+use fleet::rollout::Reply;
+use fleet::{Report, Server, Versions};
 
 use super::{Call, Change, Context, Forward};
 use crate::note::{Allowed, Note};
@@ -18,31 +19,26 @@
         &mut self,
         cx: &Context<'_>,
         id: &Name,
-        version: u64,
-        load: Load,
-        orders: u64,
+        report: Report,
         out: &mut Effects,
     ) {
-        if let Some(server) = self.servers.by_id(id) {
-            let from = server.version;
-            server.holds(cx.now, version);
-            if cx.term.is_some() && from != version {
-                let (server, version) = (server.listed.id.clone(), version);
-                let note = Note::Holds { server, version, from, orders };
-                out.push(Effect::Note(Box::new(note)));
-            }
-            server.took(cx.now, orders);
-            if server.is_misdirected(cx.now) {
-                self.shares.touched(server.listed.addr);
-            }
-            server.reported();
-            server.told(cx.now, load);
+        let Some(server) = self.servers.by_id(id) else {
+            return;
+        };
+        let (from, Report { version, orders, .. }) = (server.version, report);
+        if server.is_misdirected(cx.now) {
+            self.shares.touched(server.listed.addr);
+        }
+        server.reported(cx.now, report);
+        if cx.term.is_some() && from != version {
+            let note = Note::Holds { server: server.listed.id.clone(), version, from, orders };
+            out.push(Effect::Note(Box::new(note)));
         }
     }
 
-    pub(super) fn changed(&mut self, now: Time, id: &Name, taken: bool) {
-        if let Some(key) = self.servers.key(id).filter(|_| !taken) {
-            self.rollout.failed(now, key);
+    pub(super) fn changed(&mut self, now: Time, id: &Name, reply: Reply) {
+        if let Some(key) = self.servers.key(id) {
+            self.rollout.answered(now, key, reply);
         }
     }
 
@@ -119,7 +115,8 @@
             }
         }
         for (model, version) in cx.view.all_weights() {
-            let due = self.rollout.due(cx.now, &self.servers, &model, version);
+            let least = self.allowed(cx.now, &model).least;
+            let due = self.rollout.due(cx.now, &self.servers, &model, version, least);
             for key in due.ask {
                 if let Some(server) = self.servers.get_mut(key)
                     && server.ask(cx.now)
--- a/crates/node/tests/forward.rs
+++ b/crates/node/tests/forward.rs
@@ -4,7 +4,7 @@
 
 use base::prelude::*;
 use cache::Named;
-use fleet::{Listed, News, Stored};
+use fleet::{Listed, News, Report, Stored};
 use limit::Allowance;
 use node::forward::{
     Answer, Call, Config, Context, Event, Forward, Head, Loss, Order, Prompt, Try,
@@ -211,6 +211,12 @@
         }
     }
 
+    /// What a server reports of itself.
+    fn reported(&mut self, id: &str, version: u64, orders: u64) {
+        let report = Report { version, orders, ..Report::default() };
+        self.event(Event::Reported { id: Name::new(id), report });
+    }
+
     /// What a store or server tells of itself.
     fn told(&mut self, place: SocketAddr, salt: &str, parts: &[(u64, u32)]) {
         let stored =
@@ -564,12 +570,7 @@
     bed.prompt(1, "/stream/x", "own", &PROMPT);
     let walled = bed.tried(1);
     assert_eq!((walled.salt.as_deref(), walled.fetch), (Some("wall/m/1"), vec![None; 3]));
-    bed.event(Event::Reported {
-        id: Name::new("i-1"),
-        version: 2,
-        load: fleet::Load::default(),
-        orders: 1,
-    });
+    bed.reported("i-1", 2, 1);
     bed.prompt(2, "/stream/x", "key", &PROMPT);
     let newer = bed.tried(2);
     assert_eq!((newer.version, newer.salt.as_deref()), (Some(2), Some("*/m/2")));
@@ -658,12 +659,7 @@
     bed.wait(5_000);
     bed.prompt(2, "/once/x", "key", &PROMPT);
     assert_eq!(bed.refused(2), (Code::NoServer, 503, true));
-    bed.event(Event::Reported {
-        id: Name::new("i-2"),
-        version: 2,
-        load: fleet::Load::default(),
-        orders: 1,
-    });
+    bed.reported("i-2", 2, 1);
     bed.prompt(3, "/once/x", "key", &PROMPT);
     assert_eq!(bed.tried(3).version, Some(2));
 }
@@ -683,8 +679,7 @@
     bed.wait(2_000);
     bed.prompt(2, "/once/x", "key", &PROMPT);
     assert_eq!(bed.refused(2), (Code::NoServer, 503, true));
-    let load = fleet::Load::default();
-    bed.event(Event::Reported { id: Name::new("i-2"), version: 2, load, orders: 1 });
+    bed.reported("i-2", 2, 1);
     bed.prompt(3, "/once/x", "key", &PROMPT);
     assert_eq!(bed.tried(3).version, Some(2), "the time of version 3 is not over");
     bed.wait(3_000);
@@ -725,9 +720,7 @@
     bed.view = view(2);
     let report = |bed: &mut Bed| {
         for number in 1..5 {
-            let id = Name::from(format!("i-{number}"));
-            let load = fleet::Load::default();
-            bed.event(Event::Reported { id, version: 1, load, orders: 3 });
+            bed.reported(&format!("i-{number}"), 1, 3);
         }
     };
     let orders = |bed: &mut Bed| -> Vec<(u64, u64, u64)> {
@@ -764,8 +757,7 @@
     };
     bed.wait(4_000);
     assert!(!freed(&mut bed), "a server still holds those weights");
-    let load = fleet::Load::default();
-    bed.event(Event::Reported { id: Name::new("i-1"), version: 2, load, orders: 1 });
+    bed.reported("i-1", 2, 1);
     bed.wait(1_000);
     bed.wait(1_000);
     assert!(!freed(&mut bed), "not settled yet");
