A new kind of frame goes after those that stand

Cause: wire::Frame::Weights stood before Idle, whose number moved from 22 to 23, so that processes of two builds would misread each other. Evidence: kinds_of_frames_keep_their_numbers failed before (23) and passes. A build that does not know a kind still cuts the link over it; frames carry no version.

--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -234,8 +234,8 @@
     Sums(Vec<Share>),
     /// Keeper to entry: a reading of the list of servers.
     List(List),
-    /// Keeper to entry: how long ago weight versions were named.
-    Weights(Vec<Weights>),
     /// Nothing to say; the link is alive.
     Idle,
+    /// Keeper to entry: how long ago weight versions were named.
+    Weights(Vec<Weights>),
 }
--- a/crates/wire/tests/frames.rs
+++ b/crates/wire/tests/frames.rs
@@ -13,9 +13,17 @@
         Frame::Ack { run, seq: u64::MAX },
         Frame::Members(Vec::new()),
         Frame::Answer { id: 9, answer: wire::Answer::Elsewhere(Some(Name::new("k2"))) },
+        Frame::Weights(vec![wire::Weights { model: Name::new("m"), ages: vec![(2, 3_100)] }]),
     ]
 }
 
+// Guards against a new kind of frame before the last one: processes of two builds read each other's frames wrongly
+// while they are exchanged.
+#[test]
+fn kinds_of_frames_keep_their_numbers() {
+    assert_eq!(encode(&Frame::Idle), [0, 0, 0, 1, 22]);
+}
+
 #[test]
 fn a_frame_over_the_limit_is_refused_before_it_is_read() {
     let mut decoder = Decoder::default();
