Servers whose weights are not known, and requests without a readable prompt, keep to the time of a version too

Cause: a report or a list entry without models reads as version 0. Then no version was expected of the server, so that it could run a request on any, and parts were shared under salt */m/0 whatever version they were made with. A request whose prompt cannot be read had no model, so no version was ever too old for it. Change: the newest version is expected where none is known; a report that names none changes nothing; without a prompt the engine's model counts. Evidence: a_server_of_unknown_weights_is_expected_to_hold_the_newest, a_report_that_names_no_weights_leaves_what_is_known and a_request_without_a_prompt_keeps_to_the_time_of_a_version failed before, each as its name says, and pass. Where no version was ever named nothing is expected, as before.

--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -205,7 +205,9 @@
         self.report = Some((report, now));
         self.away_until = Time::ZERO;
         self.misdirected_until = Time::ZERO;
-        self.holds(now, report.version);
+        if report.version > 0 {
+            self.holds(now, report.version);
+        }
         self.told(now, report.load);
     }
 
--- a/crates/node/src/forward/place.rs
+++ b/crates/node/src/forward/place.rs
@@ -28,8 +28,7 @@
         let Some(run) = self.runs.get(&call) else {
             return;
         };
-        let prompt = run.head.prompt.as_ref().filter(|_| engine(cx, run).is_some());
-        let allowed = prompt.map(|prompt| self.allowed(cx.now, &prompt.model)).unwrap_or_default();
+        let allowed = model(cx, run).map(|model| self.allowed(cx.now, model)).unwrap_or_default();
         let Some(choice) = self.choose(cx, run, allowed, point) else {
             if let Some(run) = self.runs.get_mut(&call) {
                 run.basis.allowed = allowed;
@@ -45,8 +44,9 @@
         else {
             return;
         };
-        let version = (engine.is_some() && server.version > 0).then_some(server.version);
-        let salt = run.head.prompt.as_ref().map(|prompt| salt(run, &prompt.model, server.version));
+        let held = held(server, allowed);
+        let version = (engine.is_some() && held > 0).then_some(held);
+        let salt = run.head.prompt.as_ref().map(|prompt| salt(run, &prompt.model, held));
         run.tries += 1;
         run.ran += 1;
         run.tried.push(key);
@@ -58,7 +58,7 @@
             beside: candidate.running,
             cost_ms: direct::cost(&candidate),
             list_age,
-            version: server.version,
+            version: held,
             allowed,
         };
         run.place = Some(Place { server: key, reading, from: transfer.from });
@@ -98,26 +98,26 @@
         let mut candidates = Vec::new();
         let mut choices = Vec::new();
         for (key, server) in self.servers.of(&run.service) {
-            // A server that has told no version yet holds the newest.
-            let too_old = server.version > 0 && server.version < allowed.least;
+            let version = held(server, allowed);
+            let too_old = version < allowed.least;
             if !server.usable(cx.now) || too_old || run.tried.contains(&key) {
                 continue;
             }
             let mut transfer = Transfer::default();
             let mut reading = 0;
             if let Some((prompt, engine)) = prompt {
-                let sources = known.iter().position(|(version, _)| *version == server.version);
+                let sources = known.iter().position(|(found, _)| *found == version);
                 let sources = sources.unwrap_or_else(|| {
-                    let salt = salt_number(&salt(run, &prompt.model, server.version));
+                    let salt = salt_number(&salt(run, &prompt.model, version));
                     let found = self.stores.sources(cx, &self.servers, engine, salt, &prompt.parts);
-                    known.push((server.version, found));
+                    known.push((version, found));
                     known.len() - 1
                 });
                 transfer = self.consider(cx, &known[sources].1, prompt, engine, server);
                 let all = prompt.parts.iter().map(|part| u64::from(part.tokens)).sum::<u64>();
                 reading = all - transfer.held - transfer.tokens;
             }
-            let old = allowed.newest > server.version && server.version > 0;
+            let old = version < allowed.newest;
             candidates.push(Candidate {
                 running: server.runs(cx.now),
                 slots: server.listed.slots,
@@ -131,7 +131,7 @@
         }
         let index = direct::choose(&candidates, point)?;
         let (key, transfer) = choices.swap_remove(index);
-        let version = self.servers.get(key)?.version;
+        let version = held(self.servers.get(key)?, allowed);
         let sources = known.into_iter().find(|(found, _)| *found == version);
         let sources = sources.map(|(_, sources)| sources).unwrap_or_default();
         Some(Choice { key, transfer, sources, candidate: candidates[index] })
@@ -166,6 +166,18 @@
     candidate: Candidate,
 }
 
+/// The weight version that a try expects of a server: the newest where none is known, as a new server
+/// has it.
+fn held(server: &Server, allowed: Allowed) -> u64 {
+    if server.version > 0 { server.version } else { allowed.newest }
+}
+
+/// The model that a request runs on, if its service has engines.
+fn model<'a>(cx: &Context<'a>, run: &'a Run) -> Option<&'a Name> {
+    let engine = engine(cx, run)?;
+    Some(run.head.prompt.as_ref().map_or(&engine.model, |prompt| &prompt.model))
+}
+
 /// The engine that a request's service runs on, if it does.
 fn engine<'a>(cx: &Context<'a>, run: &Run) -> Option<&'a Engine> {
     cx.view.service(&run.service).and_then(|service| service.engine.as_ref())
--- a/crates/node/src/forward/weights.rs
+++ b/crates/node/src/forward/weights.rs
@@ -30,7 +30,7 @@
             self.shares.touched(server.listed.addr);
         }
         server.reported(cx.now, report);
-        if cx.term.is_some() && from != version {
+        if cx.term.is_some() && from != server.version {
             let note = Note::Holds { server: server.listed.id.clone(), version, from, orders };
             out.push(Effect::Note(Box::new(note)));
         }
--- a/crates/node/tests/forward.rs
+++ b/crates/node/tests/forward.rs
@@ -714,6 +714,39 @@
     assert_eq!(entry.refused(2), (Code::NoServer, 503, true), "5 s after version 2 was named");
 }
 
+// Guards against runs on old weights at a server whose version is not known: nothing was expected of it, and parts of
+// several versions were shared under one salt.
+#[test]
+fn a_server_of_unknown_weights_is_expected_to_hold_the_newest() {
+    let mut bed = Bed::new(1);
+    bed.view = view(2);
+    let unknown = Listed { models: Vec::new(), ..listed(1) };
+    bed.event(Event::Listed { list: Ok(vec![unknown]) });
+    bed.wait(10);
+    bed.prompt(1, "/once/x", "key", &PROMPT);
+    let sent = bed.tried(1);
+    assert_eq!((sent.version, sent.salt.as_deref()), (Some(2), Some("*/m/2")));
+}
+
+#[test]
+fn a_report_that_names_no_weights_leaves_what_is_known() {
+    let mut bed = Bed::new(1);
+    bed.reported("i-1", 0, 1);
+    bed.prompt(1, "/once/x", "key", &PROMPT);
+    assert_eq!(bed.tried(1).version, Some(1));
+}
+
+// Guards against runs on old weights of requests whose prompt cannot be read: their model is that of the engine.
+#[test]
+fn a_request_without_a_prompt_keeps_to_the_time_of_a_version() {
+    let mut bed = Bed::new(1);
+    bed.view = view(2);
+    bed.wait(10);
+    bed.wait(5_000);
+    bed.ask(1, "/once/x");
+    assert_eq!(bed.refused(1), (Code::NoServer, 503, true));
+}
+
 #[test]
 fn only_a_leader_orders_and_only_after_its_predecessor_has_stopped() {
     let mut bed = Bed::new(4);
