An older reading of the list does not replace what was told meanwhile

Cause: the latest list taken in counted as the newest. An entry's own reading that began before the leader told a list replaced it when it came back later; and since its checksum stayed that of the told list, the leader's next word 'the same' confirmed the older one for up to four readings, longer than a leaving server has to be left alone (three seconds). Change: a reading that began before the last told list is dropped, and the checksum is always that of the list in use. Evidence: an_older_reading_does_not_replace_a_newer_list_that_was_told and a_list_read_here_is_not_confirmed_by_word_of_another failed before.

--- a/crates/node/src/forward/list.rs
+++ b/crates/node/src/forward/list.rs
@@ -27,6 +27,10 @@
 pub(super) struct Lists {
     next: Time,
     pending: bool,
+    /// When the last reading of this process began.
+    begun: Time,
+    /// When the reader last told what is in use.
+    told: Option<Time>,
     /// Readings of this process that have failed since one succeeded.
     failed: u32,
     /// Checksum of the list in use.
@@ -41,6 +45,7 @@
     pub(super) fn read_list(&mut self, cx: &Context<'_>, out: &mut Effects) {
         if cx.now >= self.lists.next && !self.lists.pending {
             self.lists.pending = true;
+            self.lists.begun = cx.now;
             self.lists.next = cx.now + self.config.list_every;
             out.push(Effect::Call(Call::ReadList));
         }
@@ -73,17 +78,21 @@
             }
         };
         self.lists.failed = 0;
+        if cx.term.is_none() && self.lists.told > Some(self.lists.begun) {
+            // What was told meanwhile is newer.
+            return;
+        }
+        let servers: Vec<wire::Listed> = list.iter().map(told).collect();
+        let sum = salt_number(&format!("{servers:?}"));
         if cx.term.is_some() {
-            let servers: Vec<wire::Listed> = list.iter().map(told).collect();
-            let sum = salt_number(&format!("{servers:?}"));
             self.lists.since_whole += 1;
             let whole = sum != self.lists.sum || self.lists.since_whole >= WHOLE_EVERY;
             if whole {
                 self.lists.since_whole = 0;
             }
-            self.lists.sum = sum;
             self.lists.news = Some(List { sum, servers: whole.then_some(servers) });
         }
+        self.lists.sum = sum;
         self.take_list(cx.now, list, out);
     }
 
@@ -103,6 +112,7 @@
             None if list.sum != self.lists.sum => return,
             None => self.servers.same(now),
         }
+        self.lists.told = Some(now);
         let wait = self.config.list_every.mul_f64(OWN_AFTER * self.rng.random_range(1.0..2.0));
         self.lists.next = now + wait;
     }
--- a/crates/node/tests/forward.rs
+++ b/crates/node/tests/forward.rs
@@ -483,6 +483,56 @@
     assert_eq!(asked(&mut bed, 1_000), 1);
 }
 
+// Guards against the cause of issue 17 in the list of servers: an older reading of an entry's own replaced what the leader had
+// told meanwhile, and the leader's next word confirmed it.
+#[test]
+fn an_older_reading_does_not_replace_a_newer_list_that_was_told() {
+    let mut bed = Bed::new(2);
+    let told = |number: u16| wire::Listed {
+        id: Name::from(format!("i-{number}")),
+        born: None,
+        service: Name::new("llm"),
+        addr: addr(number),
+        zone: Name::new("a"),
+        slots: 8,
+        leaving: number == 1,
+        cold_ms: 0,
+        models: vec![(Name::new("m"), 1)],
+    };
+    bed.event(Event::Listed { list: Ok((1..=2).map(listed).collect()) });
+    bed.wait(4_000);
+    assert!(bed.out.drain(..).any(|effect| matches!(effect, Effect::Call(Call::ReadList))));
+    bed.wait(500);
+    let news = wire::List { sum: 7, servers: Some((1..=2).map(told).collect()) };
+    bed.step(|forward, cx, out| forward.list_told(cx.now, news, out));
+    bed.wait(500);
+    // The answer to the question from before.
+    bed.event(Event::Listed { list: Ok((1..=2).map(listed).collect()) });
+    bed.out.clear();
+    for call in 1..20 {
+        bed.ask(call, "/safe/x");
+        assert_eq!(&*bed.tried(call).id, "i-2", "the other takes no new work");
+        bed.answer(call, 200, false);
+        bed.event(Event::Done { call });
+    }
+}
+
+#[test]
+fn a_list_read_here_is_not_confirmed_by_word_of_another() {
+    let mut bed = Bed::new(2);
+    let news = wire::List { sum: 7, servers: Some(Vec::new()) };
+    bed.step(|forward, cx, out| forward.list_told(cx.now, news, out));
+    bed.event(Event::Listed { list: Ok(Vec::new()) });
+    bed.wait(4_000);
+    bed.event(Event::Listed { list: Ok((1..=2).map(listed).collect()) });
+    bed.wait(500);
+    let same = wire::List { sum: 7, servers: None };
+    bed.step(|forward, cx, out| forward.list_told(cx.now, same, out));
+    bed.out.clear();
+    bed.wait(600);
+    assert!(bed.out.iter().any(|effect| matches!(effect, Effect::Call(Call::ReadList))));
+}
+
 /// The places that are to be read since the last look, and from where.
 fn reads(bed: &mut Bed) -> Vec<(SocketAddr, Option<u64>)> {
     let found = bed.out.drain(..).filter_map(|effect| match effect {
