Changes say which revision they follow, and a lost one is asked for

Cause: the latest change stood for all before it. A keeper's frame with one change can be lost with its link, or come after the next one that went over a new link; the entry took the later one, its revision rose, and heartbeats confirmed it. The missing change was never asked for. Besides, each change from a source that lags made the time for which an entry was behind start again, so that it never asked anybody else. Change: wire::Frame::Changes names the revision that it follows; one that leaves a gap is not applied, and the sender is asked for all that came after what is known. The time behind ends only when the revision that a peer told of is reached. The frame has another form; processes of two builds cannot be mixed across this change.

--- a/crates/node/src/keeper.rs
+++ b/crates/node/src/keeper.rs
@@ -185,7 +185,7 @@
     pub fn watch(&mut self, peer: &Name, revision: Revision, out: &mut Effects) {
         let known = revision.min(self.state.revision());
         let frame = match self.state.changes_after(revision) {
-            Some(changes) => Frame::Changes(changes),
+            Some(changes) => Frame::Changes { after: revision, changes },
             None => Frame::Records {
                 revision: self.state.revision(),
                 records: self.state.records().cloned().collect(),
@@ -330,7 +330,7 @@
             }
             if made.as_ref().is_none_or(|(revision, _)| revision != sent) {
                 let frame = match self.state.changes_after(*sent) {
-                    Some(changes) => Frame::Changes(changes),
+                    Some(changes) => Frame::Changes { after: *sent, changes },
                     None => Frame::Records {
                         revision: latest,
                         records: self.state.records().cloned().collect(),
--- a/crates/node/src/process/mod.rs
+++ b/crates/node/src/process/mod.rs
@@ -332,9 +332,10 @@
                 }
             }
             Frame::Watch { revision } => self.watched(peer, revision, out),
-            Frame::Changes(changes) => {
-                self.watch.view.apply(&changes);
-                self.configured();
+            Frame::Changes { after, changes } => {
+                if self.watch.changed(peer, after, &changes, out) {
+                    self.configured();
+                }
             }
             Frame::Records { revision, records } => {
                 self.watch.view.replace(revision, records);
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -9,7 +9,7 @@
 use std::collections::BTreeMap;
 
 use base::prelude::*;
-use record::View;
+use record::{Change, View};
 use wire::{Beat, Frame, Mark};
 
 use crate::{Effect, Effects};
@@ -29,7 +29,8 @@
     confirmed: Option<Time>,
     leaderless: BTreeMap<Name, (Time, u32)>,
     source: Option<Name>,
-    behind_since: Option<Time>,
+    /// Since when a peer is known to know more, and the revision that it told of.
+    behind: Option<(Time, Revision)>,
     /// Whether to serve on when no keeper and no peer can confirm.
     pub serve_unconfirmed: bool,
 }
@@ -64,9 +65,26 @@
         out.push(Effect::Send { to: peer.clone(), frame });
     }
 
-    /// Records have come.
+    /// Changes have come from a peer; gives whether they were applied. Frames of a link that was lost may be
+    /// missing before them: then the peer is asked for all that came after what is known here.
+    pub fn changed(
+        &mut self,
+        peer: &Name,
+        after: Revision,
+        changes: &[Change],
+        out: &mut Effects,
+    ) -> bool {
+        if after > self.view.revision {
+            self.ask(peer, out);
+            return false;
+        }
+        self.view.apply(changes);
+        true
+    }
+
+    /// Records have come; those that a peer told of may still be missing.
     pub fn applied(&mut self) {
-        self.behind_since = None;
+        self.behind = self.behind.filter(|(_, revision)| *revision > self.view.revision);
     }
 
     /// A heartbeat came; only a keeper that knows more becomes the source, others answer once.
@@ -78,9 +96,9 @@
         out: &mut Effects,
     ) {
         if beat.revision > self.view.revision {
-            let since = *self.behind_since.get_or_insert(now);
+            let (since, _) = *self.behind.get_or_insert((now, beat.revision));
             if now.since(since) >= BEHIND {
-                self.behind_since = None;
+                self.behind = None;
                 self.ask(peer, out);
                 if keeper {
                     self.source = Some(peer.clone());
--- a/crates/node/tests/entry.rs
+++ b/crates/node/tests/entry.rs
@@ -306,3 +306,77 @@
     bed.frame("keeper-2", Frame::Beat(Beat { no_quorum: Some(1), echo, ..Beat::default() }));
     assert!(!bed.node.ready(bed.now));
 }
+
+fn revision(index: u64) -> Revision {
+    Revision { epoch: 1, index }
+}
+
+/// A change that puts a service.
+fn change(index: u64, name: &str) -> record::Change {
+    let (kind, place, by) = (record::Kind::Service, revision(index), Name::new("ann"));
+    let record = record::Record {
+        kind,
+        name: Name::new(name),
+        version: 1,
+        schema: record::schema::newest(kind),
+        min_schema: 1,
+        body: "{}".into(),
+        created: place,
+        revision: place,
+        by: by.clone(),
+        at_ms: 0,
+    };
+    record::Change {
+        kind,
+        name: Name::new(name),
+        revision: place,
+        record: Some(record),
+        by,
+        at_ms: 0,
+    }
+}
+
+/// The revisions after which changes were asked for.
+fn watched(effects: &[node::Effect]) -> Vec<u64> {
+    let asked = effects.iter().filter_map(|effect| match effect {
+        node::Effect::Send { frame: Frame::Watch { revision }, .. } => Some(revision.index),
+        _ => None,
+    });
+    asked.collect()
+}
+
+// Guards against the cause of issue 17 in the configuration: the latest change stood for all before it, so that one
+// whose frame was lost with its link was never in force.
+#[test]
+fn a_change_that_was_lost_with_its_link_is_asked_for() {
+    let mut bed = Bed::entry();
+    let known = bed.node.watch().view.revision.index;
+    // The change after the known one is lost.
+    let after = revision(known + 1);
+    let later = Frame::Changes { after, changes: vec![change(known + 2, "later")] };
+    assert_eq!(watched(&bed.frame(bed::KEEPER, later)), [known]);
+    assert_eq!(bed.node.watch().view.revision.index, known, "what is known has no gap");
+    let changes = vec![change(known + 1, "earlier"), change(known + 2, "later")];
+    bed.frame(bed::KEEPER, Frame::Changes { after: revision(known), changes });
+    let view = &bed.node.watch().view;
+    assert!(view.service("earlier").is_some() && view.service("later").is_some());
+}
+
+// Guards against the same in the watch: each change from a source that lags made the time for which a process was
+// behind start again, so that it never asked anybody else.
+#[test]
+fn who_is_behind_asks_although_its_source_tells_old_changes() {
+    let mut bed = Bed::entry();
+    let known = bed.node.watch().view.revision.index;
+    let mut out = node::Effects::new();
+    for step in 0..20 {
+        bed.now = bed.now + Duration::from_millis(50);
+        let beat = Beat { revision: revision(known + 200), echo: bed.now, ..Beat::default() };
+        out.extend(bed.frame("entry-2", Frame::Beat(beat)));
+        let changes = vec![change(known + step + 1, "old")];
+        out.extend(
+            bed.frame(bed::KEEPER, Frame::Changes { after: revision(known + step), changes }),
+        );
+    }
+    assert!(!watched(&out).is_empty(), "behind for a second");
+}
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -204,8 +204,13 @@
         /// What the sender has.
         revision: Revision,
     },
-    /// Changes of records, without a gap since the last frame.
-    Changes(Vec<Change>),
+    /// Changes of records.
+    Changes {
+        /// The revision that they follow without a gap.
+        after: Revision,
+        /// The changes, in their order.
+        changes: Vec<Change>,
+    },
     /// All records.
     Records {
         /// Their revision.
