A rollout over agents counts loads of another version that are under way

Cause: a load was counted only if its order named the present version. A newer version made the leader forget loads under way, so that one more agent loaded with each version named, whatever 'parallel' says. Change: an agent that has not shown the version of its last order keeps its place, and is ordered to the present one in it. Evidence: another_version_does_not_raise_the_loads_at_once failed before (a loads v2 while b is ordered to v3, with 'parallel' 1) and passes. An order back to the version that an agent holds does not cancel a load that waits; that stays open.

--- a/crates/node/src/rollout.rs
+++ b/crates/node/src/rollout.rs
@@ -36,6 +36,8 @@
     let mut plan = Plan::default();
     let mut serving = 0;
     let mut waiting = Vec::new();
+    // Agents that still load another version: they are ordered anew in the places that they hold.
+    let mut redirected = Vec::new();
     for member in members {
         let serves = member.hello.server.as_ref();
         if !serves.is_some_and(|server| !server.plain && server.serves == rollout.model) {
@@ -47,14 +49,17 @@
         }
         plan.all += 1;
         let name = &member.hello.name;
-        let holds = member.beat.load.as_ref().is_some_and(|load| load.version == rollout.version);
-        let ordered = orders.get(name).is_some_and(|(_, order)| {
-            order.load == rollout.version && order.to == member.hello.incarnation
-        });
+        let reported = member.beat.load.as_ref().map(|load| &load.version);
+        let holds = reported == Some(&rollout.version);
+        let order = orders.get(name).map(|(_, order)| order);
+        let order = order.filter(|order| order.to == member.hello.incarnation);
+        let ordered = order.is_some_and(|order| reported != Some(&order.load));
         if holds {
             plan.done += 1;
-        } else if ordered {
+        } else if order.is_some_and(|order| order.load == rollout.version) {
             plan.loading.push(name.clone());
+        } else if ordered {
+            redirected.push(name.clone());
         } else if standing == Standing::Ready {
             waiting.push(name.clone());
         }
@@ -64,6 +69,7 @@
     if rollout.paused {
         return plan;
     }
+    plan.issue = redirected;
     for name in waiting {
         if plan.loading.len() + plan.issue.len() >= rollout.parallel {
             break;
--- /dev/null
+++ b/crates/node/tests/rollout.rs
@@ -0,0 +1,60 @@
+//! Rollouts over agents.
+
+use std::collections::BTreeMap;
+
+use base::prelude::*;
+use node::{Member, Members, plan};
+use record::Rollout;
+use state::Order;
+use wire::{Beat, Engine, Hello, Load};
+
+type Orders = BTreeMap<Name, (Revision, Order)>;
+
+/// Agents that hold version `v1`, those with an order not ready.
+fn members(now: Time, names: &[&str], orders: &Orders) -> Members {
+    let mut members = Members::default();
+    for name in names {
+        let hello = Hello {
+            name: Name::new(name),
+            incarnation: Incarnation(1),
+            zone: Name::new("z"),
+            addr: ([127, 0, 0, 1], 1).into(),
+            entry: false,
+            keeper: false,
+            server: Some(Engine { serves: Name::new("m"), plain: false, slots: 4 }),
+        };
+        members.linked(now, &hello);
+        let load = Some(Load { version: Name::new("v1"), ..Load::default() });
+        let leaving = orders.contains_key(*name);
+        members.beat(now, &hello.name, &Beat { leaving, ready: true, load, ..Beat::default() });
+    }
+    members
+}
+
+// Guards against the cause of issue 17 in rollouts over agents: a load under way was forgotten when another version
+// was named, so that more agents loaded at once than the rollout allows.
+#[test]
+fn another_version_does_not_raise_the_loads_at_once() {
+    let now = Time::from_millis(1_000);
+    let names = ["a", "b", "c", "d"];
+    let mut orders = Orders::new();
+    for version in 2..=4_u64 {
+        let rollout = Rollout {
+            model: Name::new("m"),
+            version: Name::from(format!("v{version}")),
+            parallel: 1,
+            floor: 1,
+            paused: false,
+        };
+        let members = members(now, &names, &orders);
+        let found: Vec<&Member> = members.iter().collect();
+        for server in plan(now, &rollout, &found, &orders).issue {
+            let (load, by) = (rollout.version.clone(), Name::new("k"));
+            let order = Order { server: server.clone(), to: Incarnation(1), load, by };
+            orders.insert(server, (Revision { epoch: 1, index: version }, order));
+        }
+        let loads: Vec<(&str, &str)> =
+            orders.iter().map(|(name, (_, order))| (&**name, &*order.load)).collect();
+        assert_eq!(loads, [("a", &*rollout.version)], "the one that loads is ordered anew");
+    }
+}
