Servers and explain know forwarded requests

What callers saw: nothing; operators did. `tamarack servers` showed the processes alone, and `tamarack explain` answered "no decision of that request is kept here" for every forwarded request. Only the log told the choice, without the other servers that it was made among, and nothing told why a server took no work.

Now `servers` shows each server without an agent (service, address, zone, usable, why not: leaving, away, misdirected, changing; runs, prompt tokens ahead, weight version), the stores and the weights, on any process that forwards. `explain` shows each try of a request with what was known when it was placed, the servers of its service included, and how the request ended; one that no server could take shows the servers then. The answers' present fields stay; the dump's servers have the new ones too.

Evidence: with the source of the commit before, both tests of bin/tamarack/tests/forwarded.rs failed and the four new ones of crates/node/tests/forward.rs did not compile. They pass now.

Ruled out: keeping the candidates where the choice is made. The servers are looked at right after it, and the chosen one's figures are those of the choice, so the policy is untouched. `fleet` tells only until when a server is left alone, so why is found on a copy with the other reasons ended; an operator's question alone does that.

Not measured: processor time of keeping. It is one pass over the servers of the service for each try.

--- a/bin/tamarack/src/args.rs
+++ b/bin/tamarack/src/args.rs
@@ -7,7 +7,7 @@
 /// tamarack looks after a tamarackbank deployment: records, servers, rollouts, dumps, replays.
 ///
 /// Ask any process by its operators' address. Changes go to the keepers from wherever you ask;
-/// history, servers and wait are answered by a keeper.
+/// history and wait are answered by a keeper; servers by a keeper, or by an entry that forwards.
 ///
 /// Examples:
 ///   tamarack get workspace
@@ -143,7 +143,7 @@
     pub key: String,
 }
 
-/// Show the processes and where they stand.
+/// Show the processes and where they stand; servers without an agent, stores and weights.
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "servers")]
 pub struct Servers {}
--- a/bin/tamarack/src/orders.rs
+++ b/bin/tamarack/src/orders.rs
@@ -10,7 +10,7 @@
 
 const LOOK: Duration = Duration::from_millis(200);
 
-/// Shows the processes.
+/// Shows the processes, and what requests without an agent can go to.
 pub fn servers(client: &Client) -> Result<(), Trouble> {
     let value = client.get("/v1/servers")?;
     if client.json {
@@ -20,9 +20,27 @@
     let keys =
         ["name", "standing", "zone", "link", "serves", "version", "held", "slots", "revision"];
     table::print(&keys, &table::rows(&value["servers"], &keys));
+    let backends = [
+        "server", "service", "address", "zone", "usable", "why_not", "slots", "runs", "reading",
+        "version",
+    ];
+    let stores = ["store", "address", "zone", "known", "held", "tokens", "sending_ms"];
+    let weights = ["model", "version", "least", "age_ms", "servers", "behind"];
+    section("servers without an agent", &value["backends"], &backends);
+    section("stores", &value["stores"], &stores);
+    section("weights", &value["weights"], &weights);
     Ok(())
 }
 
+/// Prints a list under a title, if there is anything in it.
+fn section(title: &str, list: &Value, keys: &[&str]) {
+    let rows = table::rows(list, keys);
+    if !rows.is_empty() {
+        println!("\n{title}");
+        table::print(keys, &rows);
+    }
+}
+
 /// Waits until a revision is in force everywhere.
 pub fn wait(client: &Client, wait: &args::Wait) -> Result<(), Trouble> {
     let end = Instant::now() + Duration::from_secs(wait.seconds);
@@ -97,6 +115,10 @@
         println!("{value}");
         return Ok(());
     }
+    if value["tries"].is_array() {
+        placed(&value);
+        return Ok(());
+    }
     println!("request {request} went to {}", table::cell(&value["agent"]));
     let keys = [
         "agent",
@@ -111,3 +133,34 @@
     table::print(&keys, &table::rows(&value["candidates"], &keys));
     Ok(())
 }
+
+/// Prints what was known when a forwarded request was placed.
+fn placed(value: &Value) {
+    let line = |value: &Value, keys: &[&str]| {
+        let cells: Vec<String> =
+            keys.iter().map(|key| format!("{key}={}", table::cell(&value[*key]))).collect();
+        println!("  {}", cells.join("  "));
+    };
+    let weights = ["version", "version_least", "version_newest", "version_newest_age_ms"];
+    let servers = ["server", "usable", "leaving", "runs", "reading", "version"];
+    let of = |key: &str| table::cell(&value[key]);
+    println!("request {} on route {} to service {}", of("request"), of("route"), of("service"));
+    for (number, placed) in (1..).zip(value["tries"].as_array().into_iter().flatten()) {
+        let ago = table::cell(&placed["ms_ago"]);
+        println!("\ntry {number} went to {}, {ago} ms ago", table::cell(&placed["server"]));
+        line(placed, &["address", "rank", "left_ms", "list_age_ms"]);
+        line(placed, &["reading", "fetching", "ahead", "beside", "cost_ms"]);
+        line(placed, &weights);
+        line(placed, &["fetch", "save"]);
+        section("known then", &placed["servers"], &servers);
+    }
+    let end = &value["ended"];
+    if end.is_null() {
+        println!("\nit is under way");
+        return;
+    }
+    println!("\nended");
+    line(end, &["code", "status", "took_ms", "first_ms"]);
+    line(end, &weights);
+    section("known then", &end["servers"], &servers);
+}
--- /dev/null
+++ b/bin/tamarack/tests/forwarded.rs
@@ -0,0 +1,61 @@
+//! What operators see of forwarded requests, through the command line and a real hosted process.
+
+#[path = "../../../platform/tests/bed/mod.rs"]
+mod bed;
+
+use std::process::Command;
+
+use bed::{Bed, until};
+
+/// Not a test of its own: the process that the others start.
+#[test]
+fn process() {
+    bed::play();
+}
+
+fn tamarack(bed: &Bed, args: &[&str]) -> (Option<i32>, String) {
+    let at = bed.process.own.to_string();
+    let output = Command::new(env!("CARGO_BIN_EXE_tamarack"))
+        .args(["--at", &at])
+        .args(args)
+        .output()
+        .expect("the binary runs");
+    let text = [output.stdout, output.stderr].concat();
+    (output.status.code(), String::from_utf8_lossy(&text).into_owned())
+}
+
+/// Whether a line of a text holds all these words.
+fn line(text: &str, words: &[&str]) -> bool {
+    text.lines()
+        .any(|line| words.iter().all(|word| line.split_whitespace().any(|one| one == *word)))
+}
+
+#[test]
+fn servers_without_an_agent_are_shown_with_why_they_take_no_work() {
+    let bed = Bed::start(2);
+    let (code, text) = tamarack(&bed, &["servers"]);
+    assert_eq!(code, Some(0), "{text}");
+    assert!(text.contains("servers without an agent"), "{text}");
+    let address = bed.servers[0].addr.to_string();
+    assert!(line(&text, &["i-0", "svc", &address, "z1", "true", "8"]), "{text}");
+    bed.list.show(vec![bed.servers[0].entry("draining"), bed.servers[1].entry("ready")]);
+    until("the leaving server", || {
+        line(&tamarack(&bed, &["servers"]).1, &["i-0", "false", "leaving"]).then_some(())
+    });
+    let (code, text) = tamarack(&bed, &["--json", "servers"]);
+    assert!(code == Some(0) && text.contains(r#""why_not":"leaving""#), "{text}");
+}
+
+#[test]
+fn a_forwarded_request_is_explained_try_by_try() {
+    let bed = Bed::start(2);
+    assert_eq!(bed.process.ask("GET", "/plain/silent", "r1", "").status, 502);
+    let (code, text) = tamarack(&bed, &["explain", "r1"]);
+    assert_eq!(code, Some(0), "{text}");
+    assert!(text.contains("request r1 on route plain to service svc"), "{text}");
+    assert!(text.contains("try 1 went to i-") && text.contains("try 2 went to i-"), "{text}");
+    assert!(text.contains("status=502"), "{text}");
+    let known = text.split("try 2").nth(1).expect("the second try");
+    assert!(line(known, &["false"]) && line(known, &["true"]), "one had failed: {text}");
+    assert_eq!(tamarack(&bed, &["explain", "nobody"]).0, Some(1));
+}
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -8,9 +8,9 @@
 //! | `PUT /v1/records/KIND/NAME` | puts a record: `{"expect", "schema", "min_schema", "body"}` |
 //! | `DELETE /v1/records/KIND/NAME?expect=N` | deletes a record |
 //! | `GET /v1/history` | who changed what, in the log's order; on a keeper |
-//! | `GET /v1/servers` | the processes and where they stand; on a keeper |
+//! | `GET /v1/servers` | the processes and where they stand, on a keeper; servers without an agent, stores, weights |
 //! | `GET /v1/force/EPOCH.INDEX` | who has applied a revision and who lags; on a keeper |
-//! | `GET /v1/explain/REQUEST` | how a backend server was chosen; on an entry |
+//! | `GET /v1/explain/REQUEST` | how a backend server was chosen; on the entry that served the request |
 
 use base::{Code, Name, Revision};
 use record::{Change, Kind, Record};
--- a/crates/node/src/forward/mod.rs
+++ b/crates/node/src/forward/mod.rs
@@ -11,6 +11,7 @@
 //! | `reader` | reads what stores and servers hold |
 //! | `list` | reads the list of servers, and tells it |
 //! | `weights` | orders servers to the weight versions that are named |
+//! | `explain` | what operators are told of all this |
 //!
 //! The edge that read a request holds its caller and its connection to the server; bytes never pass
 //! through here. What may be said and done after each try is decided here: a status that promises
@@ -18,6 +19,7 @@
 
 mod admit;
 mod event;
+mod explain;
 mod follow;
 mod list;
 mod place;
@@ -40,6 +42,7 @@
 
 use crate::Effects;
 use crate::note::Basis;
+use explain::Kept;
 use list::Lists;
 use share::Shares;
 use stores::Stores;
@@ -158,6 +161,7 @@
     leading: Option<(u64, Time)>,
     /// The weight versions of each model.
     versions: HashMap<Name, Versions>,
+    kept: Kept,
 }
 
 impl Forward {
@@ -179,6 +183,7 @@
             next_orders: Time::ZERO,
             leading: None,
             versions: HashMap::new(),
+            kept: Kept::default(),
         }
     }
 
@@ -194,24 +199,11 @@
 
     /// The state as JSON, without anything of callers.
     pub fn dump(&self, now: Time) -> Value {
-        let server = |server: &fleet::Server| {
-            json!({
-                "server": &*server.listed.id,
-                "service": &*server.listed.service,
-                "address": server.listed.addr.to_string(),
-                "zone": &*server.listed.zone,
-                "leaving": server.listed.leaving,
-                "usable": server.usable(now),
-                "runs": server.runs(now),
-                "reading": server.ahead(now),
-                "version": server.version,
-            })
-        };
         json!({
             "open": self.runs.len(),
             "waiting": self.held.len(),
             "list_age_ms": self.servers.read_at().map(|at| now.since(at).as_millis() as u64),
-            "servers": self.servers.iter().map(|(_, found)| server(found)).collect::<Vec<_>>(),
+            "servers": self.shown_servers(now),
             "stored": self.stores.tokens().into_iter().collect::<BTreeMap<_, _>>(),
             "weights": self.versions.iter().map(|(model, found)| (&**model, found.newest()))
                 .collect::<BTreeMap<_, _>>(),
@@ -225,6 +217,7 @@
 
     /// Takes one event.
     pub fn event(&mut self, cx: &Context<'_>, event: Event, out: &mut Effects) {
+        let from = out.len();
         match event {
             Event::Arrived { call, head } => self.arrived(cx, call, head, out),
             Event::Answered { call, answer } => self.answered(cx, call, &answer, out),
@@ -241,10 +234,12 @@
                 self.stores.was_read(cx, addr, since, news, out);
             }
         }
+        self.keep(cx, out, from);
     }
 
     /// Time passes.
     pub fn tick(&mut self, cx: &Context<'_>, out: &mut Effects) {
+        let from = out.len();
         while let Some((_, call)) = self.deadlines.first().copied().filter(|(at, _)| *at <= cx.now)
         {
             self.deadlines.pop_first();
@@ -256,6 +251,7 @@
         self.order(cx, out);
         self.stores.read(cx, &self.servers, out);
         self.stores.free(cx, &self.servers, out);
+        self.keep(cx, out, from);
     }
 
     /// Every request under way ends, since the process leaves.
--- a/crates/node/src/process/show.rs
+++ b/crates/node/src/process/show.rs
@@ -40,22 +40,23 @@
                 }
                 None => missing("ask a keeper for the history"),
             },
-            Admin::Servers => match &self.keeper {
-                Some(keeper) => {
-                    let members: Vec<Value> =
-                        keeper.members().iter().map(|member| member.dump(now)).collect();
-                    (200, json!({ "servers": members }))
-                }
+            Admin::Servers => match self.servers(now) {
+                Some(servers) => (200, servers),
                 None => missing("ask a keeper for the servers"),
             },
             Admin::Force(revision) => match &self.keeper {
                 Some(keeper) => (200, force(keeper, now, *revision)),
                 None => missing("ask a keeper who lags"),
             },
-            Admin::Explain(id) => match self.entry.as_ref().and_then(|entry| entry.explain(id)) {
-                Some((found, table)) => (200, explained(found, &table)),
-                None => missing("no decision of that request is kept here"),
-            },
+            Admin::Explain(id) => {
+                let own = self.entry.as_ref().and_then(|entry| entry.explain(id));
+                let own = own.map(|(found, table)| explained(found, &table));
+                let forwarded = || self.forward.as_ref()?.explain(now, id);
+                match own.or_else(forwarded) {
+                    Some(found) => (200, found),
+                    None => missing("no decision of that request is kept here"),
+                }
+            }
             Admin::Put(_)
             | Admin::Delete(_)
             | Admin::Adopt(_)
@@ -64,6 +65,24 @@
         }
     }
 
+    /// The processes, as far as a keeper knows them, and what forwarded requests can go to.
+    fn servers(&self, now: Time) -> Option<Value> {
+        let members = self.keeper.as_ref().map(|keeper| {
+            keeper.members().iter().map(|member| member.dump(now)).collect::<Vec<_>>()
+        });
+        let forward = self.forward.as_ref().filter(|found| found.servers().read_at().is_some());
+        if members.is_none() && forward.is_none() {
+            return None;
+        }
+        let mut all = json!({ "servers": members.unwrap_or_default() });
+        if let Some(forward) = forward {
+            all["backends"] = json!(forward.shown_servers(now));
+            all["stores"] = json!(forward.shown_stores(&self.watch.view));
+            all["weights"] = json!(forward.shown_weights(now));
+        }
+        Some(all)
+    }
+
     /// The whole state as JSON, without keys and without any text of callers.
     pub fn dump(&self, now: Time) -> Value {
         let confirmed = self.watch.confirmed_ago(now);
--- a/crates/node/tests/forward.rs
+++ b/crates/node/tests/forward.rs
@@ -4,7 +4,7 @@
 
 use base::prelude::*;
 use cache::Named;
-use fleet::{Listed, News, Stored};
+use fleet::{Listed, Load, News, Stored};
 use limit::Allowance;
 use node::forward::{
     Answer, Call, Config, Context, Event, Forward, Head, Loss, Order, Prompt, Try,
@@ -376,6 +376,113 @@
     assert_eq!(ended, Some(("r1".to_owned(), Code::Ok, 200, 1_500)));
 }
 
+#[test]
+fn operators_see_why_a_server_takes_no_work() {
+    let mut bed = Bed::new(4);
+    let mut list: Vec<Listed> = (1..=4).map(listed).collect();
+    list[0].leaving = true;
+    bed.event(Event::Listed { list: Ok(list) });
+    let changing =
+        wire::Share { server: addr(2), runs: 3, reading: 700, sending_ms: 0, changing: true };
+    bed.forward.summed(bed.now, &[changing]);
+    bed.ask(1, "/safe/x");
+    let misdirected = bed.tried(1).id;
+    bed.answer(1, 421, true);
+    let away = bed.tried(1).id;
+    bed.event(Event::Failed { call: 1, loss: Loss::Silent });
+    let shown = bed.forward.shown_servers(bed.now);
+    let of = |id: &str| shown.iter().find(|server| server["server"] == id).expect("shown");
+    let why = |id: &str| (of(id)["usable"].as_bool(), of(id)["why_not"].as_str());
+    assert_eq!(why("i-1"), (Some(false), Some("leaving")));
+    assert_eq!(why("i-2"), (Some(false), Some("changing")));
+    assert_eq!(why(&misdirected), (Some(false), Some("misdirected")));
+    assert_eq!(why(&away), (Some(false), Some("away")));
+    assert_eq!((&of("i-2")["runs"], &of("i-2")["reading"]), (&json!(3), &json!(700)));
+    let later = bed.now + Duration::from_secs(10);
+    let usable = |server: &Value| server["usable"] == json!(true);
+    assert_eq!(bed.forward.shown_servers(later).iter().filter(|found| usable(found)).count(), 3);
+}
+
+#[test]
+fn operators_see_stores_and_which_weights_may_be_used() {
+    let mut bed = Bed::new(2);
+    bed.view = view(2);
+    bed.wait(10);
+    bed.term = Some(1);
+    bed.tick();
+    let store: SocketAddr = STORE.parse().expect("an address");
+    let shown = |bed: &Bed| {
+        let stores = bed.forward.shown_stores(&bed.view);
+        (stores[0]["known"].clone(), stores[0]["held"].clone(), stores[0]["tokens"].clone())
+    };
+    assert_eq!(shown(&bed), (json!(false), json!(0), json!(1_000_000)));
+    bed.told(store, "*/m/2", &[(1, 700), (2, 50)]);
+    assert_eq!(shown(&bed), (json!(true), json!(750), json!(1_000_000)));
+    let load = Load { running: 0, waiting: 0, slots: 8 };
+    bed.event(Event::Reported { id: Name::new("i-1"), version: 2, load, orders: 1 });
+    bed.wait(6_000);
+    let weights = bed.forward.shown_weights(bed.now);
+    assert_eq!(
+        weights,
+        [json!({
+            "model": "m", "version": 2, "least": 2, "age_ms": 6_000, "servers": 2, "behind": 1,
+        })]
+    );
+}
+
+#[test]
+fn a_request_is_explained_by_what_was_known_when_it_was_placed() {
+    let mut bed = Bed::new(2);
+    let told = [1, 2].map(|number| wire::Share {
+        server: addr(number),
+        runs: u32::from(number) * 2,
+        reading: u64::from(number) * 1_000,
+        sending_ms: 0,
+        changing: false,
+    });
+    bed.forward.summed(bed.now, &told);
+    bed.prompt(1, "/safe/x", "key", &PROMPT);
+    assert_eq!(&*bed.tried(1).id, "i-1");
+    bed.event(Event::Failed { call: 1, loss: Loss::Silent });
+    assert_eq!(&*bed.tried(1).id, "i-2");
+    bed.wait(40);
+    bed.answer(1, 200, false);
+    bed.event(Event::Done { call: 1 });
+    // What happens later changes nothing of it.
+    bed.forward.summed(bed.now, &told.map(|share| wire::Share { runs: 99, ..share }));
+    let found = bed.forward.explain(bed.now, "r1").expect("kept");
+    assert_eq!((&found["route"], &found["service"]), (&json!("safe"), &json!("llm")));
+    let tries = found["tries"].as_array().expect("a list");
+    assert_eq!(tries.len(), 2);
+    let first = &tries[0];
+    assert_eq!((&first["server"], &first["ms_ago"]), (&json!("i-1"), &json!(40)));
+    assert_eq!((&first["ahead"], &first["beside"]), (&json!(1_000), &json!(2)));
+    assert_eq!(first["reading"], json!(9_200));
+    let runs = |number: usize, server: usize| {
+        let server = &tries[number]["servers"][server];
+        (server["usable"].clone(), server["runs"].clone(), server["reading"].clone())
+    };
+    assert_eq!(runs(0, 0), (json!(true), json!(2), json!(1_000)), "without the request itself");
+    assert_eq!(runs(0, 1), (json!(true), json!(4), json!(2_000)));
+    assert_eq!(runs(1, 0).0, json!(false), "it had just failed");
+    assert_eq!((&found["ended"]["code"], &found["ended"]["status"]), (&json!(0), &json!(200)));
+    assert_eq!(bed.forward.explain(bed.now, "r2"), None);
+}
+
+#[test]
+fn a_request_that_no_server_could_take_is_explained_by_the_servers() {
+    let mut bed = Bed::new(1);
+    let mut leaving = listed(1);
+    leaving.leaving = true;
+    bed.event(Event::Listed { list: Ok(vec![leaving]) });
+    bed.ask(1, "/once/x");
+    assert_eq!(bed.refused(1).0, Code::NoServer);
+    let found = bed.forward.explain(bed.now, "r1").expect("kept");
+    assert_eq!(found["tries"], json!([]));
+    let server = &found["ended"]["servers"][0];
+    assert_eq!((&server["usable"], &server["leaving"]), (&json!(false), &json!(true)));
+}
+
 // Guards against an incident whose logs held neither the version a request was sent with nor when it was named.
 #[test]
 fn logs_tell_which_weights_a_request_could_begin_on() {
@@ -567,7 +674,7 @@
     bed.event(Event::Reported {
         id: Name::new("i-1"),
         version: 2,
-        load: fleet::Load::default(),
+        load: Load::default(),
         orders: 1,
     });
     bed.prompt(2, "/stream/x", "key", &PROMPT);
@@ -661,7 +768,7 @@
     bed.event(Event::Reported {
         id: Name::new("i-2"),
         version: 2,
-        load: fleet::Load::default(),
+        load: Load::default(),
         orders: 1,
     });
     bed.prompt(3, "/once/x", "key", &PROMPT);
@@ -683,7 +790,7 @@
     bed.wait(2_000);
     bed.prompt(2, "/once/x", "key", &PROMPT);
     assert_eq!(bed.refused(2), (Code::NoServer, 503, true));
-    let load = fleet::Load::default();
+    let load = Load::default();
     bed.event(Event::Reported { id: Name::new("i-2"), version: 2, load, orders: 1 });
     bed.prompt(3, "/once/x", "key", &PROMPT);
     assert_eq!(bed.tried(3).version, Some(2), "the time of version 3 is not over");
@@ -699,7 +806,7 @@
     let report = |bed: &mut Bed| {
         for number in 1..5 {
             let id = Name::from(format!("i-{number}"));
-            let load = fleet::Load::default();
+            let load = Load::default();
             bed.event(Event::Reported { id, version: 1, load, orders: 3 });
         }
     };
@@ -737,7 +844,7 @@
     };
     bed.wait(4_000);
     assert!(!freed(&mut bed), "a server still holds those weights");
-    let load = fleet::Load::default();
+    let load = Load::default();
     bed.event(Event::Reported { id: Name::new("i-1"), version: 2, load, orders: 1 });
     bed.wait(1_000);
     bed.wait(1_000);
