--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -10,6 +10,12 @@
     TextEncoder,
 };
 
+/// What is done with tokens.
+const TOKENS: [&str; 3] = ["computed", "cached", "generated"];
+/// The ways of bytes on a link.
+const SENT: &str = "out";
+const RECEIVED: &str = "in";
+
 /// The metrics of one process.
 #[derive(Debug)]
 pub struct Metrics {
@@ -70,6 +76,14 @@
         metrics.registry.register(Box::new(metrics.links.clone()))?;
         metrics.registry.register(Box::new(metrics.lost.clone()))?;
         metrics.registry.register(Box::new(metrics.old_weights.clone()))?;
+        // From the start, so that a rise from 0 is seen as one.
+        metrics.requests.with_label_values(&[&Code::Ok.number().to_string()]);
+        for what in TOKENS {
+            metrics.tokens.with_label_values(&[what]);
+        }
+        for way in [SENT, RECEIVED] {
+            metrics.link.with_label_values(&[way]);
+        }
         Ok(metrics)
     }
 
@@ -94,8 +108,7 @@
 
     /// Counts what a whole answer took.
     pub fn used(&self, computed: u32, cached: u32, generated: u32, fetched: u32) {
-        for (what, count) in [("computed", computed), ("cached", cached), ("generated", generated)]
-        {
+        for (what, count) in TOKENS.into_iter().zip([computed, cached, generated]) {
             self.tokens.with_label_values(&[what]).inc_by(u64::from(count));
         }
         self.fetched.inc_by(u64::from(fetched));
@@ -108,12 +121,12 @@
 
     /// Counts bytes sent to other processes.
     pub fn sent(&self, bytes: usize) {
-        self.link.with_label_values(&["out"]).inc_by(bytes as u64);
+        self.link.with_label_values(&[SENT]).inc_by(bytes as u64);
     }
 
     /// Counts bytes received from other processes.
     pub fn received(&self, bytes: usize) {
-        self.link.with_label_values(&["in"]).inc_by(bytes as u64);
+        self.link.with_label_values(&[RECEIVED]).inc_by(bytes as u64);
     }
 
     /// Sets gauges.
