--- a/crates/node/src/forward/explain.rs
+++ b/crates/node/src/forward/explain.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 
 use base::prelude::*;
-use fleet::Server;
+use fleet::{Report, Server};
 use serde_json::{Value, json};
 
 use super::{Context, Forward, Order, Try};
@@ -276,7 +276,7 @@
     if !server.is_misdirected(now) && !changed.usable(now) {
         why.push("away");
     }
-    stays.reported();
+    stays.reported(now, Report::default());
     if !stays.usable(now) {
         why.push("changing");
     }
--- a/crates/node/src/forward/weights.rs
+++ b/crates/node/src/forward/weights.rs
@@ -1,12 +1,16 @@
 //! Orders servers to the weight versions that are named.
 
 use base::prelude::*;
-use fleet::{Load, Server};
+use fleet::rollout::Reply;
+use fleet::{Report, Server, Versions};
 
 use super::{Call, Change, Context, Forward};
 use crate::note::{Allowed, Note};
 use crate::{Effect, Effects};
 
+/// Time between two words of how long ago versions were named: a part of the time for which an older one may
+/// be used.
+const TELL: Duration = Duration::from_secs(1);
 /// Time between two looks at what is due.
 const ROUND: Duration = Duration::from_millis(200);
 
@@ -15,31 +19,26 @@
         &mut self,
         cx: &Context<'_>,
         id: &Name,
-        version: u64,
-        load: Load,
-        orders: u64,
+        report: Report,
         out: &mut Effects,
     ) {
-        if let Some(server) = self.servers.by_id(id) {
-            let from = server.version;
-            server.holds(cx.now, version);
-            if cx.term.is_some() && from != version {
-                let (server, version) = (server.listed.id.clone(), version);
-                let note = Note::Holds { server, version, from, orders };
-                out.push(Effect::Note(Box::new(note)));
-            }
-            server.took(cx.now, orders);
-            if server.is_misdirected(cx.now) {
-                self.shares.touched(server.listed.addr);
-            }
-            server.reported();
-            server.told(cx.now, load);
+        let Some(server) = self.servers.by_id(id) else {
+            return;
+        };
+        let (from, Report { version, orders, .. }) = (server.version, report);
+        if server.is_misdirected(cx.now) {
+            self.shares.touched(server.listed.addr);
+        }
+        server.reported(cx.now, report);
+        if cx.term.is_some() && from != server.version {
+            let note = Note::Holds { server: server.listed.id.clone(), version, from, orders };
+            out.push(Effect::Note(Box::new(note)));
         }
     }
 
-    pub(super) fn changed(&mut self, now: Time, id: &Name, taken: bool) {
-        if let Some(key) = self.servers.key(id).filter(|_| !taken) {
-            self.rollout.failed(now, key);
+    pub(super) fn changed(&mut self, now: Time, id: &Name, reply: Reply) {
+        if let Some(key) = self.servers.key(id) {
+            self.rollout.answered(now, key, reply);
         }
     }
 
@@ -67,6 +66,33 @@
         }
     }
 
+    /// As the leader: how long ago versions were named, if it is time to tell the entries.
+    pub fn take_ages(&mut self, cx: &Context<'_>) -> Vec<wire::Weights> {
+        if cx.term.is_none() || cx.now < self.next_ages {
+            return Vec::new();
+        }
+        self.next_ages = cx.now + TELL;
+        let ages = |versions: &Versions| -> Vec<(u64, u64)> {
+            let ages = versions.ages(cx.now);
+            ages.map(|(version, age)| (version, age.as_millis() as u64)).collect()
+        };
+        let told = |(model, versions): (&Name, &Versions)| wire::Weights {
+            model: model.clone(),
+            ages: ages(versions),
+        };
+        self.versions.iter().map(told).collect()
+    }
+
+    /// The leader told how long ago versions were named.
+    pub fn ages_told(&mut self, now: Time, told: &[wire::Weights]) {
+        for weights in told {
+            let versions = self.versions.entry(weights.model.clone()).or_default();
+            for (version, age_ms) in &weights.ages {
+                versions.told(now, *version, Duration::from_millis(*age_ms));
+            }
+        }
+    }
+
     /// Orders what is due, if this process leads and its predecessor has stopped.
     pub(super) fn order(&mut self, cx: &Context<'_>, out: &mut Effects) {
         let Some(term) = cx.term else {
@@ -89,7 +115,8 @@
             }
         }
         for (model, version) in cx.view.all_weights() {
-            let due = self.rollout.due(cx.now, &self.servers, &model, version);
+            let least = self.allowed(cx.now, &model).least;
+            let due = self.rollout.due(cx.now, &self.servers, &model, version, least);
             for key in due.ask {
                 if let Some(server) = self.servers.get_mut(key)
                     && server.ask(cx.now)
--- a/crates/node/src/process/mod.rs
+++ b/crates/node/src/process/mod.rs
@@ -332,9 +332,10 @@
                 }
             }
             Frame::Watch { revision } => self.watched(peer, revision, out),
-            Frame::Changes(changes) => {
-                self.watch.view.apply(&changes);
-                self.configured();
+            Frame::Changes { after, changes } => {
+                if self.watch.changed(peer, after, &changes, out) {
+                    self.configured();
+                }
             }
             Frame::Records { revision, records } => {
                 self.watch.view.replace(revision, records);
@@ -362,6 +363,11 @@
                     forward.summed(now, &sums);
                 }
             }
+            Frame::Weights(told) => {
+                if let Some(forward) = &mut self.forward {
+                    forward.ages_told(now, &told);
+                }
+            }
             Frame::Hello(_) | Frame::Idle => {}
         }
     }
--- a/crates/node/tests/forward.rs
+++ b/crates/node/tests/forward.rs
@@ -4,7 +4,7 @@
 
 use base::prelude::*;
 use cache::Named;
-use fleet::{Listed, Load, News, Stored};
+use fleet::{Listed, News, Report, Stored};
 use limit::Allowance;
 use node::forward::{
     Answer, Call, Config, Context, Event, Forward, Head, Loss, Order, Prompt, Try,
@@ -211,6 +211,12 @@
         }
     }
 
+    /// What a server reports of itself.
+    fn reported(&mut self, id: &str, version: u64, orders: u64) {
+        let report = Report { version, orders, ..Report::default() };
+        self.event(Event::Reported { id: Name::new(id), report });
+    }
+
     /// What a store or server tells of itself.
     fn told(&mut self, place: SocketAddr, salt: &str, parts: &[(u64, u32)]) {
         let stored =
@@ -418,8 +424,7 @@
     assert_eq!(shown(&bed), (json!(false), json!(0), json!(1_000_000)));
     bed.told(store, "*/m/2", &[(1, 700), (2, 50)]);
     assert_eq!(shown(&bed), (json!(true), json!(750), json!(1_000_000)));
-    let load = Load { running: 0, waiting: 0, slots: 8 };
-    bed.event(Event::Reported { id: Name::new("i-1"), version: 2, load, orders: 1 });
+    bed.reported("i-1", 2, 1);
     bed.wait(6_000);
     let weights = bed.forward.shown_weights(bed.now);
     assert_eq!(
@@ -584,6 +589,56 @@
     assert_eq!(asked(&mut bed, 1_000), 1);
 }
 
+// Guards against the cause of issue 17 in the list of servers: an older reading of an entry's own replaced what the leader had
+// told meanwhile, and the leader's next word confirmed it.
+#[test]
+fn an_older_reading_does_not_replace_a_newer_list_that_was_told() {
+    let mut bed = Bed::new(2);
+    let told = |number: u16| wire::Listed {
+        id: Name::from(format!("i-{number}")),
+        born: None,
+        service: Name::new("llm"),
+        addr: addr(number),
+        zone: Name::new("a"),
+        slots: 8,
+        leaving: number == 1,
+        cold_ms: 0,
+        models: vec![(Name::new("m"), 1)],
+    };
+    bed.event(Event::Listed { list: Ok((1..=2).map(listed).collect()) });
+    bed.wait(4_000);
+    assert!(bed.out.drain(..).any(|effect| matches!(effect, Effect::Call(Call::ReadList))));
+    bed.wait(500);
+    let news = wire::List { sum: 7, servers: Some((1..=2).map(told).collect()) };
+    bed.step(|forward, cx, out| forward.list_told(cx.now, news, out));
+    bed.wait(500);
+    // The answer to the question from before.
+    bed.event(Event::Listed { list: Ok((1..=2).map(listed).collect()) });
+    bed.out.clear();
+    for call in 1..20 {
+        bed.ask(call, "/safe/x");
+        assert_eq!(&*bed.tried(call).id, "i-2", "the other takes no new work");
+        bed.answer(call, 200, false);
+        bed.event(Event::Done { call });
+    }
+}
+
+#[test]
+fn a_list_read_here_is_not_confirmed_by_word_of_another() {
+    let mut bed = Bed::new(2);
+    let news = wire::List { sum: 7, servers: Some(Vec::new()) };
+    bed.step(|forward, cx, out| forward.list_told(cx.now, news, out));
+    bed.event(Event::Listed { list: Ok(Vec::new()) });
+    bed.wait(4_000);
+    bed.event(Event::Listed { list: Ok((1..=2).map(listed).collect()) });
+    bed.wait(500);
+    let same = wire::List { sum: 7, servers: None };
+    bed.step(|forward, cx, out| forward.list_told(cx.now, same, out));
+    bed.out.clear();
+    bed.wait(600);
+    assert!(bed.out.iter().any(|effect| matches!(effect, Effect::Call(Call::ReadList))));
+}
+
 /// The places that are to be read since the last look, and from where.
 fn reads(bed: &mut Bed) -> Vec<(SocketAddr, Option<u64>)> {
     let found = bed.out.drain(..).filter_map(|effect| match effect {
@@ -671,12 +726,7 @@
     bed.prompt(1, "/stream/x", "own", &PROMPT);
     let walled = bed.tried(1);
     assert_eq!((walled.salt.as_deref(), walled.fetch), (Some("wall/m/1"), vec![None; 3]));
-    bed.event(Event::Reported {
-        id: Name::new("i-1"),
-        version: 2,
-        load: Load::default(),
-        orders: 1,
-    });
+    bed.reported("i-1", 2, 1);
     bed.prompt(2, "/stream/x", "key", &PROMPT);
     let newer = bed.tried(2);
     assert_eq!((newer.version, newer.salt.as_deref()), (Some(2), Some("*/m/2")));
@@ -765,12 +815,7 @@
     bed.wait(5_000);
     bed.prompt(2, "/once/x", "key", &PROMPT);
     assert_eq!(bed.refused(2), (Code::NoServer, 503, true));
-    bed.event(Event::Reported {
-        id: Name::new("i-2"),
-        version: 2,
-        load: Load::default(),
-        orders: 1,
-    });
+    bed.reported("i-2", 2, 1);
     bed.prompt(3, "/once/x", "key", &PROMPT);
     assert_eq!(bed.tried(3).version, Some(2));
 }
@@ -790,8 +835,7 @@
     bed.wait(2_000);
     bed.prompt(2, "/once/x", "key", &PROMPT);
     assert_eq!(bed.refused(2), (Code::NoServer, 503, true));
-    let load = Load::default();
-    bed.event(Event::Reported { id: Name::new("i-2"), version: 2, load, orders: 1 });
+    bed.reported("i-2", 2, 1);
     bed.prompt(3, "/once/x", "key", &PROMPT);
     assert_eq!(bed.tried(3).version, Some(2), "the time of version 3 is not over");
     bed.wait(3_000);
@@ -799,15 +843,73 @@
     assert_eq!(bed.refused(4), (Code::NoServer, 503, true));
 }
 
+// Guards against the cause of issue 17 at an entry that restarted: it counted the time of a version from when it
+// learnt of it itself.
+#[test]
+fn an_entry_that_learns_late_keeps_to_the_time_of_a_version() {
+    let mut leader = Bed::new(2);
+    leader.term = Some(1);
+    leader.view = view(2);
+    leader.wait(10);
+    leader.wait(3_000);
+    leader.view = view(3);
+    leader.wait(10);
+    leader.wait(1_000);
+    let mut ages = Vec::new();
+    leader.step(|forward, cx, _| ages = forward.take_ages(cx));
+    let mut entry = Bed::new(2);
+    let now = entry.now;
+    // The word may come before the configuration.
+    entry.forward.ages_told(now, &ages);
+    entry.view = view(3);
+    entry.wait(10);
+    entry.prompt(1, "/once/x", "key", &PROMPT);
+    assert_eq!(entry.tried(1).version, Some(1), "the time of version 2 is not over");
+    entry.wait(1_000);
+    entry.prompt(2, "/once/x", "key", &PROMPT);
+    assert_eq!(entry.refused(2), (Code::NoServer, 503, true), "5 s after version 2 was named");
+}
+
+// Guards against runs on old weights at a server whose version is not known: nothing was expected of it, and parts of
+// several versions were shared under one salt.
+#[test]
+fn a_server_of_unknown_weights_is_expected_to_hold_the_newest() {
+    let mut bed = Bed::new(1);
+    bed.view = view(2);
+    let unknown = Listed { models: Vec::new(), ..listed(1) };
+    bed.event(Event::Listed { list: Ok(vec![unknown]) });
+    bed.wait(10);
+    bed.prompt(1, "/once/x", "key", &PROMPT);
+    let sent = bed.tried(1);
+    assert_eq!((sent.version, sent.salt.as_deref()), (Some(2), Some("*/m/2")));
+}
+
+#[test]
+fn a_report_that_names_no_weights_leaves_what_is_known() {
+    let mut bed = Bed::new(1);
+    bed.reported("i-1", 0, 1);
+    bed.prompt(1, "/once/x", "key", &PROMPT);
+    assert_eq!(bed.tried(1).version, Some(1));
+}
+
+// Guards against runs on old weights of requests whose prompt cannot be read: their model is that of the engine.
+#[test]
+fn a_request_without_a_prompt_keeps_to_the_time_of_a_version() {
+    let mut bed = Bed::new(1);
+    bed.view = view(2);
+    bed.wait(10);
+    bed.wait(5_000);
+    bed.ask(1, "/once/x");
+    assert_eq!(bed.refused(1), (Code::NoServer, 503, true));
+}
+
 #[test]
 fn only_a_leader_orders_and_only_after_its_predecessor_has_stopped() {
     let mut bed = Bed::new(4);
     bed.view = view(2);
     let report = |bed: &mut Bed| {
         for number in 1..5 {
-            let id = Name::from(format!("i-{number}"));
-            let load = Load::default();
-            bed.event(Event::Reported { id, version: 1, load, orders: 3 });
+            bed.reported(&format!("i-{number}"), 1, 3);
         }
     };
     let orders = |bed: &mut Bed| -> Vec<(u64, u64, u64)> {
@@ -844,8 +946,7 @@
     };
     bed.wait(4_000);
     assert!(!freed(&mut bed), "a server still holds those weights");
-    let load = Load::default();
-    bed.event(Event::Reported { id: Name::new("i-1"), version: 2, load, orders: 1 });
+    bed.reported("i-1", 2, 1);
     bed.wait(1_000);
     bed.wait(1_000);
     assert!(!freed(&mut bed), "not settled yet");
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -7,7 +7,7 @@
 use record::{Change, Record};
 use serde::{Deserialize, Serialize};
 
-use crate::{Answer, List, News, Part, Piece, Priority, Request, Share, Stock, Work};
+use crate::{Answer, List, News, Part, Piece, Priority, Request, Share, Stock, Weights, Work};
 
 /// What an agent stands beside.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -204,8 +204,13 @@
         /// What the sender has.
         revision: Revision,
     },
-    /// Changes of records, without a gap since the last frame.
-    Changes(Vec<Change>),
+    /// Changes of records.
+    Changes {
+        /// The revision that they follow without a gap.
+        after: Revision,
+        /// The changes, in their order.
+        changes: Vec<Change>,
+    },
     /// All records.
     Records {
         /// Their revision.
@@ -236,4 +241,6 @@
     List(List),
     /// Nothing to say; the link is alive.
     Idle,
+    /// Keeper to entry: how long ago weight versions were named.
+    Weights(Vec<Weights>),
 }
