--- a/crates/node/tests/forward.rs
+++ b/crates/node/tests/forward.rs
@@ -382,6 +382,112 @@
     assert_eq!(ended, Some(("r1".to_owned(), Code::Ok, 200, 1_500)));
 }
 
+#[test]
+fn operators_see_why_a_server_takes_no_work() {
+    let mut bed = Bed::new(4);
+    let mut list: Vec<Listed> = (1..=4).map(listed).collect();
+    list[0].leaving = true;
+    bed.event(Event::Listed { list: Ok(list) });
+    let changing =
+        wire::Share { server: addr(2), runs: 3, reading: 700, sending_ms: 0, changing: true };
+    bed.forward.summed(bed.now, &[changing]);
+    bed.ask(1, "/safe/x");
+    let misdirected = bed.tried(1).id;
+    bed.answer(1, 421, true);
+    let away = bed.tried(1).id;
+    bed.event(Event::Failed { call: 1, loss: Loss::Silent });
+    let shown = bed.forward.shown_servers(bed.now);
+    let of = |id: &str| shown.iter().find(|server| server["server"] == id).expect("shown");
+    let why = |id: &str| (of(id)["usable"].as_bool(), of(id)["why_not"].as_str());
+    assert_eq!(why("i-1"), (Some(false), Some("leaving")));
+    assert_eq!(why("i-2"), (Some(false), Some("changing")));
+    assert_eq!(why(&misdirected), (Some(false), Some("misdirected")));
+    assert_eq!(why(&away), (Some(false), Some("away")));
+    assert_eq!((&of("i-2")["runs"], &of("i-2")["reading"]), (&json!(3), &json!(700)));
+    let later = bed.now + Duration::from_secs(10);
+    let usable = |server: &Value| server["usable"] == json!(true);
+    assert_eq!(bed.forward.shown_servers(later).iter().filter(|found| usable(found)).count(), 3);
+}
+
+#[test]
+fn operators_see_stores_and_which_weights_may_be_used() {
+    let mut bed = Bed::new(2);
+    bed.view = view(2);
+    bed.wait(10);
+    bed.term = Some(1);
+    bed.tick();
+    let store: SocketAddr = STORE.parse().expect("an address");
+    let shown = |bed: &Bed| {
+        let stores = bed.forward.shown_stores(&bed.view);
+        (stores[0]["known"].clone(), stores[0]["held"].clone(), stores[0]["tokens"].clone())
+    };
+    assert_eq!(shown(&bed), (json!(false), json!(0), json!(1_000_000)));
+    bed.told(store, "*/m/2", &[(1, 700), (2, 50)]);
+    assert_eq!(shown(&bed), (json!(true), json!(750), json!(1_000_000)));
+    bed.reported("i-1", 2, 1);
+    bed.wait(6_000);
+    let weights = bed.forward.shown_weights(bed.now);
+    assert_eq!(
+        weights,
+        [json!({
+            "model": "m", "version": 2, "least": 2, "age_ms": 6_000, "servers": 2, "behind": 1,
+        })]
+    );
+}
+
+#[test]
+fn a_request_is_explained_by_what_was_known_when_it_was_placed() {
+    let mut bed = Bed::new(2);
+    let told = [1, 2].map(|number| wire::Share {
+        server: addr(number),
+        runs: u32::from(number) * 2,
+        reading: u64::from(number) * 1_000,
+        sending_ms: 0,
+        changing: false,
+    });
+    bed.forward.summed(bed.now, &told);
+    bed.prompt(1, "/safe/x", "key", &PROMPT);
+    assert_eq!(&*bed.tried(1).id, "i-1");
+    bed.event(Event::Failed { call: 1, loss: Loss::Silent });
+    assert_eq!(&*bed.tried(1).id, "i-2");
+    bed.wait(40);
+    bed.answer(1, 200, false);
+    bed.event(Event::Done { call: 1 });
+    // What happens later changes nothing of it.
+    bed.forward.summed(bed.now, &told.map(|share| wire::Share { runs: 99, ..share }));
+    let found = bed.forward.explain(bed.now, "r1").expect("kept");
+    assert_eq!((&found["route"], &found["service"]), (&json!("safe"), &json!("llm")));
+    let tries = found["tries"].as_array().expect("a list");
+    assert_eq!(tries.len(), 2);
+    let first = &tries[0];
+    assert_eq!((&first["server"], &first["ms_ago"]), (&json!("i-1"), &json!(40)));
+    assert_eq!((&first["ahead"], &first["beside"]), (&json!(1_000), &json!(2)));
+    assert_eq!(first["reading"], json!(9_200));
+    let runs = |number: usize, server: usize| {
+        let server = &tries[number]["servers"][server];
+        (server["usable"].clone(), server["runs"].clone(), server["reading"].clone())
+    };
+    assert_eq!(runs(0, 0), (json!(true), json!(2), json!(1_000)), "without the request itself");
+    assert_eq!(runs(0, 1), (json!(true), json!(4), json!(2_000)));
+    assert_eq!(runs(1, 0).0, json!(false), "it had just failed");
+    assert_eq!((&found["ended"]["code"], &found["ended"]["status"]), (&json!(0), &json!(200)));
+    assert_eq!(bed.forward.explain(bed.now, "r2"), None);
+}
+
+#[test]
+fn a_request_that_no_server_could_take_is_explained_by_the_servers() {
+    let mut bed = Bed::new(1);
+    let mut leaving = listed(1);
+    leaving.leaving = true;
+    bed.event(Event::Listed { list: Ok(vec![leaving]) });
+    bed.ask(1, "/once/x");
+    assert_eq!(bed.refused(1).0, Code::NoServer);
+    let found = bed.forward.explain(bed.now, "r1").expect("kept");
+    assert_eq!(found["tries"], json!([]));
+    let server = &found["ended"]["servers"][0];
+    assert_eq!((&server["usable"], &server["leaving"]), (&json!(false), &json!(true)));
+}
+
 // Guards against an incident whose logs held neither the version a request was sent with nor when it was named.
 #[test]
 fn logs_tell_which_weights_a_request_could_begin_on() {
