Explain keeps 64 requests instead of 256

Cause: each kept request holds what was known of every server. Conclusion: a quarter of them; the log has all requests.

--- a/crates/node/src/forward/explain.rs
+++ b/crates/node/src/forward/explain.rs
@@ -12,8 +12,8 @@
 use crate::note::{Basis, Note};
 use crate::{Effect, Effects};
 
-/// Requests kept: some seconds under load, at about a kilobyte each.
-const KEPT: usize = 256;
+/// Requests kept, at some kilobytes each with dozens of servers; the log has all of them.
+const KEPT: usize = 64;
 
 /// What was known of a server.
 #[derive(Clone, Debug)]
