The answer to a link's first frame is not dropped

A keeper's answer to the first frame of a new link, the configuration, was dropped without a word when the link was not known to the loop yet. Change: news of links are taken first, and a frame without a link leaves a line. Evidence: by reading, the link is announced before its first frame is passed on, so the order holds. No test of its own: the loop of the links has no bed.

--- a/crates/edge/src/net.rs
+++ b/crates/edge/src/net.rs
@@ -99,6 +99,17 @@
     let mut dialled = HashMap::new();
     loop {
         tokio::select! {
+            // A link is known before the answer to its first frame is sent.
+            biased;
+            Some(news) = news_in.recv() => match news {
+                News::Up(link) => {
+                    shared.metrics.linked();
+                    let hello = link.hello.clone();
+                    links.entry(hello.name.clone()).or_default().push(link);
+                    let _ = shared.inputs.send(Input::Event(Event::Linked(hello)));
+                }
+                News::Down { peer, number } => down(&shared, &mut links, &peer, number),
+            },
             command = commands.recv() => match command {
                 None => return,
                 Some(Command::Dial { addr }) => {
@@ -112,25 +123,14 @@
                 }
                 Some(Command::Send { to, frame }) => send(&links, &to, frame),
             },
-            Some(news) = news_in.recv() => match news {
-                News::Up(link) => {
-                    shared.metrics.linked();
-                    let hello = link.hello.clone();
-                    links.entry(hello.name.clone()).or_default().push(link);
-                    let _ = shared.inputs.send(Input::Event(Event::Linked(hello)));
-                }
-                News::Down { peer, number } => down(&shared, &mut links, &peer, number),
-            },
         }
     }
 }
 
 fn send(links: &Links, to: &Name, frame: Frame) {
-    let Some(list) = links.get(to) else {
-        return;
-    };
-    if let Some(last) = list.last() {
-        let _ = last.frames.send(frame);
+    let sent = links.get(to).and_then(|list| list.last()).map(|last| last.frames.send(frame));
+    if !matches!(sent, Some(Ok(()))) {
+        log::debug!(peer:% = to; "frame dropped: no link");
     }
 }
 
