--- a/crates/edge/src/net.rs
+++ b/crates/edge/src/net.rs
@@ -128,8 +128,8 @@
 }
 
 fn send(links: &Links, to: &Name, frame: Frame) {
-    let sent = links.get(to).and_then(|list| list.last()).map(|last| last.frames.send(frame));
-    if !matches!(sent, Some(Ok(()))) {
+    let link = links.get(to).and_then(|list| list.last());
+    if link.is_none_or(|link| link.frames.send(frame).is_err()) {
         log::debug!(peer:% = to; "frame dropped: no link");
     }
 }
