--- a/crates/node/src/process/mod.rs
+++ b/crates/node/src/process/mod.rs
@@ -381,17 +381,6 @@
         }
     }
 
-    /// A keeper sends changes from then on; another process only what it has now.
-    fn watched(&mut self, peer: &Name, revision: Revision, out: &mut Effects) {
-        if let Some(keeper) = &mut self.keeper {
-            keeper.watch(peer, revision, out);
-        } else if self.watch.view.revision > revision {
-            let records = self.watch.view.records().cloned().collect();
-            let frame = Frame::Records { revision: self.watch.view.revision, records };
-            out.push(Effect::Send { to: peer.clone(), frame });
-        }
-    }
-
     /// Brings what follows from the configuration into force here.
     fn configured(&mut self) {
         self.watch.applied();
--- a/crates/node/src/process/told.rs
+++ b/crates/node/src/process/told.rs
@@ -37,6 +37,17 @@
         }
     }
 
+    /// A keeper sends changes from then on; another process only what it has now.
+    pub(super) fn watched(&mut self, peer: &Name, revision: Revision, out: &mut Effects) {
+        if let Some(keeper) = &mut self.keeper {
+            keeper.watch(peer, revision, out);
+        } else if self.watch.view.revision > revision {
+            let records = self.watch.view.records().cloned().collect();
+            let frame = Frame::Records { revision: self.watch.view.revision, records };
+            out.push(Effect::Send { to: peer.clone(), frame });
+        }
+    }
+
     /// Tells the entries what this process read: the stores, and the list of servers.
     pub(super) fn tell_read(&mut self, out: &mut Effects) {
         let Some(forward) = &mut self.forward else {
