Entries hear from the leader which weights a server holds

Only the leader asks for reports during a rollout. An entry learns a server's version from answers of its own runs, or from the list, which lags and does not count for three seconds after the server's own word. Change: the sums that the leader tells carry the version of a fresh report; a higher one than was known counts.

--- a/crates/node/src/forward/share.rs
+++ b/crates/node/src/forward/share.rs
@@ -5,6 +5,10 @@
 //! read. Each entry tells the leader among the keepers what it has at the servers, and the leader
 //! tells everybody the sums. All values are absolute, so a lost one is mended by the next.
 //!
+//! The leader alone asks servers for reports while they change their weights. It tells which version they
+//! hold: to an entry whose last word of a server is too old for any run, nothing else would say soon that
+//! the server is through.
+//!
 //! A server at whose address another one answers is told in the same way: several addresses that are
 //! used again at once cost each entry a try, and all entries together the retry budget.
 
@@ -43,7 +47,7 @@
 }
 
 fn nothing(server: SocketAddr) -> Share {
-    Share { server, runs: 0, reading: 0, sending_ms: 0, changing: false }
+    Share { server, runs: 0, reading: 0, sending_ms: 0, changing: false, version: 0 }
 }
 
 impl Shares {
@@ -128,13 +132,19 @@
         let sum = |server: SocketAddr| {
             let heard = self.shares.heard.get(&server);
             let shares = heard.into_iter().flat_map(HashMap::values).map(|(share, _)| share);
-            let none = Share { changing: changing.contains(&server), ..nothing(server) };
+            let report = self.servers.at(server).and_then(|found| found.report(cx.now));
+            let none = Share {
+                changing: changing.contains(&server),
+                version: report.map_or(0, |report| report.version),
+                ..nothing(server)
+            };
             shares.fold(none, |sum, share| Share {
                 server,
                 runs: sum.runs + share.runs,
                 reading: sum.reading + share.reading,
                 sending_ms: sum.sending_ms + share.sending_ms,
                 changing: sum.changing || share.changing,
+                version: sum.version,
             })
         };
         moved.into_iter().map(sum).collect()
@@ -151,6 +161,10 @@
             if let Some(server) = self.servers.at_mut(sum.server) {
                 server.others(now, runs, reading);
                 server.changing(now, sum.changing);
+                // The report may be older than what the server told this process.
+                if sum.version > server.version {
+                    server.holds(now, sum.version);
+                }
             }
         }
     }
--- a/crates/node/tests/forward.rs
+++ b/crates/node/tests/forward.rs
@@ -388,8 +388,14 @@
     let mut list: Vec<Listed> = (1..=4).map(listed).collect();
     list[0].leaving = true;
     bed.event(Event::Listed { list: Ok(list) });
-    let changing =
-        wire::Share { server: addr(2), runs: 3, reading: 700, sending_ms: 0, changing: true };
+    let changing = wire::Share {
+        server: addr(2),
+        runs: 3,
+        reading: 700,
+        sending_ms: 0,
+        changing: true,
+        version: 0,
+    };
     bed.forward.summed(bed.now, &[changing]);
     bed.ask(1, "/safe/x");
     let misdirected = bed.tried(1).id;
@@ -444,6 +450,7 @@
         reading: u64::from(number) * 1_000,
         sending_ms: 0,
         changing: false,
+        version: 0,
     });
     bed.forward.summed(bed.now, &told);
     bed.prompt(1, "/safe/x", "key", &PROMPT);
@@ -754,8 +761,14 @@
     bed.term = Some(1);
     bed.tick();
     bed.told(store, "*/m/1", &[(1, 2_500), (2, 5_000)]);
-    let share =
-        wire::Share { server: store, runs: 0, reading: 0, sending_ms: 900, changing: false };
+    let share = wire::Share {
+        server: store,
+        runs: 0,
+        reading: 0,
+        sending_ms: 900,
+        changing: false,
+        version: 0,
+    };
     let now = bed.now;
     bed.forward.summed(now, &[share]);
     bed.prompt(1, "/stream/x", "key", &PROMPT);
@@ -783,12 +796,55 @@
     }
 }
 
+// Guards against refusals in incident VERSION: entries learnt late that a server was through, since only the leader asks
+// for reports and no run went to a server that was too old.
+#[test]
+fn entries_hear_at_once_that_a_server_holds_the_newest_weights() {
+    let mut leader = Bed::new(1);
+    leader.term = Some(1);
+    leader.reported("i-1", 2, 1);
+    leader.event(Event::Listed { list: Ok(vec![listed(1)]) });
+    let now = leader.now;
+    let own = wire::Share {
+        runs: 0,
+        reading: 0,
+        sending_ms: 0,
+        server: addr(1),
+        changing: false,
+        version: 0,
+    };
+    leader.forward.shared(now, &Name::new("entry"), &[own]);
+    let mut sums = Vec::new();
+    leader.step(|forward, cx, _| sums = forward.take_sums(cx));
+    let mut entry = Bed::new(1);
+    entry.view = view(2);
+    entry.wait(10);
+    entry.wait(4_900);
+    entry.prompt(1, "/once/x", "key", &PROMPT);
+    entry.tried(1);
+    let answer = Answer { status: 200, own: true, version: Some(1), ..Answer::default() };
+    entry.event(Event::Answered { call: 1, answer });
+    entry.wait(200);
+    entry.prompt(2, "/once/x", "key", &PROMPT);
+    assert_eq!(entry.refused(2).0, Code::NoServer);
+    let now = entry.now;
+    entry.forward.summed(now, &sums);
+    entry.prompt(3, "/once/x", "key", &PROMPT);
+    assert_eq!(entry.tried(3).version, Some(2));
+}
+
 #[test]
 fn the_leader_adds_up_what_entries_tell_and_forgets_the_silent() {
     let mut bed = Bed::new(2);
     bed.term = Some(1);
-    let share =
-        |runs| wire::Share { server: addr(1), runs, reading: 100, sending_ms: 0, changing: false };
+    let share = |runs| wire::Share {
+        server: addr(1),
+        runs,
+        reading: 100,
+        sending_ms: 0,
+        changing: false,
+        version: 0,
+    };
     let now = bed.now;
     bed.forward.shared(now, &Name::new("a"), &[share(2)]);
     bed.forward.shared(now, &Name::new("b"), &[share(3)]);
--- a/crates/wire/src/stock.rs
+++ b/crates/wire/src/stock.rs
@@ -51,4 +51,6 @@
     /// Whether no new runs may go there: it was ordered to other weights and has not shown them, or another
     /// server answers at its address.
     pub changing: bool,
+    /// Weight version that the server reported to the leader just now; 0 where it did not.
+    pub version: u64,
 }
