Servers that do not report take no places of a rollout

Fewer servers change at once beside one that is silent, none with half of them silent. Cause: the servers with the fewest runs are asked and ordered first, a silent one has none, and asking it took a place in each round. Change: a server that was asked and gave no report in time comes last. Evidence: servers_that_do_not_report_take_no_places failed before (no order within a second, three of six silent).

--- a/crates/fleet/src/rollout.rs
+++ b/crates/fleet/src/rollout.rs
@@ -109,7 +109,7 @@
     ) -> Due {
         self.given
             .retain(|key, given| servers.get(*key).is_some_and(|found| !given.is_over(found)));
-        let mut old: Vec<(bool, u32, Key, &Server)> = Vec::new();
+        let mut old: Vec<(bool, bool, u32, Key, &Server)> = Vec::new();
         let mut all = 0;
         for (key, server) in servers.iter() {
             let holds = server.listed.models.iter().any(|(name, _)| name == model);
@@ -118,7 +118,8 @@
             }
             all += 1;
             if server.version < version {
-                old.push((server.version >= least, server.runs(now), key, server));
+                let serves = server.version >= least;
+                old.push((serves, server.is_silent(now), server.runs(now), key, server));
             }
         }
         let changes = |key: Key, server: &Server| {
@@ -127,10 +128,10 @@
         };
         let busy = old.iter().filter(|(.., key, server)| changes(*key, server)).count();
         let mut room = (all / SHARE).max(1).saturating_sub(busy);
-        // Those with the fewest runs are through first.
-        old.sort_unstable_by_key(|(serves, runs, key, _)| (*serves, *runs, *key));
+        // Those with the fewest runs are through first; one that does not report cannot be ordered.
+        old.sort_unstable_by_key(|(serves, silent, runs, key, _)| (*serves, *silent, *runs, *key));
         let mut due = Due::default();
-        for (serves, _, key, server) in old {
+        for (serves, .., key, server) in old {
             let report = server.report(now);
             if self.given.get(&key).is_some_and(|given| now < given.again) {
                 continue;
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -144,6 +144,11 @@
         due
     }
 
+    /// Whether it was asked for a report and has not given one in time.
+    pub fn is_silent(&self, now: Time) -> bool {
+        self.next_ask > Time::ZERO && now >= self.next_ask && self.report(now).is_none()
+    }
+
     /// Other entries have this much there.
     pub fn others(&mut self, now: Time, runs: u32, reading: u64) {
         self.others = Some((runs, reading, now));
--- a/crates/fleet/tests/servers.rs
+++ b/crates/fleet/tests/servers.rs
@@ -266,6 +266,31 @@
     assert_eq!(again, first, "the same two");
 }
 
+// Guards against a rollout that stands still: servers that do not report have no runs, so they came first and took
+// all places for being asked.
+#[test]
+fn servers_that_do_not_report_take_no_places() {
+    let mut servers = fleet(6);
+    let mut rollout = Rollout::default();
+    let busy: Vec<Key> = ["i-3", "i-4", "i-5"].map(|id| key(&servers, id)).into();
+    let mut seen = Vec::new();
+    for round in 0..5 {
+        let now = Time::from_millis(10 + round * 200);
+        for key in &busy {
+            let load = Load { running: 3, waiting: 0, slots: 8 };
+            let report = Report { version: 1, load, ..Report::default() };
+            servers.get_mut(*key).expect("there").reported(now, report);
+        }
+        let due = rollout.due(now, &servers, &Name::new("m"), 2, 0);
+        seen.extend(due.orders.iter().map(|order| order.server));
+        for key in due.ask {
+            servers.get_mut(key).expect("there").ask(now);
+        }
+    }
+    seen.sort_unstable();
+    assert_eq!(seen, busy);
+}
+
 #[test]
 fn a_server_that_was_taken_back_is_ordered_again() {
     let mut servers = fleet(1);
