Agents that fell back to old weights are ordered one after the other

Cause: each agent whose last order was to another version that it does not report counted as loading it, also one that is ready on old weights, as after a restart of its engine. All of them were ordered at once, whatever 'parallel' and 'floor' say. Evidence: agents_that_fell_back_are_ordered_one_after_the_other failed before (4 orders instead of 1). An agent that has not received its order yet counts as ready.

--- a/crates/node/src/rollout.rs
+++ b/crates/node/src/rollout.rs
@@ -53,7 +53,12 @@
         let holds = reported == Some(&rollout.version);
         let order = orders.get(name).map(|(_, order)| order);
         let order = order.filter(|order| order.to == member.hello.incarnation);
-        let ordered = order.is_some_and(|order| reported != Some(&order.load));
+        // An order to another version counts while the agent is at it: one that fell back to old weights serves.
+        let loads = |order: &Order| {
+            let at_it = order.load == rollout.version || standing != Standing::Ready;
+            at_it && reported != Some(&order.load)
+        };
+        let ordered = order.is_some_and(loads);
         if holds {
             plan.done += 1;
         } else if order.is_some_and(|order| order.load == rollout.version) {
--- a/crates/node/tests/rollout.rs
+++ b/crates/node/tests/rollout.rs
@@ -31,6 +31,12 @@
     members
 }
 
+/// One agent at a time.
+fn rollout(version: u64) -> Rollout {
+    let (model, version) = (Name::new("m"), Name::from(format!("v{version}")));
+    Rollout { model, version, parallel: 1, floor: 1, paused: false }
+}
+
 // Guards against the cause of issue 17 in rollouts over agents: a load under way was forgotten when another version
 // was named, so that more agents loaded at once than the rollout allows.
 #[test]
@@ -39,13 +45,7 @@
     let names = ["a", "b", "c", "d"];
     let mut orders = Orders::new();
     for version in 2..=4_u64 {
-        let rollout = Rollout {
-            model: Name::new("m"),
-            version: Name::from(format!("v{version}")),
-            parallel: 1,
-            floor: 1,
-            paused: false,
-        };
+        let rollout = rollout(version);
         let members = members(now, &names, &orders);
         let found: Vec<&Member> = members.iter().collect();
         for server in plan(now, &rollout, &found, &orders).issue {
@@ -58,3 +58,20 @@
         assert_eq!(loads, [("a", &*rollout.version)], "the one that loads is ordered anew");
     }
 }
+
+// Guards against more loads at once than the rollout allows: agents that had fallen back to old weights counted as
+// loading, and were all ordered at once.
+#[test]
+fn agents_that_fell_back_are_ordered_one_after_the_other() {
+    let now = Time::from_millis(1_000);
+    let names = ["a", "b", "c", "d"];
+    let members = members(now, &names, &Orders::new());
+    let mut orders = Orders::new();
+    for name in names.map(Name::new) {
+        let (load, by) = (Name::new("v2"), Name::new("k"));
+        let order = Order { server: name.clone(), to: Incarnation(1), load, by };
+        orders.insert(name, (Revision { epoch: 1, index: 2 }, order));
+    }
+    let found: Vec<&Member> = members.iter().collect();
+    assert_eq!(plan(now, &rollout(3), &found, &orders).issue.len(), 1);
+}
