Names and module heads of the rollout and of weight versions

Renames and comments only, after the last review: Reply::Failed covers refusals too, Versions::learn no longer reads like a getter. Behaviour is the same.

--- a/crates/edge/src/direct.rs
+++ b/crates/edge/src/direct.rs
@@ -127,7 +127,7 @@
                 let reply = match status {
                     200 | 202 => Reply::Taken,
                     409 => Reply::Conflict,
-                    _ => Reply::Lost,
+                    _ => Reply::Failed,
                 };
                 Some(forward::Event::Changed { id: change.id, reply })
             }
--- a/crates/fleet/src/rollout.rs
+++ b/crates/fleet/src/rollout.rs
@@ -57,7 +57,7 @@
     /// It carries out another order, or has taken another number of orders than expected.
     Conflict,
     /// It refused otherwise, or did not answer; an order that was not answered may be carried out later.
-    Lost,
+    Failed,
 }
 
 /// An order that was given.
@@ -85,7 +85,7 @@
     fn holds_place(&self, now: Time, server: &Server) -> bool {
         match self.reply {
             Reply::Taken | Reply::Conflict => now < self.at + AGAIN,
-            Reply::Lost => server.report_since(self.at).is_some(),
+            Reply::Failed => server.report_since(self.at).is_some(),
         }
     }
 }
@@ -163,7 +163,7 @@
 
     /// Servers that were ordered and have not shown the version yet.
     pub fn under_way(&self) -> impl Iterator<Item = Key> {
-        let under_way = self.given.iter().filter(|(_, given)| given.reply != Reply::Lost);
+        let under_way = self.given.iter().filter(|(_, given)| given.reply != Reply::Failed);
         under_way.map(|(key, _)| *key)
     }
 
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -154,7 +154,7 @@
         self.others = Some((runs, reading, now));
     }
 
-    /// It was ordered to other weights, or has changed them: until then it rejects new runs.
+    /// Whether it is carrying out an order to other weights; it rejects new runs meanwhile.
     pub fn changing(&mut self, now: Time, changing: bool) {
         self.changing_until = if changing { now + LOAD_AGE } else { Time::ZERO };
     }
--- a/crates/fleet/src/versions.rs
+++ b/crates/fleet/src/versions.rs
@@ -41,9 +41,9 @@
         self.named.get(&self.newest).map_or(Duration::ZERO, |named| named.age(now))
     }
 
-    /// A version was named. One below the newest takes the model back, and the others no longer count.
+    /// A version came into force here. One below the newest takes the model back, and the others no longer count.
     /// Those that decide nothing after `grace` are dropped.
-    pub fn name(&mut self, now: Time, version: u64, grace: Duration) {
+    pub fn learn(&mut self, now: Time, version: u64, grace: Duration) {
         if version < self.newest {
             self.named.clear();
         }
--- a/crates/fleet/tests/servers.rs
+++ b/crates/fleet/tests/servers.rs
@@ -168,7 +168,7 @@
     report(&mut servers, Time::ZERO);
     let first = rollout.due(Time::ZERO, &servers, &model, 2, 0).orders;
     assert_eq!(first.len(), 1);
-    rollout.answered(Time::ZERO, first[0].server, Reply::Lost);
+    rollout.answered(Time::ZERO, first[0].server, Reply::Failed);
     let other = rollout.due(Time(1), &servers, &model, 2, 0).orders;
     assert_eq!(other.len(), 1);
     assert_ne!(other[0].server, first[0].server, "the next takes its place");
@@ -254,7 +254,7 @@
     let first = ordered(&mut rollout, &servers, Time::ZERO, 2);
     assert_eq!(first.len(), 2);
     for key in &first {
-        rollout.answered(Time::ZERO, *key, Reply::Lost);
+        rollout.answered(Time::ZERO, *key, Reply::Failed);
     }
     let now = Time::from_millis(300);
     report(&mut servers, now);
--- a/crates/fleet/tests/versions.rs
+++ b/crates/fleet/tests/versions.rs
@@ -10,7 +10,7 @@
 fn least(named: &[(u64, u64)], at: u64) -> u64 {
     let mut versions = Versions::default();
     for (version, at) in named {
-        versions.name(Time::from_millis(*at), *version, GRACE);
+        versions.learn(Time::from_millis(*at), *version, GRACE);
     }
     versions.least(Time::from_millis(at), GRACE)
 }
@@ -31,7 +31,7 @@
 fn what_others_tell_makes_a_version_due_earlier_and_never_later() {
     let mut versions = Versions::default();
     let at = Time::from_millis;
-    versions.name(at(10_000), 2, GRACE);
+    versions.learn(at(10_000), 2, GRACE);
     versions.told(at(10_000), 2, Duration::from_secs(4));
     versions.told(at(10_500), 2, Duration::from_secs(1));
     versions.told(at(10_500), 9, Duration::from_secs(30));
--- a/crates/node/src/forward/list.rs
+++ b/crates/node/src/forward/list.rs
@@ -79,7 +79,7 @@
         };
         self.lists.failed = 0;
         if cx.term.is_none() && self.lists.told > Some(self.lists.begun) {
-            // What was told meanwhile is newer.
+            // What the reader told meanwhile is most likely newer, and it tells again in a second.
             return;
         }
         let servers: Vec<wire::Listed> = list.iter().map(told).collect();
--- a/crates/node/src/forward/mod.rs
+++ b/crates/node/src/forward/mod.rs
@@ -10,7 +10,7 @@
 //! | `stores` | where prompt parts are fetched from and saved |
 //! | `reader` | reads what stores and servers hold |
 //! | `list` | reads the list of servers, and tells it |
-//! | `weights` | orders servers to the weight versions that are named |
+//! | `weights` | which weight versions runs may begin on, and orders to servers |
 //! | `explain` | what operators are told of all this |
 //!
 //! The edge that read a request holds its caller and its connection to the server; bytes never pass
--- a/crates/node/src/forward/weights.rs
+++ b/crates/node/src/forward/weights.rs
@@ -1,4 +1,5 @@
-//! Orders servers to the weight versions that are named.
+//! Weight versions: which of them runs may begin on, how long ago each was named, and the orders that bring
+//! servers to the newest.
 
 use base::prelude::*;
 use fleet::rollout::Reply;
@@ -48,7 +49,7 @@
             let versions = self.versions.entry(model.clone()).or_default();
             let from = versions.newest();
             if from != version {
-                versions.name(cx.now, version, self.config.old_weights);
+                versions.learn(cx.now, version, self.config.old_weights);
                 out.push(Effect::Note(Box::new(Note::Weights { model, version, from })));
             }
         }
