--- a/crates/fleet/src/rollout.rs
+++ b/crates/fleet/src/rollout.rs
@@ -14,7 +14,7 @@
 
 use base::prelude::*;
 
-use crate::{Key, Server, Servers};
+use crate::{Key, Report, Server, Servers};
 
 /// Part of a model's servers that change at once. More would leave too few for new runs, and fewer
 /// would not be through in time, since each waits for runs of seconds.
@@ -76,7 +76,7 @@
         if server.version >= self.version {
             return true;
         }
-        let through = |report: crate::Report| !report.busy && report.orders > self.after;
+        let through = |report: Report| !report.busy && report.orders > self.after;
         let shown = server.report_since(self.at + SHOWN).is_some_and(|report| !report.busy);
         shown || server.report_since(self.at).is_some_and(through)
     }
@@ -90,6 +90,19 @@
     }
 }
 
+/// A server on older weights.
+struct Old<'a> {
+    key: Key,
+    report: Option<Report>,
+    /// Whether runs may still begin there.
+    serves: bool,
+    silent: bool,
+    runs: u32,
+    given: Option<&'a Given>,
+    /// Whether it holds a place.
+    changes: bool,
+}
+
 /// Orders under way.
 #[derive(Debug, Default)]
 pub struct Rollout {
@@ -109,47 +122,47 @@
     ) -> Due {
         self.given
             .retain(|key, given| servers.get(*key).is_some_and(|found| !given.is_over(found)));
-        let mut old: Vec<(bool, bool, u32, Key, &Server)> = Vec::new();
+        let mut old: Vec<Old<'_>> = Vec::new();
         let mut all = 0;
         for (key, server) in servers.iter() {
-            let holds = server.listed.models.iter().any(|(name, _)| name == model);
-            if !holds || server.listed.leaving {
+            if !server.listed.holds(model) || server.listed.leaving {
                 continue;
             }
             all += 1;
             if server.version < version {
-                let serves = server.version >= least;
-                old.push((serves, server.is_silent(now), server.runs(now), key, server));
+                let given = self.given.get(&key);
+                let report = server.report(now);
+                old.push(Old {
+                    key,
+                    report,
+                    serves: server.version >= least,
+                    silent: server.is_silent(now),
+                    runs: server.runs(now),
+                    given,
+                    changes: report.is_some_and(|report| report.busy)
+                        || given.is_some_and(|given| given.holds_place(now, server)),
+                });
             }
         }
-        let changes = |key: Key, server: &Server| {
-            server.report(now).is_some_and(|report| report.busy)
-                || self.given.get(&key).is_some_and(|given| given.holds_place(now, server))
-        };
-        let busy = old.iter().filter(|(.., key, server)| changes(*key, server)).count();
+        let busy = old.iter().filter(|server| server.changes).count();
         let mut room = (all / SHARE).max(1).saturating_sub(busy);
         // Those with the fewest runs are through first; one that does not report cannot be ordered.
-        old.sort_unstable_by_key(|(serves, silent, runs, key, _)| (*serves, *silent, *runs, *key));
+        old.sort_unstable_by_key(|server| (server.serves, server.silent, server.runs, server.key));
         let mut due = Due::default();
-        for (serves, .., key, server) in old {
-            let report = server.report(now);
-            if self.given.get(&key).is_some_and(|given| now < given.again) {
+        for Old { key, report, serves, given, changes, .. } in old {
+            if given.is_some_and(|given| now < given.again) {
                 continue;
             }
-            if !changes(key, server) {
+            if !changes {
                 if serves && room == 0 {
                     continue;
                 }
                 room = room.saturating_sub(1);
             }
-            match report {
-                Some(report) if report.busy => due.ask.push(key),
-                Some(report) => due.orders.push(Order {
-                    server: key,
-                    model: model.clone(),
-                    version,
-                    after: report.orders,
-                }),
+            match report.filter(|report| !report.busy) {
+                Some(Report { orders: after, .. }) => {
+                    due.orders.push(Order { server: key, model: model.clone(), version, after });
+                }
                 None => due.ask.push(key),
             }
         }
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -48,6 +48,11 @@
 }
 
 impl Listed {
+    /// Whether it holds a model.
+    pub fn holds(&self, model: &Name) -> bool {
+        self.models.iter().any(|(name, _)| name == model)
+    }
+
     /// Its weight version; 0 where the list names none.
     pub fn version(&self) -> u64 {
         self.models.iter().map(|(_, version)| *version).max().unwrap_or(0)
@@ -131,8 +136,18 @@
 
     /// Whether new work may go there.
     pub fn usable(&self, now: Time) -> bool {
-        let until = self.away_until.max(self.misdirected_until).max(self.changing_until);
-        !self.listed.leaving && now >= until
+        let out = self.is_away(now) || self.is_misdirected(now) || self.is_changing(now);
+        !self.listed.leaving && !out
+    }
+
+    /// Whether it is left alone since it failed or rejected a request.
+    pub fn is_away(&self, now: Time) -> bool {
+        now < self.away_until
+    }
+
+    /// Whether it is taken to be changing its weights.
+    pub fn is_changing(&self, now: Time) -> bool {
+        now < self.changing_until
     }
 
     /// Whether it may be asked for a report now; then not again for a while.
--- a/crates/node/src/forward/explain.rs
+++ b/crates/node/src/forward/explain.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 
 use base::prelude::*;
-use fleet::{Report, Server};
+use fleet::Server;
 use serde_json::{Value, json};
 
 use super::{Context, Forward, Order, Try};
@@ -208,9 +208,7 @@
         models.sort_unstable();
         let shown = |model: &Name| {
             let allowed = self.allowed(now, model);
-            let serves = |server: &&Server| {
-                !server.listed.leaving && server.listed.models.iter().any(|(name, _)| name == model)
-            };
+            let serves = |server: &&Server| !server.listed.leaving && server.listed.holds(model);
             let servers = || self.servers.iter().map(|(_, server)| server).filter(serves);
             json!({
                 "model": &**model,
@@ -265,19 +263,11 @@
     if server.is_misdirected(now) {
         why.push("misdirected");
     }
-    if server.usable(now) {
-        return why;
-    }
-    // The server tells only until when all reasons together last: each is seen by ending the others.
-    let mut stays = server.clone();
-    stays.listed.leaving = false;
-    let mut changed = stays.clone();
-    changed.changing(now, false);
-    if !server.is_misdirected(now) && !changed.usable(now) {
+    // What fails at its address says nothing of the server itself.
+    if server.is_away(now) && !server.is_misdirected(now) {
         why.push("away");
     }
-    stays.reported(now, Report::default());
-    if !stays.usable(now) {
+    if server.is_changing(now) {
         why.push("changing");
     }
     why
--- a/crates/node/src/forward/place.rs
+++ b/crates/node/src/forward/place.rs
@@ -36,7 +36,7 @@
             self.give_up(cx, call, Code::NoServer, "no backend server can take it now", out);
             return;
         };
-        let Choice { key, transfer, sources, candidate } = choice;
+        let Choice { key, version: held, transfer, sources, candidate } = choice;
         let reading = candidate.missing;
         let list_age = self.servers.read_at().map_or(Duration::MAX, |at| cx.now.since(at));
         let engine = engine(cx, run);
@@ -44,7 +44,6 @@
         else {
             return;
         };
-        let held = held(server, allowed);
         let version = (engine.is_some() && held > 0).then_some(held);
         let salt = run.head.prompt.as_ref().map(|prompt| salt(run, &prompt.model, held));
         run.tries += 1;
@@ -127,14 +126,13 @@
                 near: server.listed.zone == self.zone,
                 penalty_ms: transfer.millis + if old { OLD_WEIGHTS_MS } else { 0.0 },
             });
-            choices.push((key, transfer));
+            choices.push((key, version, transfer));
         }
         let index = direct::choose(&candidates, point)?;
-        let (key, transfer) = choices.swap_remove(index);
-        let version = held(self.servers.get(key)?, allowed);
+        let (key, version, transfer) = choices.swap_remove(index);
         let sources = known.into_iter().find(|(found, _)| *found == version);
         let sources = sources.map(|(_, sources)| sources).unwrap_or_default();
-        Some(Choice { key, transfer, sources, candidate: candidates[index] })
+        Some(Choice { key, version, transfer, sources, candidate: candidates[index] })
     }
 
     /// What a prompt would need at a server.
@@ -161,6 +159,8 @@
 /// A server that a request can go to.
 struct Choice {
     key: Key,
+    /// Weight version that it is expected to hold.
+    version: u64,
     transfer: Transfer,
     sources: Sources,
     candidate: Candidate,
--- a/crates/node/src/forward/weights.rs
+++ b/crates/node/src/forward/weights.rs
@@ -73,13 +73,10 @@
             return Vec::new();
         }
         self.next_ages = cx.now + TELL;
-        let ages = |versions: &Versions| -> Vec<(u64, u64)> {
+        let told = |(model, versions): (&Name, &Versions)| {
             let ages = versions.ages(cx.now);
-            ages.map(|(version, age)| (version, age.as_millis() as u64)).collect()
-        };
-        let told = |(model, versions): (&Name, &Versions)| wire::Weights {
-            model: model.clone(),
-            ages: ages(versions),
+            let ages = ages.map(|(version, age)| (version, age.as_millis() as u64)).collect();
+            wire::Weights { model: model.clone(), ages }
         };
         self.versions.iter().map(told).collect()
     }
--- a/crates/node/src/keeper.rs
+++ b/crates/node/src/keeper.rs
@@ -183,15 +183,8 @@
 
     /// A process asks for the records after a revision and for all later changes.
     pub fn watch(&mut self, peer: &Name, revision: Revision, out: &mut Effects) {
-        let known = revision.min(self.state.revision());
-        let frame = match self.state.changes_after(revision) {
-            Some(changes) => Frame::Changes { after: revision, changes },
-            None => Frame::Records {
-                revision: self.state.revision(),
-                records: self.state.records().cloned().collect(),
-            },
-        };
-        self.watchers.insert(peer.clone(), self.state.revision().max(known));
+        self.watchers.insert(peer.clone(), self.state.revision());
+        let frame = records_after(&self.state, revision);
         out.push(Effect::Send { to: peer.clone(), frame });
     }
 
@@ -329,14 +322,7 @@
                 continue;
             }
             if made.as_ref().is_none_or(|(revision, _)| revision != sent) {
-                let frame = match self.state.changes_after(*sent) {
-                    Some(changes) => Frame::Changes { after: *sent, changes },
-                    None => Frame::Records {
-                        revision: latest,
-                        records: self.state.records().cloned().collect(),
-                    },
-                };
-                made = Some((*sent, frame));
+                made = Some((*sent, records_after(&self.state, *sent)));
             }
             if let Some((_, frame)) = &made {
                 out.push(Effect::Send { to: peer.clone(), frame: frame.clone() });
@@ -435,3 +421,14 @@
     let frame = Frame::Answer { id: from.id, answer };
     out.push(Effect::Send { to: from.peer, frame });
 }
+
+/// What brings a process from a revision to the present one.
+fn records_after(state: &State, revision: Revision) -> Frame {
+    match state.changes_after(revision) {
+        Some(changes) => Frame::Changes { after: revision, changes },
+        None => Frame::Records {
+            revision: state.revision(),
+            records: state.records().cloned().collect(),
+        },
+    }
+}
--- a/crates/node/src/rollout.rs
+++ b/crates/node/src/rollout.rs
@@ -53,23 +53,27 @@
         let holds = reported == Some(&rollout.version);
         let order = orders.get(name).map(|(_, order)| order);
         let order = order.filter(|order| order.to == member.hello.incarnation);
-        // An order to another version counts while the agent is at it: one that fell back to old weights serves.
-        let loads = |order: &Order| {
-            let at_it = order.load == rollout.version || standing != Standing::Ready;
-            at_it && reported != Some(&order.load)
+        let ready = standing == Standing::Ready;
+        let stays = match order {
+            _ if holds => {
+                plan.done += 1;
+                true
+            }
+            Some(order) if order.load == rollout.version => {
+                plan.loading.push(name.clone());
+                false
+            }
+            // One that is ready on old weights, as after a restart of its engine, is at no order any more.
+            Some(order) if !ready && reported != Some(&order.load) => {
+                redirected.push(name.clone());
+                false
+            }
+            _ => {
+                waiting.extend(ready.then(|| name.clone()));
+                true
+            }
         };
-        let ordered = order.is_some_and(loads);
-        if holds {
-            plan.done += 1;
-        } else if order.is_some_and(|order| order.load == rollout.version) {
-            plan.loading.push(name.clone());
-        } else if ordered {
-            redirected.push(name.clone());
-        } else if standing == Standing::Ready {
-            waiting.push(name.clone());
-        }
-        let stays = standing == Standing::Ready && (holds || !ordered);
-        serving += usize::from(stays);
+        serving += usize::from(ready && stays);
     }
     if rollout.paused {
         return plan;
