Test beds of forwarded requests: versions in force, notes and shares written once

The same set-up, filter of notes and empty share stood in up to seven tests; the assertions are the same.

--- a/crates/node/tests/forward.rs
+++ b/crates/node/tests/forward.rs
@@ -83,6 +83,11 @@
     SocketAddr::from(([10, 0, 1, 1], number))
 }
 
+/// Nothing of an entry at a server.
+fn nothing(server: SocketAddr) -> wire::Share {
+    wire::Share { server, runs: 0, reading: 0, sending_ms: 0, changing: false, version: 0 }
+}
+
 fn listed(number: u16) -> Listed {
     Listed {
         id: Name::from(format!("i-{number}")),
@@ -131,6 +136,14 @@
         bed
     }
 
+    /// A bed in which a weight version was named just now.
+    fn named(servers: u16, version: u64) -> Self {
+        let mut bed = Self::new(servers);
+        bed.view = view(version);
+        bed.wait(10);
+        bed
+    }
+
     fn step(&mut self, run: impl FnOnce(&mut Forward, &Context<'_>, &mut Effects)) {
         let cx = Context {
             now: self.now,
@@ -211,6 +224,14 @@
         }
     }
 
+    /// The decisions for the log.
+    fn notes(&self) -> impl Iterator<Item = &Note> {
+        self.out.iter().filter_map(|effect| match effect {
+            Effect::Note(note) => Some(&**note),
+            _ => None,
+        })
+    }
+
     /// What a server reports of itself.
     fn reported(&mut self, id: &str, version: u64, orders: u64) {
         let report = Report { version, orders, ..Report::default() };
@@ -370,13 +391,10 @@
     bed.answer(1, 200, false);
     bed.wait(30);
     bed.event(Event::Done { call: 1 });
-    let ended = bed.out.iter().find_map(|effect| match effect {
-        Effect::Note(note) => match &**note {
-            Note::Ended { request, code, status, basis, .. } => {
-                Some((request.to_string(), *code, *status, basis.reading))
-            }
-            _ => None,
-        },
+    let ended = bed.notes().find_map(|note| match note {
+        Note::Ended { request, code, status, basis, .. } => {
+            Some((request.to_string(), *code, *status, basis.reading))
+        }
         _ => None,
     });
     assert_eq!(ended, Some(("r1".to_owned(), Code::Ok, 200, 1_500)));
@@ -388,14 +406,7 @@
     let mut list: Vec<Listed> = (1..=4).map(listed).collect();
     list[0].leaving = true;
     bed.event(Event::Listed { list: Ok(list) });
-    let changing = wire::Share {
-        server: addr(2),
-        runs: 3,
-        reading: 700,
-        sending_ms: 0,
-        changing: true,
-        version: 0,
-    };
+    let changing = wire::Share { runs: 3, reading: 700, changing: true, ..nothing(addr(2)) };
     bed.forward.summed(bed.now, &[changing]);
     bed.ask(1, "/safe/x");
     let misdirected = bed.tried(1).id;
@@ -417,9 +428,7 @@
 
 #[test]
 fn operators_see_stores_and_which_weights_may_be_used() {
-    let mut bed = Bed::new(2);
-    bed.view = view(2);
-    bed.wait(10);
+    let mut bed = Bed::named(2, 2);
     bed.term = Some(1);
     bed.tick();
     let store: SocketAddr = STORE.parse().expect("an address");
@@ -445,12 +454,9 @@
 fn a_request_is_explained_by_what_was_known_when_it_was_placed() {
     let mut bed = Bed::new(2);
     let told = [1, 2].map(|number| wire::Share {
-        server: addr(number),
         runs: u32::from(number) * 2,
         reading: u64::from(number) * 1_000,
-        sending_ms: 0,
-        changing: false,
-        version: 0,
+        ..nothing(addr(number))
     });
     bed.forward.summed(bed.now, &told);
     bed.prompt(1, "/safe/x", "key", &PROMPT);
@@ -498,11 +504,8 @@
 // Guards against an incident whose logs held neither the version a request was sent with nor when it was named.
 #[test]
 fn logs_tell_which_weights_a_request_could_begin_on() {
-    let mut bed = Bed::new(1);
-    bed.view = view(2);
-    bed.wait(10);
-    assert!(bed.out.iter().any(|effect| matches!(effect, Effect::Note(note)
-        if matches!(&**note, Note::Weights { version: 2, from: 1, .. }))));
+    let mut bed = Bed::named(1, 2);
+    assert!(bed.notes().any(|note| matches!(note, Note::Weights { version: 2, from: 1, .. })));
     bed.wait(700);
     bed.prompt(1, "/once/x", "key", &PROMPT);
     bed.tried(1);
@@ -510,11 +513,8 @@
     bed.event(Event::Done { call: 1 });
     bed.wait(5_000);
     bed.prompt(2, "/once/x", "key", &PROMPT);
-    let ended = bed.out.iter().filter_map(|effect| match effect {
-        Effect::Note(note) => match &**note {
-            Note::Ended { basis, .. } => Some((basis.version, basis.allowed)),
-            _ => None,
-        },
+    let ended = bed.notes().filter_map(|note| match note {
+        Note::Ended { basis, .. } => Some((basis.version, basis.allowed)),
         _ => None,
     });
     let age = Duration::from_millis;
@@ -761,14 +761,7 @@
     bed.term = Some(1);
     bed.tick();
     bed.told(store, "*/m/1", &[(1, 2_500), (2, 5_000)]);
-    let share = wire::Share {
-        server: store,
-        runs: 0,
-        reading: 0,
-        sending_ms: 900,
-        changing: false,
-        version: 0,
-    };
+    let share = wire::Share { sending_ms: 900, ..nothing(store) };
     let now = bed.now;
     bed.forward.summed(now, &[share]);
     bed.prompt(1, "/stream/x", "key", &PROMPT);
@@ -805,15 +798,7 @@
     leader.reported("i-1", 2, 1);
     leader.event(Event::Listed { list: Ok(vec![listed(1)]) });
     let now = leader.now;
-    let own = wire::Share {
-        runs: 0,
-        reading: 0,
-        sending_ms: 0,
-        server: addr(1),
-        changing: false,
-        version: 0,
-    };
-    leader.forward.shared(now, &Name::new("entry"), &[own]);
+    leader.forward.shared(now, &Name::new("entry"), &[nothing(addr(1))]);
     let mut sums = Vec::new();
     leader.step(|forward, cx, _| sums = forward.take_sums(cx));
     let mut entry = Bed::new(1);
@@ -837,14 +822,7 @@
 fn the_leader_adds_up_what_entries_tell_and_forgets_the_silent() {
     let mut bed = Bed::new(2);
     bed.term = Some(1);
-    let share = |runs| wire::Share {
-        server: addr(1),
-        runs,
-        reading: 100,
-        sending_ms: 0,
-        changing: false,
-        version: 0,
-    };
+    let share = |runs| wire::Share { runs, reading: 100, ..nothing(addr(1)) };
     let now = bed.now;
     bed.forward.shared(now, &Name::new("a"), &[share(2)]);
     bed.forward.shared(now, &Name::new("b"), &[share(3)]);
@@ -863,9 +841,7 @@
 
 #[test]
 fn no_run_begins_on_old_weights_after_their_time() {
-    let mut bed = Bed::new(2);
-    bed.view = view(2);
-    bed.wait(10);
+    let mut bed = Bed::named(2, 2);
     bed.prompt(1, "/once/x", "key", &PROMPT);
     assert_eq!(bed.tried(1).version, Some(1), "nothing newer is there yet");
     bed.wait(5_000);
@@ -880,9 +856,7 @@
 // on weights older than both.
 #[test]
 fn a_newer_version_does_not_extend_the_time_of_the_one_before() {
-    let mut bed = Bed::new(2);
-    bed.view = view(2);
-    bed.wait(10);
+    let mut bed = Bed::named(2, 2);
     bed.wait(3_000);
     bed.view = view(3);
     bed.wait(10);
@@ -951,9 +925,7 @@
 // Guards against runs on old weights of requests whose prompt cannot be read: their model is that of the engine.
 #[test]
 fn a_request_without_a_prompt_keeps_to_the_time_of_a_version() {
-    let mut bed = Bed::new(1);
-    bed.view = view(2);
-    bed.wait(10);
+    let mut bed = Bed::named(1, 2);
     bed.wait(5_000);
     bed.ask(1, "/once/x");
     assert_eq!(bed.refused(1), (Code::NoServer, 503, true));
