Logs tell whom a process looks for, who named a keeper, and what a keeper without a leader lacks

No logic changes: the first failure of a row of tries to reach an address, each keeper learnt from others with who told, and every three seconds at a keeper without a leader the term and which voters it has links to.

--- a/crates/edge/src/net.rs
+++ b/crates/edge/src/net.rs
@@ -193,11 +193,14 @@
 async fn dial(shared: Shared, addr: SocketAddr) {
     let mut pause = REDIAL;
     let mut wait = FIRST_CONNECT;
+    let mut reached = true;
     loop {
         match dial_once(&shared, addr, wait).await {
-            Ok(()) => (pause, wait) = (REDIAL, FIRST_CONNECT),
+            Ok(()) => (pause, wait, reached) = (REDIAL, FIRST_CONNECT, true),
             Err(error) => {
-                log::debug!("link to {addr}: {error}");
+                if std::mem::take(&mut reached) {
+                    log::info!(addr:%, error:%; "address not reached, tried on");
+                }
                 pause = (2 * pause).min(REDIAL_MOST);
                 wait = (2 * wait).min(CONNECT);
             }
--- a/crates/edge/src/notes.rs
+++ b/crates/edge/src/notes.rs
@@ -75,6 +75,16 @@
                 None => log::info!(voters; "no longer leads the keepers"),
             }
         }
+        Note::Learnt { keeper, addr, from } => {
+            log::info!(keeper:% = keeper, addr:%, from:%; "address of a keeper learnt");
+        }
+        Note::Leaderless { time, term, voters } => {
+            let voters: Vec<String> = voters
+                .iter()
+                .map(|(name, up)| format!("{name} {}", if *up { "linked" } else { "not linked" }))
+                .collect();
+            log::warn!(silent_ms = millis(*time), term, voters = voters.join(", "); "no leader among the keepers");
+        }
         Note::Keeper { keeper, up } => log::info!(keeper:% = keeper, up; "link to a keeper"),
     }
 }
--- a/crates/node/src/note.rs
+++ b/crates/node/src/note.rs
@@ -152,6 +152,24 @@
         /// The other voters, each with the time since it was sent what it answered last.
         voters: Vec<(Name, Option<Duration>)>,
     },
+    /// The address of a keeper was learnt from another process.
+    Learnt {
+        /// The keeper.
+        keeper: Name,
+        /// Its address.
+        addr: SocketAddr,
+        /// Who told.
+        from: Name,
+    },
+    /// As a keeper: no leader is known.
+    Leaderless {
+        /// For how long.
+        time: Duration,
+        /// Term that this keeper is in.
+        term: u64,
+        /// The other voters, each with whether a link to it is up; none for an empty disk.
+        voters: Vec<(Name, bool)>,
+    },
     /// A keeper can be reached, or no longer.
     Keeper {
         /// The keeper.
--- a/crates/node/src/process/mod.rs
+++ b/crates/node/src/process/mod.rs
@@ -60,6 +60,8 @@
     last_tick: Time,
     /// Term in which this process was last told to lead.
     leads: Option<u64>,
+    /// Since when this keeper knows no leader, and when that is noted again.
+    leaderless: Option<(Time, Time)>,
     /// The configuration that was last told to be in force, and whether it served by it.
     noted: (Revision, bool),
     peers: BTreeMap<Name, Hello>,
@@ -107,6 +109,7 @@
             reader: None,
             last_tick: Time::ZERO,
             leads: None,
+            leaderless: None,
             noted: (Revision::default(), false),
             peers: BTreeMap::new(),
             dialled: BTreeSet::new(),
@@ -315,7 +318,7 @@
                 }
             }
             Frame::Members(hellos) => {
-                self.dial_keepers(&hellos, out);
+                self.dial_keepers(peer, &hellos, out);
                 if let Some(entry) = &mut self.entry {
                     entry.members(&hellos, out);
                 }
--- a/crates/node/src/process/told.rs
+++ b/crates/node/src/process/told.rs
@@ -10,6 +10,9 @@
 
 /// Time between two ticks from which a process is said to have stood still; ticks come every 10 ms.
 const STALLED: Duration = Duration::from_millis(500);
+/// Time without a leader from which a keeper says so, and between two lines on it: an election ends well
+/// within it.
+const LEADERLESS: Duration = Duration::from_secs(3);
 
 impl Node {
     /// Term in which this process leads the keepers, if its lease holds.
@@ -83,6 +86,7 @@
             let voters = voters.unwrap_or_default();
             out.push(Effect::Note(Box::new(Note::Leads { term: leads, voters })));
         }
+        self.note_leaderless(now, out);
         let view = &self.watch.view;
         let in_force = (view.revision, self.watch.ready(now));
         if in_force != self.noted {
@@ -93,6 +97,25 @@
         }
     }
 
+    fn note_leaderless(&mut self, now: Time, out: &mut Effects) {
+        let quorum = self.keeper.as_ref().map(Keeper::quorum);
+        let Some(quorum) = quorum.filter(|quorum| quorum.leader().is_none()) else {
+            self.leaderless = None;
+            return;
+        };
+        let (since, due) = self.leaderless.get_or_insert((now, now + LEADERLESS));
+        if now < *due {
+            return;
+        }
+        *due = now + LEADERLESS;
+        let others = quorum.config().voters.iter().filter(|voter| *voter != quorum.me());
+        let voters = others
+            .map(|voter| (voter.name.clone(), self.peers.contains_key(&voter.name)))
+            .collect();
+        let note = Note::Leaderless { time: now.since(*since), term: quorum.term(), voters };
+        out.push(Effect::Note(Box::new(note)));
+    }
+
     /// Tells the leader what this entry has at the servers, and as the leader tells the sums and
     /// the ages of weight versions.
     pub(super) fn tell_shares(&mut self, now: Time, out: &mut Effects) {
@@ -125,11 +148,13 @@
     }
 
     /// Links to keepers that the settings do not name.
-    pub(super) fn dial_keepers(&mut self, hellos: &[Hello], out: &mut Effects) {
+    pub(super) fn dial_keepers(&mut self, from: &Name, hellos: &[Hello], out: &mut Effects) {
         for hello in hellos.iter().filter(|hello| hello.keeper && hello.name != self.me.hello.name)
         {
             if !self.peers.contains_key(&hello.name) && self.dialled.insert(hello.addr) {
-                out.push(Effect::Dial { addr: hello.addr });
+                let (keeper, addr) = (hello.name.clone(), hello.addr);
+                out.push(Effect::Note(Box::new(Note::Learnt { keeper, addr, from: from.clone() })));
+                out.push(Effect::Dial { addr });
             }
         }
     }
