Processes tell each other which keepers they know

Cause: an address came from the settings, or from a keeper that told an entry of the members it knew. Nothing else passed one on, so two keepers met only if the settings of one named the other, and an entry only if its seeds led to a keeper. Class: knowledge that a process needs after a restart and that nobody who has it passes on. Change: node::Contacts keeps who is known, where, and how old the last sign is; every process tells each new peer of the keepers it knows, and all peers of one that is new or has moved. The later life of a process is right, its own word before all. It also takes over the dialling of agents, so an address is dialled by one list; addresses silent for ten minutes are given up, which nothing did before.

--- a/crates/base/src/time.rs
+++ b/crates/base/src/time.rs
@@ -1,6 +1,6 @@
 //! Monotonic time as a plain value.
 
-use std::ops::Add;
+use std::ops::{Add, Sub};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -26,6 +26,15 @@
     }
 }
 
+impl Sub<Duration> for Time {
+    type Output = Self;
+
+    /// The clock begins at zero.
+    fn sub(self, by: Duration) -> Self {
+        Self(self.0.saturating_sub(by.as_micros() as u64))
+    }
+}
+
 impl Add<Duration> for Time {
     type Output = Self;
 
--- a/crates/edge/src/notes.rs
+++ b/crates/edge/src/notes.rs
@@ -75,8 +75,8 @@
                 None => log::info!(voters; "no longer leads the keepers"),
             }
         }
-        Note::Learnt { keeper, addr, from } => {
-            log::info!(keeper:% = keeper, addr:%, from:%; "address of a keeper learnt");
+        Note::Learnt { process, addr, from } => {
+            log::info!(process:% = process, addr:%, from:%; "address of a process learnt");
         }
         Note::Leaderless { time, term, voters } => {
             let voters: Vec<String> = voters
--- /dev/null
+++ b/crates/node/src/contacts.rs
@@ -0,0 +1,144 @@
+//! Peer discovery: which processes there are, where they can be reached and whom this one dials.
+//!
+//! Addresses come from links and from other processes. Every process tells every peer which keepers it
+//! knows, so two that share any chain of links find each other, whoever was named in their settings. Of two
+//! words on one process, that of its later life is right.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use base::prelude::*;
+use wire::{Contact, Hello};
+
+use crate::{Effect, Effects};
+
+/// Time without a sign of a process after which it is dialled no longer. Each try costs a packet a second;
+/// a VM that was off for longer dials others itself.
+const FORGET: Duration = Duration::from_secs(600);
+/// Time between two looks for processes to forget.
+const ROUND: Duration = Duration::from_secs(1);
+
+#[derive(Clone, Debug)]
+struct Known {
+    hello: Hello,
+    /// Last sign of it.
+    heard: Time,
+}
+
+/// The processes known to one process.
+#[derive(Debug)]
+pub struct Contacts {
+    me: Hello,
+    known: BTreeMap<Name, Known>,
+    dialled: BTreeSet<SocketAddr>,
+    next_round: Time,
+}
+
+impl Contacts {
+    /// Nobody is known yet.
+    pub fn new(me: Hello) -> Self {
+        let (known, dialled) = (BTreeMap::new(), BTreeSet::new());
+        Self { me, known, dialled, next_round: Time::ZERO }
+    }
+
+    /// A process said of itself where it is, which is true whatever was told; gives whether that is news.
+    pub fn linked(&mut self, now: Time, hello: &Hello, out: &mut Effects) -> bool {
+        if hello.name == self.me.name {
+            return false;
+        }
+        let news = self.known.get(&hello.name).is_none_or(|known| known.hello != *hello);
+        // Who had this address before has left it.
+        self.known.retain(|_, known| known.hello.addr != hello.addr);
+        self.known.insert(hello.name.clone(), Known { hello: hello.clone(), heard: now });
+        if news {
+            self.dial(out);
+        }
+        news
+    }
+
+    /// Another process told of contacts; gives those that are news.
+    pub fn told(&mut self, now: Time, contacts: &[Contact], out: &mut Effects) -> Vec<Contact> {
+        let news: Vec<Contact> = contacts
+            .iter()
+            .filter(|contact| {
+                let silent = Duration::from_millis(contact.silent_ms);
+                silent < FORGET && self.heard_of(&contact.hello, now - silent)
+            })
+            .cloned()
+            .collect();
+        if !news.is_empty() {
+            self.dial(out);
+        }
+        news
+    }
+
+    /// Forgets processes that have been silent for long, other than these. While no other keeper is linked,
+    /// nobody is forgotten: silence then tells of this process, not of the others.
+    pub fn tick(
+        &mut self,
+        now: Time,
+        peers: &BTreeMap<Name, Hello>,
+        keep: impl Fn(&Name) -> bool,
+        out: &mut Effects,
+    ) {
+        if now < self.next_round {
+            return;
+        }
+        self.next_round = now + ROUND;
+        let alone = !peers.values().any(|peer| peer.keeper && peer.name != self.me.name);
+        let before = self.known.len();
+        self.known.retain(|name, known| {
+            if alone || peers.contains_key(name) {
+                known.heard = now;
+            }
+            now.since(known.heard) < FORGET || keep(name)
+        });
+        if self.known.len() < before {
+            self.dial(out);
+        }
+    }
+
+    /// The keepers known, for another process.
+    pub fn keepers(&self, now: Time) -> Vec<Contact> {
+        let keepers = self.known.values().filter(|known| known.hello.keeper);
+        keepers
+            .map(|known| Contact {
+                hello: known.hello.clone(),
+                silent_ms: now.since(known.heard).as_millis() as u64,
+            })
+            .collect()
+    }
+
+    /// Takes another's word of a process from this time; gives whether its life or address is news.
+    fn heard_of(&mut self, hello: &Hello, at: Time) -> bool {
+        if hello.name == self.me.name {
+            return false;
+        }
+        if let Some(known) = self.known.get_mut(&hello.name)
+            && known.hello.incarnation >= hello.incarnation
+        {
+            if known.hello == *hello {
+                known.heard = known.heard.max(at);
+            }
+            return false;
+        }
+        self.known.insert(hello.name.clone(), Known { hello: hello.clone(), heard: at });
+        true
+    }
+
+    /// Brings the addresses that are dialled in line with what is known.
+    fn dial(&mut self, out: &mut Effects) {
+        let wanted = self.known.values().map(|known| &known.hello);
+        let wanted: BTreeSet<SocketAddr> =
+            wanted.filter(|hello| self.wants(hello)).map(|hello| hello.addr).collect();
+        let left = self.dialled.difference(&wanted).map(|addr| Effect::Undial { addr: *addr });
+        let new = wanted.difference(&self.dialled).map(|addr| Effect::Dial { addr: *addr });
+        out.extend(left.chain(new));
+        self.dialled = wanted;
+    }
+
+    /// Whether this process needs a link to another: all need one to keepers, entries to agents too.
+    fn wants(&self, other: &Hello) -> bool {
+        other.keeper || (self.me.entry && other.server.is_some())
+    }
+}
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -19,7 +19,6 @@
 mod server;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
-use std::net::SocketAddr;
 
 use base::prelude::*;
 use cache::{Directory, Keep};
@@ -76,7 +75,6 @@
     incarnation: Incarnation,
     next_number: u64,
     servers: BTreeMap<Name, Server>,
-    dialled: BTreeMap<Name, (Incarnation, SocketAddr)>,
     entries: usize,
     runs: HashMap<u64, Run>,
     calls: HashMap<u64, u64>,
@@ -104,7 +102,6 @@
             incarnation,
             next_number: 1,
             servers: BTreeMap::new(),
-            dialled: BTreeMap::new(),
             entries: 1,
             runs: HashMap::new(),
             calls: HashMap::new(),
@@ -151,22 +148,9 @@
         self.entries
     }
 
-    /// The processes that are there; dials agents that are new or have moved.
-    pub fn members(&mut self, hellos: &[Hello], out: &mut Effects) {
+    /// The processes that are there.
+    pub fn members(&mut self, hellos: &[Hello]) {
         self.entries = hellos.iter().filter(|hello| hello.entry).count().max(1);
-        let agents = hellos.iter().filter(|hello| hello.server.is_some() && hello.name != self.me);
-        for hello in agents {
-            let known = self.dialled.get(&hello.name).copied();
-            // Keepers may differ for a moment; the later life of a process is right.
-            if known.is_some_and(|(life, addr)| life >= hello.incarnation || addr == hello.addr) {
-                continue;
-            }
-            if let Some((_, addr)) = known {
-                out.push(Effect::Undial { addr });
-            }
-            self.dialled.insert(hello.name.clone(), (hello.incarnation, hello.addr));
-            out.push(Effect::Dial { addr: hello.addr });
-        }
     }
 
     /// A link to a process is up.
--- a/crates/node/src/note.rs
+++ b/crates/node/src/note.rs
@@ -152,10 +152,10 @@
         /// The other voters, each with the time since it was sent what it answered last.
         voters: Vec<(Name, Option<Duration>)>,
     },
-    /// The address of a keeper was learnt from another process.
+    /// The address of a process was learnt from another one.
     Learnt {
-        /// The keeper.
-        keeper: Name,
+        /// The process.
+        process: Name,
         /// Its address.
         addr: SocketAddr,
         /// Who told.
--- a/crates/node/src/process/mod.rs
+++ b/crates/node/src/process/mod.rs
@@ -3,15 +3,15 @@
 mod show;
 mod told;
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::net::SocketAddr;
+use std::collections::{BTreeMap, VecDeque};
 
 use base::prelude::*;
 use serde_json::Value;
-use wire::{Answer, Beat, Frame, Hello, Request};
+use wire::{Answer, Beat, Contact, Frame, Hello, Request};
 
 use crate::admin::{self, Admin};
 use crate::asker::{Asker, Purpose};
+use crate::contacts::Contacts;
 use crate::entry::{self, standing_in};
 use crate::forward::Forward;
 use crate::note::Note;
@@ -65,8 +65,7 @@
     /// The configuration that was last told to be in force, and whether it served by it.
     noted: (Revision, bool),
     peers: BTreeMap<Name, Hello>,
-    /// Addresses of keepers that were learned from others.
-    dialled: BTreeSet<SocketAddr>,
+    contacts: Contacts,
     /// Each peer's clock in its last heartbeat.
     heard: BTreeMap<Name, Time>,
     next_beat: Time,
@@ -97,6 +96,7 @@
             .map(|config| Forward::new(config, hello.zone.clone(), hello.incarnation.0));
         let mut watch = Watch::default();
         watch.serve_unconfirmed = config.serve_unconfirmed;
+        let contacts = Contacts::new(me.hello.clone());
         Self {
             me,
             config,
@@ -112,7 +112,7 @@
             leaderless: None,
             noted: (Revision::default(), false),
             peers: BTreeMap::new(),
-            dialled: BTreeSet::new(),
+            contacts,
             heard: BTreeMap::new(),
             next_beat: Time::ZERO,
             next_mark: Time::ZERO,
@@ -263,6 +263,7 @@
             out.push(Effect::Send { to: hello.name.clone(), frame });
         }
         self.with_entry(now, |entry, cx| entry.linked(cx, &hello, out));
+        self.tell_contacts_of(now, &hello, out);
         self.peers.insert(hello.name.clone(), hello);
     }
 
@@ -318,10 +319,12 @@
                 }
             }
             Frame::Members(hellos) => {
-                self.dial_keepers(peer, &hellos, out);
                 if let Some(entry) = &mut self.entry {
-                    entry.members(&hellos, out);
+                    entry.members(&hellos);
                 }
+                let contact = |hello| Contact { hello, silent_ms: 0 };
+                let contacts: Vec<Contact> = hellos.into_iter().map(contact).collect();
+                self.contacts_told(now, peer, &contacts, out);
             }
             Frame::Quorum { from, to, message } => {
                 if let Some(keeper) = &mut self.keeper {
@@ -371,6 +374,7 @@
                     forward.ages_told(now, &told);
                 }
             }
+            Frame::Contacts(contacts) => self.contacts_told(now, peer, &contacts, out),
             Frame::Hello(_) | Frame::Idle => {}
         }
     }
@@ -444,6 +448,7 @@
         self.with_agent(now, |agent, cx| agent.tick(cx, out));
         self.with_forward(now, |forward, cx| forward.tick(cx, out));
         self.tell_shares(now, out);
+        self.tidy_contacts(now, out);
         self.note(now, out);
         self.tell_keepers(now, out);
         if now >= self.next_beat {
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -7,7 +7,9 @@
 use record::{Change, Record};
 use serde::{Deserialize, Serialize};
 
-use crate::{Answer, List, News, Part, Piece, Priority, Request, Share, Stock, Weights, Work};
+use crate::{
+    Answer, Contact, List, News, Part, Piece, Priority, Request, Share, Stock, Weights, Work,
+};
 
 /// What an agent stands beside.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -243,4 +245,6 @@
     Idle,
     /// Keeper to entry: how long ago weight versions were named.
     Weights(Vec<Weights>),
+    /// Keepers that the sender knows.
+    Contacts(Vec<Contact>),
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -14,6 +14,7 @@
 mod ask;
 mod cache;
 mod codec;
+mod contact;
 mod digest;
 mod frame;
 mod list;
@@ -25,6 +26,7 @@
 pub use ask::{Answer, Mark, Request};
 pub use cache::{News, Piece};
 pub use codec::{DecodeError, Decoder, MAX_FRAME, encode};
+pub use contact::Contact;
 pub use digest::Digest;
 pub use frame::{Beat, Engine, Frame, Hello, Load, Output, Start};
 pub use list::{List, Listed};
--- a/crates/wire/tests/frames.rs
+++ b/crates/wire/tests/frames.rs
@@ -14,6 +14,7 @@
         Frame::Members(Vec::new()),
         Frame::Answer { id: 9, answer: wire::Answer::Elsewhere(Some(Name::new("k2"))) },
         Frame::Weights(vec![wire::Weights { model: Name::new("m"), ages: vec![(2, 3_100)] }]),
+        Frame::Contacts(Vec::new()),
     ]
 }
 
