Keepers look for processes that have lost them

What callers would see: an entry that restarts while all its seeds are gone serves nobody for good. Cause: links were only ever dialled from entries to keepers; a keeper that knew an entry's address waited. Addresses of keepers, and of agents at entries, are dialled as before. Ruled out: dialling only while unlinked everywhere. It would halve the links among keepers, but the test that two links between two processes both live could then not be set up.

--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -168,8 +168,8 @@
                 self.answer(call, Out::Finish(whole));
                 self.outlets.remove(&call);
             }
-            Effect::Dial { addr } => {
-                let _ = self.sinks.net.send(net::Command::Dial { addr });
+            Effect::Dial { addr, when } => {
+                let _ = self.sinks.net.send(net::Command::Dial { addr, when });
             }
             Effect::Undial { addr } => {
                 let _ = self.sinks.net.send(net::Command::Undial { addr });
--- a/crates/edge/src/net.rs
+++ b/crates/edge/src/net.rs
@@ -13,9 +13,10 @@
 use bytes::Bytes;
 use h2::{RecvStream, SendStream};
 use http::{Request, Response};
-use node::Event;
+use node::{Dial, Event};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 use wire::{Decoder, Frame, Hello};
 
@@ -30,6 +31,8 @@
 const REDIAL: Duration = Duration::from_millis(100);
 /// Longest pause between two tries of an address that does not answer.
 const REDIAL_MOST: Duration = Duration::from_secs(1);
+/// Time that a process has to dial again before it is dialled, so that two seldom dial each other.
+const UNLINKED: Duration = Duration::from_millis(500);
 const SILENCE: Duration = Duration::from_secs(2);
 /// Silence after which a link says that it is alive.
 const IDLE: Duration = Duration::from_millis(600);
@@ -55,6 +58,8 @@
     Dial {
         /// The address.
         addr: SocketAddr,
+        /// When to dial it.
+        when: Dial,
     },
     /// Keep a link to an address no longer.
     Undial {
@@ -75,6 +80,8 @@
 }
 
 type Links = HashMap<Name, Vec<Link>>;
+/// How many links there are to each address, whoever dialled.
+type Linked = HashMap<SocketAddr, usize>;
 
 #[derive(Clone)]
 struct Shared {
@@ -96,6 +103,7 @@
     let shared = Shared { hello, inputs, news, metrics };
     tokio::spawn(accept(shared.clone(), listener));
     let mut links = Links::new();
+    let (linked, _) = watch::channel(Linked::new());
     let mut dialled = HashMap::new();
     loop {
         tokio::select! {
@@ -105,16 +113,17 @@
                 News::Up(link) => {
                     shared.metrics.linked();
                     let hello = link.hello.clone();
+                    linked.send_modify(|linked| *linked.entry(hello.addr).or_default() += 1);
                     links.entry(hello.name.clone()).or_default().push(link);
                     let _ = shared.inputs.send(Input::Event(Event::Linked(hello)));
                 }
-                News::Down { peer, number } => down(&shared, &mut links, &peer, number),
+                News::Down { peer, number } => down(&shared, &mut links, &linked, &peer, number),
             },
             command = commands.recv() => match command {
                 None => return,
-                Some(Command::Dial { addr }) => {
-                    let shared = shared.clone();
-                    dialled.entry(addr).or_insert_with(|| tokio::spawn(dial(shared, addr)));
+                Some(Command::Dial { addr, when }) => {
+                    let (shared, linked) = (shared.clone(), linked.subscribe());
+                    dialled.entry(addr).or_insert_with(|| tokio::spawn(dial(shared, addr, when, linked)));
                 }
                 Some(Command::Undial { addr }) => {
                     if let Some(dialler) = dialled.remove(&addr) {
@@ -136,11 +145,25 @@
 
 /// A link is down. Two processes may have more than one link, each dialled by the other side; what
 /// was on its way on this one is lost, so the reducer is told even if another is left.
-fn down(shared: &Shared, links: &mut Links, peer: &Name, number: u64) {
+fn down(
+    shared: &Shared,
+    links: &mut Links,
+    linked: &watch::Sender<Linked>,
+    peer: &Name,
+    number: u64,
+) {
     let Some(list) = links.get_mut(peer) else {
         return;
     };
-    list.retain(|link| link.number != number);
+    for link in list.extract_if(.., |link| link.number == number) {
+        linked.send_modify(|linked| {
+            let count = linked.entry(link.hello.addr).or_default();
+            *count -= 1;
+            if *count == 0 {
+                linked.remove(&link.hello.addr);
+            }
+        });
+    }
     let event = Event::Unlinked { peer: peer.clone() };
     let _ = shared.inputs.send(Input::Event(event));
     match list.last() {
@@ -190,11 +213,11 @@
     }
 }
 
-async fn dial(shared: Shared, addr: SocketAddr) {
+async fn dial(shared: Shared, addr: SocketAddr, when: Dial, mut linked: watch::Receiver<Linked>) {
     let mut pause = REDIAL;
     let mut wait = FIRST_CONNECT;
     let mut reached = true;
-    loop {
+    while when == Dial::Always || stays_unlinked(&mut linked, addr).await {
         match dial_once(&shared, addr, wait).await {
             Ok(()) => (pause, wait, reached) = (REDIAL, FIRST_CONNECT, true),
             Err(error) => {
@@ -209,6 +232,19 @@
     }
 }
 
+/// Waits until no link to an address has been up for [`UNLINKED`]; false when the process ends.
+async fn stays_unlinked(linked: &mut watch::Receiver<Linked>, addr: SocketAddr) -> bool {
+    while linked.wait_for(|linked| !linked.contains_key(&addr)).await.is_ok() {
+        let again = linked.wait_for(|linked| linked.contains_key(&addr));
+        match timeout(UNLINKED, again).await {
+            Err(_) => return true,
+            Ok(Ok(_)) => {}
+            Ok(Err(_)) => return false,
+        }
+    }
+    false
+}
+
 async fn dial_once(shared: &Shared, addr: SocketAddr, wait: Duration) -> Result<(), Error> {
     let socket = timeout(wait, TcpStream::connect(addr)).await??;
     socket.set_nodelay(true)?;
--- a/crates/edge/src/single.rs
+++ b/crates/edge/src/single.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use conf::Settings;
-use node::{Config, Event, Node};
+use node::{Config, Dial, Event, Node};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc::unbounded_channel;
@@ -72,7 +72,7 @@
     let me = start::me(settings, link.local_addr()?);
     let (keeper, files) = start::keeper(settings, &me, &inputs)?.unzip();
     for seed in &settings.seeds {
-        let _ = commands.send(net::Command::Dial { addr: seed.addr });
+        let _ = commands.send(net::Command::Dial { addr: seed.addr, when: Dial::Always });
     }
 
     let (phases, phase) = watch::channel(Phase::Serves);
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -9,7 +9,7 @@
 use std::thread;
 
 use conf::{Role, ServerKind, Settings};
-use node::{Config, Event, Keeper, Me, Node};
+use node::{Config, Dial, Event, Keeper, Me, Node};
 use quorum::{Founding, Member, Quorum, Timing};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
@@ -100,7 +100,7 @@
         client
     });
     for seed in &settings.seeds {
-        let _ = commands.send(net::Command::Dial { addr: seed.addr });
+        let _ = commands.send(net::Command::Dial { addr: seed.addr, when: Dial::Always });
     }
 
     let limits = callers::Limits {
--- a/crates/node/src/contacts.rs
+++ b/crates/node/src/contacts.rs
@@ -4,13 +4,13 @@
 //! knows, so two that share any chain of links find each other, whoever was named in their settings. Of two
 //! words on one process, that of its later life is right.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use base::prelude::*;
 use wire::{Contact, Hello};
 
-use crate::{Effect, Effects};
+use crate::{Dial, Effect, Effects};
 
 /// Time without a sign of a process after which it is dialled no longer. Each try costs a packet a second;
 /// a VM that was off for longer dials others itself.
@@ -30,14 +30,14 @@
 pub struct Contacts {
     me: Hello,
     known: BTreeMap<Name, Known>,
-    dialled: BTreeSet<SocketAddr>,
+    dialled: BTreeMap<SocketAddr, Dial>,
     next_round: Time,
 }
 
 impl Contacts {
     /// Nobody is known yet.
     pub fn new(me: Hello) -> Self {
-        let (known, dialled) = (BTreeMap::new(), BTreeSet::new());
+        let (known, dialled) = (BTreeMap::new(), BTreeMap::new());
         Self { me, known, dialled, next_round: Time::ZERO }
     }
 
@@ -128,17 +128,25 @@
 
     /// Brings the addresses that are dialled in line with what is known.
     fn dial(&mut self, out: &mut Effects) {
-        let wanted = self.known.values().map(|known| &known.hello);
-        let wanted: BTreeSet<SocketAddr> =
-            wanted.filter(|hello| self.wants(hello)).map(|hello| hello.addr).collect();
-        let left = self.dialled.difference(&wanted).map(|addr| Effect::Undial { addr: *addr });
-        let new = wanted.difference(&self.dialled).map(|addr| Effect::Dial { addr: *addr });
-        out.extend(left.chain(new));
+        let hellos = self.known.values().map(|known| &known.hello);
+        let wanted: BTreeMap<SocketAddr, Dial> =
+            hellos.filter_map(|hello| Some((hello.addr, self.wants(hello)?))).collect();
+        let left = self.dialled.iter().filter(|(addr, when)| wanted.get(addr) != Some(when));
+        let new = wanted.iter().filter(|(addr, when)| self.dialled.get(addr) != Some(when));
+        out.extend(left.map(|(addr, _)| Effect::Undial { addr: *addr }));
+        out.extend(new.map(|(addr, when)| Effect::Dial { addr: *addr, when: *when }));
         self.dialled = wanted;
     }
 
-    /// Whether this process needs a link to another: all need one to keepers, entries to agents too.
-    fn wants(&self, other: &Hello) -> bool {
-        other.keeper || (self.me.entry && other.server.is_some())
+    /// Whether this process dials another: all dial keepers, entries agents too, and keepers look for whoever has
+    /// lost them.
+    fn wants(&self, other: &Hello) -> Option<Dial> {
+        if other.keeper || (self.me.entry && other.server.is_some()) {
+            Some(Dial::Always)
+        } else if self.me.keeper {
+            Some(Dial::Unlinked)
+        } else {
+            None
+        }
     }
 }
--- a/crates/node/src/effect.rs
+++ b/crates/node/src/effect.rs
@@ -21,6 +21,15 @@
     pub headers: Vec<(&'static str, String)>,
 }
 
+/// When an address is dialled.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Dial {
+    /// Whenever the link that was dialled here is down.
+    Always,
+    /// While no link to it is up, whoever dialled.
+    Unlinked,
+}
+
 /// Something for an edge to do.
 #[derive(Clone, Debug)]
 pub enum Effect {
@@ -35,6 +44,8 @@
     Dial {
         /// The address.
         addr: SocketAddr,
+        /// When to dial it.
+        when: Dial,
     },
     /// Keep a link to an address no longer.
     Undial {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -29,7 +29,7 @@
 pub use asker::{Asker, Purpose};
 pub use config::{Config, Policy};
 pub use contacts::Contacts;
-pub use effect::{Effect, Effects, Reply};
+pub use effect::{Dial, Effect, Effects, Reply};
 pub use entry::{Entry, Explained, Server as EntryServer};
 pub use event::{CacheEvent, Event, Moved, Server};
 pub use keeper::Keeper;
--- a/crates/node/tests/contacts.rs
+++ b/crates/node/tests/contacts.rs
@@ -8,7 +8,7 @@
 
 use base::{Name, Time};
 use bed::{Bed, KEEPER, engine, hello};
-use node::{Contacts, Effect, Effects, Event};
+use node::{Contacts, Dial, Effect, Effects, Event};
 use test_case::test_case;
 use wire::{Contact, Frame, Hello};
 
@@ -35,7 +35,7 @@
     let mut ports = Vec::new();
     for effect in out {
         match effect {
-            Effect::Dial { addr } => ports.push(addr.port()),
+            Effect::Dial { addr, .. } => ports.push(addr.port()),
             Effect::Undial { addr } => ports.retain(|port| *port != addr.port()),
             _ => {}
         }
@@ -137,3 +137,19 @@
     }
     assert_eq!(dialled(&out), dials);
 }
+
+#[test]
+fn keepers_look_for_whoever_has_lost_them() {
+    let mut contacts = Contacts::new(keeper("k1", 1, 11));
+    let mut out = Effects::new();
+    contacts.linked(Time::ZERO, &at(31, hello("entry-1", 1, None)), &mut out);
+    contacts.linked(Time::ZERO, &keeper("k2", 1, 12), &mut out);
+    let found: Vec<(u16, Dial)> = out
+        .iter()
+        .filter_map(|effect| match effect {
+            Effect::Dial { addr, when } => Some((addr.port(), *when)),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(found, [(31, Dial::Unlinked), (12, Dial::Always)]);
+}
