Keepers remember on disk where everybody was

What callers would see: after a common restart with seeds that are all gone, or that are the one keeper that does not come back, no service for good. Cause: a process knew nothing after its restart but its settings. Change: a keeper writes names and addresses of all processes it knows beside its log when one is new, has moved or is forgotten, at most once a second (Effect::Remember, disk::Store::write_contacts); at its start it dials them. The file helps to find others and promises nothing: a torn one counts as none, a full disk is tried again, and a temporary file that did not fit no longer keeps room from the log. Ruled out: addresses in the quorum's configuration. It would reach wiped disks through the log, but only voters and learners, and those who have lost the keepers are entries too.

--- a/crates/disk/src/store.rs
+++ b/crates/disk/src/store.rs
@@ -10,6 +10,7 @@
 use crate::Error;
 use crate::segment;
 
+const CONTACTS: &str = "contacts";
 const IDENTITY: &str = "identity";
 const LOCK: &str = "lock";
 const LOG: &str = "log-";
@@ -40,6 +41,8 @@
     pub identity: u64,
     /// Bytes cut off the end of the last segment.
     pub torn: usize,
+    /// The addresses that were last written, where they can be read.
+    pub contacts: Option<Vec<u8>>,
 }
 
 /// The files of one keeper.
@@ -65,6 +68,7 @@
         let lock = lock(folder)?;
         let identity = read_identity(folder, identity)?;
         let (number, mut saved) = read_base(folder)?;
+        let contacts = read_contacts(folder)?;
         let path = log_path(folder, number);
         let bytes =
             if path.exists() { fs::read(&path).map_err(Error::io(&path))? } else { Vec::new() };
@@ -89,7 +93,7 @@
         let length = read.end as u64;
         let folder = folder.to_owned();
         let store = Self { folder, number, log, length, hard, syncs: 0, _lock: lock };
-        Ok(Opened { store, saved, identity, torn })
+        Ok(Opened { store, saved, identity, torn, contacts })
     }
 
     /// Syncs done since the folder was opened.
@@ -123,6 +127,17 @@
         self.flush(&mut buffer)
     }
 
+    /// Replaces the addresses of other processes. They only help to find these, so a change of them has no part in
+    /// what the log promises.
+    ///
+    /// # Errors
+    /// The disk is full or fails; what was written before is still there.
+    pub fn write_contacts(&mut self, contacts: &[u8]) -> Result<(), Error> {
+        let mut bytes = Vec::new();
+        segment::append(&mut bytes, &contacts);
+        write_synced(&self.folder, CONTACTS, &bytes)
+    }
+
     fn flush(&mut self, buffer: &mut Vec<u8>) -> Result<(), Error> {
         if buffer.is_empty() {
             return Ok(());
@@ -183,6 +198,15 @@
     text.trim().parse().map_err(|_| Error::Corrupt { path, offset: 0 })
 }
 
+fn read_contacts(folder: &Path) -> Result<Option<Vec<u8>>, Error> {
+    let path = folder.join(CONTACTS);
+    if !path.exists() {
+        return Ok(None);
+    }
+    let bytes = fs::read(&path).map_err(Error::io(&path))?;
+    Ok(segment::read::<Vec<u8>>(&bytes).records.pop())
+}
+
 fn read_base(folder: &Path) -> Result<(u64, Saved), Error> {
     let mut numbers = Vec::new();
     for file in fs::read_dir(folder).map_err(Error::io(folder))? {
@@ -213,8 +237,11 @@
 fn write_synced(folder: &Path, name: &str, bytes: &[u8]) -> Result<(), Error> {
     let temporary = folder.join(TEMPORARY);
     let mut file = File::create(&temporary).map_err(Error::io(&temporary))?;
-    file.write_all(bytes).map_err(Error::io(&temporary))?;
-    file.sync_all().map_err(Error::io(&temporary))?;
+    if let Err(error) = file.write_all(bytes).and_then(|()| file.sync_all()) {
+        // A part of it would keep room from the log. A failure to free that says less than the first one.
+        let _ = file.set_len(0);
+        return Err(Error::io(&temporary)(error));
+    }
     let path = folder.join(name);
     fs::rename(&temporary, &path).map_err(Error::io(&path))?;
     sync_folder(folder)
--- a/crates/disk/tests/recovery.rs
+++ b/crates/disk/tests/recovery.rs
@@ -119,3 +119,21 @@
         prop_assert_eq!((again.saved.entries.len(), again.torn), (whole, 0));
     }
 }
+
+#[test]
+fn addresses_of_others_come_back_and_a_damaged_file_of_them_costs_nothing_else() {
+    let folder = folder("contacts");
+    let mut store = Store::open(&folder, 9).expect("opens").store;
+    store.write(&[entries([entry(1, 1)])]).expect("writes");
+    store.write_contacts(b"k1 and k2").expect("writes");
+    store.write_contacts(b"k1 and k3").expect("writes");
+    drop(store);
+    let opened = Store::open(&folder, 9).expect("opens");
+    assert_eq!(opened.contacts.as_deref(), Some(&b"k1 and k3"[..]));
+    drop(opened);
+    let path = folder.join("contacts");
+    let bytes = fs::read(&path).expect("reads");
+    fs::write(&path, &bytes[..bytes.len() - 1]).expect("writes");
+    let opened = Store::open(&folder, 9).expect("opens");
+    assert_eq!((opened.contacts, opened.saved.entries.len()), (None, 1));
+}
--- a/crates/edge/src/files.rs
+++ b/crates/edge/src/files.rs
@@ -1,26 +1,34 @@
 //! The thread that writes a keeper's files: one sync for all requests that wait.
 
 use std::path::Path;
-use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
 use std::thread;
 use std::time::Duration;
 
 use disk::{Opened, Store};
 use node::Event;
 use quorum::Write;
+use wire::{Contact, Decoder, Frame};
 
 use crate::{Input, Inputs};
 
 /// Pause before a write to a full disk is tried again.
 const FULL_PAUSE: Duration = Duration::from_millis(200);
+/// The same for addresses of other processes, which nobody waits for.
+const CONTACTS_PAUSE: Duration = Duration::from_secs(1);
 
 /// A request to write.
 #[derive(Debug)]
-pub struct Command {
-    /// Its number.
-    pub seq: u64,
-    /// What to write.
-    pub write: Write,
+pub enum Command {
+    /// Into the log.
+    Log {
+        /// Its number.
+        seq: u64,
+        /// What to write.
+        write: Write,
+    },
+    /// Where other processes are.
+    Contacts(Vec<Contact>),
 }
 
 /// Opens a keeper's folder.
@@ -35,6 +43,22 @@
     Ok(opened)
 }
 
+/// The contacts that the folder held; none where no build of this form wrote them.
+pub fn contacts(opened: &Opened) -> Vec<Contact> {
+    let Some(bytes) = &opened.contacts else {
+        return Vec::new();
+    };
+    let mut decoder = Decoder::default();
+    decoder.push(bytes);
+    match decoder.next_frame() {
+        Ok(Some(Frame::Contacts(contacts))) => contacts,
+        found => {
+            log::warn!(found:?; "addresses of other processes cannot be read");
+            Vec::new()
+        }
+    }
+}
+
 /// Starts the thread.
 ///
 /// # Errors
@@ -47,24 +71,51 @@
 }
 
 fn run(mut store: Store, commands: &Receiver<Command>, inputs: &Inputs) {
-    while let Ok(first) = commands.recv() {
-        let mut seq = first.seq;
-        let mut writes = vec![first.write];
-        for command in commands.try_iter() {
-            seq = command.seq;
-            writes.push(command.write);
-        }
-        let event = match write(&mut store, &writes) {
-            Ok(()) => Event::Persisted { seq },
-            Err(error) => Event::DiskFailed { text: error.to_string() },
+    let mut contacts = None;
+    loop {
+        // Contacts that could not be written are tried again.
+        let first = match contacts {
+            Some(_) => commands.recv_timeout(CONTACTS_PAUSE),
+            None => commands.recv().map_err(RecvTimeoutError::from),
         };
-        let failed = matches!(event, Event::DiskFailed { .. });
-        if inputs.send(Input::Event(event)).is_err() || failed {
+        if matches!(first, Err(RecvTimeoutError::Disconnected)) {
             return;
         }
+        let mut writes = Vec::new();
+        let mut last = None;
+        for command in first.into_iter().chain(commands.try_iter()) {
+            match command {
+                Command::Log { seq, write } => {
+                    last = Some(seq);
+                    writes.push(write);
+                }
+                Command::Contacts(found) => contacts = Some(found),
+            }
+        }
+        if let Some(seq) = last {
+            let event = match write(&mut store, &writes) {
+                Ok(()) => Event::Persisted { seq },
+                Err(error) => Event::DiskFailed { text: error.to_string() },
+            };
+            let failed = matches!(event, Event::DiskFailed { .. });
+            if inputs.send(Input::Event(event)).is_err() || failed {
+                return;
+            }
+        }
+        if let Some(found) = contacts.take() {
+            contacts = write_contacts(&mut store, found);
+        }
     }
 }
 
+/// Writes contacts; gives them back while the disk takes no more bytes.
+fn write_contacts(store: &mut Store, contacts: Vec<Contact>) -> Option<Vec<Contact>> {
+    let bytes = wire::encode(&Frame::Contacts(contacts.clone()));
+    let error = store.write_contacts(&bytes).err()?;
+    log::warn!(full = error.is_full(); "addresses of other processes not written: {error}");
+    error.is_full().then_some(contacts)
+}
+
 /// Writes, and waits while the disk takes no more bytes: nothing is promised meanwhile.
 fn write(store: &mut Store, writes: &[Write]) -> Result<(), disk::Error> {
     let mut told = false;
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -175,10 +175,9 @@
                 let _ = self.sinks.net.send(net::Command::Undial { addr });
             }
             Effect::Persist { seq, write } => {
-                if let Some(files) = &self.sinks.files {
-                    let _ = files.send(files::Command { seq, write });
-                }
+                self.write(files::Command::Log { seq, write });
             }
+            Effect::Remember(contacts) => self.write(files::Command::Contacts(contacts)),
             Effect::Log { run, workspace, code, took, first } => {
                 self.sinks.metrics.ended(code, took, first);
                 let first_ms = first.map_or(0, |first| first.as_millis() as u64);
@@ -228,6 +227,12 @@
         }
     }
 
+    fn write(&self, command: files::Command) {
+        if let Some(files) = &self.sinks.files {
+            let _ = files.send(command);
+        }
+    }
+
     fn answer(&mut self, call: u64, out: Out) {
         let Some(outlet) = self.outlets.get(&call) else {
             return;
--- a/crates/edge/src/notes.rs
+++ b/crates/edge/src/notes.rs
@@ -78,6 +78,9 @@
         Note::Learnt { process, addr, from } => {
             log::info!(process:% = process, addr:%, from:%; "address of a process learnt");
         }
+        Note::Remembered { processes } => {
+            log::info!(processes; "addresses of processes remembered");
+        }
         Note::Leaderless { time, term, voters } => {
             let voters: Vec<String> = voters
                 .iter()
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -176,6 +176,9 @@
     let incarnation = me.hello.incarnation.0;
     let identity = incarnation ^ u64::from(std::process::id()) << 48;
     let opened = files::open(&keeper_folder(settings), identity).map_err(io::Error::other)?;
+    let contacts = files::contacts(&opened);
+    // The reducer takes inputs from its start on.
+    let _ = inputs.send(Input::Event(Event::Remembered(contacts)));
     let member = Member { name: name.clone(), disk: opened.identity };
     let founding = Founding {
         names: settings.voters.clone(),
--- a/crates/node/src/contacts.rs
+++ b/crates/node/src/contacts.rs
@@ -3,6 +3,9 @@
 //! Addresses come from links and from other processes. Every process tells every peer which keepers it
 //! knows, so two that share any chain of links find each other, whoever was named in their settings. Of two
 //! words on one process, that of its later life is right.
+//!
+//! Keepers remember on their disks where everybody was, so that after a common restart the seeds need not lead
+//! to anybody: keepers find each other, and then whoever has lost them.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -31,14 +34,21 @@
     me: Hello,
     known: BTreeMap<Name, Known>,
     dialled: BTreeMap<SocketAddr, Dial>,
+    /// What the disk holds, or will.
+    remembered: BTreeMap<Name, SocketAddr>,
     next_round: Time,
 }
 
 impl Contacts {
     /// Nobody is known yet.
     pub fn new(me: Hello) -> Self {
-        let (known, dialled) = (BTreeMap::new(), BTreeMap::new());
-        Self { me, known, dialled, next_round: Time::ZERO }
+        Self {
+            me,
+            known: BTreeMap::new(),
+            dialled: BTreeMap::new(),
+            remembered: BTreeMap::new(),
+            next_round: Time::ZERO,
+        }
     }
 
     /// A process said of itself where it is, which is true whatever was told; gives whether that is news.
@@ -72,6 +82,15 @@
         news
     }
 
+    /// The disk held these from an earlier life; time off tells nothing of the others.
+    pub fn remembered(&mut self, now: Time, contacts: &[Contact], out: &mut Effects) {
+        for contact in contacts {
+            self.heard_of(&contact.hello, now);
+        }
+        self.remembered = self.places();
+        self.dial(out);
+    }
+
     /// Forgets processes that have been silent for long, other than these. While no other keeper is linked,
     /// nobody is forgotten: silence then tells of this process, not of the others.
     pub fn tick(
@@ -96,12 +115,27 @@
         if self.known.len() < before {
             self.dial(out);
         }
+        // Only keepers have a disk.
+        let places = self.places();
+        if self.me.keeper && places != self.remembered {
+            self.remembered = places;
+            out.push(Effect::Remember(self.contacts(now, |_| true)));
+        }
+    }
+
+    fn places(&self) -> BTreeMap<Name, SocketAddr> {
+        let places = self.known.iter().map(|(name, known)| (name.clone(), known.hello.addr));
+        places.collect()
     }
 
     /// The keepers known, for another process.
     pub fn keepers(&self, now: Time) -> Vec<Contact> {
-        let keepers = self.known.values().filter(|known| known.hello.keeper);
-        keepers
+        self.contacts(now, |hello| hello.keeper)
+    }
+
+    fn contacts(&self, now: Time, which: impl Fn(&Hello) -> bool) -> Vec<Contact> {
+        let known = self.known.values().filter(|known| which(&known.hello));
+        known
             .map(|known| Contact {
                 hello: known.hello.clone(),
                 silent_ms: now.since(known.heard).as_millis() as u64,
--- a/crates/node/src/effect.rs
+++ b/crates/node/src/effect.rs
@@ -5,7 +5,7 @@
 
 use base::{Code, Name, Revision, RunId};
 use cache::Key;
-use wire::{Frame, Work};
+use wire::{Contact, Frame, Work};
 
 use crate::forward;
 use crate::note::Note;
@@ -131,6 +131,8 @@
         /// What to write.
         write: quorum::Write,
     },
+    /// Keep these processes on the disk, in the place of those before.
+    Remember(Vec<Contact>),
     /// Write one line at the end of a request's life.
     Log {
         /// The request.
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -2,7 +2,7 @@
 
 use base::{Code, Name, Revision, RunId};
 use cache::Key;
-use wire::{Frame, Hello, Load, Part};
+use wire::{Contact, Frame, Hello, Load, Part};
 
 use crate::admin::Admin;
 use crate::{Ask, forward};
@@ -154,6 +154,8 @@
         /// Number of the request.
         seq: u64,
     },
+    /// Processes that this one knew in an earlier life, from its disk.
+    Remembered(Vec<Contact>),
     /// The disk is full or fails.
     DiskFailed {
         /// What it said.
--- a/crates/node/src/note.rs
+++ b/crates/node/src/note.rs
@@ -161,6 +161,11 @@
         /// Who told.
         from: Name,
     },
+    /// Processes that this one knew in an earlier life were read from its disk.
+    Remembered {
+        /// How many.
+        processes: usize,
+    },
     /// As a keeper: no leader is known.
     Leaderless {
         /// For how long.
--- a/crates/node/src/process/mod.rs
+++ b/crates/node/src/process/mod.rs
@@ -210,6 +210,11 @@
                     keeper.persisted(now, seq, out);
                 }
             }
+            Event::Remembered(contacts) => {
+                let note = Note::Remembered { processes: contacts.len() };
+                out.push(Effect::Note(Box::new(note)));
+                self.contacts.remembered(now, &contacts, out);
+            }
             Event::DiskFailed { text } => {
                 // A keeper that cannot sync promises nothing more; the rest ends as on a stop.
                 self.keeper = None;
--- a/crates/node/tests/contacts.rs
+++ b/crates/node/tests/contacts.rs
@@ -153,3 +153,31 @@
         .collect();
     assert_eq!(found, [(31, Dial::Unlinked), (12, Dial::Always)]);
 }
+
+#[test_case(keeper("k1", 1, 11), &["entry-1", "k2"]; "a keeper")]
+#[test_case(hello("entry-2", 1, None), &[]; "a process without a disk")]
+fn keepers_remember_where_everybody_was(me: Hello, names: &[&str]) {
+    let mut contacts = Contacts::new(me.clone());
+    let mut out = Effects::new();
+    contacts.linked(Time::ZERO, &at(31, hello("entry-1", 1, None)), &mut out);
+    contacts.linked(Time::ZERO, &keeper("k2", 1, 12), &mut out);
+    let tick = |contacts: &mut Contacts, seconds: u64| {
+        let mut out = Effects::new();
+        let now = Time::ZERO + Duration::from_secs(seconds);
+        contacts.tick(now, &BTreeMap::new(), |_| false, &mut out);
+        let kept = out.into_iter().find_map(|effect| match effect {
+            Effect::Remember(contacts) => Some(contacts),
+            _ => None,
+        });
+        kept.unwrap_or_default()
+    };
+    let kept = tick(&mut contacts, 1);
+    let found: Vec<&str> = kept.iter().map(|contact| &*contact.hello.name).collect();
+    assert_eq!(found, names);
+    assert_eq!(tick(&mut contacts, 2), [], "nothing has changed");
+    let mut again = Contacts::new(me);
+    let mut out = Effects::new();
+    again.remembered(Time::ZERO, &kept, &mut out);
+    assert_eq!(dialled(&out).len(), names.len());
+    assert_eq!(tick(&mut again, 3), [], "the disk holds it");
+}
--- a/crates/replay/src/world/mod.rs
+++ b/crates/replay/src/world/mod.rs
@@ -429,6 +429,7 @@
             // Links are always up here, and no process forwards to servers without an agent.
             Effect::Dial { .. }
             | Effect::Undial { .. }
+            | Effect::Remember(_)
             | Effect::Exit { .. }
             | Effect::Door { .. }
             | Effect::Call(_)
