A process that runs takes other seeds from its settings

What callers would see: a process that was cut off or started while its seeds were gone stays alone although its settings name others by now. Same class: knowledge about others that is there and that nobody looks at. Change: seeds go through node::Contacts like all addresses, so one list decides whom a process dials; single::run reads them again on SIGHUP and every five seconds, since the file may change without a signal.

--- a/crates/edge/src/single.rs
+++ b/crates/edge/src/single.rs
@@ -10,13 +10,13 @@
 use std::time::Duration;
 
 use conf::Settings;
-use node::{Config, Dial, Event, Node};
+use node::{Config, Event, Node};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc::unbounded_channel;
 use tokio::sync::watch;
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::control::Control;
 use crate::forward::{Phase, Shared};
@@ -27,6 +27,12 @@
 
 pub use crate::forward::Limits;
 
+/// Time between two looks at the settings for other seeds, which may change without a signal.
+const RELOAD: Duration = Duration::from_secs(5);
+
+/// Reads the seeds in the settings again; none where they cannot be read.
+pub type Reload = Box<dyn Fn() -> Option<Vec<SocketAddr>>>;
+
 /// Where the process listens and whom it calls, besides its settings.
 #[derive(Clone, Debug)]
 pub struct Ports {
@@ -49,10 +55,11 @@
     config: Config,
     ports: &Ports,
     dialect: &Rc<dyn Dialect>,
+    reload: Reload,
 ) -> io::Result<Exit> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let local = LocalSet::new();
-    local.block_on(&runtime, serve(settings, config, ports, dialect))
+    local.block_on(&runtime, serve(settings, config, ports, dialect, reload))
 }
 
 async fn serve(
@@ -60,6 +67,7 @@
     config: Config,
     ports: &Ports,
     dialect: &Rc<dyn Dialect>,
+    reload: Reload,
 ) -> io::Result<Exit> {
     let link = TcpListener::bind(settings.link).await?;
     let callers = TcpListener::bind(ports.callers).await?;
@@ -71,9 +79,9 @@
     let metrics = Arc::new(Metrics::new().map_err(io::Error::other)?);
     let me = start::me(settings, link.local_addr()?);
     let (keeper, files) = start::keeper(settings, &me, &inputs)?.unzip();
-    for seed in &settings.seeds {
-        let _ = commands.send(net::Command::Dial { addr: seed.addr, when: Dial::Always });
-    }
+    let seeds: Vec<SocketAddr> = settings.seeds.iter().map(|seed| seed.addr).collect();
+    let _ = inputs.send(Input::Event(Event::Seeds(seeds.clone())));
+    spawn_local(follow_seeds(inputs.clone(), seeds, reload));
 
     let (phases, phase) = watch::channel(Phase::Serves);
     let pool = Rc::new(Pool::default());
@@ -108,7 +116,31 @@
     Ok(exit_out.recv().await.unwrap_or(Exit::Done { cut: 0 }))
 }
 
-/// Asks the process to stop on SIGTERM and SIGINT; SIGHUP says that the settings may have changed.
+/// Takes other seeds from the settings, at once on SIGHUP; nothing else there that may change is used after the
+/// start.
+async fn follow_seeds(
+    inputs: Inputs,
+    mut seeds: Vec<SocketAddr>,
+    reload: Reload,
+) -> io::Result<()> {
+    let mut hangup = signal(SignalKind::hangup())?;
+    loop {
+        let asked = timeout(RELOAD, hangup.recv()).await.is_ok();
+        match reload() {
+            Some(found) if found != seeds => {
+                log::info!(seeds:? = found; "reload: other seeds");
+                seeds.clone_from(&found);
+                if inputs.send(Input::Event(Event::Seeds(found))).is_err() {
+                    return Ok(());
+                }
+            }
+            _ if asked => log::info!("reload: no setting in use has changed"),
+            _ => {}
+        }
+    }
+}
+
+/// Asks the process to stop on SIGTERM and SIGINT.
 async fn stop_on_signals(
     inputs: Inputs,
     phases: watch::Sender<Phase>,
@@ -116,17 +148,11 @@
 ) -> io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut reload = signal(SignalKind::hangup())?;
     let mut stops = false;
     loop {
         tokio::select! {
             _ = terminate.recv() => {}
             _ = interrupt.recv() => {}
-            _ = reload.recv() => {
-                // Nothing in the settings that may change is used after the start.
-                log::info!("reload: no setting in use has changed");
-                continue;
-            }
         }
         if stops {
             // The time to drain is bounded, and whoever cannot wait has SIGKILL.
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -9,7 +9,7 @@
 use std::thread;
 
 use conf::{Role, ServerKind, Settings};
-use node::{Config, Dial, Event, Keeper, Me, Node};
+use node::{Config, Event, Keeper, Me, Node};
 use quorum::{Founding, Member, Quorum, Timing};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
@@ -99,9 +99,8 @@
         }
         client
     });
-    for seed in &settings.seeds {
-        let _ = commands.send(net::Command::Dial { addr: seed.addr, when: Dial::Always });
-    }
+    let seeds = settings.seeds.iter().map(|seed| seed.addr).collect();
+    let _ = inputs.send(Input::Event(Event::Seeds(seeds)));
 
     let limits = callers::Limits {
         connections: settings.max_connections,
--- a/crates/node/src/contacts.rs
+++ b/crates/node/src/contacts.rs
@@ -1,6 +1,6 @@
 //! Peer discovery: which processes there are, where they can be reached and whom this one dials.
 //!
-//! Addresses come from links and from other processes. Every process tells every peer which keepers it
+//! Addresses come from the settings, from links and from other processes. Every process tells every peer which keepers it
 //! knows, so two that share any chain of links find each other, whoever was named in their settings. Of two
 //! words on one process, that of its later life is right.
 //!
@@ -32,6 +32,8 @@
 #[derive(Debug)]
 pub struct Contacts {
     me: Hello,
+    /// Addresses in the settings.
+    seeds: Vec<SocketAddr>,
     known: BTreeMap<Name, Known>,
     dialled: BTreeMap<SocketAddr, Dial>,
     /// What the disk holds, or will.
@@ -44,6 +46,7 @@
     pub fn new(me: Hello) -> Self {
         Self {
             me,
+            seeds: Vec::new(),
             known: BTreeMap::new(),
             dialled: BTreeMap::new(),
             remembered: BTreeMap::new(),
@@ -51,6 +54,12 @@
         }
     }
 
+    /// The settings name these addresses, and no others any more.
+    pub fn seeded(&mut self, seeds: Vec<SocketAddr>, out: &mut Effects) {
+        self.seeds = seeds;
+        self.dial(out);
+    }
+
     /// A process said of itself where it is, which is true whatever was told; gives whether that is news.
     pub fn linked(&mut self, now: Time, hello: &Hello, out: &mut Effects) -> bool {
         if hello.name == self.me.name {
@@ -163,8 +172,10 @@
     /// Brings the addresses that are dialled in line with what is known.
     fn dial(&mut self, out: &mut Effects) {
         let hellos = self.known.values().map(|known| &known.hello);
-        let wanted: BTreeMap<SocketAddr, Dial> =
+        let mut wanted: BTreeMap<SocketAddr, Dial> =
             hellos.filter_map(|hello| Some((hello.addr, self.wants(hello)?))).collect();
+        let seeds = self.seeds.iter().filter(|seed| **seed != self.me.addr);
+        wanted.extend(seeds.map(|seed| (*seed, Dial::Always)));
         let left = self.dialled.iter().filter(|(addr, when)| wanted.get(addr) != Some(when));
         let new = wanted.iter().filter(|(addr, when)| self.dialled.get(addr) != Some(when));
         out.extend(left.map(|(addr, _)| Effect::Undial { addr: *addr }));
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -1,5 +1,7 @@
 //! Everything that can happen to a process.
 
+use std::net::SocketAddr;
+
 use base::{Code, Name, Revision, RunId};
 use cache::Key;
 use wire::{Contact, Frame, Hello, Load, Part};
@@ -154,6 +156,8 @@
         /// Number of the request.
         seq: u64,
     },
+    /// Addresses of other processes that the settings name.
+    Seeds(Vec<SocketAddr>),
     /// Processes that this one knew in an earlier life, from its disk.
     Remembered(Vec<Contact>),
     /// The disk is full or fails.
--- a/crates/node/src/process/mod.rs
+++ b/crates/node/src/process/mod.rs
@@ -210,6 +210,7 @@
                     keeper.persisted(now, seq, out);
                 }
             }
+            Event::Seeds(seeds) => self.contacts.seeded(seeds, out),
             Event::Remembered(contacts) => {
                 let note = Note::Remembered { processes: contacts.len() };
                 out.push(Effect::Note(Box::new(note)));
--- a/crates/node/tests/contacts.rs
+++ b/crates/node/tests/contacts.rs
@@ -138,6 +138,17 @@
     assert_eq!(dialled(&out), dials);
 }
 
+#[test]
+fn seeds_are_dialled_until_the_settings_name_others() {
+    let mut contacts = Contacts::new(at(10, hello("entry-1", 1, None)));
+    let mut out = Effects::new();
+    contacts.seeded(vec![addr(10), addr(11), addr(12)], &mut out);
+    assert_eq!(dialled(&out), [11, 12], "the process itself is none");
+    contacts.linked(Time::ZERO, &keeper("k1", 1, 11), &mut out);
+    contacts.seeded(vec![addr(13)], &mut out);
+    assert_eq!(dialled(&out), [11, 13], "a keeper that is known is dialled on");
+}
+
 #[test]
 fn keepers_look_for_whoever_has_lost_them() {
     let mut contacts = Contacts::new(keeper("k1", 1, 11));
