An entry that hears nothing of the configuration no longer denies by it

The forwarding entries serve on when nobody can confirm the configuration, which is wanted, but an old one says nothing of what was added since. Change: 404 and 401 are given only while the configuration was confirmed within forward.deny_ms, three quarters of the time in which a change must be in force; later the answer is 503 (code 2006) with Retry-After, which is true: the request has not run, and another entry may allow it. Requests that the configuration allows are served on.

--- a/crates/base/src/code.rs
+++ b/crates/base/src/code.rs
@@ -86,7 +86,7 @@
     WorkspaceLimit = 2004, "workspace over its limit", 429, NotRun;
     /// This process is stopping.
     Draining = 2005, "draining", 503, NotRun;
-    /// This process has not read the agreed configuration yet.
+    /// This process has not read the agreed configuration yet, or cannot tell whether it is the latest.
     NotReady = 2006, "not ready", 503, NotRun;
     /// The claim could not be agreed, and nothing was sent.
     NoClaim = 2007, "claim not agreed", 503, NotRun;
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -72,6 +72,8 @@
     pub lease: Duration,
     /// How long after a newer weight version runs may still begin on an older one.
     pub old_weights: Duration,
+    /// How long after a configuration was confirmed requests that it does not allow are still denied.
+    pub deny: Duration,
 }
 
 /// The whole settings of one process.
@@ -189,6 +191,7 @@
             "linger_ms",
             "lease_ms",
             "old_weights_ms",
+            "deny_ms",
         ],
     ),
     ("agent", &["kind", "server", "serves", "version", "slots", "checks_tokens"]),
@@ -405,6 +408,7 @@
             linger: self.millis("forward", "linger_ms", 3_000, 60_000),
             lease: self.millis("forward", "lease_ms", 3_000, 60_000),
             old_weights: self.millis("forward", "old_weights_ms", 6_000, 3_600_000),
+            deny: self.millis("forward", "deny_ms", 1_500, 60_000),
         })
     }
 
--- a/crates/node/src/forward/admit.rs
+++ b/crates/node/src/forward/admit.rs
@@ -74,13 +74,13 @@
         }
         let path = head.path.split('?').next().unwrap_or_default();
         let Some(route) = cx.view.table().find(&head.host, path) else {
-            return Err((head, Code::NoSuchPath, "no route has this host and path"));
+            return Err(self.denied(cx, head, Code::NoSuchPath, "no route has this host and path"));
         };
         let mut workspace: Option<&Workspace> = None;
         if !route.public && cx.view.has_keys() {
             workspace = head.key.as_deref().and_then(|key| cx.view.workspace_of(key));
             if workspace.is_none() {
-                return Err((head, Code::BadKey, "the key belongs to no workspace"));
+                return Err(self.denied(cx, head, Code::BadKey, "the key belongs to no workspace"));
             }
         }
         let Some(backend) = route.backend(self.rng.random()) else {
@@ -111,6 +111,22 @@
         })
     }
 
+    /// What the configuration does not allow is denied only while it is known to be the latest: a newer one may
+    /// allow it.
+    fn denied(
+        &self,
+        cx: &Context<'_>,
+        head: Box<Head>,
+        code: Code,
+        text: &'static str,
+    ) -> (Box<Head>, Code, &'static str) {
+        if cx.confirmed_ago.is_some_and(|ago| ago < self.config.deny) {
+            (head, code, text)
+        } else {
+            (head, Code::NotReady, "the configuration known here may not be the latest")
+        }
+    }
+
     pub(super) fn refuse_new(
         &mut self,
         call: u64,
--- a/crates/node/src/forward/mod.rs
+++ b/crates/node/src/forward/mod.rs
@@ -63,6 +63,8 @@
     pub lease: Duration,
     /// How long after a newer weight version runs may still begin on an older one.
     pub old_weights: Duration,
+    /// How long after the configuration was confirmed requests that it does not allow are still denied.
+    pub deny: Duration,
 }
 
 impl From<&conf::Forward> for Config {
@@ -77,6 +79,7 @@
             linger: settings.linger,
             lease: settings.lease,
             old_weights: settings.old_weights,
+            deny: settings.deny,
         }
     }
 }
@@ -90,6 +93,8 @@
     pub view: &'a View,
     /// Whether the configuration is known.
     pub ready: bool,
+    /// Time since the configuration was last known to be the latest.
+    pub confirmed_ago: Option<Duration>,
     /// Whether the process leaves and the balancer has had the time to notice.
     pub closing: bool,
     /// Entries that share the retry budget.
--- a/crates/node/src/process/told.rs
+++ b/crates/node/src/process/told.rs
@@ -32,6 +32,7 @@
                 now,
                 view: &self.watch.view,
                 ready: self.watch.ready(now),
+                confirmed_ago: self.watch.confirmed_ago(now),
                 closing: self.stopping.is_some_and(|at| now.since(at) >= forward.config().linger),
                 entries: self.entry.as_ref().map_or(1, Entry::entries),
                 term,
--- a/crates/node/tests/forward.rs
+++ b/crates/node/tests/forward.rs
@@ -107,6 +107,7 @@
     view: View,
     now: Time,
     ready: bool,
+    confirmed_ago: Option<Duration>,
     closing: bool,
     term: Option<u64>,
     out: Effects,
@@ -120,12 +121,14 @@
             linger: Duration::from_secs(3),
             lease: Duration::from_secs(1),
             old_weights: Duration::from_secs(5),
+            deny: Duration::from_millis(1_500),
         };
         let mut bed = Self {
             forward: Forward::new(config, Name::new("a"), 7),
             view: view(1),
             now: Time::from_millis(1_000),
             ready: true,
+            confirmed_ago: Some(Duration::ZERO),
             closing: false,
             term: None,
             out: Vec::new(),
@@ -149,6 +152,7 @@
             now: self.now,
             view: &self.view,
             ready: self.ready,
+            confirmed_ago: self.confirmed_ago,
             closing: self.closing,
             entries: 4,
             term: self.term,
@@ -259,6 +263,26 @@
     assert_eq!(bed.forward.open(), 0);
 }
 
+// Incident CONFIG, RECOVER: an entry that heard nobody denied by an older configuration what a newer one allowed.
+#[test_case("/nowhere/x", "key", Some(1_499), Code::NoSuchPath; "no route, confirmed")]
+#[test_case("/nowhere/x", "key", Some(1_500), Code::NotReady; "no route")]
+#[test_case("/once/x", "wrong", Some(1_500), Code::NotReady; "no key")]
+#[test_case("/once/x", "wrong", None, Code::NotReady; "no key, never confirmed")]
+fn what_a_newer_configuration_may_allow_is_not_denied(
+    path: &str,
+    key: &str,
+    confirmed_ago: Option<u64>,
+    code: Code,
+) {
+    let mut bed = Bed::new(1);
+    bed.confirmed_ago = confirmed_ago.map(Duration::from_millis);
+    bed.prompt(1, path, key, &[]);
+    let comes_back = code == Code::NotReady;
+    assert_eq!(bed.refused(1), (code, code.status(), comes_back));
+    bed.prompt(2, "/once/x", "key", &[]);
+    bed.tried(2);
+}
+
 #[test]
 fn a_request_waits_for_the_configuration_of_a_start_and_keeps_its_time() {
     let mut bed = Bed::new(1);
