Keepers without a leader confirm only what their logs do not exceed

What callers would see: an entry that missed the last change before all keepers restarted served and denied by the older configuration as if it were confirmed, for as long as no leader was elected. Cause: a majority of keepers that know no leader confirmed whatever an entry held. True is only that no further change can be accepted then; the last one may not have reached the entry. Change: such a keeper says in its heartbeat to which revision its log may lead (wire::NoQuorum), any command that is not applied counting as a change, and it confirms only entries that hold as much. Each accepted change is in the log of one of any majority. Evidence: keepers_without_a_leader_confirm_only_what_their_logs_do_not_exceed; before, the second heartbeat confirmed (the count of voters was all that was compared). a_majority_of_keepers_without_a_leader_lets_answers_go_on passes as before, with the new field. The form of the heartbeat changes, so builds across this commit cannot be mixed.

--- a/crates/node/src/keeper.rs
+++ b/crates/node/src/keeper.rs
@@ -7,7 +7,7 @@
 use record::View;
 use serde_json::{Value, json};
 use state::{Command, Order, Reply, State};
-use wire::{Answer, Beat, Frame, Hello, Mark, Request};
+use wire::{Answer, Beat, Frame, Hello, Mark, NoQuorum, Request};
 
 use crate::members::Members;
 use crate::rollout;
@@ -104,12 +104,21 @@
     }
 
     /// What a heartbeat of this keeper says: whether it is in touch, and whether nobody leads.
-    pub fn attest(&self, now: Time) -> (bool, Option<u32>) {
+    pub fn attest(&self, now: Time) -> (bool, Option<NoQuorum>) {
         let in_touch = self.quorum.in_touch(now);
         let config = self.quorum.config();
         // Only voters count towards a majority that knows no leader.
         let counts = !in_touch && config.votes(self.quorum.me());
-        (in_touch, counts.then_some(config.voters.len() as u32))
+        let no_quorum =
+            || NoQuorum { voters: config.voters.len() as u32, newest: self.newest_possible() };
+        (in_touch, counts.then(no_quorum))
+    }
+
+    /// The revision that the log leads to if all of it is agreed; any command that is not applied yet may be a change.
+    fn newest_possible(&self) -> Revision {
+        let open = self.quorum.last_command().filter(|index| *index > self.applied);
+        let open = open.map(|index| Revision { epoch: self.quorum.epoch(), index });
+        open.unwrap_or(self.state.revision())
     }
 
     /// A link is up.
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -3,14 +3,15 @@
 //! A process serves only once it has read at or above the quorum's mark, and only while its
 //! configuration was confirmed within the lease. A heartbeat confirms it when the sender's own is
 //! confirmed and not newer; a keeper's is while it is in touch with a leader. A majority of keepers
-//! that know no leader confirms it too: then no change can be accepted anywhere. A process that
-//! hears of a newer revision asks whoever told it.
+//! that know no leader confirms it too, if none of their logs may hold a later change: each accepted
+//! one is in the log of one of them, and none can be accepted anywhere. A process that hears of a newer
+//! revision asks whoever told it.
 
 use std::collections::BTreeMap;
 
 use base::prelude::*;
 use record::{Change, View};
-use wire::{Beat, Frame, Mark};
+use wire::{Beat, Frame, Mark, NoQuorum};
 
 use crate::{Effect, Effects};
 
@@ -27,7 +28,7 @@
     /// What the quorum held at this process's first agreed read.
     pub mark: Option<Mark>,
     confirmed: Option<Time>,
-    leaderless: BTreeMap<Name, (Time, u32)>,
+    leaderless: BTreeMap<Name, (Time, NoQuorum)>,
     source: Option<Name>,
     /// Since when a peer is known to know more, and the revision that it told of.
     behind: Option<(Time, Revision)>,
@@ -111,11 +112,12 @@
             self.confirmed = self.confirmed.max(Some(at));
         }
         match beat.no_quorum {
-            Some(voters) => self.leaderless.insert(peer.clone(), (beat.echo, voters)),
+            Some(word) => self.leaderless.insert(peer.clone(), (beat.echo, word)),
             None => self.leaderless.remove(peer),
         };
-        let voters = self.leaderless.values().map(|(_, voters)| *voters).max().unwrap_or(0);
-        let mut times: Vec<Time> = self.leaderless.values().map(|(at, _)| *at).collect();
+        let voters = self.leaderless.values().map(|(_, word)| word.voters).max().unwrap_or(0);
+        let known = self.leaderless.values().filter(|(_, word)| word.newest <= self.view.revision);
+        let mut times: Vec<Time> = known.map(|(at, _)| *at).collect();
         times.sort_unstable_by(|a, b| b.cmp(a));
         if let Some(at) = times.get(voters as usize / 2).filter(|_| voters > 0) {
             self.confirmed = self.confirmed.max(Some(*at));
--- a/crates/node/tests/entry.rs
+++ b/crates/node/tests/entry.rs
@@ -9,7 +9,7 @@
 use node::Event;
 use state::{Outcome, Reply, Standing};
 use test_case::test_case;
-use wire::{Answer, Beat, Frame};
+use wire::{Answer, Beat, Frame, NoQuorum};
 
 /// One run on an agent, sent and with its first token out.
 fn running() -> (Bed, base::RunId) {
@@ -203,13 +203,33 @@
     let mut bed = Bed::entry();
     bed.now = bed.now + 2 * node::LEASE;
     let echo = bed.now;
-    let lost = || Beat { revision: V1, no_quorum: Some(3), echo, ..Beat::default() };
+    let lost = || Beat { revision: V1, no_quorum: no_quorum(3, V1), echo, ..Beat::default() };
     bed.frame("keeper", Frame::Beat(lost()));
     assert!(!bed.node.ready(bed.now), "one of three says nothing");
     bed.frame("keeper-2", Frame::Beat(lost()));
     assert!(bed.node.ready(bed.now));
 }
 
+fn no_quorum(voters: u32, newest: Revision) -> Option<NoQuorum> {
+    Some(NoQuorum { voters, newest })
+}
+
+// Same class as incident CONFIG, RECOVER: an entry that missed the last change was confirmed by keepers whose logs held it.
+#[test]
+fn keepers_without_a_leader_confirm_only_what_their_logs_do_not_exceed() {
+    let mut bed = Bed::entry();
+    bed.now = bed.now + 2 * node::LEASE;
+    let echo = bed.now;
+    let mut beat = |keeper: &str, newest: Revision| {
+        let no_quorum = no_quorum(3, newest);
+        bed.frame(keeper, Frame::Beat(Beat { revision: V1, no_quorum, echo, ..Beat::default() }));
+        bed.node.ready(bed.now)
+    };
+    assert!(!beat("keeper", V1));
+    assert!(!beat("keeper-2", revision(V1.index + 1)), "its log holds a later command");
+    assert!(beat("keeper-3", V1), "a majority holds none");
+}
+
 #[test]
 fn a_lower_revision_is_never_applied() {
     let mut bed = Bed::entry();
@@ -303,7 +323,10 @@
     let old = Beat { revision: V1, confirmed_ms: Some(0), echo, ..Beat::default() };
     bed.frame(bed::KEEPER, Frame::Beat(old));
     assert!(!bed.node.ready(bed.now));
-    bed.frame("keeper-2", Frame::Beat(Beat { no_quorum: Some(1), echo, ..Beat::default() }));
+    bed.frame(
+        "keeper-2",
+        Frame::Beat(Beat { no_quorum: no_quorum(1, V1), echo, ..Beat::default() }),
+    );
     assert!(!bed.node.ready(bed.now));
 }
 
--- a/crates/quorum/src/replica.rs
+++ b/crates/quorum/src/replica.rs
@@ -127,6 +127,12 @@
         self.log.last_index()
     }
 
+    /// Last index of the log that holds a command; none after the last snapshot.
+    pub fn last_command(&self) -> Option<u64> {
+        let command = self.log.iter().rev().find(|entry| matches!(entry.body, Body::Data(_)));
+        command.map(|entry| entry.index)
+    }
+
     /// The members.
     pub fn config(&self) -> &Config {
         &self.config
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -64,6 +64,15 @@
     pub closed: Vec<Name>,
 }
 
+/// What a keeper that knows no leader says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NoQuorum {
+    /// Voters among the keepers.
+    pub voters: u32,
+    /// The newest revision that its log may lead to, agreed or not.
+    pub newest: Revision,
+}
+
 /// A heartbeat.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Beat {
@@ -79,8 +88,8 @@
     pub held_prefill: [u64; 2],
     /// Time since the sender's configuration was last known to be the latest, milliseconds.
     pub confirmed_ms: Option<u64>,
-    /// Keepers only: that no leader is known, and how many voters there are.
-    pub no_quorum: Option<u32>,
+    /// Keepers only: that no leader is known.
+    pub no_quorum: Option<NoQuorum>,
     /// Whether the sender may serve.
     pub ready: bool,
     /// The sender's clock at sending.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -28,7 +28,7 @@
 pub use codec::{DecodeError, Decoder, MAX_FRAME, encode};
 pub use contact::Contact;
 pub use digest::Digest;
-pub use frame::{Beat, Engine, Frame, Hello, Load, Output, Start};
+pub use frame::{Beat, Engine, Frame, Hello, Load, NoQuorum, Output, Start};
 pub use list::{List, Listed};
 pub use part::Part;
 pub use stock::{Share, Shelf, Stock, Stored};
