--- /dev/null
+++ b/crates/quorum/tests/bed/disk.rs
@@ -0,0 +1,26 @@
+//! What a member's disk holds, in memory.
+
+use quorum::{Saved, Write};
+
+#[derive(Debug, Default, Clone)]
+pub struct Disk {
+    pub saved: Saved,
+    pub identity: u64,
+}
+
+impl Disk {
+    pub fn write(&mut self, write: Write) {
+        let Write { hard, entries, snapshot } = write;
+        if let Some(hard) = hard {
+            self.saved.hard = hard;
+        }
+        if let Some(snapshot) = snapshot {
+            self.saved.snapshot = Some(snapshot);
+            self.saved.entries.clear();
+        }
+        for entry in entries {
+            self.saved.entries.retain(|old| old.index < entry.index);
+            self.saved.entries.push(entry);
+        }
+    }
+}
--- a/crates/quorum/tests/bed/mod.rs
+++ b/crates/quorum/tests/bed/mod.rs
@@ -2,11 +2,14 @@
 //! the quorum's reducer, and the checks on the history it leaves.
 #![allow(dead_code, reason = "each test file uses a part of the bed")]
 
+mod disk;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use base::prelude::*;
-use quorum::{Body, Entry, Founding, Input, Member, Output, Quorum, Role, Saved, Timing, Write};
+use disk::Disk;
+use quorum::{Body, Entry, Founding, Input, Member, Output, Quorum, Role, Timing};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -34,12 +37,6 @@
     SameIdentity,
 }
 
-#[derive(Debug, Default, Clone)]
-struct Disk {
-    saved: Saved,
-    identity: u64,
-}
-
 #[derive(Debug)]
 struct Node {
     quorum: Option<Quorum>,
@@ -474,7 +471,8 @@
             node.pending.drain(..count).map(|(_, _, output)| output).collect()
         };
         for output in done {
-            node.disk.write(output);
+            let Output::Persist { write, .. } = output else { continue };
+            node.disk.write(write);
         }
         self.feed(name, Input::Persisted { seq });
     }
@@ -520,26 +518,6 @@
     }
 }
 
-impl Disk {
-    fn write(&mut self, output: Output) {
-        let Output::Persist { write, .. } = output else {
-            return;
-        };
-        let Write { hard, entries, snapshot } = write;
-        if let Some(hard) = hard {
-            self.saved.hard = hard;
-        }
-        if let Some(snapshot) = snapshot {
-            self.saved.snapshot = Some(snapshot);
-            self.saved.entries.clear();
-        }
-        for entry in entries {
-            self.saved.entries.retain(|old| old.index < entry.index);
-            self.saved.entries.push(entry);
-        }
-    }
-}
-
 fn encode(state: &[u64]) -> Arc<[u8]> {
     state.iter().flat_map(|command| command.to_be_bytes()).collect()
 }
