--- a/crates/node/src/contacts.rs
+++ b/crates/node/src/contacts.rs
@@ -1,11 +1,12 @@
 //! Peer discovery: which processes there are, where they can be reached and whom this one dials.
 //!
-//! Addresses come from the settings, from links and from other processes. Every process tells every peer which keepers it
-//! knows, so two that share any chain of links find each other, whoever was named in their settings. Of two
-//! words on one process, that of its later life is right.
+//! Addresses come from the settings, from links and from other processes. Every process tells every
+//! peer which keepers it knows, so two that share any chain of links find each other, whoever was
+//! named in their settings. Of two words on one process, that of its later life is right, and its
+//! own goes before all.
 //!
-//! Keepers remember on their disks where everybody was, so that after a common restart the seeds need not lead
-//! to anybody: keepers find each other, and then whoever has lost them.
+//! Keepers remember on their disks where everybody was, so that after a common restart the seeds
+//! need not lead to anybody: keepers find each other, and then whoever has lost them.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -77,14 +78,13 @@
 
     /// Another process told of contacts; gives those that are news.
     pub fn told(&mut self, now: Time, contacts: &[Contact], out: &mut Effects) -> Vec<Contact> {
-        let news: Vec<Contact> = contacts
-            .iter()
-            .filter(|contact| {
-                let silent = Duration::from_millis(contact.silent_ms);
-                silent < FORGET && self.heard_of(&contact.hello, now - silent)
-            })
-            .cloned()
-            .collect();
+        let mut news = Vec::new();
+        for contact in contacts {
+            let silent = Duration::from_millis(contact.silent_ms);
+            if silent < FORGET && self.heard_of(&contact.hello, now - silent) {
+                news.push(contact.clone());
+            }
+        }
         if !news.is_empty() {
             self.dial(out);
         }
@@ -152,7 +152,7 @@
             .collect()
     }
 
-    /// Takes another's word of a process from this time; gives whether its life or address is news.
+    /// Takes another's word of a process that was heard then; gives whether its life or address is news.
     fn heard_of(&mut self, hello: &Hello, at: Time) -> bool {
         if hello.name == self.me.name {
             return false;
@@ -183,8 +183,8 @@
         self.dialled = wanted;
     }
 
-    /// Whether this process dials another: all dial keepers, entries agents too, and keepers look for whoever has
-    /// lost them.
+    /// Whether this process dials another: all dial keepers, entries agents too, and keepers look for
+    /// whoever has lost them.
     fn wants(&self, other: &Hello) -> Option<Dial> {
         if other.keeper || (self.me.entry && other.server.is_some()) {
             Some(Dial::Always)
--- a/crates/node/src/keeper.rs
+++ b/crates/node/src/keeper.rs
@@ -114,7 +114,8 @@
         (in_touch, counts.then(no_quorum))
     }
 
-    /// The revision that the log leads to if all of it is agreed; any command that is not applied yet may be a change.
+    /// The revision that the log leads to if all of it is agreed; any command that is not applied
+    /// yet may be a change.
     fn newest_possible(&self) -> Revision {
         let open = self.quorum.last_command().filter(|index| *index > self.applied);
         let open = open.map(|index| Revision { epoch: self.quorum.epoch(), index });
