--- a/crates/node/tests/entry.rs
+++ b/crates/node/tests/entry.rs
@@ -203,17 +203,18 @@
     let mut bed = Bed::entry();
     bed.now = bed.now + 2 * node::LEASE;
     let echo = bed.now;
-    let lost = || Beat { revision: V1, no_quorum: no_quorum(3, V1), echo, ..Beat::default() };
+    let lost = || Beat {
+        revision: V1,
+        no_quorum: Some(NoQuorum { voters: 3, newest: V1 }),
+        echo,
+        ..Beat::default()
+    };
     bed.frame("keeper", Frame::Beat(lost()));
     assert!(!bed.node.ready(bed.now), "one of three says nothing");
     bed.frame("keeper-2", Frame::Beat(lost()));
     assert!(bed.node.ready(bed.now));
 }
 
-fn no_quorum(voters: u32, newest: Revision) -> Option<NoQuorum> {
-    Some(NoQuorum { voters, newest })
-}
-
 // Same class as incident CONFIG, RECOVER: an entry that missed the last change was confirmed by keepers whose logs held it.
 #[test]
 fn keepers_without_a_leader_confirm_only_what_their_logs_do_not_exceed() {
@@ -221,7 +222,7 @@
     bed.now = bed.now + 2 * node::LEASE;
     let echo = bed.now;
     let mut beat = |keeper: &str, newest: Revision| {
-        let no_quorum = no_quorum(3, newest);
+        let no_quorum = Some(NoQuorum { voters: 3, newest });
         bed.frame(keeper, Frame::Beat(Beat { revision: V1, no_quorum, echo, ..Beat::default() }));
         bed.node.ready(bed.now)
     };
@@ -325,7 +326,11 @@
     assert!(!bed.node.ready(bed.now));
     bed.frame(
         "keeper-2",
-        Frame::Beat(Beat { no_quorum: no_quorum(1, V1), echo, ..Beat::default() }),
+        Frame::Beat(Beat {
+            no_quorum: Some(NoQuorum { voters: 1, newest: V1 }),
+            echo,
+            ..Beat::default()
+        }),
     );
     assert!(!bed.node.ready(bed.now));
 }
