--- a/crates/replay/src/world/mod.rs
+++ b/crates/replay/src/world/mod.rs
@@ -45,7 +45,7 @@
 
 #[derive(Debug)]
 enum Due {
-    Step(usize, Event, Incarnation),
+    Step(usize, Box<Event>, Incarnation),
     Tick,
     Line(usize),
     Engine(usize, Incarnation),
@@ -318,7 +318,7 @@
 
     fn event(&mut self, place: usize, after: Duration, event: Event) {
         let incarnation = self.processes[place].hello.incarnation;
-        self.schedule(after, Due::Step(place, event, incarnation));
+        self.schedule(after, Due::Step(place, Box::new(event), incarnation));
     }
 
     fn go(&mut self) {
@@ -335,7 +335,7 @@
             match due {
                 Due::Step(place, event, incarnation) => {
                     if self.processes[place].hello.incarnation == incarnation {
-                        self.step(place, event);
+                        self.step(place, *event);
                     }
                 }
                 Due::Tick => {
--- a/crates/replay/src/world/servers.rs
+++ b/crates/replay/src/world/servers.rs
@@ -144,7 +144,7 @@
         }
         let load = Load { version, ..Load::default() };
         let event = Event::Server(Server::Load(load));
-        self.schedule(after, Due::Step(place, event, incarnation));
+        self.schedule(after, Due::Step(place, Box::new(event), incarnation));
     }
 
     pub(super) fn abort(&mut self, place: usize, run: RunId) {
