What a process tells of others and hears of them is a file of its own

Functions moved and renamed (exchange_contacts, members_told, broadcast, expire_contacts); no behaviour changes.

--- a/crates/node/src/process/mod.rs
+++ b/crates/node/src/process/mod.rs
@@ -1,5 +1,6 @@
 //! The reducer of a whole process: its roles, its peers, its heartbeats and its end.
 
+mod discovery;
 mod show;
 mod told;
 
@@ -7,7 +8,7 @@
 
 use base::prelude::*;
 use serde_json::Value;
-use wire::{Answer, Beat, Contact, Frame, Hello, Request};
+use wire::{Answer, Beat, Frame, Hello, Request};
 
 use crate::admin::{self, Admin};
 use crate::asker::{Asker, Purpose};
@@ -269,7 +270,7 @@
             out.push(Effect::Send { to: hello.name.clone(), frame });
         }
         self.with_entry(now, |entry, cx| entry.linked(cx, &hello, out));
-        self.tell_contacts_of(now, &hello, out);
+        self.exchange_contacts(now, &hello, out);
         self.peers.insert(hello.name.clone(), hello);
     }
 
@@ -324,14 +325,7 @@
                     entry.news(peer, &news);
                 }
             }
-            Frame::Members(hellos) => {
-                if let Some(entry) = &mut self.entry {
-                    entry.members(&hellos);
-                }
-                let contact = |hello| Contact { hello, silent_ms: 0 };
-                let contacts: Vec<Contact> = hellos.into_iter().map(contact).collect();
-                self.contacts_told(now, peer, &contacts, out);
-            }
+            Frame::Members(hellos) => self.members_told(now, peer, hellos, out),
             Frame::Quorum { from, to, message } => {
                 if let Some(keeper) = &mut self.keeper {
                     keeper.message(now, from, to.as_ref(), message, out);
@@ -454,7 +448,7 @@
         self.with_agent(now, |agent, cx| agent.tick(cx, out));
         self.with_forward(now, |forward, cx| forward.tick(cx, out));
         self.tell_shares(now, out);
-        self.tidy_contacts(now, out);
+        self.expire_contacts(now, out);
         self.note(now, out);
         self.tell_keepers(now, out);
         if now >= self.next_beat {
--- a/crates/node/src/process/told.rs
+++ b/crates/node/src/process/told.rs
@@ -1,7 +1,7 @@
 //! What a process with forwarded requests tells the other entries, hears of keepers, and notes.
 
 use base::prelude::*;
-use wire::{Contact, Frame, Hello};
+use wire::Frame;
 
 use super::Node;
 use crate::forward::{self, Forward};
@@ -147,58 +147,4 @@
         }
         self.tell_entries(&Frame::Sums(sums), out);
     }
-
-    /// Tells a new peer of the keepers known, and the others of the peer if it is a keeper.
-    pub(super) fn tell_contacts_of(&mut self, now: Time, hello: &Hello, out: &mut Effects) {
-        let news = self.contacts.linked(now, hello, out);
-        if hello.name == self.me.hello.name {
-            return;
-        }
-        let mut keepers = self.contacts.keepers(now);
-        keepers.retain(|contact| contact.hello.name != hello.name);
-        if !keepers.is_empty() {
-            out.push(Effect::Send { to: hello.name.clone(), frame: Frame::Contacts(keepers) });
-        }
-        if news {
-            let contact = Contact { hello: hello.clone(), silent_ms: 0 };
-            self.spread(&hello.name, vec![contact], out);
-        }
-    }
-
-    /// Takes contacts that a peer told of, and tells the others what is news.
-    pub(super) fn contacts_told(
-        &mut self,
-        now: Time,
-        from: &Name,
-        contacts: &[Contact],
-        out: &mut Effects,
-    ) {
-        let news = self.contacts.told(now, contacts, out);
-        for contact in news.iter().filter(|contact| contact.hello.name != *from) {
-            let (process, addr) = (contact.hello.name.clone(), contact.hello.addr);
-            out.push(Effect::Note(Box::new(Note::Learnt { process, addr, from: from.clone() })));
-        }
-        self.spread(from, news, out);
-    }
-
-    /// Tells every peer but one of keepers.
-    fn spread(&self, except: &Name, mut contacts: Vec<Contact>, out: &mut Effects) {
-        contacts.retain(|contact| contact.hello.keeper);
-        if contacts.is_empty() {
-            return;
-        }
-        let me = &self.me.hello.name;
-        for peer in self.peers.keys().filter(|peer| *peer != except && *peer != me) {
-            let frame = Frame::Contacts(contacts.clone());
-            out.push(Effect::Send { to: peer.clone(), frame });
-        }
-    }
-
-    pub(super) fn tidy_contacts(&mut self, now: Time, out: &mut Effects) {
-        let config = self.keeper.as_ref().map(|keeper| keeper.quorum().config());
-        let votes = |name: &Name| {
-            config.is_some_and(|config| config.voters.iter().any(|voter| voter.name == *name))
-        };
-        self.contacts.tick(now, &self.peers, votes, out);
-    }
 }
