A dialler waits for its own address; contacts are not copied for nothing

Each address has a count of its own now. Found by reading; the gain is not measured. - Every process built a table of the addresses it knew once a second to compare it with a disk that only keepers have. - Contacts were cloned for each write, only to be given back by a full disk; what is kept is the bytes. - discovery's test world ended the links of a VM in two places.

--- a/crates/edge/src/files.rs
+++ b/crates/edge/src/files.rs
@@ -89,7 +89,9 @@
                     last = Some(seq);
                     writes.push(write);
                 }
-                Command::Contacts(found) => contacts = Some(found),
+                Command::Contacts(found) => {
+                    contacts = Some(wire::encode(&Frame::Contacts(found)));
+                }
             }
         }
         if let Some(seq) = last {
@@ -102,18 +104,17 @@
                 return;
             }
         }
-        if let Some(found) = contacts.take() {
-            contacts = write_contacts(&mut store, found);
-        }
+        contacts = contacts.filter(|bytes| !write_contacts(&mut store, bytes));
     }
 }
 
-/// Writes contacts; gives them back while the disk takes no more bytes.
-fn write_contacts(store: &mut Store, contacts: Vec<Contact>) -> Option<Vec<Contact>> {
-    let bytes = wire::encode(&Frame::Contacts(contacts.clone()));
-    let error = store.write_contacts(&bytes).err()?;
+/// Writes contacts; false while the disk takes no more bytes.
+fn write_contacts(store: &mut Store, bytes: &[u8]) -> bool {
+    let Err(error) = store.write_contacts(bytes) else {
+        return true;
+    };
     log::warn!(full = error.is_full(); "addresses of other processes not written: {error}");
-    error.is_full().then_some(contacts)
+    !error.is_full()
 }
 
 /// Writes, and waits while the disk takes no more bytes: nothing is promised meanwhile.
--- a/crates/edge/src/net.rs
+++ b/crates/edge/src/net.rs
@@ -80,8 +80,8 @@
 }
 
 type Links = HashMap<Name, Vec<Link>>;
-/// How many links there are to each address, whoever dialled.
-type Linked = HashMap<SocketAddr, usize>;
+/// How many links there are to each address, whoever dialled; each dialler waits for its own alone.
+type Linked = HashMap<SocketAddr, watch::Sender<usize>>;
 
 #[derive(Clone)]
 struct Shared {
@@ -103,7 +103,7 @@
     let shared = Shared { hello, inputs, news, metrics };
     tokio::spawn(accept(shared.clone(), listener));
     let mut links = Links::new();
-    let (linked, _) = watch::channel(Linked::new());
+    let mut linked = Linked::new();
     let mut dialled = HashMap::new();
     loop {
         tokio::select! {
@@ -113,16 +113,17 @@
                 News::Up(link) => {
                     shared.metrics.linked();
                     let hello = link.hello.clone();
-                    linked.send_modify(|linked| *linked.entry(hello.addr).or_default() += 1);
+                    linked.entry(hello.addr).or_default().send_modify(|count| *count += 1);
                     links.entry(hello.name.clone()).or_default().push(link);
                     let _ = shared.inputs.send(Input::Event(Event::Linked(hello)));
                 }
-                News::Down { peer, number } => down(&shared, &mut links, &linked, &peer, number),
+                News::Down { peer, number } => down(&shared, &mut links, &mut linked, &peer, number),
             },
             command = commands.recv() => match command {
                 None => return,
                 Some(Command::Dial { addr, when }) => {
-                    let (shared, linked) = (shared.clone(), linked.subscribe());
+                    let linked = linked.entry(addr).or_default().subscribe();
+                    let shared = shared.clone();
                     dialled.entry(addr).or_insert_with(|| tokio::spawn(dial(shared, addr, when, linked)));
                 }
                 Some(Command::Undial { addr }) => {
@@ -145,24 +146,17 @@
 
 /// A link is down. Two processes may have more than one link, each dialled by the other side; what
 /// was on its way on this one is lost, so the reducer is told even if another is left.
-fn down(
-    shared: &Shared,
-    links: &mut Links,
-    linked: &watch::Sender<Linked>,
-    peer: &Name,
-    number: u64,
-) {
+fn down(shared: &Shared, links: &mut Links, linked: &mut Linked, peer: &Name, number: u64) {
     let Some(list) = links.get_mut(peer) else {
         return;
     };
     for link in list.extract_if(.., |link| link.number == number) {
-        linked.send_modify(|linked| {
-            let count = linked.entry(link.hello.addr).or_default();
-            *count -= 1;
-            if *count == 0 {
-                linked.remove(&link.hello.addr);
-            }
-        });
+        let Some(count) = linked.get(&link.hello.addr) else { continue };
+        count.send_modify(|count| *count -= 1);
+        // A dialler that waits here still needs the count.
+        if *count.borrow() == 0 && count.receiver_count() == 0 {
+            linked.remove(&link.hello.addr);
+        }
     }
     let event = Event::Unlinked { peer: peer.clone() };
     let _ = shared.inputs.send(Input::Event(event));
@@ -213,11 +207,11 @@
     }
 }
 
-async fn dial(shared: Shared, addr: SocketAddr, when: Dial, mut linked: watch::Receiver<Linked>) {
+async fn dial(shared: Shared, addr: SocketAddr, when: Dial, mut linked: watch::Receiver<usize>) {
     let mut pause = REDIAL;
     let mut wait = FIRST_CONNECT;
     let mut reached = true;
-    while when == Dial::Always || stays_unlinked(&mut linked, addr).await {
+    while when == Dial::Always || stays_unlinked(&mut linked).await {
         match dial_once(&shared, addr, wait).await {
             Ok(()) => (pause, wait, reached) = (REDIAL, FIRST_CONNECT, true),
             Err(error) => {
@@ -232,11 +226,10 @@
     }
 }
 
-/// Waits until no link to an address has been up for [`UNLINKED`]; false when the process ends.
-async fn stays_unlinked(linked: &mut watch::Receiver<Linked>, addr: SocketAddr) -> bool {
-    while linked.wait_for(|linked| !linked.contains_key(&addr)).await.is_ok() {
-        let again = linked.wait_for(|linked| linked.contains_key(&addr));
-        match timeout(UNLINKED, again).await {
+/// Waits until no link has been up for [`UNLINKED`]; false when the process ends.
+async fn stays_unlinked(linked: &mut watch::Receiver<usize>) -> bool {
+    while linked.wait_for(|count| *count == 0).await.is_ok() {
+        match timeout(UNLINKED, linked.wait_for(|count| *count > 0)).await {
             Err(_) => return true,
             Ok(Ok(_)) => {}
             Ok(Err(_)) => return false,
--- a/crates/node/src/contacts.rs
+++ b/crates/node/src/contacts.rs
@@ -125,8 +125,14 @@
             self.dial(out);
         }
         // Only keepers have a disk.
+        if self.me.keeper {
+            self.remember(now, out);
+        }
+    }
+
+    fn remember(&mut self, now: Time, out: &mut Effects) {
         let places = self.places();
-        if self.me.keeper && places != self.remembered {
+        if places != self.remembered {
             self.remembered = places;
             out.push(Effect::Remember(self.contacts(now, |_| true)));
         }
--- a/crates/node/tests/discovery.rs
+++ b/crates/node/tests/discovery.rs
@@ -137,6 +137,10 @@
     fn kill(&mut self, host: usize) {
         self.hosts[host].node = None;
         self.events.retain(|(to, _)| *to != host);
+        self.unlink_all(host);
+    }
+
+    fn unlink_all(&mut self, host: usize) {
         let lost: Vec<_> =
             self.links.iter().filter(|(a, b)| [*a, *b].contains(&host)).copied().collect();
         for link in lost {
@@ -161,11 +165,7 @@
     /// Cuts a VM off from all others.
     fn cut(&mut self, host: usize) {
         self.cuts.insert(host);
-        let lost: Vec<_> =
-            self.links.iter().filter(|(a, b)| [*a, *b].contains(&host)).copied().collect();
-        for link in lost {
-            self.unlink(link);
-        }
+        self.unlink_all(host);
     }
 
     /// One link a pair is enough, whoever dials.
