Logs tell what a server says of its limit, and the calls of each kind made to it

Now a line says who named which limit, in the answer to which request, with this process's calls to that server by kind; servers shows the same, and two metrics count limited servers and limits that are no rate. No decision changes.

--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -29,6 +29,7 @@
     links: IntCounter,
     lost: IntCounter,
     old_weights: IntCounter,
+    limits_unreadable: IntCounter,
     gauges: Mutex<HashMap<&'static str, Gauge>>,
 }
 
@@ -65,6 +66,10 @@
                 "tamarack_old_weights_requests_total",
                 "Forwarded requests sent to a server whose weight version was not the newest",
             )?,
+            limits_unreadable: IntCounter::new(
+                "tamarack_limits_unreadable_total",
+                "Answers whose server named a limit that is no rate",
+            )?,
             gauges: Mutex::new(HashMap::new()),
         };
         metrics.registry.register(Box::new(metrics.requests.clone()))?;
@@ -76,6 +81,7 @@
         metrics.registry.register(Box::new(metrics.links.clone()))?;
         metrics.registry.register(Box::new(metrics.lost.clone()))?;
         metrics.registry.register(Box::new(metrics.old_weights.clone()))?;
+        metrics.registry.register(Box::new(metrics.limits_unreadable.clone()))?;
         // From the start, so that a rise from 0 is seen as one.
         metrics.requests.with_label_values(&[&Code::Ok.number().to_string()]);
         for what in TOKENS {
@@ -97,6 +103,11 @@
         self.old_weights.inc();
     }
 
+    /// Counts an answer that named a limit which is no rate.
+    pub fn limit_unreadable(&self) {
+        self.limits_unreadable.inc();
+    }
+
     /// Counts a request that has ended.
     pub fn ended(&self, code: Code, took: Duration, first: Option<Duration>) {
         self.requests.with_label_values(&[&code.number().to_string()]).inc();
--- a/crates/edge/src/notes.rs
+++ b/crates/edge/src/notes.rs
@@ -30,6 +30,19 @@
             metrics.lost();
             log::warn!(request:% = request, server:% = server, why:% = why, then; "try failed");
         }
+        Note::Limited { server, limit, request, calls } => {
+            let limit =
+                limit.map_or_else(|| "none".to_owned(), |limit| limit.per_second().to_string());
+            log::info!(
+                server:% = server, limit, request:% = request, requests = calls.requests, reports = calls.reports,
+                reads = calls.reads, orders = calls.orders;
+                "server named its limit"
+            );
+        }
+        Note::LimitUnreadable { server } => {
+            metrics.limit_unreadable();
+            log::warn!(server:% = server; "limit of a server not read");
+        }
         Note::Listed { servers, leaving } => {
             log::info!(servers, leaving; "list of servers changed");
         }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,12 +4,14 @@
 //! the servers themselves; and what this process has sent them. [`rollout::Rollout::due`] says which of them
 //! to order to another weight version next, and [`Versions`] which versions runs may begin on meanwhile.
 
+mod limit;
 mod news;
 pub mod rollout;
 mod server;
 mod servers;
 mod versions;
 
+pub use limit::{Calls, Limit, Named};
 pub use news::{News, Stored};
 pub use server::{Listed, Load, Report, Server};
 pub use servers::{Key, Servers};
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -5,6 +5,8 @@
 use base::prelude::*;
 use cache::Held;
 
+use crate::{Calls, Limit, Named};
+
 /// First time for which a server is left alone after it failed.
 const AWAY: Duration = Duration::from_millis(500);
 /// Longest such time; a server that crashed stays on the list for some seconds.
@@ -20,6 +22,8 @@
 const LIST_LAG: Duration = Duration::from_secs(3);
 /// Age at which a server is asked for another report before an order.
 const REPORT_AGE: Duration = Duration::from_secs(1);
+/// Time between two lines on a server that goes on naming the same limit.
+const LIMIT_NOTED: Duration = Duration::from_secs(4);
 /// Least time between two questions for a report: reports are some hundred milliseconds old.
 const ASK_EVERY: Duration = Duration::from_millis(300);
 
@@ -96,6 +100,10 @@
     pub reading: u64,
     /// Prompt parts that it is believed to hold.
     pub held: Held,
+    /// Calls of this process to it.
+    pub calls: Calls,
+    /// The limit that it named last, and when this process last noted it.
+    limit: Option<(Limit, Time)>,
     load: Option<(Load, u32, Time)>,
     /// Runs and prompt tokens of other entries, and when they were told.
     others: Option<(u32, u64, Time)>,
@@ -121,6 +129,8 @@
             running: 0,
             reading: 0,
             held: Held::default(),
+            calls: Calls::default(),
+            limit: None,
             load: None,
             others: None,
             changing_until: Time::ZERO,
@@ -199,6 +209,27 @@
         self.load = Some((load, self.running, now));
     }
 
+    /// The limit that it named last.
+    pub fn limit(&self) -> Option<Limit> {
+        self.limit.map(|(limit, _)| limit)
+    }
+
+    /// An answer said this of its limit. Gives whether that is worth a line in the log: it is news, or the last line
+    /// is old.
+    pub fn named(&mut self, now: Time, named: Named) -> bool {
+        let limit = match named {
+            Named::Limit(limit) => Some(limit),
+            Named::Nothing => None,
+            Named::Unreadable => return false,
+        };
+        let old = self.limit.is_some_and(|(_, at)| now.since(at) >= LIMIT_NOTED);
+        if self.limit() == limit && !old {
+            return false;
+        }
+        self.limit = limit.map(|limit| (limit, now));
+        true
+    }
+
     /// The server itself told the weight version that it holds. An order that was carried out late
     /// may take it back to an older one.
     pub fn holds(&mut self, now: Time, version: u64) {
--- a/crates/node/src/forward/event.rs
+++ b/crates/node/src/forward/event.rs
@@ -5,7 +5,7 @@
 use base::prelude::*;
 use cache::Named;
 use fleet::rollout::Reply;
-use fleet::{Listed, Load, News, Report};
+use fleet::{Listed, Load, Named as Limited, News, Report};
 
 /// A prompt whose parts the caller names.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -73,6 +73,8 @@
     pub load: Option<Load>,
     /// Weight version that it holds.
     pub version: Option<u64>,
+    /// What it says of the rate of requests that it takes.
+    pub limit: Limited,
 }
 
 /// How a try ended without an answer.
--- a/crates/node/src/forward/explain.rs
+++ b/crates/node/src/forward/explain.rs
@@ -5,10 +5,10 @@
 use std::net::SocketAddr;
 
 use base::prelude::*;
-use fleet::Server;
+use fleet::{Limit, Server};
 use serde_json::{Value, json};
 
-use super::{Context, Forward, Order, Try};
+use super::{Call, Context, Forward, Order, Try};
 use crate::note::{Basis, Note};
 use crate::{Effect, Effects};
 
@@ -84,9 +84,10 @@
 }
 
 impl Forward {
-    /// Keeps what was decided just now.
+    /// Keeps what was decided just now, and counts the calls to servers: all of them pass here.
     pub(super) fn keep(&mut self, cx: &Context<'_>, decided: &Effects, from: usize) {
         for effect in &decided[from..] {
+            self.count(effect);
             match effect {
                 Effect::Door { call, order: Order::Try(to) } => self.keep_try(cx, *call, to),
                 Effect::Note(note) => self.keep_end(cx, note),
@@ -95,6 +96,25 @@
         }
     }
 
+    fn count(&mut self, effect: &Effect) {
+        let server = match effect {
+            Effect::Door { order: Order::Try(to), .. } => self.servers.by_id(&to.id),
+            Effect::Call(Call::Report { id, .. }) => self.servers.by_id(id),
+            Effect::Call(Call::Change(change)) => self.servers.by_id(&change.id),
+            Effect::Call(Call::ReadStore { addr, .. }) => self.servers.at_mut(*addr),
+            _ => None,
+        };
+        let Some(server) = server else {
+            return;
+        };
+        match effect {
+            Effect::Call(Call::Report { .. }) => server.calls.reports += 1,
+            Effect::Call(Call::Change(_)) => server.calls.orders += 1,
+            Effect::Call(Call::ReadStore { .. }) => server.calls.reads += 1,
+            _ => server.calls.requests += 1,
+        }
+    }
+
     fn keep_try(&mut self, cx: &Context<'_>, call: u64, to: &Try) {
         let Some(run) = self.runs.get(&call) else {
             return;
@@ -179,6 +199,13 @@
                 "runs": server.runs(now),
                 "reading": server.ahead(now),
                 "version": server.version,
+                "limit": server.limit().map(Limit::per_second),
+                "calls": {
+                    "requests": server.calls.requests,
+                    "reports": server.calls.reports,
+                    "reads": server.calls.reads,
+                    "orders": server.calls.orders,
+                },
             })
         };
         self.servers.iter().map(|(_, server)| shown(server)).collect()
--- a/crates/node/src/forward/follow.rs
+++ b/crates/node/src/forward/follow.rs
@@ -1,6 +1,7 @@
 //! Takes answers, losses and ends, and gives each request its final answer.
 
 use base::prelude::*;
+use fleet::{Named as Limited, Server};
 use record::Repeat;
 
 use super::weights::report;
@@ -32,6 +33,9 @@
             if let Some(version) = answer.version {
                 server.holds(cx.now, version);
             }
+            if answer.own && answer.status != MISDIRECTED {
+                note_limit(cx.now, server, &run.head.id, answer.limit, out);
+            }
             if answer.status == MISDIRECTED {
                 server.misdirected(cx.now);
                 self.shares.touched(server.listed.addr);
@@ -254,3 +258,14 @@
         }
     }
 }
+
+/// Takes what an answer says of its server's limit, and notes what is news.
+fn note_limit(now: Time, server: &mut Server, request: &Name, named: Limited, out: &mut Effects) {
+    let id = server.listed.id.clone();
+    if named == Limited::Unreadable {
+        out.push(Effect::Note(Box::new(Note::LimitUnreadable { server: id })));
+    } else if server.named(now, named) {
+        let (request, limit, calls) = (request.clone(), server.limit(), server.calls);
+        out.push(Effect::Note(Box::new(Note::Limited { server: id, limit, request, calls })));
+    }
+}
--- a/crates/node/src/note.rs
+++ b/crates/node/src/note.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use base::{Code, Name, Revision};
+use fleet::{Calls, Limit};
 
 use crate::forward;
 
@@ -74,6 +75,22 @@
         /// What was done then.
         then: &'static str,
     },
+    /// A server named a limit, or named none any more.
+    Limited {
+        /// The server.
+        server: Name,
+        /// The limit; none when it names none any more.
+        limit: Option<Limit>,
+        /// The caller's ID of the request that was answered so.
+        request: Name,
+        /// Calls of this process to it so far.
+        calls: Calls,
+    },
+    /// An answer named a limit that cannot be read.
+    LimitUnreadable {
+        /// The server.
+        server: Name,
+    },
     /// The set of servers has changed.
     Listed {
         /// Servers.
--- a/crates/node/src/process/show.rs
+++ b/crates/node/src/process/show.rs
@@ -125,6 +125,9 @@
             let usable = forward.servers().iter().filter(|(_, server)| server.usable(now)).count();
             all.push(("tamarack_forward_open", forward.open() as f64));
             all.push(("tamarack_forward_usable_servers", usable as f64));
+            let servers = || forward.servers().iter().map(|(_, server)| server);
+            let limited = servers().filter(|server| server.limit().is_some()).count();
+            all.push(("tamarack_forward_limited_servers", limited as f64));
             if let Some(at) = forward.servers().read_at() {
                 all.push(("tamarack_forward_list_age_seconds", now.since(at).as_secs_f64()));
             }
