--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -30,6 +30,7 @@
     lost: IntCounter,
     old_weights: IntCounter,
     limits_unreadable: IntCounter,
+    permits: IntCounterVec,
     gauges: Mutex<HashMap<&'static str, Gauge>>,
 }
 
@@ -70,6 +71,13 @@
                 "tamarack_limits_unreadable_total",
                 "Answers whose server named a limit that is no rate",
             )?,
+            permits: IntCounterVec::new(
+                Opts::new(
+                    "tamarack_permits_total",
+                    "Requests best sent to a server with a limit, by what came of it",
+                ),
+                &["outcome"],
+            )?,
             gauges: Mutex::new(HashMap::new()),
         };
         metrics.registry.register(Box::new(metrics.requests.clone()))?;
@@ -82,6 +90,7 @@
         metrics.registry.register(Box::new(metrics.lost.clone()))?;
         metrics.registry.register(Box::new(metrics.old_weights.clone()))?;
         metrics.registry.register(Box::new(metrics.limits_unreadable.clone()))?;
+        metrics.registry.register(Box::new(metrics.permits.clone()))?;
         // From the start, so that a rise from 0 is seen as one.
         metrics.requests.with_label_values(&[&Code::Ok.number().to_string()]);
         for what in TOKENS {
@@ -103,6 +112,11 @@
         self.old_weights.inc();
     }
 
+    /// Counts a request that wanted a permit.
+    pub fn permit(&self, outcome: &str) {
+        self.permits.with_label_values(&[outcome]).inc();
+    }
+
     /// Counts an answer that named a limit which is no rate.
     pub fn limit_unreadable(&self) {
         self.limits_unreadable.inc();
--- a/crates/edge/src/notes.rs
+++ b/crates/edge/src/notes.rs
@@ -1,6 +1,6 @@
 //! Decisions and changes of belief as log lines and counts.
 
-use node::note::Note;
+use node::note::{Heard, Note};
 
 use crate::metrics::Metrics;
 
@@ -21,6 +21,7 @@
                 beside = u64::from(basis.beside), cost_ms = basis.cost_ms as u64,
                 list_age_ms = millis(basis.list_age), version = basis.version, version_least = allowed.least,
                 version_newest = allowed.newest, version_newest_age_ms = millis(allowed.newest_age),
+                limit = basis.limit.map_or(0.0, fleet::Limit::per_second),
                 code = code.number(), status = u64::from(*status), took_ms = millis(*took),
                 first_ms = first.map_or(0, millis);
                 "request ended"
@@ -30,13 +31,26 @@
             metrics.lost();
             log::warn!(request:% = request, server:% = server, why:% = why, then; "try failed");
         }
-        Note::Limited { server, limit, request, calls } => {
+        Note::Limited { server, limit, from, age, calls } => {
             let limit =
                 limit.map_or_else(|| "none".to_owned(), |limit| limit.per_second().to_string());
+            let (request, from) = match from {
+                Heard::Answer(request) => (&**request, ""),
+                Heard::Process(process) => ("", &**process),
+            };
             log::info!(
-                server:% = server, limit, request:% = request, requests = calls.requests, reports = calls.reports,
-                reads = calls.reads, orders = calls.orders;
-                "server named its limit"
+                server:% = server, limit, request, from, age_ms = millis(*age), requests = calls.requests,
+                reports = calls.reports, reads = calls.reads, orders = calls.orders;
+                "limit of a server changed"
+            );
+        }
+        Note::Permit { request, server, outcome, limit, age, wait, given, last } => {
+            metrics.permit(outcome.as_str());
+            let limit = limit.map_or(0.0, fleet::Limit::per_second);
+            log::info!(
+                request:% = request, server:% = server, outcome = outcome.as_str(), limit, age_ms = millis(*age),
+                wait_ms = millis(*wait), given = u64::from(*given), last;
+                "permit for a server with a limit"
             );
         }
         Note::LimitUnreadable { server } => {
--- a/crates/fleet/src/limit.rs
+++ b/crates/fleet/src/limit.rs
@@ -1,5 +1,12 @@
 //! The rate of requests that a server in need takes.
 
+use base::prelude::*;
+
+/// Answers in a row without a limit that end a need: a single one may lack it by accident, and a server in need
+/// would meet all that was held back.
+const CLEAR: u32 = 2;
+/// Time for which this process's own word goes before the leader's, which may not have heard it yet.
+const OWN: Duration = Duration::from_secs(1);
 /// Thousandths of a request in a request.
 const MILLI: f64 = 1_000.0;
 /// Highest rate that is believed, requests a second: above what one server could answer at all.
@@ -24,16 +31,61 @@
 
 /// What an answer says of its server's limit.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Named {
+pub enum Limited {
     /// Nothing: the server is in no need, as far as this answer tells.
     #[default]
-    Nothing,
+    Not,
     /// The server takes this rate.
-    Limit(Limit),
+    To(Limit),
     /// Something that is no rate.
     Unreadable,
 }
 
+/// The need of a server that named a limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Need {
+    /// The limit that it named last.
+    pub limit: Limit,
+    /// When an answer named it last.
+    pub named: Time,
+    /// When an answer to this process named it last, if one did.
+    pub heard: Option<Time>,
+    /// Until when no permit can be had.
+    pub denied_until: Time,
+    /// Number of the standby slot that was used last.
+    pub slot: Option<u64>,
+    /// Answers since it was named that named none.
+    clear: u32,
+}
+
+impl Need {
+    /// A need that was heard of just now.
+    pub fn new(limit: Limit, named: Time) -> Self {
+        Self { limit, named, heard: None, denied_until: Time::ZERO, slot: None, clear: 0 }
+    }
+
+    /// An answer named a limit at a time; an older word than that known changes nothing.
+    pub fn named(&mut self, limit: Limit, at: Time) {
+        if at >= self.named {
+            self.limit = limit;
+            self.named = at;
+            self.clear = 0;
+        }
+    }
+
+    /// An answer named none. It counts if its request was sent after the limit was named last, since answers
+    /// overtake each other. Gives whether the need is over.
+    pub fn unnamed(&mut self, sent: Time) -> bool {
+        self.clear += u32::from(sent > self.named);
+        self.clear >= CLEAR
+    }
+
+    /// Whether the leader, who knows of no need, can have heard of this one.
+    pub fn is_old(&self, now: Time) -> bool {
+        self.heard.is_none_or(|heard| now.since(heard) >= OWN)
+    }
+}
+
 /// Calls that one process made to one server, by kind.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Calls {
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -5,7 +5,7 @@
 use base::prelude::*;
 use cache::Held;
 
-use crate::{Calls, Limit, Named};
+use crate::{Calls, Limit, Need};
 
 /// First time for which a server is left alone after it failed.
 const AWAY: Duration = Duration::from_millis(500);
@@ -22,8 +22,6 @@
 const LIST_LAG: Duration = Duration::from_secs(3);
 /// Age at which a server is asked for another report before an order.
 const REPORT_AGE: Duration = Duration::from_secs(1);
-/// Time between two lines on a server that goes on naming the same limit.
-const LIMIT_NOTED: Duration = Duration::from_secs(4);
 /// Least time between two questions for a report: reports are some hundred milliseconds old.
 const ASK_EVERY: Duration = Duration::from_millis(300);
 
@@ -102,8 +100,8 @@
     pub held: Held,
     /// Calls of this process to it.
     pub calls: Calls,
-    /// The limit that it named last, and when this process last noted it.
-    limit: Option<(Limit, Time)>,
+    /// Its need, if it named a limit.
+    pub need: Option<Need>,
     load: Option<(Load, u32, Time)>,
     /// Runs and prompt tokens of other entries, and when they were told.
     others: Option<(u32, u64, Time)>,
@@ -130,7 +128,7 @@
             reading: 0,
             held: Held::default(),
             calls: Calls::default(),
-            limit: None,
+            need: None,
             load: None,
             others: None,
             changing_until: Time::ZERO,
@@ -211,23 +209,23 @@
 
     /// The limit that it named last.
     pub fn limit(&self) -> Option<Limit> {
-        self.limit.map(|(limit, _)| limit)
+        self.need.map(|need| need.limit)
     }
 
-    /// An answer said this of its limit. Gives whether that is worth a line in the log: it is news, or the last line
-    /// is old.
-    pub fn named(&mut self, now: Time, named: Named) -> bool {
-        let limit = match named {
-            Named::Limit(limit) => Some(limit),
-            Named::Nothing => None,
-            Named::Unreadable => return false,
-        };
-        let old = self.limit.is_some_and(|(_, at)| now.since(at) >= LIMIT_NOTED);
-        if self.limit() == limit && !old {
-            return false;
+    /// Calls a second that it takes from all VMs, if it named a limit.
+    pub fn takes(&self) -> Option<f64> {
+        self.limit().map(Limit::per_second)
+    }
+
+    /// A limit was named at a time, in an answer to this process or to another one. Gives whether it is news.
+    pub fn named(&mut self, limit: Limit, at: Time, own: bool) -> bool {
+        let before = self.limit();
+        let need = self.need.get_or_insert(Need::new(limit, at));
+        need.named(limit, at);
+        if own {
+            need.heard = Some(at);
         }
-        self.limit = limit.map(|limit| (limit, now));
-        true
+        before != self.limit()
     }
 
     /// The server itself told the weight version that it holds. An order that was carried out late
--- a/crates/fleet/src/servers.rs
+++ b/crates/fleet/src/servers.rs
@@ -92,9 +92,26 @@
         self.all.get_mut(self.key(id)?)
     }
 
+    /// Key of one life of a server.
+    pub fn life(&self, id: &str, born: Option<u64>) -> Option<Key> {
+        let key = self.key(id)?;
+        (self.all.get(key)?.listed.born == born).then_some(key)
+    }
+
+    /// Every server.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = (Key, &mut Server)> {
+        self.all.iter_mut()
+    }
+
+    /// The server at an address and its key.
+    pub fn found(&self, addr: SocketAddr) -> Option<(Key, &Server)> {
+        let key = *self.addrs.get(&addr)?;
+        Some((key, self.all.get(key)?))
+    }
+
     /// The server at an address.
     pub fn at(&self, addr: SocketAddr) -> Option<&Server> {
-        self.all.get(*self.addrs.get(&addr)?)
+        self.found(addr).map(|(_, server)| server)
     }
 
     /// The server at an address.
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -76,6 +76,8 @@
     next_number: u64,
     servers: BTreeMap<Name, Server>,
     entries: usize,
+    /// Place of this entry among them, by name.
+    rank: usize,
     runs: HashMap<u64, Run>,
     calls: HashMap<u64, u64>,
     queue: Queue,
@@ -103,6 +105,7 @@
             next_number: 1,
             servers: BTreeMap::new(),
             entries: 1,
+            rank: 0,
             runs: HashMap::new(),
             calls: HashMap::new(),
             active: HashMap::new(),
@@ -148,9 +151,16 @@
         self.entries
     }
 
+    /// Place of this entry among those that are there.
+    pub fn rank(&self) -> usize {
+        self.rank
+    }
+
     /// The processes that are there.
     pub fn members(&mut self, hellos: &[Hello]) {
-        self.entries = hellos.iter().filter(|hello| hello.entry).count().max(1);
+        let entries = || hellos.iter().filter(|hello| hello.entry);
+        self.entries = entries().count().max(1);
+        self.rank = entries().filter(|hello| hello.name < self.me).count();
     }
 
     /// A link to a process is up.
--- a/crates/node/src/forward/admit.rs
+++ b/crates/node/src/forward/admit.rs
@@ -107,6 +107,9 @@
             passed: false,
             status: 0,
             first: None,
+            sent: at,
+            asked: None,
+            asks: 0,
             head,
         })
     }
@@ -135,7 +138,7 @@
         text: &'static str,
         out: &mut Effects,
     ) {
-        let refusal = self.refusal(code, text);
+        let refusal = self.refusal(code, text, None);
         out.push(Effect::Note(Box::new(Note::Ended {
             request,
             route: Name::default(),
@@ -150,8 +153,14 @@
         out.push(Effect::Door { call, order: Order::Refuse(refusal) });
     }
 
-    pub(super) fn refusal(&mut self, code: Code, text: &'static str) -> Refusal {
-        let retry = code.retryable().then(|| spread(&mut self.rng, COME_BACK));
+    pub(super) fn refusal(
+        &mut self,
+        code: Code,
+        text: &'static str,
+        back: Option<Duration>,
+    ) -> Refusal {
+        let back = || back.unwrap_or_else(|| spread(&mut self.rng, COME_BACK));
+        let retry = code.retryable().then(back);
         Refusal { code, status: code.status(), text, retry }
     }
 }
--- a/crates/node/src/forward/event.rs
+++ b/crates/node/src/forward/event.rs
@@ -5,7 +5,7 @@
 use base::prelude::*;
 use cache::Named;
 use fleet::rollout::Reply;
-use fleet::{Listed, Load, Named as Limited, News, Report};
+use fleet::{Limited, Listed, Load, News, Report};
 
 /// A prompt whose parts the caller names.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
--- a/crates/node/src/forward/explain.rs
+++ b/crates/node/src/forward/explain.rs
@@ -313,6 +313,7 @@
         "version_least": basis.allowed.least,
         "version_newest": basis.allowed.newest,
         "version_newest_age_ms": millis(basis.allowed.newest_age),
+        "limit": basis.limit.map(Limit::per_second),
     })
 }
 
--- a/crates/node/src/forward/follow.rs
+++ b/crates/node/src/forward/follow.rs
@@ -1,7 +1,6 @@
 //! Takes answers, losses and ends, and gives each request its final answer.
 
 use base::prelude::*;
-use fleet::{Named as Limited, Server};
 use record::Repeat;
 
 use super::weights::report;
@@ -33,9 +32,6 @@
             if let Some(version) = answer.version {
                 server.holds(cx.now, version);
             }
-            if answer.own && answer.status != MISDIRECTED {
-                note_limit(cx.now, server, &run.head.id, answer.limit, out);
-            }
             if answer.status == MISDIRECTED {
                 server.misdirected(cx.now);
                 self.shares.touched(server.listed.addr);
@@ -44,6 +40,16 @@
                 }
             }
         }
+        if answer.own
+            && answer.status != MISDIRECTED
+            && let Some(place) = run.place
+        {
+            let request = (&run.head.id.clone(), run.sent);
+            self.limit_answered(cx, place.server, request, answer.limit, out);
+        }
+        let Some(run) = self.runs.get_mut(&call) else {
+            return;
+        };
         if !answer.own {
             // Bytes of another request: what became of this one is not known.
             self.failed(cx, call, Loss::Silent, out);
@@ -204,13 +210,25 @@
         code: Code,
         text: &'static str,
         out: &mut Effects,
+    ) {
+        self.give_up_until(cx, call, (code, text), None, out);
+    }
+
+    /// The same, with the time after which the caller may come back.
+    pub(super) fn give_up_until(
+        &mut self,
+        cx: &Context<'_>,
+        call: u64,
+        (code, text): (Code, &'static str),
+        back: Option<Duration>,
+        out: &mut Effects,
     ) {
         let Some(run) = self.runs.get(&call) else {
             return;
         };
         // What has been sent may have run, so nothing may promise that it has not.
         let code = if run.ran > 0 && code.fate() == Fate::NotRun { Code::Unknown } else { code };
-        let refusal = self.refusal(code, text);
+        let refusal = self.refusal(code, text, back);
         let status = refusal.status;
         out.push(Effect::Door { call, order: Order::Refuse(refusal) });
         self.end(cx, call, code, Some(status), out);
@@ -258,14 +276,3 @@
         }
     }
 }
-
-/// Takes what an answer says of its server's limit, and notes what is news.
-fn note_limit(now: Time, server: &mut Server, request: &Name, named: Limited, out: &mut Effects) {
-    let id = server.listed.id.clone();
-    if named == Limited::Unreadable {
-        out.push(Effect::Note(Box::new(Note::LimitUnreadable { server: id })));
-    } else if server.named(now, named) {
-        let (request, limit, calls) = (request.clone(), server.limit(), server.calls);
-        out.push(Effect::Note(Box::new(Note::Limited { server: id, limit, request, calls })));
-    }
-}
--- a/crates/node/src/forward/mod.rs
+++ b/crates/node/src/forward/mod.rs
@@ -9,6 +9,8 @@
 //! | `share` | tells what this entry has at the servers, and hears of the others |
 //! | `stores` | where prompt parts are fetched from and saved |
 //! | `reader` | reads what stores and servers hold |
+//! | `limits` | servers that take a limited rate: who named it, and who is told |
+//! | `permits` | permits for calls to such servers |
 //! | `list` | reads the list of servers, and tells it |
 //! | `weights` | which weight versions runs may begin on, and orders to servers |
 //! | `explain` | what operators are told of all this |
@@ -21,7 +23,9 @@
 mod event;
 mod explain;
 mod follow;
+mod limits;
 mod list;
+mod permits;
 mod place;
 mod reader;
 mod share;
@@ -43,7 +47,9 @@
 use crate::Effects;
 use crate::note::Basis;
 use explain::Kept;
+use limits::Limits;
 use list::Lists;
+use permits::Asked;
 use share::Shares;
 use stores::Stores;
 
@@ -97,8 +103,10 @@
     pub confirmed_ago: Option<Duration>,
     /// Whether the process leaves and the balancer has had the time to notice.
     pub closing: bool,
-    /// Entries that share the retry budget.
+    /// Entries that share the retry budget and the limits of servers.
     pub entries: usize,
+    /// Place of this one among them.
+    pub rank: usize,
     /// Term in which this process leads the keepers, if it does.
     pub term: Option<u64>,
 }
@@ -138,6 +146,12 @@
     passed: bool,
     status: u16,
     first: Option<Time>,
+    /// When the present try was sent.
+    sent: Time,
+    /// The question for a permit that it waits for.
+    asked: Option<Asked>,
+    /// Such questions so far.
+    asks: u32,
 }
 
 impl Run {
@@ -155,6 +169,7 @@
     rollout: Rollout,
     stores: Stores,
     shares: Shares,
+    limits: Limits,
     /// Requests that wait for the configuration, and when each was taken.
     held: VecDeque<(Time, u64, Box<Head>)>,
     runs: HashMap<u64, Run>,
@@ -180,6 +195,7 @@
             rollout: Rollout::default(),
             stores: Stores::default(),
             shares: Shares::default(),
+            limits: Limits::default(),
             held: VecDeque::new(),
             runs: HashMap::new(),
             deadlines: BTreeSet::new(),
@@ -250,6 +266,7 @@
             self.deadlines.pop_first();
             self.overdue(cx, call, out);
         }
+        self.expire_asks(cx, out);
         self.admit_held(cx, out);
         self.read_list(cx, out);
         self.note_weights(cx, out);
--- /dev/null
+++ b/crates/node/src/forward/permits.rs
@@ -0,0 +1,252 @@
+//! Permits for servers that take a limited rate: an entry asks for one, and the leader hands them out.
+
+use base::prelude::*;
+use fleet::Key;
+use limit::LEAST;
+use wire::Frame;
+use wire::limit::{Ask, Reply};
+
+use super::limits::life;
+use super::{Context, Forward};
+use crate::note::{Note, Permit};
+use crate::{Effect, Effects};
+
+/// Longest wait for a permit: several ways to another availability zone and back.
+const WAIT: Duration = Duration::from_millis(100);
+/// Most servers asked for at once, and most where nothing else can take the request.
+const MOST_ASKED: usize = 4;
+const MOST_ASKED_LAST: usize = 16;
+/// Most times that one request asks.
+pub(super) const MOST_ASKS: u32 = 2;
+/// Wait for a server that the leader does not know: its list is read once a second.
+const UNKNOWN_MS: u32 = 500;
+
+/// A question for a permit that a request waits for.
+#[derive(Clone, Debug)]
+pub(super) struct Asked {
+    number: u64,
+    at: Time,
+    servers: Vec<Key>,
+    last: bool,
+}
+
+impl Forward {
+    /// Asks for a permit for one of these servers, the best one first, or takes it where nobody is to be asked. Gives
+    /// false where neither can be done; the request then needs another server.
+    pub(super) fn ask_permit(
+        &mut self,
+        cx: &Context<'_>,
+        call: u64,
+        mut servers: Vec<Key>,
+        last: bool,
+        out: &mut Effects,
+    ) -> bool {
+        servers.truncate(if last { MOST_ASKED_LAST } else { MOST_ASKED });
+        let dealer = self.limits.reachable().map(|dealer| dealer.name.clone());
+        if cx.term.is_none() && dealer.is_none() {
+            return self.take_slot(cx, call, &servers, last, out);
+        }
+        let lives = servers.iter().filter_map(|key| self.servers.get(*key)).map(life).collect();
+        self.limits.number += 1;
+        let number = self.limits.number;
+        let Some(run) = self.runs.get_mut(&call) else {
+            return true;
+        };
+        run.asks += 1;
+        run.asked = Some(Asked { number, at: cx.now, servers, last });
+        let ask = Ask { call, number, servers: lives, last };
+        match dealer.filter(|_| cx.term.is_none()) {
+            Some(to) => {
+                self.limits.waiting.push_back((cx.now + WAIT, call, number));
+                out.push(Effect::Send { to, frame: Frame::PermitAsk(ask) });
+            }
+            None => {
+                if let Some(reply) = self.permit_asked(cx, &ask) {
+                    self.permit_answered(cx, &reply, out);
+                }
+            }
+        }
+        true
+    }
+
+    /// Takes this entry's turn at one of these servers, if it is its turn.
+    fn take_slot(
+        &mut self,
+        cx: &Context<'_>,
+        call: u64,
+        servers: &[Key],
+        last: bool,
+        out: &mut Effects,
+    ) -> bool {
+        let alone = *self.limits.alone.get_or_insert(cx.now);
+        let time = cx.now.since(alone).as_secs_f64();
+        let Some(request) = self.runs.get(&call).map(|run| run.head.id.clone()) else {
+            return true;
+        };
+        for key in servers {
+            let Some(server) = self.servers.get_mut(*key) else { continue };
+            let Some(need) = &mut server.need else { continue };
+            let slot = (time * need.limit.per_second().max(LEAST)) as u64;
+            let own = slot as usize % cx.entries.max(1) == cx.rank;
+            if !own || need.slot == Some(slot) {
+                continue;
+            }
+            need.slot = Some(slot);
+            let (limit, age) = (Some(need.limit), cx.now.since(need.named));
+            out.push(Effect::Note(Box::new(Note::Permit {
+                request,
+                server: server.listed.id.clone(),
+                outcome: Permit::Standby,
+                limit,
+                age,
+                wait: Duration::ZERO,
+                given: 0,
+                last,
+            })));
+            self.place_at(cx, call, *key, out);
+            return true;
+        }
+        false
+    }
+
+    /// As the leader: answers a question for a permit.
+    pub fn permit_asked(&mut self, cx: &Context<'_>, ask: &Ask) -> Option<Reply> {
+        cx.term?;
+        let mut reply = Reply {
+            call: ask.call,
+            number: ask.number,
+            granted: None,
+            waits_ms: Vec::new(),
+            back_ms: 0,
+            given: 0,
+        };
+        let mut service = None;
+        for (place, life) in ask.servers.iter().enumerate() {
+            let key = self.servers.life(&life.id, life.born);
+            let found = key.and_then(|key| Some((key, self.servers.get(key)?)));
+            let Some((key, server)) = found else {
+                reply.waits_ms.push(UNKNOWN_MS);
+                continue;
+            };
+            service.get_or_insert_with(|| server.listed.service.clone());
+            let taken = match server.takes() {
+                Some(takes) => {
+                    let permits = self.limits.of(cx.now, key);
+                    let taken = permits.take(cx.now, takes);
+                    if place == 0 {
+                        reply.given = permits.given(cx.now);
+                    }
+                    taken
+                }
+                None => Ok(()),
+            };
+            match taken {
+                Ok(()) => {
+                    reply.granted = Some(place as u32);
+                    return Some(reply);
+                }
+                Err(wait) => reply.waits_ms.push(wait.as_millis() as u32 + 1),
+            }
+        }
+        if let Some(service) = service.filter(|_| ask.last) {
+            let takes = self.servers.of(&service).filter_map(|(_, server)| server.takes()).sum();
+            let turn = self.limits.turns.entry(service).or_default().next(cx.now, takes);
+            reply.back_ms = turn.as_millis() as u32;
+        }
+        Some(reply)
+    }
+
+    /// The leader answered a question for a permit.
+    pub fn permit_answered(&mut self, cx: &Context<'_>, reply: &Reply, out: &mut Effects) {
+        if let Some(dealer) = &mut self.limits.dealer {
+            dealer.silent = None;
+            self.limits.alone = None;
+        }
+        let Some(run) = self.runs.get_mut(&reply.call) else {
+            return;
+        };
+        let asked = run.asked.take_if(|asked| asked.number == reply.number);
+        let Some(asked) = asked else {
+            return;
+        };
+        let granted = reply.granted.and_then(|place| asked.servers.get(place as usize).copied());
+        if cx.now.since(asked.at) >= WAIT {
+            // Late by a standstill of this process: others have gone on counting.
+            self.unpermitted(cx, reply.call, &asked, Permit::Unanswered, (0, None), out);
+        } else if let Some(key) = granted {
+            self.note_permit(cx, reply.call, (key, &asked), Permit::Granted, reply.given, out);
+            self.place_at(cx, reply.call, key, out);
+        } else {
+            for (key, wait_ms) in asked.servers.iter().zip(&reply.waits_ms) {
+                if let Some(need) = self.servers.get_mut(*key).and_then(|found| found.need.as_mut())
+                {
+                    need.denied_until = cx.now + Duration::from_millis(u64::from(*wait_ms));
+                }
+            }
+            let back = asked.last.then(|| Duration::from_millis(u64::from(reply.back_ms)));
+            self.unpermitted(cx, reply.call, &asked, Permit::Denied, (reply.given, back), out);
+        }
+    }
+
+    /// Questions whose wait is over are given up, and what this entry heard is told again while the leader is silent.
+    pub(super) fn expire_asks(&mut self, cx: &Context<'_>, out: &mut Effects) {
+        while let Some((at, call, number)) = self.limits.waiting.front().copied() {
+            if at > cx.now {
+                break;
+            }
+            self.limits.waiting.pop_front();
+            let asked = self
+                .runs
+                .get_mut(&call)
+                .and_then(|run| run.asked.take_if(|asked| asked.number == number));
+            let Some(asked) = asked else { continue };
+            if let Some(dealer) = &mut self.limits.dealer {
+                dealer.silent.get_or_insert(cx.now);
+            }
+            self.unpermitted(cx, call, &asked, Permit::Unanswered, (0, None), out);
+        }
+        if self.limits.reachable().is_none() && cx.now >= self.limits.next_heard {
+            self.tell_heard(cx.now, out);
+        }
+    }
+
+    /// There is no permit for a request: it goes elsewhere, or is refused until a time.
+    fn unpermitted(
+        &mut self,
+        cx: &Context<'_>,
+        call: u64,
+        asked: &Asked,
+        outcome: Permit,
+        (given, back): (u32, Option<Duration>),
+        out: &mut Effects,
+    ) {
+        if let Some(key) = asked.servers.first() {
+            self.note_permit(cx, call, (*key, asked), outcome, given, out);
+        }
+        self.place_free(cx, call, back, out);
+    }
+
+    fn note_permit(
+        &self,
+        cx: &Context<'_>,
+        call: u64,
+        (key, asked): (Key, &Asked),
+        outcome: Permit,
+        given: u32,
+        out: &mut Effects,
+    ) {
+        let (Some(run), Some(server)) = (self.runs.get(&call), self.servers.get(key)) else {
+            return;
+        };
+        out.push(Effect::Note(Box::new(Note::Permit {
+            request: run.head.id.clone(),
+            server: server.listed.id.clone(),
+            outcome,
+            limit: server.limit(),
+            age: server.need.map_or(Duration::ZERO, |need| cx.now.since(need.named)),
+            wait: cx.now.since(asked.at),
+            given,
+            last: asked.last,
+        })));
+    }
+}
--- a/crates/node/src/forward/place.rs
+++ b/crates/node/src/forward/place.rs
@@ -2,11 +2,12 @@
 
 use base::prelude::*;
 use cache::salt_number;
-use fleet::{Key, Server};
+use fleet::{Key, Need, Server, Servers};
 use rand::Rng;
 use record::Engine;
 use route::direct::{self, Candidate};
 
+use super::permits::MOST_ASKS;
 use super::stores::{Sources, Transfer};
 use super::{Context, Forward, Order, Place, Prompt, Run, Try};
 use crate::note::{Allowed, Basis};
@@ -18,34 +19,93 @@
 const KEPT: f64 = 0.6;
 /// How long what this entry sent to a server may take to show in its events.
 const UNTOLD: Duration = Duration::from_millis(1_500);
+/// Difference to which a server in need counts as good as another: about the way to the leader and back, milliseconds.
+const PERMIT_MS: f64 = 3.0;
+/// Time that a permit must save at first, milliseconds: about the fetch of a history from a store.
+const GAIN_MS: f64 = 20.0;
+/// Part of the time between two permits for which the next one is for those who gain by it: what a bucket saves meanwhile.
+const FIRST: f64 = 0.25;
 /// Time added to a server that holds old weights while others hold new ones, milliseconds.
 const OLD_WEIGHTS_MS: f64 = 1_000.0;
 
 impl Forward {
-    /// Sends a request to a server, or gives it up.
+    /// Sends a request to a server, asks for a permit for one, or gives it up.
     pub(super) fn place(&mut self, cx: &Context<'_>, call: u64, out: &mut Effects) {
-        let point = self.rng.random();
         let Some(run) = self.runs.get(&call) else {
             return;
         };
-        let allowed = model(cx, run).map(|model| self.allowed(cx.now, model)).unwrap_or_default();
-        let Some(choice) = self.choose(cx, run, allowed, point) else {
-            if let Some(run) = self.runs.get_mut(&call) {
-                run.basis.allowed = allowed;
+        let options = self.options(cx, run);
+        if run.asks < MOST_ASKS {
+            let free = options.best(0.0).map(|index| direct::cost(&options.candidates[index]));
+            let wanted = options.limited(&self.servers, cx.now, free);
+            if !wanted.is_empty() && self.ask_permit(cx, call, wanted, free.is_none(), out) {
+                return;
             }
-            self.give_up(cx, call, Code::NoServer, "no backend server can take it now", out);
+        }
+        self.place_among(cx, call, options, None, out);
+    }
+
+    /// Sends a request to a server without a limit, or gives it up until a time.
+    pub(super) fn place_free(
+        &mut self,
+        cx: &Context<'_>,
+        call: u64,
+        back: Option<Duration>,
+        out: &mut Effects,
+    ) {
+        if let Some(run) = self.runs.get(&call) {
+            let options = self.options(cx, run);
+            self.place_among(cx, call, options, back, out);
+        }
+    }
+
+    fn place_among(
+        &mut self,
+        cx: &Context<'_>,
+        call: u64,
+        options: Options,
+        back: Option<Duration>,
+        out: &mut Effects,
+    ) {
+        if let Some(index) = options.best(self.rng.random()) {
+            self.send(cx, call, options.take(index), out);
             return;
+        }
+        let refusal = if options.candidates.is_empty() {
+            (Code::NoServer, "no backend server can take it now")
+        } else {
+            (Code::Overloaded, "the backend servers take no more now")
         };
-        let Choice { key, version: held, transfer, sources, candidate } = choice;
+        if let Some(run) = self.runs.get_mut(&call) {
+            run.basis.allowed = options.allowed;
+        }
+        self.give_up_until(cx, call, refusal, back, out);
+    }
+
+    /// Sends a request to a server that there is a permit for, unless it has become unusable meanwhile.
+    pub(super) fn place_at(&mut self, cx: &Context<'_>, call: u64, key: Key, out: &mut Effects) {
+        let Some(run) = self.runs.get(&call) else {
+            return;
+        };
+        let options = self.options(cx, run);
+        match options.choices.iter().position(|choice| choice.key == key) {
+            Some(index) => self.send(cx, call, options.take(index), out),
+            None => self.place(cx, call, out),
+        }
+    }
+
+    fn send(&mut self, cx: &Context<'_>, call: u64, choice: Choice, out: &mut Effects) {
+        let Choice { key, version: held, transfer, sources, candidate, allowed } = choice;
         let reading = candidate.missing;
         let list_age = self.servers.read_at().map_or(Duration::MAX, |at| cx.now.since(at));
-        let engine = engine(cx, run);
+        let engine = self.runs.get(&call).and_then(|run| engine(cx, run));
         let (Some(run), Some(server)) = (self.runs.get_mut(&call), self.servers.get_mut(key))
         else {
             return;
         };
         let version = (engine.is_some() && held > 0).then_some(held);
         let salt = run.head.prompt.as_ref().map(|prompt| salt(run, &prompt.model, held));
+        run.sent = cx.now;
         run.tries += 1;
         run.ran += 1;
         run.tried.push(key);
@@ -59,6 +119,7 @@
             list_age,
             version: held,
             allowed,
+            limit: server.limit(),
         };
         run.place = Some(Place { server: key, reading, from: transfer.from });
         server.running += 1;
@@ -90,12 +151,11 @@
         out.push(Effect::Door { call, order: Order::Try(Box::new(order)) });
     }
 
-    /// The server with the earliest first token; `point` picks among equal ones.
-    fn choose(&self, cx: &Context<'_>, run: &Run, allowed: Allowed, point: f64) -> Option<Choice> {
+    /// The servers that a request can go to.
+    fn options(&self, cx: &Context<'_>, run: &Run) -> Options {
+        let allowed = model(cx, run).map(|model| self.allowed(cx.now, model)).unwrap_or_default();
         let prompt = run.head.prompt.as_ref().zip(engine(cx, run));
-        let mut known: Vec<(u64, Sources)> = Vec::new();
-        let mut candidates = Vec::new();
-        let mut choices = Vec::new();
+        let mut options = Options { allowed, ..Options::default() };
         for (key, server) in self.servers.of(&run.service) {
             let version = held(server, allowed);
             let too_old = version < allowed.least;
@@ -105,6 +165,7 @@
             let mut transfer = Transfer::default();
             let mut reading = 0;
             if let Some((prompt, engine)) = prompt {
+                let known = &mut options.known;
                 let sources = known.iter().position(|(found, _)| *found == version);
                 let sources = sources.unwrap_or_else(|| {
                     let salt = salt_number(&salt(run, &prompt.model, version));
@@ -117,7 +178,7 @@
                 reading = all - transfer.held - transfer.tokens;
             }
             let old = version < allowed.newest;
-            candidates.push(Candidate {
+            options.candidates.push(Candidate {
                 running: server.runs(cx.now),
                 slots: server.listed.slots,
                 missing: reading,
@@ -126,13 +187,10 @@
                 near: server.listed.zone == self.zone,
                 penalty_ms: transfer.millis + if old { OLD_WEIGHTS_MS } else { 0.0 },
             });
-            choices.push((key, version, transfer));
+            let limited = server.need.is_some();
+            options.choices.push(Possible { key, version, transfer, limited });
         }
-        let index = direct::choose(&candidates, point)?;
-        let (key, version, transfer) = choices.swap_remove(index);
-        let sources = known.into_iter().find(|(found, _)| *found == version);
-        let sources = sources.map(|(_, sources)| sources).unwrap_or_default();
-        Some(Choice { key, version, transfer, sources, candidate: candidates[index] })
+        options
     }
 
     /// What a prompt would need at a server.
@@ -157,13 +215,84 @@
 }
 
 /// A server that a request can go to.
-struct Choice {
+struct Possible {
     key: Key,
     /// Weight version that it is expected to hold.
     version: u64,
     transfer: Transfer,
+    /// Whether it takes a permit.
+    limited: bool,
+}
+
+/// The servers that a request can go to, and what was looked up for them.
+#[derive(Default)]
+struct Options {
+    allowed: Allowed,
+    candidates: Vec<Candidate>,
+    /// The same servers.
+    choices: Vec<Possible>,
+    /// Where the prompt's parts lie, by weight version.
+    known: Vec<(u64, Sources)>,
+}
+
+impl Options {
+    /// The server without a limit that has the earliest first token; `point` picks among equal ones.
+    fn best(&self, point: f64) -> Option<usize> {
+        let all = self.candidates.iter().zip(&self.choices).enumerate();
+        let (places, free): (Vec<usize>, Vec<Candidate>) = all
+            .filter(|(_, (_, choice))| !choice.limited)
+            .map(|(index, (candidate, _))| (index, *candidate))
+            .unzip();
+        direct::choose(&free, point).map(|index| places[index])
+    }
+
+    /// The servers with a limit that are worth a permit, the best one first; all of them where no other server
+    /// can take the request, whose best one costs `free`.
+    fn limited(&self, servers: &Servers, now: Time, free: Option<f64>) -> Vec<Key> {
+        let mut found: Vec<(f64, Key)> = Vec::new();
+        for (candidate, choice) in self.candidates.iter().zip(&self.choices) {
+            let Some(need) = servers.get(choice.key).and_then(|server| server.need) else {
+                continue;
+            };
+            let cost = direct::cost(candidate);
+            if free.is_none_or(|free| is_worth(&need, now, free - cost)) {
+                found.push((cost, choice.key));
+            }
+        }
+        found.sort_unstable_by(|one, other| one.0.total_cmp(&other.0));
+        found.into_iter().map(|(_, key)| key).collect()
+    }
+
+    fn take(mut self, index: usize) -> Choice {
+        let candidate = self.candidates[index];
+        let Possible { key, version, transfer, .. } = self.choices.swap_remove(index);
+        let sources = self.known.into_iter().find(|(found, _)| *found == version);
+        let sources = sources.map(|(_, sources)| sources).unwrap_or_default();
+        Choice { key, version, transfer, sources, candidate, allowed: self.allowed }
+    }
+}
+
+/// Whether a request that gains this much at a server in need, milliseconds, asks for a permit there. At first a
+/// permit is for those who gain by it, later for anybody; and a server that has not been heard of for long is asked
+/// in any case, since nothing else tells that its need is over.
+fn is_worth(need: &Need, now: Time, gain_ms: f64) -> bool {
+    if now < need.denied_until {
+        return false;
+    }
+    let interval = limit::interval(need.limit.per_second());
+    let fresh = now.since(need.denied_until) < interval.mul_f64(FIRST);
+    let unheard = now.since(need.named) >= interval;
+    gain_ms >= if fresh { GAIN_MS } else { -PERMIT_MS } || unheard
+}
+
+/// The server that a request goes to.
+struct Choice {
+    key: Key,
+    version: u64,
+    transfer: Transfer,
     sources: Sources,
     candidate: Candidate,
+    allowed: Allowed,
 }
 
 /// The weight version that a try expects of a server: the newest where none is known, as a new server
--- a/crates/node/src/note.rs
+++ b/crates/node/src/note.rs
@@ -27,6 +27,8 @@
     pub version: u64,
     /// The weight versions that the model's runs could begin on.
     pub allowed: Allowed,
+    /// Its limit, if it had one: a permit was needed.
+    pub limit: Option<Limit>,
 }
 
 /// The weight versions that runs of a model may begin on.
@@ -40,6 +42,40 @@
     pub newest_age: Duration,
 }
 
+/// Where a process heard of a server's limit.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Heard {
+    /// In the server's answer to a request, by the caller's ID.
+    Answer(Name),
+    /// From a keeper or, as the leader, from an entry.
+    Process(Name),
+}
+
+/// What came of a wish to send a request to a server with a limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Permit {
+    /// The leader granted it.
+    Granted,
+    /// The leader has no permit left.
+    Denied,
+    /// No answer came in time.
+    Unanswered,
+    /// There is no leader, and it is this entry's turn.
+    Standby,
+}
+
+impl Permit {
+    /// The word in logs and metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Granted => "granted",
+            Self::Denied => "denied",
+            Self::Unanswered => "unanswered",
+            Self::Standby => "standby",
+        }
+    }
+}
+
 /// A decision for the log.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Note {
@@ -81,11 +117,32 @@
         server: Name,
         /// The limit; none when it names none any more.
         limit: Option<Limit>,
-        /// The caller's ID of the request that was answered so.
-        request: Name,
+        /// Who said so: the caller's ID of the request that was answered so, or the keeper that told it.
+        from: Heard,
+        /// Time since it was named last.
+        age: Duration,
         /// Calls of this process to it so far.
         calls: Calls,
     },
+    /// A request was best sent to a server with a limit, which takes a permit.
+    Permit {
+        /// The caller's ID of the request.
+        request: Name,
+        /// The best server.
+        server: Name,
+        /// What came of it.
+        outcome: Permit,
+        /// The server's limit.
+        limit: Option<Limit>,
+        /// Time since that was named last.
+        age: Duration,
+        /// Time for which the request waited for it.
+        wait: Duration,
+        /// Permits of that server in the last four seconds, of all entries, as the leader told.
+        given: u32,
+        /// Whether no other server could take the request.
+        last: bool,
+    },
     /// An answer named a limit that cannot be read.
     LimitUnreadable {
         /// The server.
--- a/crates/node/src/process/mod.rs
+++ b/crates/node/src/process/mod.rs
@@ -264,10 +264,12 @@
         }
         let beat = self.heartbeat(now, &hello.name);
         out.push(Effect::Send { to: hello.name.clone(), frame: Frame::Beat(beat) });
-        let leads = self.term(now).is_some();
-        if let Some(forward) = self.forward.as_ref().filter(|_| leads && hello.entry) {
-            let frame = Frame::Stock(forward.stock());
-            out.push(Effect::Send { to: hello.name.clone(), frame });
+        let term = self.term(now).filter(|_| hello.entry);
+        if let Some((forward, term)) = self.forward.as_ref().zip(term) {
+            let limits = Frame::Limits(forward.limits_in_force(now, term));
+            for frame in [Frame::Stock(forward.stock()), limits] {
+                out.push(Effect::Send { to: hello.name.clone(), frame });
+            }
         }
         self.with_entry(now, |entry, cx| entry.linked(cx, &hello, out));
         self.exchange_contacts(now, &hello, out);
@@ -374,6 +376,22 @@
                     forward.ages_told(now, &told);
                 }
             }
+            Frame::LimitsHeard(heard) => {
+                self.with_forward(now, |forward, cx| forward.limits_heard(cx, peer, &heard, out));
+            }
+            Frame::Limits(told) => {
+                self.with_forward(now, |forward, cx| forward.limits_told(cx, peer, &told, out));
+            }
+            Frame::PermitAsk(ask) => {
+                let mut reply = None;
+                self.with_forward(now, |forward, cx| reply = forward.permit_asked(cx, &ask));
+                if let Some(reply) = reply {
+                    out.push(Effect::Send { to: peer.clone(), frame: Frame::Permit(reply) });
+                }
+            }
+            Frame::Permit(reply) => {
+                self.with_forward(now, |forward, cx| forward.permit_answered(cx, &reply, out));
+            }
             Frame::Contacts(contacts) => self.contacts_told(now, peer, &contacts, out),
             Frame::Hello(_) | Frame::Idle => {}
         }
--- a/crates/node/src/process/told.rs
+++ b/crates/node/src/process/told.rs
@@ -35,6 +35,7 @@
                 confirmed_ago: self.watch.confirmed_ago(now),
                 closing: self.stopping.is_some_and(|at| now.since(at) >= forward.config().linger),
                 entries: self.entry.as_ref().map_or(1, Entry::entries),
+                rank: self.entry.as_ref().map_or(0, Entry::rank),
                 term,
             };
             run(forward, &cx);
@@ -123,12 +124,17 @@
         let me = self.me.hello.name.clone();
         let mut sums = Vec::new();
         let mut ages = Vec::new();
+        let mut limits = None;
         let mut leads = false;
         self.with_forward(now, |forward, cx| {
             leads = cx.term.is_some();
             sums = forward.take_sums(cx);
             ages = forward.take_ages(cx);
+            limits = forward.take_limits(cx);
         });
+        if let Some(limits) = limits {
+            self.tell_entries(&Frame::Limits(limits), out);
+        }
         if !ages.is_empty() {
             self.tell_entries(&Frame::Weights(ages), out);
         }
--- a/crates/node/tests/forward.rs
+++ b/crates/node/tests/forward.rs
@@ -1,5 +1,7 @@
 //! Forwarded requests: admission, choice, the truthful fate of each try, and what entries share.
 
+mod shop;
+
 use std::net::SocketAddr;
 
 use base::prelude::*;
@@ -11,97 +13,17 @@
 };
 use node::note::{Allowed, Note};
 use node::{Effect, Effects};
-use record::{Change, Kind, Record, View, schema};
+use record::View;
 use serde_json::{Value, json};
 use test_case::test_case;
 
-const STORE: &str = "10.0.0.9:1";
-
-fn record(kind: Kind, name: &str, body: &Value) -> Change {
-    let place = Revision { epoch: 1, index: 1 };
-    let by = Name::new("op");
-    Change {
-        kind,
-        name: Name::new(name),
-        revision: place,
-        by: by.clone(),
-        at_ms: 0,
-        record: Some(Record {
-            kind,
-            name: Name::new(name),
-            version: 1,
-            schema: schema::newest(kind),
-            min_schema: 1,
-            body: body.to_string().into(),
-            created: place,
-            revision: place,
-            by,
-            at_ms: 0,
-        }),
-    }
-}
-
-fn view(weights: u64) -> View {
-    let route = |prefix: &str, repeat: &str, attempts: u64| {
-        json!({
-            "host": "shop", "prefix": prefix, "repeat": repeat, "timeout_ms": 4_000,
-            "backends": [{ "service": "llm", "weight": 1 }], "attempts": attempts,
-        })
-    };
-    let engine = json!({
-        "model": "m", "slots": 8, "tokens": 50_000, "token_bytes": 300_000,
-        "link_rate": 500_000_000_000_u64,
-    });
-    let store = json!({
-        "addr": STORE, "zone": "a", "tokens": 1_000_000, "link_rate": 400_000_000_000_u64,
-        "latency_us": 6_000,
-    });
-    let mut view = View::default();
-    view.apply(&[
-        record(Kind::Service, "llm", &json!({ "engine": engine })),
-        record(Kind::Service, "store", &json!({ "store": store })),
-        record(
-            Kind::Workspace,
-            "shop",
-            &json!({ "keys": [blake3::hash(b"key").to_hex().as_str()] }),
-        ),
-        record(
-            Kind::Workspace,
-            "wall",
-            &json!({ "keys": [blake3::hash(b"own").to_hex().as_str()], "isolated": true }),
-        ),
-        record(Kind::Route, "once", &route("/once/", "never", 1)),
-        record(Kind::Route, "twice", &route("/twice/", "never", 2)),
-        record(Kind::Route, "safe", &route("/safe/", "always", 2)),
-        record(Kind::Route, "stream", &route("/stream/", "resume", 2)),
-        record(Kind::Rollout, "m", &json!({ "model": "m", "version": format!("m@{weights}") })),
-    ]);
-    view
-}
-
-fn addr(number: u16) -> SocketAddr {
-    SocketAddr::from(([10, 0, 1, 1], number))
-}
+use shop::{STORE, addr, listed, view};
 
 /// Nothing of an entry at a server.
 fn nothing(server: SocketAddr) -> wire::Share {
     wire::Share { server, runs: 0, reading: 0, sending_ms: 0, changing: false, version: 0 }
 }
 
-fn listed(number: u16) -> Listed {
-    Listed {
-        id: Name::from(format!("i-{number}")),
-        born: None,
-        service: Name::new("llm"),
-        addr: addr(number),
-        zone: Name::new("a"),
-        slots: 8,
-        leaving: false,
-        cold: Duration::ZERO,
-        models: vec![(Name::new("m"), 1)],
-    }
-}
-
 struct Bed {
     forward: Forward,
     view: View,
@@ -155,6 +77,7 @@
             confirmed_ago: self.confirmed_ago,
             closing: self.closing,
             entries: 4,
+            rank: 0,
             term: self.term,
         };
         run(&mut self.forward, &cx, &mut self.out);
--- /dev/null
+++ b/crates/node/tests/limits.rs
@@ -0,0 +1,484 @@
+//! Servers in need among up to hundreds of entries, without a network: frames that come late or not at all, entries that
+//! start again, a leader that changes or is gone, clocks that differ.
+
+mod shop;
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+
+use base::prelude::*;
+use fleet::{Limit, Limited, Listed};
+use limit::Allowance;
+use node::forward::{Answer, Config, Context, Event, Forward, Head, Order};
+use node::{Effect, Effects};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use record::View;
+use test_case::test_case;
+use wire::Frame;
+
+use shop::{listed, view};
+
+/// Time between two ticks of a reducer.
+const TICK: u64 = 10;
+/// Span of the rule, and the time after which an entry that has heard must keep to it; milliseconds.
+const SPAN: u64 = 4_000;
+const HEARD: u64 = 500;
+/// When the need begins.
+const NEED: u64 = 2_000;
+/// When the term of the first leader began.
+const TERM: u64 = 1;
+
+/// What is done to the world at a time.
+#[derive(Clone, Copy, Debug)]
+enum Trouble {
+    /// An entry leads in a term, or no longer does.
+    Leads(usize, Option<u64>),
+    /// An entry starts anew.
+    Restart(usize),
+    /// A part of what entries send each other is lost.
+    Loss(f64),
+}
+
+/// A schedule.
+#[derive(Clone, Debug)]
+struct Plan {
+    entries: usize,
+    servers: u16,
+    /// Servers in need.
+    needy: u16,
+    per_second: f64,
+    /// Requests a second, of all entries.
+    load: f64,
+    /// When the need ends and the run ends, milliseconds.
+    ends: u64,
+    until: u64,
+    /// Part of the answers of a server in need that do not say so.
+    silent: f64,
+    troubles: Vec<(u64, Trouble)>,
+    seed: u64,
+}
+
+impl Plan {
+    fn new(entries: usize, per_second: f64) -> Self {
+        Self {
+            entries,
+            servers: 6,
+            needy: 1,
+            per_second,
+            load: 60.0 + entries as f64,
+            ends: u64::MAX,
+            until: 22_000,
+            silent: 0.0,
+            troubles: Vec::new(),
+            seed: entries as u64,
+        }
+    }
+}
+
+enum Due {
+    Tick(usize),
+    Arrival,
+    Frame(usize, usize, Box<Frame>),
+    /// Entry, its life, call and server; when the request was sent.
+    Answer(usize, u32, u64, u16),
+    Done(usize, u32, u64),
+    Trouble(Trouble),
+}
+
+/// A request that reached a server in need.
+struct Call {
+    at: u64,
+    entry: usize,
+}
+
+struct Entry {
+    forward: Forward,
+    life: u32,
+    /// What its clock is ahead by, milliseconds.
+    ahead: u64,
+    term: Option<u64>,
+    /// By server: when it first passed on an answer that named a limit.
+    heard: HashMap<u16, u64>,
+}
+
+struct World {
+    plan: Plan,
+    view: View,
+    now: u64,
+    number: u64,
+    due: BinaryHeap<Reverse<(u64, u64)>>,
+    what: HashMap<u64, Due>,
+    entries: Vec<Entry>,
+    loss: f64,
+    rng: Pcg64Mcg,
+    calls: HashMap<u16, Vec<Call>>,
+    served: usize,
+    /// Times of refusals.
+    refused: Vec<u64>,
+    asks: usize,
+}
+
+fn config() -> Config {
+    Config {
+        allowance: Allowance { ratio: 0.2, slack: 60.0, window: Duration::from_secs(10) },
+        list_every: Duration::from_secs(1),
+        linger: Duration::from_secs(3),
+        lease: Duration::from_secs(1),
+        old_weights: Duration::from_secs(5),
+        deny: Duration::from_millis(1_500),
+    }
+}
+
+impl World {
+    fn play(plan: Plan) -> Self {
+        let mut world = Self {
+            view: view(1),
+            now: 0,
+            number: 0,
+            due: BinaryHeap::new(),
+            what: HashMap::new(),
+            entries: (0..plan.entries)
+                .map(|number| Entry {
+                    forward: Forward::new(config(), Name::new("a"), number as u64),
+                    life: 0,
+                    ahead: 1_000 + 777 * number as u64,
+                    term: (number == 0).then_some(TERM),
+                    heard: HashMap::new(),
+                })
+                .collect(),
+            loss: 0.0,
+            rng: Pcg64Mcg::seed_from_u64(plan.seed),
+            calls: HashMap::new(),
+            served: 0,
+            refused: Vec::new(),
+            asks: 0,
+            plan,
+        };
+        for entry in 0..world.entries.len() {
+            world.list(entry);
+            let phase = world.rng.random_range(0..TICK);
+            world.schedule(phase, Due::Tick(entry));
+        }
+        for (at, trouble) in world.plan.troubles.clone() {
+            world.schedule(at, Due::Trouble(trouble));
+        }
+        world.schedule(1, Due::Arrival);
+        while let Some(Reverse((at, number))) = world.due.pop() {
+            if at >= world.plan.until {
+                break;
+            }
+            world.now = at;
+            if let Some(due) = world.what.remove(&number) {
+                world.take(due);
+            }
+        }
+        world
+    }
+
+    fn schedule(&mut self, after: u64, due: Due) {
+        self.number += 1;
+        self.due.push(Reverse((self.now + after, self.number)));
+        self.what.insert(self.number, due);
+    }
+
+    fn take(&mut self, due: Due) {
+        match due {
+            Due::Tick(entry) => {
+                self.step(entry, Forward::tick);
+                let mut told = None;
+                self.step(entry, |forward, cx, _| told = forward.take_limits(cx));
+                if let Some(told) = told {
+                    for to in 0..self.entries.len() {
+                        if to != entry {
+                            self.send(entry, to, Frame::Limits(told.clone()));
+                        }
+                    }
+                }
+                if self.now % 1_000 < TICK {
+                    self.list(entry);
+                }
+                self.schedule(TICK, Due::Tick(entry));
+            }
+            Due::Arrival => {
+                let entry = self.rng.random_range(0..self.entries.len());
+                let call = self.number;
+                let head = Head {
+                    id: Name::from(format!("r{call}")),
+                    host: "shop".to_owned(),
+                    path: "/safe/x".to_owned(),
+                    key: Some("key".to_owned()),
+                    patience: None,
+                    prompt: None,
+                };
+                self.event(entry, Event::Arrived { call, head: Box::new(head) });
+                let gap: f64 = self.rng.random_range(0.0..2.0) * 1_000.0 / self.plan.load;
+                self.schedule((gap.round() as u64).max(1), Due::Arrival);
+            }
+            Due::Frame(from, to, frame) => {
+                let name = name(from);
+                match *frame {
+                    Frame::LimitsHeard(heard) => {
+                        self.step(to, |forward, cx, out| {
+                            forward.limits_heard(cx, &name, &heard, out);
+                        });
+                    }
+                    Frame::Limits(told) => {
+                        self.step(to, |forward, cx, out| {
+                            forward.limits_told(cx, &name, &told, out);
+                        });
+                    }
+                    Frame::PermitAsk(ask) => {
+                        self.asks += 1;
+                        let mut reply = None;
+                        self.step(to, |forward, cx, _| reply = forward.permit_asked(cx, &ask));
+                        if let Some(reply) = reply {
+                            self.send(to, from, Frame::Permit(reply));
+                        }
+                    }
+                    Frame::Permit(reply) => {
+                        self.step(to, |forward, cx, out| forward.permit_answered(cx, &reply, out));
+                    }
+                    other => panic!("{other:?}"),
+                }
+            }
+            Due::Answer(entry, life, call, server) if self.entries[entry].life == life => {
+                let silent = self.rng.random_bool(self.plan.silent);
+                let limit = if self.needs(server) && !silent {
+                    self.entries[entry].heard.entry(server).or_insert(self.now);
+                    Limited::To(Limit::new(self.plan.per_second).expect("a rate"))
+                } else {
+                    Limited::Not
+                };
+                let answer = Answer { status: 200, own: true, limit, ..Answer::default() };
+                self.event(entry, Event::Answered { call, answer });
+                self.served += 1;
+                let rest = self.rng.random_range(0..300);
+                self.schedule(rest, Due::Done(entry, life, call));
+            }
+            Due::Done(entry, life, call) if self.entries[entry].life == life => {
+                self.event(entry, Event::Done { call });
+            }
+            Due::Answer(..) | Due::Done(..) => {}
+            Due::Trouble(trouble) => self.trouble(trouble),
+        }
+    }
+
+    fn trouble(&mut self, trouble: Trouble) {
+        match trouble {
+            Trouble::Leads(number, term) => self.entries[number].term = term,
+            Trouble::Restart(number) => {
+                let entry = &mut self.entries[number];
+                entry.life += 1;
+                entry.heard.clear();
+                entry.forward = Forward::new(config(), Name::new("a"), u64::from(entry.life));
+                self.list(number);
+                // The leader tells an entry whose link is up what is in force.
+                let leader = self.entries.iter().position(|entry| entry.term.is_some());
+                if let Some(leader) = leader.filter(|leader| *leader != number) {
+                    let entry = &self.entries[leader];
+                    let now = Time::from_millis(self.now + entry.ahead);
+                    let told = entry.forward.limits_in_force(now, entry.term.unwrap_or(TERM));
+                    self.send(leader, number, Frame::Limits(told));
+                }
+            }
+            Trouble::Loss(part) => self.loss = part,
+        }
+    }
+
+    fn needs(&self, server: u16) -> bool {
+        server <= self.plan.needy && (NEED..self.plan.ends).contains(&self.now)
+    }
+
+    fn list(&mut self, entry: usize) {
+        let list = (1..=self.plan.servers).map(plain).collect();
+        self.event(entry, Event::Listed { list: Ok(list) });
+    }
+
+    fn send(&mut self, from: usize, to: usize, frame: Frame) {
+        if self.loss > 0.0 && self.rng.random_bool(self.loss) {
+            return;
+        }
+        let way = self.rng.random_range(1..4);
+        self.schedule(way, Due::Frame(from, to, Box::new(frame)));
+    }
+
+    fn event(&mut self, entry: usize, event: Event) {
+        self.step(entry, |forward, cx, out| forward.event(cx, event, out));
+    }
+
+    fn step(&mut self, number: usize, run: impl FnOnce(&mut Forward, &Context<'_>, &mut Effects)) {
+        let mut out = Vec::new();
+        let entry = &mut self.entries[number];
+        let cx = Context {
+            now: Time::from_millis(self.now + entry.ahead),
+            view: &self.view,
+            ready: true,
+            confirmed_ago: Some(Duration::ZERO),
+            closing: false,
+            entries: self.plan.entries,
+            rank: number,
+            term: entry.term,
+        };
+        run(&mut entry.forward, &cx, &mut out);
+        for effect in out {
+            match effect {
+                Effect::Send { to, frame } => {
+                    let to =
+                        to.strip_prefix("e").and_then(|text| text.parse().ok()).expect("an entry");
+                    self.send(number, to, frame);
+                }
+                Effect::Door { call, order: Order::Try(to) } => {
+                    let server: u16 = to
+                        .id
+                        .strip_prefix("i-")
+                        .and_then(|text| text.parse().ok())
+                        .expect("a server");
+                    if self.needs(server) {
+                        let call = Call { at: self.now, entry: number };
+                        self.calls.entry(server).or_default().push(call);
+                    }
+                    let work = self.rng.random_range(20..400);
+                    let life = self.entries[number].life;
+                    self.schedule(work, Due::Answer(number, life, call, server));
+                }
+                Effect::Door { order: Order::Refuse(_), .. } => self.refused.push(self.now),
+                _ => {}
+            }
+        }
+    }
+
+    /// Most requests in the span of the rule at a server, from entries that had heard of its limit by then and were not
+    /// restarted since.
+    fn worst(&self, server: u16) -> usize {
+        let bound = |call: &&Call| {
+            let heard = self.entries[call.entry].heard.get(&server);
+            heard.is_some_and(|heard| call.at >= heard + HEARD)
+        };
+        let calls = self.calls.get(&server).into_iter().flatten();
+        worst(&calls.filter(bound).map(|call| call.at).collect::<Vec<u64>>())
+    }
+
+    /// The same of all entries, whether they passed on an answer or not, once the leader has told them.
+    fn worst_of_all(&self, server: u16) -> usize {
+        let calls = self.calls.get(&server).into_iter().flatten();
+        let times = calls.map(|call| call.at).filter(|at| *at >= NEED + 2 * HEARD);
+        worst(&times.collect::<Vec<u64>>())
+    }
+
+    /// Part of what a server takes that it got while its need lasted.
+    fn used(&self, server: u16) -> f64 {
+        let time = (self.plan.until.min(self.plan.ends) - NEED) as f64 / 1_000.0;
+        let calls = self.calls.get(&server).map_or(0, Vec::len);
+        calls as f64 / (self.plan.per_second * time)
+    }
+}
+
+/// Most of these times in the span of the rule.
+fn worst(times: &[u64]) -> usize {
+    let mut first = 0;
+
+    let mut worst = 0;
+    for (last, at) in times.iter().enumerate() {
+        while times[first] + SPAN <= *at {
+            first += 1;
+        }
+        worst = worst.max(last + 1 - first);
+    }
+    worst
+}
+
+fn name(entry: usize) -> Name {
+    Name::from(format!("e{entry}"))
+}
+
+/// Entry of the list for a server of a plain kind.
+fn plain(number: u16) -> Listed {
+    Listed { models: Vec::new(), slots: 64, ..listed(number) }
+}
+
+fn allowed(per_second: f64) -> usize {
+    (6.0 * per_second) as usize + 5
+}
+
+fn play(plan: Plan) -> World {
+    let world = World::play(plan);
+    let Plan { entries, per_second, needy, .. } = world.plan;
+    for server in 1..=needy {
+        let worst = world.worst(server);
+        let (used, asks) = (world.used(server), world.asks);
+        println!(
+            "{entries} entries, {per_second} a second: {worst} in 4 s, {used:.2} used, {asks} asked"
+        );
+        assert!(worst <= allowed(per_second), "{worst} in 4 s; allowed {}", allowed(per_second));
+    }
+    world
+}
+
+// Incident LIMIT: what each entry keeps to by itself adds up with their number.
+#[test_case(4, 0.4; "four entries, less than one a second")]
+#[test_case(4, 1.5; "four entries")]
+#[test_case(4, 25.0; "four entries, many a second")]
+#[test_case(16, 1.5; "sixteen entries")]
+#[test_case(64, 4.0; "sixty-four entries")]
+#[test_case(300, 0.4; "three hundred entries, less than one a second")]
+#[test_case(300, 1.5; "three hundred entries")]
+#[test_case(300, 25.0; "three hundred entries, many a second")]
+fn all_entries_together_keep_to_the_limit_and_use_it(entries: usize, per_second: f64) {
+    let world = play(Plan::new(entries, per_second));
+    assert!(world.used(1) >= 0.6, "{:.2} of what it takes", world.used(1));
+    let worst = world.worst_of_all(1);
+    println!("{entries} entries, {per_second} a second: {worst} in 4 s of all");
+    assert!(worst <= allowed(per_second), "{worst} in 4 s of all; allowed {}", allowed(per_second));
+    assert_eq!(world.refused, [] as [u64; 0], "the other servers take the rest");
+}
+
+// Same class: who hands out permits is lost, changes, or is there twice.
+#[test_case(&[(6_000, Trouble::Leads(0, None)), (8_000, Trouble::Leads(1, Some(2)))]; "it changes after two seconds")]
+#[test_case(&[(6_000, Trouble::Leads(0, None)), (6_001, Trouble::Leads(1, Some(2)))]; "it changes at once")]
+#[test_case(&[(6_000, Trouble::Leads(0, None))]; "nobody leads any more")]
+#[test_case(&[(0, Trouble::Leads(0, None))]; "nobody has ever led")]
+#[test_case(&[(6_000, Trouble::Leads(1, Some(2))), (9_000, Trouble::Leads(0, None))]; "two lead for three seconds")]
+#[test_case(&[(3_000, Trouble::Loss(0.3)), (12_000, Trouble::Loss(0.0))]; "frames are lost")]
+#[test_case(&[(3_000, Trouble::Loss(1.0)), (12_000, Trouble::Loss(0.0))]; "all frames are lost")]
+#[test_case(&[(4_000, Trouble::Restart(2)), (7_000, Trouble::Restart(3)), (7_500, Trouble::Restart(2))]; "entries start again")]
+fn the_limit_is_kept_whoever_leads(troubles: &[(u64, Trouble)]) {
+    for (entries, per_second) in [(8, 0.4), (8, 1.5), (8, 4.0), (24, 2.0)] {
+        let troubles = troubles.to_vec();
+        let world = play(Plan { troubles, ..Plan::new(entries, per_second) });
+        assert!(world.used(1) >= 0.25, "{:.2} of what it takes", world.used(1));
+    }
+}
+
+// Same class: a single answer without the word, answers that overtake each other.
+#[test]
+fn a_word_that_is_missing_now_and_then_ends_no_need() {
+    for seed in 0..4 {
+        play(Plan { silent: 0.05, seed, ..Plan::new(8, 1.5) });
+    }
+}
+
+// Same class: a server that nobody asks any more can tell nobody that its need is over.
+#[test_case(0.0; "it took nothing")]
+#[test_case(0.5; "it took little")]
+#[test_case(4.0; "it took some")]
+fn a_server_whose_need_is_over_is_in_full_use_again(per_second: f64) {
+    let plan = Plan { ends: 10_000, until: 30_000, ..Plan::new(8, per_second) };
+    let world = World::play(plan);
+    let limited =
+        |entry: &Entry| entry.forward.servers().iter().any(|(_, found)| found.need.is_some());
+    let count = world.entries.iter().filter(|entry| limited(entry)).count();
+    assert_eq!(count, 0, "entries that still keep to the limit after 20 s");
+}
+
+// Incident LIMIT: where all servers are in need, what they cannot take is refused, and those who come back do not come
+// together.
+#[test]
+fn what_all_servers_cannot_take_is_refused() {
+    let plan = Plan { servers: 3, needy: 3, load: 40.0, ..Plan::new(8, 4.0) };
+    let world = play(plan);
+    for server in 1..=3 {
+        assert!(world.used(server) >= 0.7, "{:.2} of what it takes", world.used(server));
+    }
+    assert!(!world.refused.is_empty());
+}
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    Answer, Contact, List, News, Part, Piece, Priority, Request, Share, Stock, Weights, Work,
+    Answer, Contact, List, News, Part, Piece, Priority, Request, Share, Stock, Weights, Work, limit,
 };
 
 /// What an agent stands beside.
@@ -256,4 +256,12 @@
     Weights(Vec<Weights>),
     /// Keepers that the sender knows.
     Contacts(Vec<Contact>),
+    /// Entry to keeper: what answers said of servers' limits.
+    LimitsHeard(Vec<limit::Heard>),
+    /// Keeper to entry: the limits in force.
+    Limits(limit::Limits),
+    /// Entry to keeper: may a request be sent to a server with a limit?
+    PermitAsk(limit::Ask),
+    /// Keeper to entry: the answer to [`Frame::PermitAsk`].
+    Permit(limit::Reply),
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -17,6 +17,7 @@
 mod contact;
 mod digest;
 mod frame;
+pub mod limit;
 mod list;
 mod part;
 mod stock;
