The leader's own calls count for the rate of a server in need

Cause: the leader reads what each server keeps up to six times a second for all entries, asks for reports and gives orders, and none of these calls passed any bound.

Reports and orders now take permits from the server's bucket ahead of requests, and reads of what it keeps may take a tenth of its rate. An entry that is misdirected leaves the question for a report to the leader.

--- a/crates/limit/src/permits.rs
+++ b/crates/limit/src/permits.rs
@@ -16,6 +16,8 @@
 /// Least rate that is tried, calls a second: a server that takes nothing still gets a call now and then, whose
 /// answer tells whether that has changed.
 pub const LEAST: f64 = 0.2;
+/// Time for which the next permit is kept for a call that goes first.
+const KEPT: Duration = Duration::from_secs(1);
 /// Seconds in which permits that were given are counted.
 const COUNTED: usize = 4;
 /// Longest time after which a caller shall come back.
@@ -26,6 +28,7 @@
 pub struct Permits {
     saved: f64,
     at: Time,
+    kept_until: Time,
     /// Permits given in each of the last seconds, with the number of the second.
     given: [(u64, u32); COUNTED],
 }
@@ -33,7 +36,7 @@
 impl Permits {
     /// None is saved yet.
     pub fn new(now: Time) -> Self {
-        Self { saved: 0.0, at: now, given: [(0, 0); COUNTED] }
+        Self { saved: 0.0, at: now, kept_until: Time::ZERO, given: [(0, 0); COUNTED] }
     }
 
     /// Takes a permit at a rate, calls a second.
@@ -42,9 +45,20 @@
     /// There is none now; gives the time until the next one.
     pub fn take(&mut self, now: Time, per_second: f64) -> Result<(), Duration> {
         let wait = self.wait(now, per_second);
+        if now < self.kept_until {
+            return Err(wait + interval(per_second));
+        }
         self.spend(now, wait)
     }
 
+    /// Takes a permit ahead of all others: where there is none now, the next one is kept for this call.
+    pub fn take_first(&mut self, now: Time, per_second: f64) -> bool {
+        let wait = self.wait(now, per_second);
+        let taken = self.spend(now, wait).is_ok();
+        self.kept_until = if taken { Time::ZERO } else { now + wait + KEPT };
+        taken
+    }
+
     fn spend(&mut self, now: Time, wait: Duration) -> Result<(), Duration> {
         if !wait.is_zero() {
             return Err(wait);
--- a/crates/limit/tests/permits.rs
+++ b/crates/limit/tests/permits.rs
@@ -48,6 +48,22 @@
     assert!(worst(&later) < allowed(1.5), "{later:?}");
 }
 
+#[test]
+fn a_call_that_goes_first_gets_the_next_permit() {
+    let mut permits = Permits::new(Time::ZERO);
+    assert!(!permits.take_first(Time::from_millis(100), 1.0));
+    assert!(permits.take(Time::from_millis(1_000), 1.0).is_err(), "kept");
+    assert!(permits.take_first(Time::from_millis(1_000), 1.0));
+    assert!(permits.take(Time::from_millis(2_100), 1.0).is_ok());
+}
+
+#[test]
+fn a_permit_that_was_kept_in_vain_is_free_again() {
+    let mut permits = Permits::new(Time::ZERO);
+    assert!(!permits.take_first(Time::from_millis(100), 1.0));
+    assert!(permits.take(Time::from_millis(2_100), 1.0).is_ok());
+}
+
 #[test]
 fn callers_come_back_one_after_the_other() {
     let now = Time::from_millis(1_000);
--- a/crates/node/src/forward/follow.rs
+++ b/crates/node/src/forward/follow.rs
@@ -35,7 +35,8 @@
             if answer.status == MISDIRECTED {
                 server.misdirected(cx.now);
                 self.shares.touched(server.listed.addr);
-                if server.ask(cx.now) {
+                // The leader asks a server that takes few calls.
+                if server.need.is_none() && server.ask(cx.now) {
                     out.push(report(server));
                 }
             }
--- a/crates/node/src/forward/limits.rs
+++ b/crates/node/src/forward/limits.rs
@@ -3,7 +3,7 @@
 //! Answers the pattern in which each entry learns that a server takes few requests and each goes on sending it
 //! that many. The leader among the keepers, whose lease excludes a second one, hands out permits from one
 //! bucket a server; an entry asks for one when a server with a limit suits a request best, and sends the request
-//! elsewhere when there is none.
+//! elsewhere when there is none. Calls of the leader's own come out of the same buckets.
 //!
 //! An entry that hears no leader takes turns with the others by its place among them: each has one call in the time
 //! in which the server takes one from everybody.
@@ -12,7 +12,7 @@
 
 use base::prelude::*;
 use fleet::{Key, Limit, Limited, Server};
-use limit::{Permits, Turns};
+use limit::{LEAST, Permits, Turns};
 use wire::Frame;
 use wire::limit::{Heard, Life, Limits as Told};
 
@@ -26,6 +26,9 @@
 const TELL_ALL: Duration = Duration::from_millis(500);
 /// Time for which the leader goes on telling that no limit is left, for those who missed it.
 const TOLD: Duration = Duration::from_secs(3);
+/// Part of a server's limit that reads of what it keeps may take.
+const READS: f64 = 0.1;
+
 /// The leader that hands out permits.
 #[derive(Clone, Debug)]
 pub(super) struct Dealer {
@@ -61,6 +64,19 @@
         self.dealer.as_ref().filter(|dealer| dealer.silent.is_none())
     }
 
+    /// As the leader: takes a permit for a call of its own that may wait.
+    pub fn read(&mut self, now: Time, key: Key, server: &Server) -> bool {
+        let Some(takes) = server.takes() else {
+            return true;
+        };
+        self.of(now, key).take(now, takes).is_ok()
+    }
+
+    /// Time between two reads of what a server with a limit keeps.
+    pub fn pause(server: &Server) -> Option<Duration> {
+        server.takes().map(|takes| Duration::from_secs_f64(1.0 / (takes.max(LEAST) * READS)))
+    }
+
     pub fn of(&mut self, now: Time, key: Key) -> &mut Permits {
         self.permits.entry(key).or_insert_with(|| Permits::new(now))
     }
--- a/crates/node/src/forward/mod.rs
+++ b/crates/node/src/forward/mod.rs
@@ -271,7 +271,7 @@
         self.read_list(cx, out);
         self.note_weights(cx, out);
         self.order(cx, out);
-        self.stores.read(cx, &self.servers, out);
+        self.stores.read(cx, &self.servers, &mut self.limits, out);
         self.stores.free(cx, &self.servers, out);
         self.keep(cx, out, from);
     }
--- a/crates/node/src/forward/permits.rs
+++ b/crates/node/src/forward/permits.rs
@@ -1,7 +1,7 @@
 //! Permits for servers that take a limited rate: an entry asks for one, and the leader hands them out.
 
 use base::prelude::*;
-use fleet::Key;
+use fleet::{Key, Server};
 use limit::LEAST;
 use wire::Frame;
 use wire::limit::{Ask, Reply};
@@ -31,6 +31,14 @@
 }
 
 impl Forward {
+    /// As the leader: whether it may call a server now, ahead of all requests.
+    pub(super) fn may_call(&mut self, now: Time, key: Key) -> bool {
+        let Some(takes) = self.servers.get(key).and_then(Server::takes) else {
+            return true;
+        };
+        self.limits.of(now, key).take_first(now, takes)
+    }
+
     /// Asks for a permit for one of these servers, the best one first, or takes it where nobody is to be asked. Gives
     /// false where neither can be done; the request then needs another server.
     pub(super) fn ask_permit(
--- a/crates/node/src/forward/reader.rs
+++ b/crates/node/src/forward/reader.rs
@@ -11,6 +11,7 @@
 use fleet::{News, Servers};
 use wire::{Shelf, Stored};
 
+use super::limits::Limits;
 use super::stores::Stores;
 use super::{Call, Context};
 use crate::note::Note;
@@ -72,7 +73,13 @@
 
 impl Stores {
     /// Reads what is due, if this process leads.
-    pub fn read(&mut self, cx: &Context<'_>, servers: &Servers, out: &mut Effects) {
+    pub fn read(
+        &mut self,
+        cx: &Context<'_>,
+        servers: &Servers,
+        limits: &mut Limits,
+        out: &mut Effects,
+    ) {
         let Some(term) = cx.term else {
             return;
         };
@@ -88,6 +95,12 @@
             if reading.pending || cx.now < reading.next {
                 continue;
             }
+            if let Some((key, server)) = servers.found(*addr)
+                && let Some(pause) = Limits::pause(server)
+                && (cx.now.since(reading.begun) < pause || !limits.read(cx.now, key, server))
+            {
+                continue;
+            }
             if reading.store && cx.now >= reading.next_list {
                 reading.since = None;
             } else if !reading.store {
--- a/crates/node/src/forward/weights.rs
+++ b/crates/node/src/forward/weights.rs
@@ -3,7 +3,7 @@
 
 use base::prelude::*;
 use fleet::rollout::Reply;
-use fleet::{Report, Server, Versions};
+use fleet::{Key, Report, Server, Versions};
 
 use super::{Call, Change, Context, Forward};
 use crate::note::{Allowed, Note};
@@ -107,8 +107,10 @@
             return;
         }
         self.next_orders = cx.now + ROUND;
-        for key in self.rollout.under_way() {
-            if let Some(server) = self.servers.get(key) {
+        for key in self.rollout.under_way().collect::<Vec<Key>>() {
+            if self.may_call(cx.now, key)
+                && let Some(server) = self.servers.get(key)
+            {
                 out.push(report(server));
             }
         }
@@ -116,13 +118,18 @@
             let least = self.allowed(cx.now, &model).least;
             let due = self.rollout.due(cx.now, &self.servers, &model, version, least);
             for key in due.ask {
-                if let Some(server) = self.servers.get_mut(key)
+                if self.may_call(cx.now, key)
+                    && let Some(server) = self.servers.get_mut(key)
                     && server.ask(cx.now)
                 {
                     out.push(report(server));
                 }
             }
             for order in due.orders {
+                if !self.may_call(cx.now, order.server) {
+                    self.rollout.answered(cx.now, order.server, Reply::Failed);
+                    continue;
+                }
                 let Some(server) = self.servers.get(order.server) else { continue };
                 let change = Change {
                     id: server.listed.id.clone(),
--- a/crates/node/tests/forward.rs
+++ b/crates/node/tests/forward.rs
@@ -6,7 +6,7 @@
 
 use base::prelude::*;
 use cache::Named;
-use fleet::{Listed, News, Report, Stored};
+use fleet::{Limit, Limited, Listed, News, Report, Stored};
 use limit::Allowance;
 use node::forward::{
     Answer, Call, Config, Context, Event, Forward, Head, Loss, Order, Prompt, Try,
@@ -928,3 +928,57 @@
     bed.wait(1_000);
     assert!(freed(&mut bed));
 }
+
+// Incident LIMIT: the leader's own calls came on top of what all entries sent, more of them than requests.
+#[test_case(1_200; "a little more than one a second")]
+#[test_case(400; "less than one a second")]
+fn the_leaders_own_calls_count_for_a_server_in_need(limit: u64) {
+    let mut bed = Bed::named(2, 2);
+    bed.term = Some(2);
+    let limit = Limit(limit);
+    let mut calls = Vec::new();
+    let mut reads = 0;
+    for step in 0..2_000_u64 {
+        if step % 10 == 0 {
+            bed.ask(step, "/safe/x");
+        }
+        bed.wait(10);
+        for effect in std::mem::take(&mut bed.out) {
+            let server = match &effect {
+                Effect::Door { call, order: Order::Try(to) } => {
+                    let named = Limited::To(limit);
+                    let answer =
+                        Answer { status: 200, own: true, limit: named, ..Answer::default() };
+                    bed.event(Event::Answered { call: *call, answer });
+                    bed.event(Event::Done { call: *call });
+                    to.addr
+                }
+                Effect::Call(Call::Report { id, addr }) => {
+                    let report = Report { version: 1, ..Report::default() };
+                    bed.event(Event::Reported { id: id.clone(), report });
+                    *addr
+                }
+                Effect::Call(Call::ReadStore { addr: at, .. }) => {
+                    if *at == addr(1) {
+                        reads += 1;
+                        bed.told(*at, "salt", &[(7, 100)]);
+                    }
+                    *at
+                }
+                Effect::Call(Call::Change(change)) => change.addr,
+                _ => continue,
+            };
+            // Until the first answer nobody knows of the limit.
+            if server == addr(1) && step >= 100 {
+                calls.push(step * 10);
+            }
+        }
+    }
+    let from = |start: &u64| calls.iter().filter(|at| (*start..start + 4_000).contains(at)).count();
+    let worst = calls.iter().map(from).max().unwrap_or(0);
+    let allowed = (limit.per_second() * 6.0) as usize + 5;
+    assert!(worst <= allowed, "{worst} calls in 4 s; allowed {allowed}");
+    let least = (limit.per_second() * 19.0 * 0.8) as usize;
+    assert!(calls.len() >= least, "{} calls of at least {least}", calls.len());
+    assert!(reads > 0, "what it keeps is still read now and then");
+}
