--- a/crates/edge/src/direct.rs
+++ b/crates/edge/src/direct.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use fleet::Listed;
 use fleet::rollout::Reply;
-use http::{HeaderValue, Request, header};
+use http::{HeaderMap, HeaderValue, Request, header};
 use http_body_util::{BodyExt, Full, Limited};
 use node::{Event, forward};
 use tokio::sync::mpsc::UnboundedReceiver;
@@ -37,8 +37,8 @@
 /// Time between two looks for connections that were idle for too long.
 const SWEEP: Duration = Duration::from_secs(1);
 
-/// Status and body of an answer, or what went wrong.
-type Answer = Result<(u16, Bytes), String>;
+/// Status, body and headers of an answer, or what went wrong.
+type Answer = Result<(u16, Bytes, HeaderMap), String>;
 
 /// What the calls need.
 #[derive(Debug)]
@@ -84,8 +84,11 @@
             }
             forward::Call::Report { id, addr } => {
                 let answer = self.call(addr, self.dialect.report(&id), ANSWER).await;
-                match good(answer).and_then(|body| self.dialect.reported(&body)) {
-                    Ok(report) => Some(forward::Event::Reported { id, report }),
+                let read = |(body, headers): (Bytes, HeaderMap)| {
+                    Ok((self.dialect.reported(&body)?, self.dialect.limit(&headers)))
+                };
+                match good(answer).and_then(read) {
+                    Ok((report, limit)) => Some(forward::Event::Reported { id, report, limit }),
                     Err(error) => {
                         log::warn!(server:% = id, error; "report not read");
                         None
@@ -95,7 +98,8 @@
             forward::Call::ReadStore { addr, since } => {
                 let call = self.dialect.store(since, EVENTS);
                 let answer = self.call(addr, call, EVENTS + ANSWER).await;
-                let news = good(answer).and_then(|body| self.dialect.news(since.is_none(), &body));
+                let news =
+                    good(answer).and_then(|(body, _)| self.dialect.news(since.is_none(), &body));
                 if let Err(error) = &news {
                     log::warn!(store:% = addr, error:% = error; "store not read");
                 }
@@ -104,7 +108,7 @@
             forward::Call::FreeParts { addr, epoch, parts } => {
                 let call = self.dialect.free(epoch, &parts);
                 let answer = self.call(addr, call, ANSWER).await;
-                let status = answer.as_ref().map_or(0, |(status, _)| *status);
+                let status = answer.as_ref().map_or(0, |(status, ..)| *status);
                 let error = answer.err().unwrap_or_default();
                 // What went shows in the store's events.
                 log::info!(
@@ -117,7 +121,7 @@
                 let call = self.dialect.change(&change, &self.holder);
                 let answer = self.call(change.addr, call, ORDER).await;
                 let status = match &answer {
-                    Ok((status, _)) => *status,
+                    Ok((status, ..)) => *status,
                     Err(error) => {
                         log::warn!(server:% = change.id, error:% = error; "order not answered");
                         0
@@ -139,12 +143,12 @@
         let mut from = None;
         for _ in 0..MOST_PAGES {
             let answer = self.call(addr, self.dialect.list(from.as_deref()), ANSWER).await;
-            if matches!(&answer, Ok((429 | 503, _))) {
+            if matches!(&answer, Ok((429 | 503, ..))) {
                 // Others read it too; what was read so far is still good.
                 sleep(BUSY).await;
                 continue;
             }
-            let page = self.dialect.page(&good(answer)?)?;
+            let page = self.dialect.page(&good(answer)?.0)?;
             servers.extend(page.servers);
             from = page.next;
             if from.is_none() {
@@ -167,19 +171,19 @@
         request.headers_mut().insert(header::HOST, host);
         let sent = self.pool.send(addr, request).await;
         let (response, lease) = sent.map_err(|failure| format!("{failure:?}"))?;
-        let status = response.status().as_u16();
-        let body = Limited::new(response.into_body(), MOST).collect().await;
+        let (parts, body) = response.into_parts();
+        let body = Limited::new(body, MOST).collect().await;
         let body = body.map_err(|error| error.to_string())?.to_bytes();
         lease.done().await;
-        Ok((status, body))
+        Ok((parts.status.as_u16(), body, parts.headers))
     }
 }
 
-/// The body of an answer that is a success.
-fn good(answer: Answer) -> Result<Bytes, String> {
+/// The body and headers of an answer that is a success.
+fn good(answer: Answer) -> Result<(Bytes, HeaderMap), String> {
     match answer? {
-        (200, body) => Ok(body),
-        (status, _) => Err(format!("status {status}")),
+        (200, body, headers) => Ok((body, headers)),
+        (status, ..) => Err(format!("status {status}")),
     }
 }
 
--- a/crates/fleet/src/limit.rs
+++ b/crates/fleet/src/limit.rs
@@ -5,6 +5,9 @@
 /// Answers in a row without a limit that end a need: a single one may lack it by accident, and a server in need
 /// would meet all that was held back.
 const CLEAR: u32 = 2;
+/// Calls a second to a server of which one answer says that it is in no need. In the span of the users' rule these are
+/// fewer than it allows at any limit.
+const TRIAL: f64 = 1.0;
 /// Time for which this process's own word goes before the leader's, which may not have heard it yet.
 const OWN: Duration = Duration::from_secs(1);
 /// Thousandths of a request in a request.
@@ -52,6 +55,8 @@
     pub heard: Option<Time>,
     /// Until when no permit can be had.
     pub denied_until: Time,
+    /// Whether a report named it: only then a report that names none says anything.
+    pub reported: bool,
     /// Number of the standby slot that was used last.
     pub slot: Option<u64>,
     /// Answers since it was named that named none.
@@ -61,7 +66,15 @@
 impl Need {
     /// A need that was heard of just now.
     pub fn new(limit: Limit, named: Time) -> Self {
-        Self { limit, named, heard: None, denied_until: Time::ZERO, slot: None, clear: 0 }
+        Self {
+            limit,
+            named,
+            heard: None,
+            denied_until: Time::ZERO,
+            slot: None,
+            reported: false,
+            clear: 0,
+        }
     }
 
     /// An answer named a limit at a time; an older word than that known changes nothing.
@@ -80,6 +93,13 @@
         self.clear >= CLEAR
     }
 
+    /// Calls a second to send: what it takes or, once an answer has named no limit, enough to hear soon whether the
+    /// need is over.
+    pub fn takes(&self) -> f64 {
+        let takes = self.limit.per_second();
+        if self.clear > 0 { takes.max(TRIAL) } else { takes }
+    }
+
     /// Whether the leader, who knows of no need, can have heard of this one.
     pub fn is_old(&self, now: Time) -> bool {
         self.heard.is_none_or(|heard| now.since(heard) >= OWN)
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -214,7 +214,7 @@
 
     /// Calls a second that it takes from all VMs, if it named a limit.
     pub fn takes(&self) -> Option<f64> {
-        self.limit().map(Limit::per_second)
+        self.need.map(|need| need.takes())
     }
 
     /// A limit was named at a time, in an answer to this process or to another one. Gives whether it is news.
--- a/crates/limit/src/permits.rs
+++ b/crates/limit/src/permits.rs
@@ -16,8 +16,6 @@
 /// Least rate that is tried, calls a second: a server that takes nothing still gets a call now and then, whose
 /// answer tells whether that has changed.
 pub const LEAST: f64 = 0.2;
-/// Time for which the next permit is kept for a call that goes first.
-const KEPT: Duration = Duration::from_secs(1);
 /// Seconds in which permits that were given are counted.
 const COUNTED: usize = 4;
 /// Longest time after which a caller shall come back.
@@ -28,7 +26,6 @@
 pub struct Permits {
     saved: f64,
     at: Time,
-    kept_until: Time,
     /// Permits given in each of the last seconds, with the number of the second.
     given: [(u64, u32); COUNTED],
 }
@@ -36,7 +33,7 @@
 impl Permits {
     /// None is saved yet.
     pub fn new(now: Time) -> Self {
-        Self { saved: 0.0, at: now, kept_until: Time::ZERO, given: [(0, 0); COUNTED] }
+        Self { saved: 0.0, at: now, given: [(0, 0); COUNTED] }
     }
 
     /// Takes a permit at a rate, calls a second.
@@ -45,29 +42,28 @@
     /// There is none now; gives the time until the next one.
     pub fn take(&mut self, now: Time, per_second: f64) -> Result<(), Duration> {
         let wait = self.wait(now, per_second);
-        if now < self.kept_until {
-            return Err(wait + interval(per_second));
+        if !wait.is_zero() {
+            return Err(wait);
         }
-        self.spend(now, wait)
+        self.spend(now);
+        Ok(())
     }
 
-    /// Takes a permit ahead of all others: where there is none now, the next one is kept for this call.
-    pub fn take_first(&mut self, now: Time, per_second: f64) -> bool {
-        let wait = self.wait(now, per_second);
-        let taken = self.spend(now, wait).is_ok();
-        self.kept_until = if taken { Time::ZERO } else { now + wait + KEPT };
-        taken
+    /// Takes a permit ahead of all others, also one that is yet to come: at most this many are owed then.
+    pub fn take_ahead(&mut self, now: Time, per_second: f64, most_owed: f64) -> bool {
+        self.fill(now, per_second);
+        let may = self.saved - 1.0 >= -most_owed;
+        if may {
+            self.spend(now);
+        }
+        may
     }
 
-    fn spend(&mut self, now: Time, wait: Duration) -> Result<(), Duration> {
-        if !wait.is_zero() {
-            return Err(wait);
-        }
-        self.saved = (self.saved - 1.0).max(0.0);
+    fn spend(&mut self, now: Time) {
+        self.saved -= 1.0;
         let second = now.0 / 1_000_000;
         let given = &mut self.given[second as usize % COUNTED];
         *given = if given.0 == second { (second, given.1 + 1) } else { (second, 1) };
-        Ok(())
     }
 
     /// Permits given in the last four seconds, the present one included.
@@ -78,13 +74,19 @@
     }
 
     fn wait(&mut self, now: Time, per_second: f64) -> Duration {
+        let rate = self.fill(now, per_second);
+        // Below the clock's resolution there is no wait.
+        let missing = Duration::from_secs_f64((1.0 - self.saved).max(0.0) / rate);
+        if missing < Duration::from_micros(1) { Duration::ZERO } else { missing }
+    }
+
+    /// Adds what has come since the last time; gives the rate.
+    fn fill(&mut self, now: Time, per_second: f64) -> f64 {
         let rate = per_second.max(LEAST);
         let most = ONE + rate * SAVED.as_secs_f64();
         self.saved = (self.saved + rate * now.since(self.at).as_secs_f64()).min(most);
         self.at = self.at.max(now);
-        // Below the clock's resolution there is no wait.
-        let missing = Duration::from_secs_f64((1.0 - self.saved).max(0.0) / rate);
-        if missing < Duration::from_micros(1) { Duration::ZERO } else { missing }
+        rate
     }
 }
 
--- a/crates/node/src/forward/event.rs
+++ b/crates/node/src/forward/event.rs
@@ -149,6 +149,8 @@
         id: Name,
         /// What it told.
         report: Report,
+        /// What the answer says of the rate of calls that it takes.
+        limit: Limited,
     },
     /// A store told what it holds, or could not be read.
     StoreRead {
--- a/crates/node/src/forward/limits.rs
+++ b/crates/node/src/forward/limits.rs
@@ -26,6 +26,8 @@
 const TELL_ALL: Duration = Duration::from_millis(500);
 /// Time for which the leader goes on telling that no limit is left, for those who missed it.
 const TOLD: Duration = Duration::from_secs(3);
+/// Longest time that a report may have been under way.
+const REPORT: Duration = Duration::from_secs(1);
 /// Part of a server's limit that reads of what it keeps may take.
 const READS: f64 = 0.1;
 
@@ -138,6 +140,27 @@
         }
     }
 
+    /// A server's report said something of its limit.
+    pub(super) fn limit_reported(
+        &mut self,
+        cx: &Context<'_>,
+        key: Key,
+        said: Limited,
+        out: &mut Effects,
+    ) {
+        let need = self.servers.get_mut(key).and_then(|server| server.need.as_mut());
+        let reported = need.is_some_and(|need| need.reported);
+        if said == Limited::Not && !reported {
+            return;
+        }
+        let sent = cx.now - REPORT;
+        self.limit_answered(cx, key, (&Name::default(), sent), said, out);
+        let need = self.servers.get_mut(key).and_then(|server| server.need.as_mut());
+        if let Some(need) = need {
+            need.reported = true;
+        }
+    }
+
     /// As the leader: an entry heard something of servers' limits.
     pub fn limits_heard(
         &mut self,
--- a/crates/node/src/forward/mod.rs
+++ b/crates/node/src/forward/mod.rs
@@ -249,7 +249,9 @@
             Event::Done { call } => self.done(cx, call, out),
             Event::Left { call } => self.left(cx, call, out),
             Event::Listed { list } => self.listed(cx, list, out),
-            Event::Reported { id, report } => self.reported(cx, &id, report, out),
+            Event::Reported { id, report, limit } => {
+                self.reported(cx, &id, (report, limit), out);
+            }
             Event::Changed { id, reply } => self.changed(cx.now, &id, reply),
             Event::StoreRead { addr, since, news } => {
                 self.stores.was_read(cx, addr, since, news, out);
--- a/crates/node/src/forward/permits.rs
+++ b/crates/node/src/forward/permits.rs
@@ -31,12 +31,12 @@
 }
 
 impl Forward {
-    /// As the leader: whether it may call a server now, ahead of all requests.
-    pub(super) fn may_call(&mut self, now: Time, key: Key) -> bool {
+    /// As the leader: whether it may call a server now, ahead of all requests, which wait for what is owed then.
+    pub(super) fn may_call(&mut self, now: Time, key: Key, most_owed: f64) -> bool {
         let Some(takes) = self.servers.get(key).and_then(Server::takes) else {
             return true;
         };
-        self.limits.of(now, key).take_first(now, takes)
+        self.limits.of(now, key).take_ahead(now, takes, most_owed)
     }
 
     /// Asks for a permit for one of these servers, the best one first, or takes it where nobody is to be asked. Gives
--- a/crates/node/src/forward/weights.rs
+++ b/crates/node/src/forward/weights.rs
@@ -3,7 +3,7 @@
 
 use base::prelude::*;
 use fleet::rollout::Reply;
-use fleet::{Key, Report, Server, Versions};
+use fleet::{Key, Limited, Report, Server, Versions};
 
 use super::{Call, Change, Context, Forward};
 use crate::note::{Allowed, Note};
@@ -14,16 +14,24 @@
 const TELL: Duration = Duration::from_secs(1);
 /// Time between two looks at what is due.
 const ROUND: Duration = Duration::from_millis(200);
+/// Permits that may be owed for a question, and for an order that follows its answer: it would be too old for the
+/// order once the next permit has come.
+const OWED: f64 = 1.0;
+const OWED_ORDER: f64 = 2.0;
 
 impl Forward {
     pub(super) fn reported(
         &mut self,
         cx: &Context<'_>,
         id: &Name,
-        report: Report,
+        (report, limit): (Report, Limited),
         out: &mut Effects,
     ) {
-        let Some(server) = self.servers.by_id(id) else {
+        let Some(key) = self.servers.key(id) else {
+            return;
+        };
+        self.limit_reported(cx, key, limit, out);
+        let Some(server) = self.servers.get_mut(key) else {
             return;
         };
         let (from, Report { version, orders, .. }) = (server.version, report);
@@ -108,7 +116,7 @@
         }
         self.next_orders = cx.now + ROUND;
         for key in self.rollout.under_way().collect::<Vec<Key>>() {
-            if self.may_call(cx.now, key)
+            if self.may_call(cx.now, key, OWED)
                 && let Some(server) = self.servers.get(key)
             {
                 out.push(report(server));
@@ -118,7 +126,7 @@
             let least = self.allowed(cx.now, &model).least;
             let due = self.rollout.due(cx.now, &self.servers, &model, version, least);
             for key in due.ask {
-                if self.may_call(cx.now, key)
+                if self.may_call(cx.now, key, OWED)
                     && let Some(server) = self.servers.get_mut(key)
                     && server.ask(cx.now)
                 {
@@ -126,7 +134,7 @@
                 }
             }
             for order in due.orders {
-                if !self.may_call(cx.now, order.server) {
+                if !self.may_call(cx.now, order.server, OWED_ORDER) {
                     self.rollout.answered(cx.now, order.server, Reply::Failed);
                     continue;
                 }
