An agent keeps to the rate that its server names, and the replay has servers in need

Same cause in the product's own path: an agent gave its server all that came, whatever rate the server named in its load report. The agent is its server's only door, so its own bucket is the sum of all entries; its load tells them how many runs it may give now, and without one they go elsewhere without a failed try. A frame to the links is boxed: a heartbeat has grown.

--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -160,7 +160,7 @@
     fn perform(&mut self, effect: Effect) {
         match effect {
             Effect::Send { to, frame } => {
-                let _ = self.sinks.net.send(net::Command::Send { to, frame });
+                let _ = self.sinks.net.send(net::Command::Send { to, frame: Box::new(frame) });
             }
             Effect::Begin { call, reply } => self.answer(call, Out::Begin(reply)),
             Effect::Body { call, bytes } => self.answer(call, Out::Body(bytes)),
--- a/crates/edge/src/net.rs
+++ b/crates/edge/src/net.rs
@@ -52,7 +52,7 @@
         /// Name of the peer.
         to: Name,
         /// The frame.
-        frame: Frame,
+        frame: Box<Frame>,
     },
     /// Keep a link to an address.
     Dial {
@@ -131,7 +131,7 @@
                         dialler.abort();
                     }
                 }
-                Some(Command::Send { to, frame }) => send(&links, &to, frame),
+                Some(Command::Send { to, frame }) => send(&links, &to, *frame),
             },
         }
     }
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -144,7 +144,13 @@
     fn load(&self) -> Option<Load> {
         let mut response = self.agent.get(&format!("{}/load", self.base)).call().ok()?;
         let value: Value = serde_json::from_reader(response.body_mut().as_reader()).ok()?;
+        let limit = &value["limit_per_second"];
+        let named = limit.as_f64().and_then(fleet::Limit::new);
+        if named.is_none() && !limit.is_null() {
+            log::warn!(limit:% = limit; "limit of the server not read");
+        }
         Some(Load {
+            limit: named.map(|limit| limit.0),
             running: value["running"].as_u64()? as u32,
             waiting: value["waiting"].as_u64()? as u32,
             version: Name::new(value["version"].as_str()?),
--- a/crates/limit/src/permits.rs
+++ b/crates/limit/src/permits.rs
@@ -66,6 +66,12 @@
         *given = if given.0 == second { (second, given.1 + 1) } else { (second, 1) };
     }
 
+    /// Permits that could be taken now.
+    pub fn available(&mut self, now: Time, per_second: f64) -> u32 {
+        self.fill(now, per_second);
+        self.saved.max(0.0) as u32
+    }
+
     /// Permits given in the last four seconds, the present one included.
     pub fn given(&self, now: Time) -> u32 {
         let second = now.0 / 1_000_000;
--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -5,11 +5,13 @@
 //! | `mod` | takes runs or refuses them |
 //! | `output` | numbers the parts of answers, keeps them until acknowledged, settles claims |
 //! | `transfer` | moves cache blocks between the engine and the stores |
+//! | `need` | keeps to the rate that the server names |
 //! | `order` | obeys orders to load weights, newest fencing token first |
 //!
 //! A run that was cancelled before its start is written down, so that a late frame cannot start it.
 //! A run that may be done only once is settled in the agreed log by the agent, since it knows first.
 
+mod need;
 mod order;
 mod output;
 mod transfer;
@@ -22,6 +24,7 @@
 
 use crate::asker::Asker;
 use crate::{Config, Effect, Effects, Server};
+use need::Needs;
 use order::Loading;
 use output::Held;
 use transfer::Transfers;
@@ -58,6 +61,7 @@
     refused: HashSet<RunId>,
     refused_order: VecDeque<RunId>,
     load: Load,
+    needs: Needs,
     token_ns: f64,
     stopping: bool,
     drained: bool,
@@ -84,6 +88,7 @@
             refused: HashSet::new(),
             refused_order: VecDeque::new(),
             load: Load { version, ..Load::default() },
+            needs: Needs::default(),
             token_ns: 0.0,
             stopping: false,
             drained: false,
@@ -120,6 +125,7 @@
             link_rate,
             link_queue,
             closed: Vec::new(),
+            permits: self.needs.permits(),
             ..self.load.clone()
         }
     }
@@ -197,7 +203,7 @@
     /// News from the backend server.
     pub fn server(&mut self, cx: &mut Context<'_>, news: Server, out: &mut Effects) {
         match news {
-            Server::Load(load) => self.loaded(load, out),
+            Server::Load(load) => self.loaded(cx.now, load, out),
             Server::Part { run, part } => self.part(cx.now, run, part, out),
             Server::Done { run, computed, cached } => {
                 self.measure(run, computed);
@@ -260,6 +266,7 @@
             self.tell(Some(news), out);
         }
         self.load_when_empty(out);
+        self.news |= self.needs.tick(now);
     }
 
     fn tell(&self, news: Option<News>, out: &mut Effects) {
@@ -304,6 +311,10 @@
             self.refuse(peer, run, Code::NoServer, out);
             return;
         }
+        if !self.needs.take(now) {
+            self.refuse(peer, run, Code::Overloaded, out);
+            return;
+        }
         let fetching = self.transfers.begin(now, &start.fetch, out);
         let held = Held {
             entry: peer.clone(),
--- a/crates/node/src/agent/order.rs
+++ b/crates/node/src/agent/order.rs
@@ -5,6 +5,7 @@
 //! high as the highest it has seen.
 
 use base::prelude::*;
+use fleet::Limit;
 use wire::Load;
 
 use super::Agent;
@@ -57,7 +58,8 @@
         }
     }
 
-    pub(super) fn loaded(&mut self, load: Load, out: &mut Effects) {
+    pub(super) fn loaded(&mut self, now: Time, load: Load, out: &mut Effects) {
+        self.needs.reported(now, load.limit.map(Limit));
         if load.version != self.load.version {
             // Blocks of the old version are of no use to new runs; the engine's own list decides.
             self.transfers.relist(out);
--- a/crates/node/src/entry/place.rs
+++ b/crates/node/src/entry/place.rs
@@ -198,8 +198,7 @@
         else {
             return;
         };
-        server.own += 1;
-        server.breaker.sent();
+        server.sent();
         *self.active.entry(run.workspace.name.clone()).or_insert(0) += 1;
         let incarnation = server.hello.incarnation;
         let tokens = run.prompt_tokens();
--- a/crates/node/src/entry/server.rs
+++ b/crates/node/src/entry/server.rs
@@ -61,6 +61,15 @@
         }
     }
 
+    /// A run goes there.
+    pub fn sent(&mut self) {
+        self.own += 1;
+        self.breaker.sent();
+        if let Some(permits) = &mut self.load.permits {
+            *permits = permits.saturating_sub(1);
+        }
+    }
+
     /// It has refused for want of room: what we knew of the others was old.
     pub fn refused(&mut self) {
         self.others = self.others.max(self.slots().saturating_sub(self.own));
@@ -68,7 +77,8 @@
 
     /// Whether new work may go there.
     pub fn usable(&self, now: Time) -> bool {
-        self.lost.is_none() && self.ready && !self.leaving && self.breaker.allows(now)
+        let takes = self.load.permits != Some(0);
+        self.lost.is_none() && self.ready && !self.leaving && takes && self.breaker.allows(now)
     }
 
     /// Most runs at once.
@@ -101,6 +111,8 @@
             "slots": self.slots(),
             "own": self.own,
             "others": self.others,
+            "limit": self.load.limit.map(|limit| fleet::Limit(limit).per_second()),
+            "permits": self.load.permits,
             "prefill": self.ahead(true),
             "token_ns": self.load.token_ns,
             "link_rate": self.load.link_rate,
--- a/crates/replay/src/trace.rs
+++ b/crates/replay/src/trace.rs
@@ -143,6 +143,8 @@
     SlowLink(u64, u64),
     /// A server takes this many times longer for each step.
     SlowServer(u64, u64),
+    /// A server names this many runs in a thousand seconds as its limit; none ends its need.
+    LimitServer(u64, Option<u64>),
     /// A replica is asked to stop.
     StopAgent(u64),
     /// The weight version of this number shall be rolled out.
@@ -281,6 +283,8 @@
             Self::FillStore(n) => write!(f, "fill-store {n}"),
             Self::SlowLink(n, times) => write!(f, "slow-link {n} {times}"),
             Self::SlowServer(n, times) => write!(f, "slow-server {n} {times}"),
+            Self::LimitServer(n, Some(limit)) => write!(f, "limit-server {n} {limit}"),
+            Self::LimitServer(n, None) => write!(f, "limit-server {n} none"),
             Self::StopAgent(n) => write!(f, "stop-agent {n}"),
             Self::Swap(version) => write!(f, "swap {version}"),
         }
@@ -340,10 +344,14 @@
         ["fill-store", n] => Ok(Fault::FillStore(many(n)?)),
         ["slow-link", n, times] => Ok(Fault::SlowLink(many(n)?, many(times)?.max(1))),
         ["slow-server", n, times] => Ok(Fault::SlowServer(many(n)?, many(times)?.max(1))),
+        ["limit-server", n, "none"] => Ok(Fault::LimitServer(many(n)?, None)),
+        ["limit-server", n, limit] => {
+            Ok(Fault::LimitServer(many(n)?, Some(number(limit, u64::MAX)?)))
+        }
         ["stop-agent", n] => Ok(Fault::StopAgent(many(n)?)),
         ["swap", version] => Ok(Fault::Swap(many(version)?)),
         _ => Err("kill-agent N, revive-agent N, kill-entry N, kill-store N, fill-store N, \
-                  slow-link N TIMES, slow-server N TIMES, stop-agent N or swap N"
+                  slow-link N TIMES, slow-server N TIMES, limit-server N LIMIT, stop-agent N or swap N"
             .to_owned()),
     }
 }
--- a/crates/replay/src/world/faults.rs
+++ b/crates/replay/src/world/faults.rs
@@ -55,6 +55,15 @@
                     self.processes[place].slow = times;
                 }
             }
+            Fault::LimitServer(n, limit) => {
+                let now = self.now;
+                if let Some(place) = self.agent(n)
+                    && let Some(engine) = &mut self.processes[place].engine
+                {
+                    engine.limit = limit.map(|limit| (limit, now));
+                    engine.begun.clear();
+                }
+            }
             Fault::StopAgent(n) => {
                 if let Some(place) = self.agent(n) {
                     self.processes[place].stopped = Some(self.now);
--- a/crates/replay/src/world/mod.rs
+++ b/crates/replay/src/world/mod.rs
@@ -72,6 +72,10 @@
     next: u64,
     stepping: bool,
     version: Name,
+    /// Runs in a thousand seconds that it takes, and since when it names that.
+    limit: Option<(u64, Time)>,
+    /// When runs began while it named a limit.
+    begun: Vec<Time>,
 }
 
 #[derive(Default)]
@@ -246,6 +250,8 @@
                 next: 0,
                 stepping: false,
                 version: process.version.clone(),
+                limit: None,
+                begun: Vec::new(),
             });
             let incarnation = hello.incarnation;
             self.schedule(REPORT, Due::Report(place, incarnation));
--- a/crates/replay/src/world/servers.rs
+++ b/crates/replay/src/world/servers.rs
@@ -10,9 +10,15 @@
 use super::callers::head;
 use super::{Due, HOP, PLAIN, REPORT, Served, World};
 
+/// Span in which a limit counts.
+const LIMIT_SPAN: Duration = Duration::from_secs(4);
+/// Time in which an agent hears of a limit: two reports.
+const HEARD: Duration = Duration::from_millis(500);
+
 impl World<'_> {
     pub(super) fn serve(&mut self, place: usize, run: RunId, priority: u8, work: Work) {
         *self.served.entry((run.entry, run.number)).or_insert(0) += 1;
+        self.check_limit(place);
         match work {
             Work::Call(call) => {
                 let count = self.plain_keys.entry(call.body.clone()).or_insert(0);
@@ -58,6 +64,26 @@
         }
     }
 
+    /// A server in need gets in any four seconds no more than one and a half times what its limit allows and five
+    /// runs, once its agent has had the time to hear of it.
+    fn check_limit(&mut self, place: usize) {
+        let now = self.now;
+        let Some(engine) = &mut self.processes[place].engine else {
+            return;
+        };
+        let Some((limit, since)) = engine.limit.filter(|(_, since)| now.since(*since) >= HEARD)
+        else {
+            return;
+        };
+        engine.begun.push(now);
+        let count = engine.begun.iter().filter(|at| now.since(**at) < LIMIT_SPAN).count();
+        let allowed = (limit as f64 / 1e3 * 1.5 * LIMIT_SPAN.as_secs_f64()) as usize + 5;
+        if count > allowed {
+            let text = format!("{count} runs in 4 s since {since:?}; allowed {allowed}");
+            self.broke("limit", text);
+        }
+    }
+
     /// No block may serve two workspaces or two weight versions.
     pub(super) fn check_keys(&mut self, run: RunId, prompt: &wire::Prompt) {
         let Some(workspace) = self.heads.get(head(&prompt.text)) else {
@@ -126,6 +152,7 @@
             running: engine.batch.running() as u32,
             waiting: engine.batch.queued() as u32,
             version: engine.version.clone(),
+            limit: engine.limit.map(|(limit, _)| limit),
             ..Load::default()
         };
         // The report is seen only when the next one is made.
@@ -142,7 +169,8 @@
             engine.version = version.clone();
             process.version = version.clone();
         }
-        let load = Load { version, ..Load::default() };
+        let limit = process.engine.as_ref().and_then(|engine| engine.limit);
+        let load = Load { version, limit: limit.map(|(limit, _)| limit), ..Load::default() };
         let event = Event::Server(Server::Load(load));
         self.schedule(after, Due::Step(place, Box::new(event), incarnation));
     }
--- a/crates/replay/tests/faults.rs
+++ b/crates/replay/tests/faults.rs
@@ -28,7 +28,8 @@
 }
 
 use Fault::{
-    FillStore, KillAgent, KillEntry, KillStore, ReviveAgent, SlowLink, SlowServer, StopAgent, Swap,
+    FillStore, KillAgent, KillEntry, KillStore, LimitServer, ReviveAgent, SlowLink, SlowServer,
+    StopAgent, Swap,
 };
 
 #[test_case(&[(8_000, KillAgent(1)), (15_000, ReviveAgent(1))]; "a server dies and comes back")]
@@ -46,6 +47,10 @@
 #[test_case(&[(8_000, KillEntry(0)), (8_100, KillAgent(0))]; "entry and server die")]
 #[test_case(&[(8_000, StopAgent(1)), (8_050, KillAgent(1))]; "a server dies while it leaves")]
 #[test_case(&[(8_000, KillStore(0)), (8_000, SlowLink(1, 50))]; "store death and slow link")]
+// Incident LIMIT: an agent gave its server all that came, whatever rate the server named.
+#[test_case(&[(8_000, LimitServer(0, Some(600))), (18_000, LimitServer(0, None))]; "a server is in need")]
+#[test_case(&[(8_000, LimitServer(0, Some(400))), (10_000, Swap(2))]; "swap at a server in need")]
+#[test_case(&[(8_000, LimitServer(0, Some(0))), (8_000, LimitServer(1, Some(3_000))), (9_000, KillAgent(2))]; "two in need and one dies")]
 fn no_promise_is_broken(faults: &[(u64, Fault)]) {
     for (shape, seed) in [(Shape::SiamBaan, 3), (Shape::Shatla, 4)] {
         let load = if shape == Shape::SiamBaan { 30 } else { 80 };
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -62,6 +62,10 @@
     pub link_queue: u64,
     /// Stores that the agent leaves alone at present.
     pub closed: Vec<Name>,
+    /// Runs that the server takes in a thousand seconds; none where it names no limit.
+    pub limit: Option<u64>,
+    /// Runs that the agent may give it now, where it names one.
+    pub permits: Option<u32>,
 }
 
 /// What a keeper that knows no leader says.
