--- a/crates/edge/src/notes.rs
+++ b/crates/edge/src/notes.rs
@@ -44,12 +44,13 @@
                 "limit of a server changed"
             );
         }
-        Note::Permit { request, server, outcome, limit, age, wait, given, last } => {
+        Note::Permit { request, server, outcome, limit, age, wait, given, last, back } => {
             metrics.permit(outcome.as_str());
             let limit = limit.map_or(0.0, fleet::Limit::per_second);
             log::info!(
                 request:% = request, server:% = server, outcome = outcome.as_str(), limit, age_ms = millis(*age),
-                wait_ms = millis(*wait), given = u64::from(*given), last;
+                wait_ms = millis(*wait), given = u64::from(*given), last,
+                back_ms = back.map_or(0, millis);
                 "permit for a server with a limit"
             );
         }
--- a/crates/limit/src/permits.rs
+++ b/crates/limit/src/permits.rs
@@ -18,8 +18,6 @@
 pub const LEAST: f64 = 0.2;
 /// Seconds in which permits that were given are counted.
 const COUNTED: usize = 4;
-/// Longest time after which a caller shall come back.
-const LONGEST: Duration = Duration::from_secs(10);
 
 /// The permits of one server.
 #[derive(Clone, Debug)]
@@ -108,13 +106,13 @@
 }
 
 impl Turns {
-    /// Time after which the next caller may come back, at a rate of all servers together.
-    pub fn next(&mut self, now: Time, per_second: f64) -> Duration {
+    /// Time after which the next caller may come back, at a rate of all servers together. One who has less time left
+    /// will not, and takes no turn.
+    pub fn next(&mut self, now: Time, per_second: f64, left: Duration) -> Duration {
         let turn = self.last.max(now) + interval(per_second);
-        if turn.since(now) >= LONGEST {
-            return LONGEST;
+        if turn.since(now) < left {
+            self.last = turn;
         }
-        self.last = turn;
         turn.since(now)
     }
 }
--- a/crates/node/src/forward/permits.rs
+++ b/crates/node/src/forward/permits.rs
@@ -62,7 +62,8 @@
         };
         run.asks += 1;
         run.asked = Some(Asked { number, at: cx.now, servers, last });
-        let ask = Ask { call, number, servers: lives, last };
+        let left_ms = run.deadline.since(cx.now).as_millis() as u32;
+        let ask = Ask { call, number, servers: lives, last, left_ms };
         match dealer.filter(|_| cx.term.is_none()) {
             Some(to) => {
                 self.limits.waiting.push_back((cx.now + WAIT, call, number));
@@ -110,6 +111,7 @@
                 wait: Duration::ZERO,
                 given: 0,
                 last,
+                back: None,
             })));
             self.place_at(cx, call, *key, out);
             return true;
@@ -158,7 +160,8 @@
         }
         if let Some(service) = service.filter(|_| ask.last) {
             let takes = self.servers.of(&service).filter_map(|(_, server)| server.takes()).sum();
-            let turn = self.limits.turns.entry(service).or_default().next(cx.now, takes);
+            let left = Duration::from_millis(u64::from(ask.left_ms));
+            let turn = self.limits.turns.entry(service).or_default().next(cx.now, takes, left);
             reply.back_ms = turn.as_millis() as u32;
         }
         Some(reply)
@@ -182,7 +185,8 @@
             // Late by a standstill of this process: others have gone on counting.
             self.unpermitted(cx, reply.call, &asked, Permit::Unanswered, (0, None), out);
         } else if let Some(key) = granted {
-            self.note_permit(cx, reply.call, (key, &asked), Permit::Granted, reply.given, out);
+            let given = (reply.given, None);
+            self.note_permit(cx, reply.call, (key, &asked), Permit::Granted, given, out);
             self.place_at(cx, reply.call, key, out);
         } else {
             for (key, wait_ms) in asked.servers.iter().zip(&reply.waits_ms) {
@@ -229,7 +233,7 @@
         out: &mut Effects,
     ) {
         if let Some(key) = asked.servers.first() {
-            self.note_permit(cx, call, (*key, asked), outcome, given, out);
+            self.note_permit(cx, call, (*key, asked), outcome, (given, back), out);
         }
         self.place_free(cx, call, back, out);
     }
@@ -240,7 +244,7 @@
         call: u64,
         (key, asked): (Key, &Asked),
         outcome: Permit,
-        given: u32,
+        (given, back): (u32, Option<Duration>),
         out: &mut Effects,
     ) {
         let (Some(run), Some(server)) = (self.runs.get(&call), self.servers.get(key)) else {
@@ -255,6 +259,7 @@
             wait: cx.now.since(asked.at),
             given,
             last: asked.last,
+            back,
         })));
     }
 }
--- a/crates/node/src/note.rs
+++ b/crates/node/src/note.rs
@@ -142,6 +142,8 @@
         given: u32,
         /// Whether no other server could take the request.
         last: bool,
+        /// Time after which the caller may come back, where the request is refused for it.
+        back: Option<Duration>,
     },
     /// An answer named a limit that cannot be read.
     LimitUnreadable {
--- a/crates/wire/src/limit.rs
+++ b/crates/wire/src/limit.rs
@@ -54,6 +54,8 @@
     pub servers: Vec<Life>,
     /// Whether the request is refused without a permit.
     pub last: bool,
+    /// Time that its caller will still wait, milliseconds.
+    pub left_ms: u32,
 }
 
 /// The answer to [`Ask`].
