--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use base::Code;
+use node::note::Permit;
 use prometheus::{
     Encoder, Gauge, Histogram, HistogramOpts, IntCounter, IntCounterVec, Opts, Registry,
     TextEncoder,
@@ -12,6 +13,8 @@
 
 /// What is done with tokens.
 const TOKENS: [&str; 3] = ["computed", "cached", "generated"];
+/// What comes of a wish for a permit.
+const PERMITS: [Permit; 4] = [Permit::Granted, Permit::Denied, Permit::Unanswered, Permit::Standby];
 /// The ways of bytes on a link.
 const SENT: &str = "out";
 const RECEIVED: &str = "in";
@@ -93,6 +96,9 @@
         metrics.registry.register(Box::new(metrics.permits.clone()))?;
         // From the start, so that a rise from 0 is seen as one.
         metrics.requests.with_label_values(&[&Code::Ok.number().to_string()]);
+        for outcome in PERMITS {
+            metrics.permits.with_label_values(&[outcome.as_str()]);
+        }
         for what in TOKENS {
             metrics.tokens.with_label_values(&[what]);
         }
@@ -113,8 +119,8 @@
     }
 
     /// Counts a request that wanted a permit.
-    pub fn permit(&self, outcome: &str) {
-        self.permits.with_label_values(&[outcome]).inc();
+    pub fn permit(&self, outcome: Permit) {
+        self.permits.with_label_values(&[outcome.as_str()]).inc();
     }
 
     /// Counts an answer that named a limit which is no rate.
--- a/crates/edge/src/notes.rs
+++ b/crates/edge/src/notes.rs
@@ -45,7 +45,7 @@
             );
         }
         Note::Permit { request, server, outcome, limit, age, wait, given, last, back } => {
-            metrics.permit(outcome.as_str());
+            metrics.permit(*outcome);
             let limit = limit.map_or(0.0, fleet::Limit::per_second);
             log::info!(
                 request:% = request, server:% = server, outcome = outcome.as_str(), limit, age_ms = millis(*age),
--- a/crates/node/src/process/mod.rs
+++ b/crates/node/src/process/mod.rs
@@ -376,21 +376,8 @@
                     forward.ages_told(now, &told);
                 }
             }
-            Frame::LimitsHeard(heard) => {
-                self.with_forward(now, |forward, cx| forward.limits_heard(cx, peer, &heard, out));
-            }
-            Frame::Limits(told) => {
-                self.with_forward(now, |forward, cx| forward.limits_told(cx, peer, &told, out));
-            }
-            Frame::PermitAsk(ask) => {
-                let mut reply = None;
-                self.with_forward(now, |forward, cx| reply = forward.permit_asked(cx, &ask));
-                if let Some(reply) = reply {
-                    out.push(Effect::Send { to: peer.clone(), frame: Frame::Permit(reply) });
-                }
-            }
-            Frame::Permit(reply) => {
-                self.with_forward(now, |forward, cx| forward.permit_answered(cx, &reply, out));
+            Frame::LimitsHeard(_) | Frame::Limits(_) | Frame::PermitAsk(_) | Frame::Permit(_) => {
+                self.limited(now, peer, frame, out)
             }
             Frame::Contacts(contacts) => self.contacts_told(now, peer, &contacts, out),
             Frame::Hello(_) | Frame::Idle => {}
--- a/crates/node/src/process/told.rs
+++ b/crates/node/src/process/told.rs
@@ -65,6 +65,21 @@
         }
     }
 
+    /// A peer told of servers in need, or asks for or gives a permit.
+    pub(super) fn limited(&mut self, now: Time, peer: &Name, frame: Frame, out: &mut Effects) {
+        let mut reply = None;
+        self.with_forward(now, |forward, cx| match frame {
+            Frame::LimitsHeard(heard) => forward.limits_heard(cx, peer, &heard, out),
+            Frame::Limits(told) => forward.limits_told(cx, peer, &told, out),
+            Frame::PermitAsk(ask) => reply = forward.permit_asked(cx, &ask),
+            Frame::Permit(reply) => forward.permit_answered(cx, &reply, out),
+            _ => {}
+        });
+        if let Some(reply) = reply {
+            out.push(Effect::Send { to: peer.clone(), frame: Frame::Permit(reply) });
+        }
+    }
+
     fn tell_entries(&self, frame: &Frame, out: &mut Effects) {
         let me = &self.me.hello.name;
         for hello in self.peers.values().filter(|hello| hello.entry && hello.name != *me) {
