Frames on servers without an agent are handled in one place

They differ only in the method of the forwarding reducer that takes them; the reducer of the process had grown past what is read in one go. No behaviour changes.

--- a/crates/node/src/process/mod.rs
+++ b/crates/node/src/process/mod.rs
@@ -356,29 +356,14 @@
                     self.reader = Some(peer.clone());
                 }
             }
-            Frame::List(list) => {
-                if let Some(forward) = &mut self.forward {
-                    forward.list_told(now, list, out);
-                }
-            }
-            Frame::Shares(shares) => {
-                if let Some(forward) = &mut self.forward {
-                    forward.shared(now, peer, &shares);
-                }
-            }
-            Frame::Sums(sums) => {
-                if let Some(forward) = &mut self.forward {
-                    forward.summed(now, &sums);
-                }
-            }
-            Frame::Weights(told) => {
-                if let Some(forward) = &mut self.forward {
-                    forward.ages_told(now, &told);
-                }
-            }
-            Frame::LimitsHeard(_) | Frame::Limits(_) | Frame::PermitAsk(_) | Frame::Permit(_) => {
-                self.limited(now, peer, frame, out)
-            }
+            Frame::List(_)
+            | Frame::Shares(_)
+            | Frame::Sums(_)
+            | Frame::Weights(_)
+            | Frame::LimitsHeard(_)
+            | Frame::Limits(_)
+            | Frame::PermitAsk(_)
+            | Frame::Permit(_) => self.entries_told(now, peer, frame, out),
             Frame::Contacts(contacts) => self.contacts_told(now, peer, &contacts, out),
             Frame::Hello(_) | Frame::Idle => {}
         }
--- a/crates/node/src/process/told.rs
+++ b/crates/node/src/process/told.rs
@@ -65,10 +65,14 @@
         }
     }
 
-    /// A peer told of servers in need, or asks for or gives a permit.
-    pub(super) fn limited(&mut self, now: Time, peer: &Name, frame: Frame, out: &mut Effects) {
+    /// A peer told something of servers without an agent, or asks for or gives a permit for one.
+    pub(super) fn entries_told(&mut self, now: Time, peer: &Name, frame: Frame, out: &mut Effects) {
         let mut reply = None;
         self.with_forward(now, |forward, cx| match frame {
+            Frame::List(list) => forward.list_told(now, list, out),
+            Frame::Shares(shares) => forward.shared(now, peer, &shares),
+            Frame::Sums(sums) => forward.summed(now, &sums),
+            Frame::Weights(told) => forward.ages_told(now, &told),
             Frame::LimitsHeard(heard) => forward.limits_heard(cx, peer, &heard, out),
             Frame::Limits(told) => forward.limits_told(cx, peer, &told, out),
             Frame::PermitAsk(ask) => reply = forward.permit_asked(cx, &ask),
