Names of the change on rate limits are the field's own

Throttle, Bucket, Issuer, observed, advertised and issued instead of needs, permits saved, dealers and words heard and told; logs and pages follow. No behaviour changes.

--- a/crates/edge/src/notes.rs
+++ b/crates/edge/src/notes.rs
@@ -1,6 +1,6 @@
 //! Decisions and changes of belief as log lines and counts.
 
-use node::note::{Heard, Note};
+use node::note::{Note, Source};
 
 use crate::metrics::Metrics;
 
@@ -35,8 +35,8 @@
             let limit =
                 limit.map_or_else(|| "none".to_owned(), |limit| limit.per_second().to_string());
             let (request, from) = match from {
-                Heard::Answer(request) => (&**request, ""),
-                Heard::Process(process) => ("", &**process),
+                Source::Answer(request) => (&**request, ""),
+                Source::Process(process) => ("", &**process),
             };
             log::info!(
                 server:% = server, limit, request, from, age_ms = millis(*age), requests = calls.requests,
@@ -44,12 +44,12 @@
                 "limit of a server changed"
             );
         }
-        Note::Permit { request, server, outcome, limit, age, wait, given, last, back } => {
+        Note::Permit { request, server, outcome, limit, age, wait, issued, last, back } => {
             metrics.permit(*outcome);
             let limit = limit.map_or(0.0, fleet::Limit::per_second);
             log::info!(
                 request:% = request, server:% = server, outcome = outcome.as_str(), limit, age_ms = millis(*age),
-                wait_ms = millis(*wait), given = u64::from(*given), last,
+                wait_ms = millis(*wait), issued = u64::from(*issued), last,
                 back_ms = back.map_or(0, millis);
                 "permit for a server with a limit"
             );
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -11,7 +11,7 @@
 mod servers;
 mod versions;
 
-pub use limit::{Calls, Limit, Limited, Need};
+pub use limit::{Calls, Limit, Limited, Throttle};
 pub use news::{News, Stored};
 pub use server::{Listed, Load, Report, Server};
 pub use servers::{Key, Servers};
--- a/crates/fleet/src/limit.rs
+++ b/crates/fleet/src/limit.rs
@@ -1,14 +1,13 @@
-//! The rate of requests that a server in need takes.
+//! Rate limits that servers name for themselves.
 
 use base::prelude::*;
 
-/// Answers in a row without a limit that end a need: a single one may lack it by accident, and a server in need
-/// would meet all that was held back.
+/// Answers in a row without a limit that lift it: a single one may lack the header by accident, and the server would
+/// get all the load at once.
 const CLEAR: u32 = 2;
-/// Calls a second to a server of which one answer says that it is in no need. In the span of the users' rule these are
-/// fewer than it allows at any limit.
+/// Least calls a second to a server one of whose answers named no limit. Fewer than the users' rule allows at any limit.
 const TRIAL: f64 = 1.0;
-/// Time for which this process's own word goes before the leader's, which may not have heard it yet.
+/// Time for which what this process observed goes before what the leader advertises, which may be older.
 const OWN: Duration = Duration::from_secs(1);
 /// Thousandths of a request in a request.
 const MILLI: f64 = 1_000.0;
@@ -35,7 +34,7 @@
 /// What an answer says of its server's limit.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Limited {
-    /// Nothing: the server is in no need, as far as this answer tells.
+    /// No limit.
     #[default]
     Not,
     /// The server takes this rate.
@@ -44,32 +43,32 @@
     Unreadable,
 }
 
-/// The need of a server that named a limit.
+/// The limit in force at a server, and when it was observed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Need {
+pub struct Throttle {
     /// The limit that it named last.
     pub limit: Limit,
     /// When an answer named it last.
     pub named: Time,
     /// When an answer to this process named it last, if one did.
-    pub heard: Option<Time>,
+    pub observed: Option<Time>,
     /// Until when no permit can be had.
     pub denied_until: Time,
     /// Whether a report named it: only then a report that names none says anything.
     pub reported: bool,
-    /// Number of the standby slot that was used last.
+    /// Number of the time slot that was used last, without a leader.
     pub slot: Option<u64>,
     /// Answers since it was named that named none.
     clear: u32,
 }
 
-impl Need {
-    /// A need that was heard of just now.
+impl Throttle {
+    /// A limit that came into force.
     pub fn new(limit: Limit, named: Time) -> Self {
         Self {
             limit,
             named,
-            heard: None,
+            observed: None,
             denied_until: Time::ZERO,
             slot: None,
             reported: false,
@@ -77,7 +76,7 @@
         }
     }
 
-    /// An answer named a limit at a time; an older word than that known changes nothing.
+    /// An answer named a limit at a time; an older observation changes nothing.
     pub fn named(&mut self, limit: Limit, at: Time) {
         if at >= self.named {
             self.limit = limit;
@@ -87,22 +86,22 @@
     }
 
     /// An answer named none. It counts if its request was sent after the limit was named last, since answers
-    /// overtake each other. Gives whether the need is over.
+    /// overtake each other. Gives whether the limit is lifted.
     pub fn unnamed(&mut self, sent: Time) -> bool {
         self.clear += u32::from(sent > self.named);
         self.clear >= CLEAR
     }
 
-    /// Calls a second to send: what it takes or, once an answer has named no limit, enough to hear soon whether the
-    /// need is over.
+    /// Calls a second to send: what it takes or, once an answer has named no limit, enough to learn soon whether
+    /// the limit is lifted.
     pub fn takes(&self) -> f64 {
         let takes = self.limit.per_second();
         if self.clear > 0 { takes.max(TRIAL) } else { takes }
     }
 
-    /// Whether the leader, who knows of no need, can have heard of this one.
-    pub fn is_old(&self, now: Time) -> bool {
-        self.heard.is_none_or(|heard| now.since(heard) >= OWN)
+    /// Whether what this process observed is older than what a leader advertises.
+    pub fn is_stale(&self, now: Time) -> bool {
+        self.observed.is_none_or(|observed| now.since(observed) >= OWN)
     }
 }
 
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -5,7 +5,7 @@
 use base::prelude::*;
 use cache::Held;
 
-use crate::{Calls, Limit, Need};
+use crate::{Calls, Limit, Throttle};
 
 /// First time for which a server is left alone after it failed.
 const AWAY: Duration = Duration::from_millis(500);
@@ -100,8 +100,8 @@
     pub held: Held,
     /// Calls of this process to it.
     pub calls: Calls,
-    /// Its need, if it named a limit.
-    pub need: Option<Need>,
+    /// Its rate limit, if it named one.
+    pub throttle: Option<Throttle>,
     load: Option<(Load, u32, Time)>,
     /// Runs and prompt tokens of other entries, and when they were told.
     others: Option<(u32, u64, Time)>,
@@ -128,7 +128,7 @@
             reading: 0,
             held: Held::default(),
             calls: Calls::default(),
-            need: None,
+            throttle: None,
             load: None,
             others: None,
             changing_until: Time::ZERO,
@@ -209,21 +209,21 @@
 
     /// The limit that it named last.
     pub fn limit(&self) -> Option<Limit> {
-        self.need.map(|need| need.limit)
+        self.throttle.map(|throttle| throttle.limit)
     }
 
     /// Calls a second that it takes from all VMs, if it named a limit.
     pub fn takes(&self) -> Option<f64> {
-        self.need.map(|need| need.takes())
+        self.throttle.map(|throttle| throttle.takes())
     }
 
     /// A limit was named at a time, in an answer to this process or to another one. Gives whether it is news.
     pub fn named(&mut self, limit: Limit, at: Time, own: bool) -> bool {
         let before = self.limit();
-        let need = self.need.get_or_insert(Need::new(limit, at));
-        need.named(limit, at);
+        let throttle = self.throttle.get_or_insert(Throttle::new(limit, at));
+        throttle.named(limit, at);
         if own {
-            need.heard = Some(at);
+            throttle.observed = Some(at);
         }
         before != self.limit()
     }
--- a/crates/fleet/tests/limits.rs
+++ b/crates/fleet/tests/limits.rs
@@ -1,7 +1,7 @@
 //! What is believed of a server's limit, from answers that overtake each other.
 
 use base::prelude::*;
-use fleet::{Limit, Need};
+use fleet::{Limit, Throttle};
 use test_case::test_case;
 
 fn at(millis: u64) -> Time {
@@ -14,23 +14,23 @@
 #[test_case(&[1_100, 1_200], true; "two answers to later requests")]
 #[test_case(&[900, 1_100, 1_200], true; "an old one between changes nothing")]
 fn a_need_ends_with_answers_to_later_requests(sent: &[u64], over: bool) {
-    let mut need = Need::new(Limit(1_500), at(1_000));
+    let mut throttle = Throttle::new(Limit(1_500), at(1_000));
     let mut seen = false;
     for sent in sent {
-        seen = need.unnamed(at(*sent));
+        seen = throttle.unnamed(at(*sent));
     }
     assert_eq!(seen, over);
 }
 
 #[test]
 fn a_limit_that_is_named_again_begins_anew_and_an_older_word_changes_nothing() {
-    let mut need = Need::new(Limit(1_500), at(1_000));
-    assert!(!need.unnamed(at(1_100)));
-    need.named(Limit(900), at(1_300));
-    assert!(!need.unnamed(at(1_400)), "one of two since");
-    need.named(Limit(2_000), at(1_200));
-    assert_eq!(need.limit, Limit(900));
-    assert!(need.unnamed(at(1_500)));
+    let mut throttle = Throttle::new(Limit(1_500), at(1_000));
+    assert!(!throttle.unnamed(at(1_100)));
+    throttle.named(Limit(900), at(1_300));
+    assert!(!throttle.unnamed(at(1_400)), "one of two since");
+    throttle.named(Limit(2_000), at(1_200));
+    assert_eq!(throttle.limit, Limit(900));
+    assert!(throttle.unnamed(at(1_500)));
 }
 
 #[test_case(0.4, Some(400); "decimal")]
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -2,23 +2,23 @@
 //!
 //! [`Queue`] holds what waits, fair by workspace inside each priority class. [`Budget`] bounds
 //! retries for a whole pool of servers, and [`Retries`] an entry's part of a budget that all entries share.
-//! [`Permits`] keeps to the rate that a server takes from all. [`Breaker`] leaves a server alone that fails or is slow.
+//! [`Bucket`] keeps to the rate that a server takes from all. [`Breaker`] leaves a server alone that fails or is slow.
 //! [`Lines`] bounds the log lines of each kind.
 //! [`Usage`] tells who is over their share. [`Rate`] estimates how fast a pool works, for refusals that say truthfully when to come back.
 
 mod breaker;
+mod bucket;
 mod budget;
 mod lines;
-mod permits;
 mod queue;
 mod rate;
 mod retries;
 mod usage;
 
 pub use breaker::Breaker;
+pub use bucket::{Bucket, LEAST, Turns, interval};
 pub use budget::Budget;
 pub use lines::Lines;
-pub use permits::{LEAST, Permits, Turns, interval};
 pub use queue::{Item, Queue};
 pub use rate::Rate;
 pub use retries::{Allowance, Retries};
--- a/crates/limit/tests/permits.rs
+++ b/crates/limit/tests/bucket.rs
@@ -1,7 +1,7 @@
-//! Permits of one server, and the turns of callers who were refused.
+//! The token bucket of one server, and the turns of callers who were refused.
 
 use base::prelude::*;
-use limit::{Permits, Turns};
+use limit::{Bucket, Turns};
 use test_case::test_case;
 
 /// Most calls in four seconds at a rate, by the rule of the users.
@@ -9,12 +9,12 @@
     (6.0 * per_second) as usize + 5
 }
 
-/// Permits that are taken as soon as there are any, by tens of milliseconds, and when.
-fn taken(per_second: f64, from: u64, until: u64, permits: &mut Permits) -> Vec<u64> {
+/// Bucket that are taken as soon as there are any, by tens of milliseconds, and when.
+fn taken(per_second: f64, from: u64, until: u64, bucket: &mut Bucket) -> Vec<u64> {
     let mut taken = Vec::new();
     for step in from / 10..until / 10 {
         let now = Time::from_millis(step * 10);
-        while permits.take(now, per_second).is_ok() {
+        while bucket.take(now, per_second).is_ok() {
             taken.push(step * 10);
         }
     }
@@ -32,8 +32,8 @@
 #[test_case(1.5; "a few")]
 #[test_case(100.0; "many")]
 fn a_rate_is_kept_and_used(per_second: f64) {
-    let mut permits = Permits::new(Time::ZERO);
-    let taken = taken(per_second, 0, 20_000, &mut permits);
+    let mut bucket = Bucket::new(Time::ZERO);
+    let taken = taken(per_second, 0, 20_000, &mut bucket);
     assert!(worst(&taken) <= allowed(per_second), "{} in 4 s", worst(&taken));
     let least = (per_second * 20.0 * 0.95).floor() as usize;
     assert!(taken.len() >= least.max(3), "{} of {least}", taken.len());
@@ -42,22 +42,22 @@
 // A server that nobody needed for a while is not met by all that it did not get.
 #[test]
 fn what_was_not_used_is_not_saved() {
-    let mut permits = Permits::new(Time::ZERO);
-    assert!(permits.take(Time::from_millis(60_000), 1.5).is_ok());
-    let later = taken(1.5, 60_010, 64_000, &mut permits);
+    let mut bucket = Bucket::new(Time::ZERO);
+    assert!(bucket.take(Time::from_millis(60_000), 1.5).is_ok());
+    let later = taken(1.5, 60_010, 64_000, &mut bucket);
     assert!(worst(&later) < allowed(1.5), "{later:?}");
 }
 
 // An order follows its report at once, or the report is too old for it: both are owed.
 #[test]
 fn a_call_that_goes_ahead_may_be_owed() {
-    let mut permits = Permits::new(Time::ZERO);
+    let mut bucket = Bucket::new(Time::ZERO);
     let now = Time::from_millis(100);
-    assert!(permits.take_ahead(now, 1.0, 1.0));
-    assert!(!permits.take_ahead(now, 1.0, 1.0), "one is owed");
-    assert!(permits.take_ahead(now, 1.0, 2.0), "it may be two");
-    assert!(permits.take(Time::from_millis(2_900), 1.0).is_err(), "first those that are owed");
-    assert!(permits.take(Time::from_millis(3_100), 1.0).is_ok());
+    assert!(bucket.borrow(now, 1.0, 1.0));
+    assert!(!bucket.borrow(now, 1.0, 1.0), "one is owed");
+    assert!(bucket.borrow(now, 1.0, 2.0), "it may be two");
+    assert!(bucket.take(Time::from_millis(2_900), 1.0).is_err(), "first those that are owed");
+    assert!(bucket.take(Time::from_millis(3_100), 1.0).is_ok());
 }
 
 #[test]
--- a/crates/limit/tests/ways.rs
+++ b/crates/limit/tests/ways.rs
@@ -1,7 +1,7 @@
 //! Ways to keep the sum of several processes to a server's rate, side by side: docs/DECISIONS.md has the table.
 
 use base::prelude::*;
-use limit::Permits;
+use limit::Bucket;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use test_case::test_case;
@@ -31,7 +31,7 @@
     let mut saved = vec![1.0_f64; processes];
     let mut filled = vec![0; processes];
     let mut slots = vec![None; processes];
-    let mut permits = Permits::new(Time::ZERO);
+    let mut bucket = Bucket::new(Time::ZERO);
     let mut denied = vec![0; processes];
     let mut calls = Vec::new();
     let gap = 1_000.0 / (LOAD + processes as u64) as f64;
@@ -55,7 +55,7 @@
                 own
             }
             Way::Permits if now < denied[process] => false,
-            Way::Permits => match permits.take(Time::from_millis(now + ASKED / 2), per_second) {
+            Way::Permits => match bucket.take(Time::from_millis(now + ASKED / 2), per_second) {
                 Ok(()) => true,
                 Err(wait) => {
                     denied[process] = now + wait.as_millis() as u64;
--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -5,15 +5,15 @@
 //! | `mod` | takes runs or refuses them |
 //! | `output` | numbers the parts of answers, keeps them until acknowledged, settles claims |
 //! | `transfer` | moves cache blocks between the engine and the stores |
-//! | `need` | keeps to the rate that the server names |
+//! | `throttle` | keeps to the rate limit that the server names |
 //! | `order` | obeys orders to load weights, newest fencing token first |
 //!
 //! A run that was cancelled before its start is written down, so that a late frame cannot start it.
 //! A run that may be done only once is settled in the agreed log by the agent, since it knows first.
 
-mod need;
 mod order;
 mod output;
+mod throttle;
 mod transfer;
 
 use std::collections::{HashMap, HashSet, VecDeque};
@@ -24,9 +24,9 @@
 
 use crate::asker::Asker;
 use crate::{Config, Effect, Effects, Server};
-use need::Needs;
 use order::Loading;
 use output::Held;
+use throttle::Gate;
 use transfer::Transfers;
 
 /// How long a run is kept for an entry whose link is down.
@@ -61,7 +61,7 @@
     refused: HashSet<RunId>,
     refused_order: VecDeque<RunId>,
     load: Load,
-    needs: Needs,
+    gate: Gate,
     token_ns: f64,
     stopping: bool,
     drained: bool,
@@ -88,7 +88,7 @@
             refused: HashSet::new(),
             refused_order: VecDeque::new(),
             load: Load { version, ..Load::default() },
-            needs: Needs::default(),
+            gate: Gate::default(),
             token_ns: 0.0,
             stopping: false,
             drained: false,
@@ -125,7 +125,7 @@
             link_rate,
             link_queue,
             closed: Vec::new(),
-            permits: self.needs.permits(),
+            permits: self.gate.permits(),
             ..self.load.clone()
         }
     }
@@ -266,7 +266,7 @@
             self.tell(Some(news), out);
         }
         self.load_when_empty(out);
-        self.news |= self.needs.tick(now);
+        self.news |= self.gate.tick(now);
     }
 
     fn tell(&self, news: Option<News>, out: &mut Effects) {
@@ -311,7 +311,7 @@
             self.refuse(peer, run, Code::NoServer, out);
             return;
         }
-        if !self.needs.take(now) {
+        if !self.gate.take(now) {
             self.refuse(peer, run, Code::Overloaded, out);
             return;
         }
--- a/crates/node/src/agent/order.rs
+++ b/crates/node/src/agent/order.rs
@@ -59,7 +59,7 @@
     }
 
     pub(super) fn loaded(&mut self, now: Time, load: Load, out: &mut Effects) {
-        self.needs.reported(now, load.limit.map(Limit));
+        self.gate.reported(now, load.limit.map(Limit));
         if load.version != self.load.version {
             // Blocks of the old version are of no use to new runs; the engine's own list decides.
             self.transfers.relist(out);
--- a/crates/node/src/forward/follow.rs
+++ b/crates/node/src/forward/follow.rs
@@ -36,7 +36,7 @@
                 server.misdirected(cx.now);
                 self.shares.touched(server.listed.addr);
                 // The leader asks a server that takes few calls.
-                if server.need.is_none() && server.ask(cx.now) {
+                if server.throttle.is_none() && server.ask(cx.now) {
                     out.push(report(server));
                 }
             }
--- a/crates/node/src/forward/mod.rs
+++ b/crates/node/src/forward/mod.rs
@@ -9,7 +9,7 @@
 //! | `share` | tells what this entry has at the servers, and hears of the others |
 //! | `stores` | where prompt parts are fetched from and saved |
 //! | `reader` | reads what stores and servers hold |
-//! | `limits` | servers that take a limited rate: who named it, and who is told |
+//! | `limits` | rate limits of servers: observed, advertised |
 //! | `permits` | permits for calls to such servers |
 //! | `list` | reads the list of servers, and tells it |
 //! | `weights` | which weight versions runs may begin on, and orders to servers |
--- a/crates/node/src/forward/permits.rs
+++ b/crates/node/src/forward/permits.rs
@@ -1,4 +1,4 @@
-//! Permits for servers that take a limited rate: an entry asks for one, and the leader hands them out.
+//! Permits for calls to rate-limited servers: an entry asks for one, and the leader issues it.
 
 use base::prelude::*;
 use fleet::{Key, Server};
@@ -21,7 +21,7 @@
 /// Wait for a server that the leader does not know: its list is read once a second.
 const UNKNOWN_MS: u32 = 500;
 
-/// A question for a permit that a request waits for.
+/// A pending question for a permit.
 #[derive(Clone, Debug)]
 pub(super) struct Asked {
     number: u64,
@@ -31,16 +31,17 @@
 }
 
 impl Forward {
-    /// As the leader: whether it may call a server now, ahead of all requests, which wait for what is owed then.
-    pub(super) fn may_call(&mut self, now: Time, key: Key, most_owed: f64) -> bool {
+    /// As the leader: whether it may call a server now, ahead of all requests; `max_debt` is the most
+    /// permits owed afterwards.
+    pub(super) fn may_call(&mut self, now: Time, key: Key, max_debt: f64) -> bool {
         let Some(takes) = self.servers.get(key).and_then(Server::takes) else {
             return true;
         };
-        self.limits.of(now, key).take_ahead(now, takes, most_owed)
+        self.limits.bucket(now, key).borrow(now, takes, max_debt)
     }
 
-    /// Asks for a permit for one of these servers, the best one first, or takes it where nobody is to be asked. Gives
-    /// false where neither can be done; the request then needs another server.
+    /// Asks for a permit for one of these servers, the best one first. Without a leader the request is sent in this
+    /// entry's time slot; gives false outside of it, when another server must take the request.
     pub(super) fn ask_permit(
         &mut self,
         cx: &Context<'_>,
@@ -50,8 +51,8 @@
         out: &mut Effects,
     ) -> bool {
         servers.truncate(if last { MOST_ASKED_LAST } else { MOST_ASKED });
-        let dealer = self.limits.reachable().map(|dealer| dealer.name.clone());
-        if cx.term.is_none() && dealer.is_none() {
+        let issuer = self.limits.reachable().map(|issuer| issuer.name.clone());
+        if cx.term.is_none() && issuer.is_none() {
             return self.take_slot(cx, call, &servers, last, out);
         }
         let lives = servers.iter().filter_map(|key| self.servers.get(*key)).map(life).collect();
@@ -64,7 +65,7 @@
         run.asked = Some(Asked { number, at: cx.now, servers, last });
         let left_ms = run.deadline.since(cx.now).as_millis() as u32;
         let ask = Ask { call, number, servers: lives, last, left_ms };
-        match dealer.filter(|_| cx.term.is_none()) {
+        match issuer.filter(|_| cx.term.is_none()) {
             Some(to) => {
                 self.limits.waiting.push_back((cx.now + WAIT, call, number));
                 out.push(Effect::Send { to, frame: Frame::PermitAsk(ask) });
@@ -78,7 +79,7 @@
         true
     }
 
-    /// Takes this entry's turn at one of these servers, if it is its turn.
+    /// Sends a request to one of these servers if this is the entry's time slot there and it is unused.
     fn take_slot(
         &mut self,
         cx: &Context<'_>,
@@ -87,21 +88,21 @@
         last: bool,
         out: &mut Effects,
     ) -> bool {
-        let alone = *self.limits.alone.get_or_insert(cx.now);
-        let time = cx.now.since(alone).as_secs_f64();
+        let since = *self.limits.leaderless.get_or_insert(cx.now);
+        let time = cx.now.since(since).as_secs_f64();
         let Some(request) = self.runs.get(&call).map(|run| run.head.id.clone()) else {
             return true;
         };
         for key in servers {
             let Some(server) = self.servers.get_mut(*key) else { continue };
-            let Some(need) = &mut server.need else { continue };
-            let slot = (time * need.limit.per_second().max(LEAST)) as u64;
+            let Some(throttle) = &mut server.throttle else { continue };
+            let slot = (time * throttle.limit.per_second().max(LEAST)) as u64;
             let own = slot as usize % cx.entries.max(1) == cx.rank;
-            if !own || need.slot == Some(slot) {
+            if !own || throttle.slot == Some(slot) {
                 continue;
             }
-            need.slot = Some(slot);
-            let (limit, age) = (Some(need.limit), cx.now.since(need.named));
+            throttle.slot = Some(slot);
+            let (limit, age) = (Some(throttle.limit), cx.now.since(throttle.named));
             out.push(Effect::Note(Box::new(Note::Permit {
                 request,
                 server: server.listed.id.clone(),
@@ -109,7 +110,7 @@
                 limit,
                 age,
                 wait: Duration::ZERO,
-                given: 0,
+                issued: 0,
                 last,
                 back: None,
             })));
@@ -128,7 +129,7 @@
             granted: None,
             waits_ms: Vec::new(),
             back_ms: 0,
-            given: 0,
+            issued: 0,
         };
         let mut service = None;
         for (place, life) in ask.servers.iter().enumerate() {
@@ -141,10 +142,10 @@
             service.get_or_insert_with(|| server.listed.service.clone());
             let taken = match server.takes() {
                 Some(takes) => {
-                    let permits = self.limits.of(cx.now, key);
-                    let taken = permits.take(cx.now, takes);
+                    let bucket = self.limits.bucket(cx.now, key);
+                    let taken = bucket.take(cx.now, takes);
                     if place == 0 {
-                        reply.given = permits.given(cx.now);
+                        reply.issued = bucket.issued(cx.now);
                     }
                     taken
                 }
@@ -169,9 +170,9 @@
 
     /// The leader answered a question for a permit.
     pub fn permit_answered(&mut self, cx: &Context<'_>, reply: &Reply, out: &mut Effects) {
-        if let Some(dealer) = &mut self.limits.dealer {
-            dealer.silent = None;
-            self.limits.alone = None;
+        if let Some(issuer) = &mut self.limits.issuer {
+            issuer.silent = None;
+            self.limits.leaderless = None;
         }
         let Some(run) = self.runs.get_mut(&reply.call) else {
             return;
@@ -182,25 +183,26 @@
         };
         let granted = reply.granted.and_then(|place| asked.servers.get(place as usize).copied());
         if cx.now.since(asked.at) >= WAIT {
-            // Late by a standstill of this process: others have gone on counting.
+            // The process stood still meanwhile: the permit is stale.
             self.unpermitted(cx, reply.call, &asked, Permit::Unanswered, (0, None), out);
         } else if let Some(key) = granted {
-            let given = (reply.given, None);
-            self.note_permit(cx, reply.call, (key, &asked), Permit::Granted, given, out);
+            let issued = (reply.issued, None);
+            self.note_permit(cx, reply.call, (key, &asked), Permit::Granted, issued, out);
             self.place_at(cx, reply.call, key, out);
         } else {
             for (key, wait_ms) in asked.servers.iter().zip(&reply.waits_ms) {
-                if let Some(need) = self.servers.get_mut(*key).and_then(|found| found.need.as_mut())
+                if let Some(throttle) =
+                    self.servers.get_mut(*key).and_then(|found| found.throttle.as_mut())
                 {
-                    need.denied_until = cx.now + Duration::from_millis(u64::from(*wait_ms));
+                    throttle.denied_until = cx.now + Duration::from_millis(u64::from(*wait_ms));
                 }
             }
             let back = asked.last.then(|| Duration::from_millis(u64::from(reply.back_ms)));
-            self.unpermitted(cx, reply.call, &asked, Permit::Denied, (reply.given, back), out);
+            self.unpermitted(cx, reply.call, &asked, Permit::Denied, (reply.issued, back), out);
         }
     }
 
-    /// Questions whose wait is over are given up, and what this entry heard is told again while the leader is silent.
+    /// Gives up questions whose wait is over; reports observations again while the leader is silent.
     pub(super) fn expire_asks(&mut self, cx: &Context<'_>, out: &mut Effects) {
         while let Some((at, call, number)) = self.limits.waiting.front().copied() {
             if at > cx.now {
@@ -212,28 +214,28 @@
                 .get_mut(&call)
                 .and_then(|run| run.asked.take_if(|asked| asked.number == number));
             let Some(asked) = asked else { continue };
-            if let Some(dealer) = &mut self.limits.dealer {
-                dealer.silent.get_or_insert(cx.now);
+            if let Some(issuer) = &mut self.limits.issuer {
+                issuer.silent.get_or_insert(cx.now);
             }
             self.unpermitted(cx, call, &asked, Permit::Unanswered, (0, None), out);
         }
-        if self.limits.reachable().is_none() && cx.now >= self.limits.next_heard {
-            self.tell_heard(cx.now, out);
+        if self.limits.reachable().is_none() && cx.now >= self.limits.next_observed {
+            self.advertise_observed(cx.now, out);
         }
     }
 
-    /// There is no permit for a request: it goes elsewhere, or is refused until a time.
+    /// There is no permit for a request: another server takes it, or it is refused with a retry time.
     fn unpermitted(
         &mut self,
         cx: &Context<'_>,
         call: u64,
         asked: &Asked,
         outcome: Permit,
-        (given, back): (u32, Option<Duration>),
+        (issued, back): (u32, Option<Duration>),
         out: &mut Effects,
     ) {
         if let Some(key) = asked.servers.first() {
-            self.note_permit(cx, call, (*key, asked), outcome, (given, back), out);
+            self.note_permit(cx, call, (*key, asked), outcome, (issued, back), out);
         }
         self.place_free(cx, call, back, out);
     }
@@ -244,7 +246,7 @@
         call: u64,
         (key, asked): (Key, &Asked),
         outcome: Permit,
-        (given, back): (u32, Option<Duration>),
+        (issued, back): (u32, Option<Duration>),
         out: &mut Effects,
     ) {
         let (Some(run), Some(server)) = (self.runs.get(&call), self.servers.get(key)) else {
@@ -255,9 +257,9 @@
             server: server.listed.id.clone(),
             outcome,
             limit: server.limit(),
-            age: server.need.map_or(Duration::ZERO, |need| cx.now.since(need.named)),
+            age: server.throttle.map_or(Duration::ZERO, |throttle| cx.now.since(throttle.named)),
             wait: cx.now.since(asked.at),
-            given,
+            issued,
             last: asked.last,
             back,
         })));
--- a/crates/node/src/forward/place.rs
+++ b/crates/node/src/forward/place.rs
@@ -2,7 +2,7 @@
 
 use base::prelude::*;
 use cache::salt_number;
-use fleet::{Key, Need, Server, Servers};
+use fleet::{Key, Server, Servers, Throttle};
 use rand::Rng;
 use record::Engine;
 use route::direct::{self, Candidate};
@@ -19,7 +19,7 @@
 const KEPT: f64 = 0.6;
 /// How long what this entry sent to a server may take to show in its events.
 const UNTOLD: Duration = Duration::from_millis(1_500);
-/// Difference to which a server in need counts as good as another: about the way to the leader and back, milliseconds.
+/// Difference to which a rate-limited server counts as good as another: about the way to the leader and back, milliseconds.
 const PERMIT_MS: f64 = 3.0;
 /// Time that a permit must save at first, milliseconds: about the fetch of a history from a store.
 const GAIN_MS: f64 = 20.0;
@@ -187,7 +187,7 @@
                 near: server.listed.zone == self.zone,
                 penalty_ms: transfer.millis + if old { OLD_WEIGHTS_MS } else { 0.0 },
             });
-            let limited = server.need.is_some();
+            let limited = server.throttle.is_some();
             options.choices.push(Possible { key, version, transfer, limited });
         }
         options
@@ -251,11 +251,11 @@
     fn limited(&self, servers: &Servers, now: Time, free: Option<f64>) -> Vec<Key> {
         let mut found: Vec<(f64, Key)> = Vec::new();
         for (candidate, choice) in self.candidates.iter().zip(&self.choices) {
-            let Some(need) = servers.get(choice.key).and_then(|server| server.need) else {
+            let Some(throttle) = servers.get(choice.key).and_then(|server| server.throttle) else {
                 continue;
             };
             let cost = direct::cost(candidate);
-            if free.is_none_or(|free| is_worth(&need, now, free - cost)) {
+            if free.is_none_or(|free| is_worth(&throttle, now, free - cost)) {
                 found.push((cost, choice.key));
             }
         }
@@ -272,17 +272,17 @@
     }
 }
 
-/// Whether a request that gains this much at a server in need, milliseconds, asks for a permit there. At first a
-/// permit is for those who gain by it, later for anybody; and a server that has not been heard of for long is asked
-/// in any case, since nothing else tells that its need is over.
-fn is_worth(need: &Need, now: Time, gain_ms: f64) -> bool {
-    if now < need.denied_until {
+/// Whether a request that gains this much at a rate-limited server, milliseconds, asks for a permit there. At first a
+/// permit is for those who gain by it, later for anybody; and a server that has not answered for long is asked
+/// in any case, since only its answers show that the limit is lifted.
+fn is_worth(throttle: &Throttle, now: Time, gain_ms: f64) -> bool {
+    if now < throttle.denied_until {
         return false;
     }
-    let interval = limit::interval(need.limit.per_second());
-    let fresh = now.since(need.denied_until) < interval.mul_f64(FIRST);
-    let unheard = now.since(need.named) >= interval;
-    gain_ms >= if fresh { GAIN_MS } else { -PERMIT_MS } || unheard
+    let interval = limit::interval(throttle.limit.per_second());
+    let fresh = now.since(throttle.denied_until) < interval.mul_f64(FIRST);
+    let stale = now.since(throttle.named) >= interval;
+    gain_ms >= if fresh { GAIN_MS } else { -PERMIT_MS } || stale
 }
 
 /// The server that a request goes to.
--- a/crates/node/src/forward/weights.rs
+++ b/crates/node/src/forward/weights.rs
@@ -14,10 +14,10 @@
 const TELL: Duration = Duration::from_secs(1);
 /// Time between two looks at what is due.
 const ROUND: Duration = Duration::from_millis(200);
-/// Permits that may be owed for a question, and for an order that follows its answer: it would be too old for the
-/// order once the next permit has come.
-const OWED: f64 = 1.0;
-const OWED_ORDER: f64 = 2.0;
+/// Most permits owed after asking for a report, and after the order that follows it: a report is stale once the next
+/// permit is due.
+const REPORT_DEBT: f64 = 1.0;
+const ORDER_DEBT: f64 = 2.0;
 
 impl Forward {
     pub(super) fn reported(
@@ -116,7 +116,7 @@
         }
         self.next_orders = cx.now + ROUND;
         for key in self.rollout.under_way().collect::<Vec<Key>>() {
-            if self.may_call(cx.now, key, OWED)
+            if self.may_call(cx.now, key, REPORT_DEBT)
                 && let Some(server) = self.servers.get(key)
             {
                 out.push(report(server));
@@ -126,7 +126,7 @@
             let least = self.allowed(cx.now, &model).least;
             let due = self.rollout.due(cx.now, &self.servers, &model, version, least);
             for key in due.ask {
-                if self.may_call(cx.now, key, OWED)
+                if self.may_call(cx.now, key, REPORT_DEBT)
                     && let Some(server) = self.servers.get_mut(key)
                     && server.ask(cx.now)
                 {
@@ -134,7 +134,7 @@
                 }
             }
             for order in due.orders {
-                if !self.may_call(cx.now, order.server, OWED_ORDER) {
+                if !self.may_call(cx.now, order.server, ORDER_DEBT) {
                     self.rollout.answered(cx.now, order.server, Reply::Failed);
                     continue;
                 }
--- a/crates/node/src/note.rs
+++ b/crates/node/src/note.rs
@@ -44,7 +44,7 @@
 
 /// Where a process heard of a server's limit.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Heard {
+pub enum Source {
     /// In the server's answer to a request, by the caller's ID.
     Answer(Name),
     /// From a keeper or, as the leader, from an entry.
@@ -118,7 +118,7 @@
         /// The limit; none when it names none any more.
         limit: Option<Limit>,
         /// Who said so: the caller's ID of the request that was answered so, or the keeper that told it.
-        from: Heard,
+        from: Source,
         /// Time since it was named last.
         age: Duration,
         /// Calls of this process to it so far.
@@ -138,8 +138,8 @@
         age: Duration,
         /// Time for which the request waited for it.
         wait: Duration,
-        /// Permits of that server in the last four seconds, of all entries, as the leader told.
-        given: u32,
+        /// Permits issued for that server in the last four seconds, to all entries.
+        issued: u32,
         /// Whether no other server could take the request.
         last: bool,
         /// Time after which the caller may come back, where the request is refused for it.
--- a/crates/node/src/process/mod.rs
+++ b/crates/node/src/process/mod.rs
@@ -360,7 +360,7 @@
             | Frame::Shares(_)
             | Frame::Sums(_)
             | Frame::Weights(_)
-            | Frame::LimitsHeard(_)
+            | Frame::LimitsObserved(_)
             | Frame::Limits(_)
             | Frame::PermitAsk(_)
             | Frame::Permit(_) => self.entries_told(now, peer, frame, out),
--- a/crates/node/src/process/told.rs
+++ b/crates/node/src/process/told.rs
@@ -73,8 +73,8 @@
             Frame::Shares(shares) => forward.shared(now, peer, &shares),
             Frame::Sums(sums) => forward.summed(now, &sums),
             Frame::Weights(told) => forward.ages_told(now, &told),
-            Frame::LimitsHeard(heard) => forward.limits_heard(cx, peer, &heard, out),
-            Frame::Limits(told) => forward.limits_told(cx, peer, &told, out),
+            Frame::LimitsObserved(heard) => forward.limits_observed(cx, peer, &heard, out),
+            Frame::Limits(told) => forward.limits_advertised(cx, peer, &told, out),
             Frame::PermitAsk(ask) => reply = forward.permit_asked(cx, &ask),
             Frame::Permit(reply) => forward.permit_answered(cx, &reply, out),
             _ => {}
--- a/crates/node/tests/limits.rs
+++ b/crates/node/tests/limits.rs
@@ -200,7 +200,7 @@
                 }
                 if self.now >= self.plan.ends && self.over.is_none() {
                     let needy = |entry: &Entry| {
-                        entry.forward.servers().iter().any(|(_, found)| found.need.is_some())
+                        entry.forward.servers().iter().any(|(_, found)| found.throttle.is_some())
                     };
                     self.over = (!self.entries.iter().any(needy)).then_some(self.now);
                 }
@@ -227,14 +227,14 @@
             Due::Frame(from, to, frame) => {
                 let name = name(from);
                 match *frame {
-                    Frame::LimitsHeard(heard) => {
+                    Frame::LimitsObserved(heard) => {
                         self.step(to, |forward, cx, out| {
-                            forward.limits_heard(cx, &name, &heard, out);
+                            forward.limits_observed(cx, &name, &heard, out);
                         });
                     }
                     Frame::Limits(told) => {
                         self.step(to, |forward, cx, out| {
-                            forward.limits_told(cx, &name, &told, out);
+                            forward.limits_advertised(cx, &name, &told, out);
                         });
                     }
                     Frame::PermitAsk(ask) => {
@@ -253,7 +253,7 @@
             }
             Due::Answer(entry, life, call, server) if self.entries[entry].life == life => {
                 let silent = self.rng.random_bool(self.plan.silent);
-                let limit = if self.needs(server) && !silent {
+                let limit = if self.is_limited(server) && !silent {
                     self.entries[entry].heard.entry(server).or_insert(self.now);
                     Limited::To(Limit::new(self.plan.per_second).expect("a rate"))
                 } else {
@@ -295,7 +295,7 @@
         }
     }
 
-    fn needs(&self, server: u16) -> bool {
+    fn is_limited(&self, server: u16) -> bool {
         server <= self.plan.needy && (NEED..self.plan.ends).contains(&self.now)
     }
 
@@ -343,7 +343,7 @@
                         .strip_prefix("i-")
                         .and_then(|text| text.parse().ok())
                         .expect("a server");
-                    if self.needs(server) {
+                    if self.is_limited(server) {
                         let call = Call { at: self.now, entry: number };
                         self.calls.entry(server).or_default().push(call);
                     }
--- a/crates/replay/src/trace.rs
+++ b/crates/replay/src/trace.rs
@@ -143,7 +143,7 @@
     SlowLink(u64, u64),
     /// A server takes this many times longer for each step.
     SlowServer(u64, u64),
-    /// A server names this many runs in a thousand seconds as its limit; none ends its need.
+    /// A server names this many runs in a thousand seconds as its limit; none lifts it.
     LimitServer(u64, Option<u64>),
     /// A replica is asked to stop.
     StopAgent(u64),
--- a/crates/replay/src/world/servers.rs
+++ b/crates/replay/src/world/servers.rs
@@ -64,7 +64,7 @@
         }
     }
 
-    /// A server in need gets in any four seconds no more than one and a half times what its limit allows and five
+    /// A rate-limited server gets in any four seconds no more than one and a half times what its limit allows and five
     /// runs, once its agent has had the time to hear of it.
     fn check_limit(&mut self, place: usize) {
         let now = self.now;
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -261,7 +261,7 @@
     /// Keepers that the sender knows.
     Contacts(Vec<Contact>),
     /// Entry to keeper: what answers said of servers' limits.
-    LimitsHeard(Vec<limit::Heard>),
+    LimitsObserved(Vec<limit::Observed>),
     /// Keeper to entry: the limits in force.
     Limits(limit::Limits),
     /// Entry to keeper: may a request be sent to a server with a limit?
--- a/crates/wire/src/limit.rs
+++ b/crates/wire/src/limit.rs
@@ -14,7 +14,7 @@
 
 /// What an answer said of its server's limit.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Heard {
+pub struct Observed {
     /// The server.
     pub server: Life,
     /// Calls that it takes in a thousand seconds; none where the answer named no limit.
@@ -71,6 +71,6 @@
     pub waits_ms: Vec<u32>,
     /// Where none is granted and the request is refused: when its caller may come back, milliseconds.
     pub back_ms: u32,
-    /// Permits that the first server asked for was given in the last four seconds.
-    pub given: u32,
+    /// Permits issued for the first server asked for in the last four seconds.
+    pub issued: u32,
 }
--- a/crates/wire/tests/frames.rs
+++ b/crates/wire/tests/frames.rs
@@ -15,7 +15,7 @@
         Frame::Answer { id: 9, answer: wire::Answer::Elsewhere(Some(Name::new("k2"))) },
         Frame::Weights(vec![wire::Weights { model: Name::new("m"), ages: vec![(2, 3_100)] }]),
         Frame::Contacts(Vec::new()),
-        Frame::LimitsHeard(vec![wire::limit::Heard {
+        Frame::LimitsObserved(vec![wire::limit::Observed {
             server: wire::limit::Life { id: Name::new("i-1"), born: Some(7) },
             limit: None,
             ago_us: 5,
