A report that is not due takes no permit

Found by reading: the leader took a permit and then left the report out where the server had been asked within 300 ms, so a rate-limited server lost calls to nothing. The question whether a report is due comes first now.

--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -13,7 +13,7 @@
 
 /// What is done with tokens.
 const TOKENS: [&str; 3] = ["computed", "cached", "generated"];
-/// What comes of a wish for a permit.
+/// Outcomes of asking for a permit.
 const PERMITS: [Permit; 4] = [Permit::Granted, Permit::Denied, Permit::Unanswered, Permit::Standby];
 /// The ways of bytes on a link.
 const SENT: &str = "out";
@@ -118,7 +118,7 @@
         self.old_weights.inc();
     }
 
-    /// Counts a request that wanted a permit.
+    /// Counts a request that asked for a permit, by outcome.
     pub fn permit(&self, outcome: Permit) {
         self.permits.with_label_values(&[outcome.as_str()]).inc();
     }
--- a/crates/node/src/forward/weights.rs
+++ b/crates/node/src/forward/weights.rs
@@ -126,9 +126,10 @@
             let least = self.allowed(cx.now, &model).least;
             let due = self.rollout.due(cx.now, &self.servers, &model, version, least);
             for key in due.ask {
-                if self.may_call(cx.now, key, REPORT_DEBT)
-                    && let Some(server) = self.servers.get_mut(key)
-                    && server.ask(cx.now)
+                let due = self.servers.get_mut(key).is_some_and(|server| server.ask(cx.now));
+                if due
+                    && self.may_call(cx.now, key, REPORT_DEBT)
+                    && let Some(server) = self.servers.get(key)
                 {
                     out.push(report(server));
                 }
--- a/crates/node/src/note.rs
+++ b/crates/node/src/note.rs
@@ -42,7 +42,7 @@
     pub newest_age: Duration,
 }
 
-/// Where a process heard of a server's limit.
+/// How a process learnt of a server's limit.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Source {
     /// In the server's answer to a request, by the caller's ID.
@@ -51,7 +51,7 @@
     Process(Name),
 }
 
-/// What came of a wish to send a request to a server with a limit.
+/// Outcome of asking for a permit for a rate-limited server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Permit {
     /// The leader granted it.
@@ -60,7 +60,7 @@
     Denied,
     /// No answer came in time.
     Unanswered,
-    /// There is no leader, and it is this entry's turn.
+    /// There is no leader, and the request fell into this entry's time slot.
     Standby,
 }
 
@@ -117,14 +117,14 @@
         server: Name,
         /// The limit; none when it names none any more.
         limit: Option<Limit>,
-        /// Who said so: the caller's ID of the request that was answered so, or the keeper that told it.
+        /// How this process learnt of it.
         from: Source,
         /// Time since it was named last.
         age: Duration,
         /// Calls of this process to it so far.
         calls: Calls,
     },
-    /// A request was best sent to a server with a limit, which takes a permit.
+    /// A rate-limited server suits a request best, which takes a permit.
     Permit {
         /// The caller's ID of the request.
         request: Name,
