--- a/crates/node/src/agent/throttle.rs
+++ b/crates/node/src/agent/throttle.rs
@@ -52,7 +52,7 @@
         before == 0 && self.advertised > 0
     }
 
-    /// Bucket that there are now; none where none is needed.
+    /// Permits left, if the server named a limit.
     pub fn permits(&self) -> Option<u32> {
         self.throttle.as_ref().map(|_| self.advertised)
     }
--- a/crates/node/src/forward/limits.rs
+++ b/crates/node/src/forward/limits.rs
@@ -12,7 +12,7 @@
 
 use base::prelude::*;
 use fleet::{Key, Limit, Limited, Server};
-use limit::{Bucket, LEAST, Turns};
+use limit::{Bucket, Turns};
 use wire::Frame;
 use wire::limit::{Life, Limits as Advertised, Observed};
 
@@ -66,17 +66,14 @@
         self.issuer.as_ref().filter(|issuer| issuer.silent.is_none())
     }
 
-    /// As the leader: takes a permit for a call of its own that may wait.
-    pub fn read(&mut self, now: Time, key: Key, server: &Server) -> bool {
+    /// As the leader: whether to read what a server keeps, the last read of which began at `begun`. A rate-limited one is
+    /// read after a pause, and with a permit.
+    pub fn may_read(&mut self, now: Time, begun: Time, key: Key, server: &Server) -> bool {
         let Some(takes) = server.takes() else {
             return true;
         };
-        self.bucket(now, key).take(now, takes).is_ok()
-    }
-
-    /// Time between two reads of what a server with a limit keeps.
-    pub fn pause(server: &Server) -> Option<Duration> {
-        server.takes().map(|takes| Duration::from_secs_f64(1.0 / (takes.max(LEAST) * READS)))
+        let pause = limit::interval(takes).div_f64(READS);
+        now.since(begun) >= pause && self.bucket(now, key).take(now, takes).is_ok()
     }
 
     pub fn bucket(&mut self, now: Time, key: Key) -> &mut Bucket {
@@ -211,6 +208,7 @@
             .buckets
             .retain(|key, _| servers.get(*key).is_some_and(|found| found.throttle.is_some()));
         let told = self.limits_in_force(cx.now, term);
+        // A bucket fills from the moment at which its limit is known, not from the first question.
         for (key, _) in self.servers.iter().filter(|(_, server)| server.throttle.is_some()) {
             self.limits.bucket(cx.now, key);
         }
--- a/crates/node/src/forward/reader.rs
+++ b/crates/node/src/forward/reader.rs
@@ -96,8 +96,7 @@
                 continue;
             }
             if let Some((key, server)) = servers.found(*addr)
-                && let Some(pause) = Limits::pause(server)
-                && (cx.now.since(reading.begun) < pause || !limits.read(cx.now, key, server))
+                && !limits.may_read(cx.now, reading.begun, key, server)
             {
                 continue;
             }
--- a/crates/node/tests/forward.rs
+++ b/crates/node/tests/forward.rs
@@ -7,17 +7,14 @@
 use base::prelude::*;
 use cache::Named;
 use fleet::{Limit, Limited, Listed, News, Report, Stored};
-use limit::Allowance;
-use node::forward::{
-    Answer, Call, Config, Context, Event, Forward, Head, Loss, Order, Prompt, Try,
-};
+use node::forward::{Answer, Call, Context, Event, Forward, Head, Loss, Order, Prompt, Try};
 use node::note::{Allowed, Note};
 use node::{Effect, Effects};
 use record::View;
 use serde_json::{Value, json};
 use test_case::test_case;
 
-use shop::{STORE, addr, listed, view};
+use shop::{STORE, addr, config, listed, view};
 
 /// Nothing of an entry at a server.
 fn nothing(server: SocketAddr) -> wire::Share {
@@ -37,16 +34,8 @@
 
 impl Bed {
     fn new(servers: u16) -> Self {
-        let config = Config {
-            allowance: Allowance { ratio: 0.2, slack: 60.0, window: Duration::from_secs(10) },
-            list_every: Duration::from_secs(1),
-            linger: Duration::from_secs(3),
-            lease: Duration::from_secs(1),
-            old_weights: Duration::from_secs(5),
-            deny: Duration::from_millis(1_500),
-        };
         let mut bed = Self {
-            forward: Forward::new(config, Name::new("a"), 7),
+            forward: Forward::new(config(), Name::new("a"), 7),
             view: view(1),
             now: Time::from_millis(1_000),
             ready: true,
--- a/crates/node/tests/limits.rs
+++ b/crates/node/tests/limits.rs
@@ -8,8 +8,7 @@
 
 use base::prelude::*;
 use fleet::{Limit, Limited, Listed};
-use limit::Allowance;
-use node::forward::{Answer, Config, Context, Event, Forward, Head, Order};
+use node::forward::{Answer, Context, Event, Forward, Head, Order};
 use node::{Effect, Effects};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -17,7 +16,7 @@
 use test_case::test_case;
 use wire::Frame;
 
-use shop::{listed, view};
+use shop::{config, listed, view};
 
 /// Time between two ticks of a reducer.
 const TICK: u64 = 10;
@@ -121,17 +120,6 @@
     over: Option<u64>,
 }
 
-fn config() -> Config {
-    Config {
-        allowance: Allowance { ratio: 0.2, slack: 60.0, window: Duration::from_secs(10) },
-        list_every: Duration::from_secs(1),
-        linger: Duration::from_secs(3),
-        lease: Duration::from_secs(1),
-        old_weights: Duration::from_secs(5),
-        deny: Duration::from_millis(1_500),
-    }
-}
-
 impl World {
     fn play(plan: Plan) -> Self {
         let mut world = Self {
--- a/crates/node/tests/shop/mod.rs
+++ b/crates/node/tests/shop/mod.rs
@@ -4,6 +4,8 @@
 
 use base::prelude::*;
 use fleet::Listed;
+use limit::Allowance;
+use node::forward::Config;
 use record::{Change, Kind, Record, View, schema};
 use serde_json::{Value, json};
 
@@ -78,6 +80,18 @@
     SocketAddr::from(([10, 0, 1, 1], number))
 }
 
+/// Settings of forwarding.
+pub fn config() -> Config {
+    Config {
+        allowance: Allowance { ratio: 0.2, slack: 60.0, window: Duration::from_secs(10) },
+        list_every: Duration::from_secs(1),
+        linger: Duration::from_secs(3),
+        lease: Duration::from_secs(1),
+        old_weights: Duration::from_secs(5),
+        deny: Duration::from_millis(1_500),
+    }
+}
+
 /// Entry of the list for a server of an engine.
 pub fn listed(number: u16) -> Listed {
     Listed {
