Failed attempts are logged with their progress and prompt segments

An overload, servers that crash of themselves and a request that crashes them look the same.

Change: "attempt failed" names the progress of the attempt (sent, head, body and for how long) and the IDs of its prompt segments. No decision changes.

--- a/crates/edge/src/notes.rs
+++ b/crates/edge/src/notes.rs
@@ -1,6 +1,7 @@
 //! Writes decisions and state changes to the log and counts them.
 
 use node::decision::{Decision, Source};
+use node::forward::Progress;
 
 use crate::metrics::Metrics;
 
@@ -27,9 +28,17 @@
                 "request ended"
             );
         }
-        Decision::AttemptFailed { request, server, reason, action } => {
+        Decision::AttemptFailed { request, server, reason, action, progress, segments } => {
             metrics.record_failed_attempt();
-            log::warn!(request:% = request, server:% = server, why:% = reason, then = action; "attempt failed");
+            let body_ms = match progress {
+                Progress::Body(time) => millis(*time),
+                Progress::Sent | Progress::Head => 0,
+            };
+            log::warn!(
+                request:% = request, server:% = server, why:% = reason, then = action, progress = progress.as_str(),
+                body_ms, segments = hex_list(segments);
+                "attempt failed"
+            );
         }
         Decision::Limited { server, limit, from, age, calls } => {
             let limit =
@@ -152,3 +161,9 @@
         Source::Process(process) => ("", process),
     }
 }
+
+/// IDs of prompt segments, as callers write them.
+fn hex_list(segments: &[u64]) -> String {
+    let ids: Vec<String> = segments.iter().map(|id| format!("{id:x}")).collect();
+    ids.join(",")
+}
--- a/crates/node/src/decision.rs
+++ b/crates/node/src/decision.rs
@@ -110,6 +110,10 @@
         reason: String,
         /// The action taken.
         action: &'static str,
+        /// How far the response had come.
+        progress: forward::Progress,
+        /// IDs of the segments of its prompt.
+        segments: Vec<u64>,
     },
     /// A server advertised a rate limit, or removed it.
     Limited {
--- a/crates/node/src/forward/event.rs
+++ b/crates/node/src/forward/event.rs
@@ -106,6 +106,28 @@
     }
 }
 
+/// How far an attempt had come when it ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Progress {
+    /// No response was received.
+    Sent,
+    /// The head of the response was received.
+    Head,
+    /// The body was being received for this long.
+    Body(Duration),
+}
+
+impl Progress {
+    /// The text in logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Sent => "sent",
+            Self::Head => "head",
+            Self::Body(_) => "body",
+        }
+    }
+}
+
 /// An event that concerns forwarded requests or their servers.
 #[derive(Clone, Debug)]
 pub enum Event {
--- a/crates/node/src/forward/follow.rs
+++ b/crates/node/src/forward/follow.rs
@@ -5,7 +5,7 @@
 use route::direct;
 
 use super::weights::request_report;
-use super::{Action, Context, Failure, Forward, ResponseHead};
+use super::{Action, Context, Failure, Forward, Progress, ResponseHead};
 use crate::decision::Decision;
 use crate::{Effect, Effects};
 
@@ -52,6 +52,9 @@
         let Some(run) = self.runs.get_mut(&call) else {
             return;
         };
+        if let Some(placement) = &mut run.placement {
+            placement.head_at = Some(cx.now);
+        }
         if !response.matches_request {
             // The response belongs to another request, so the outcome of this one is unknown.
             self.attempt_failed(cx, call, Failure::NoResponse, out);
@@ -115,6 +118,7 @@
         let Some(placement) = &mut run.placement else {
             return;
         };
+        placement.body_at.get_or_insert(cx.now);
         if let Some(server) = self.servers.get_mut(placement.server) {
             server.prefill_tokens =
                 server.prefill_tokens.saturating_sub(std::mem::take(&mut placement.prefill_tokens));
@@ -161,7 +165,7 @@
             return;
         }
         let code = if delivery_started { Code::Cut } else { Code::Unknown };
-        self.record_failed_attempt(call, failure.as_str().to_owned(), "given up", out);
+        self.record_failed_attempt(cx.now, call, failure.as_str().to_owned(), "given up", out);
         self.reject(cx, call, code, "the backend server broke off", out);
     }
 
@@ -182,7 +186,7 @@
             self.retry(cx, call, reason, out);
             return;
         }
-        self.record_failed_attempt(call, reason, "given up", out);
+        self.record_failed_attempt(cx.now, call, reason, "given up", out);
         let retry_after = self.retry_after(cx.now, &service);
         let rejection = (Code::Overloaded, "the backend servers are full");
         self.reject_with_retry_after(cx, call, rejection, retry_after, out);
@@ -203,13 +207,14 @@
     }
 
     fn retry(&mut self, cx: &Context<'_>, call: u64, reason: String, out: &mut Effects) {
-        self.record_failed_attempt(call, reason, "tried again", out);
+        self.record_failed_attempt(cx.now, call, reason, "tried again", out);
         self.release(call);
         self.place(cx, call, out);
     }
 
     fn record_failed_attempt(
         &self,
+        now: Time,
         call: u64,
         reason: String,
         action: &'static str,
@@ -218,11 +223,16 @@
         if let Some(run) = self.runs.get(&call) {
             let server = run.last_server.clone().unwrap_or_default();
             let request = run.head.id.clone();
+            let progress =
+                run.placement.map_or(Progress::Sent, |placement| placement.progress(now));
+            let segments = run.segments().iter().map(|segment| segment.id).collect();
             out.push(Effect::Decision(Box::new(Decision::AttemptFailed {
                 request,
                 server,
                 reason,
                 action,
+                progress,
+                segments,
             })));
         }
     }
--- a/crates/node/src/forward/mod.rs
+++ b/crates/node/src/forward/mod.rs
@@ -58,7 +58,7 @@
 use stores::Stores;
 
 pub use event::{
-    Action, Attempt, Change, ControlCall, Event, Failure, Prompt, Rejection, RequestHead,
+    Action, Attempt, Change, ControlCall, Event, Failure, Progress, Prompt, Rejection, RequestHead,
     ResponseHead,
 };
 pub use follow::MISDIRECTED;
@@ -133,6 +133,20 @@
     memory_tokens: u64,
     /// The source of its largest fetched segment, and the estimated time of that transfer, milliseconds.
     transfer: Option<(SocketAddr, f64)>,
+    /// When the head of its response was received.
+    head_at: Option<Time>,
+    /// When the first bytes of its body were received.
+    body_at: Option<Time>,
+}
+
+impl Placement {
+    fn progress(&self, now: Time) -> Progress {
+        match (self.head_at, self.body_at) {
+            (_, Some(at)) => Progress::Body(now.since(at)),
+            (Some(_), None) => Progress::Head,
+            (None, None) => Progress::Sent,
+        }
+    }
 }
 
 /// A request in progress.
--- a/crates/node/src/forward/place.rs
+++ b/crates/node/src/forward/place.rs
@@ -169,6 +169,8 @@
             prefill_tokens,
             memory_tokens,
             transfer: transfer.main_source,
+            head_at: None,
+            body_at: None,
         });
         server.in_flight += 1;
         server.memory_tokens += memory_tokens;
