--- /dev/null
+++ b/crates/node/tests/fleet/mod.rs
@@ -0,0 +1,694 @@
+//! Simulates entries, keepers and backend servers without a network: whole processes exchange frames, callers retry, and
+//! servers crash, by themselves or when they begin a response to a prompt with a deadly segment.
+#![allow(dead_code, reason = "each test file uses a part of the simulation")]
+
+#[path = "../../../quorum/tests/cluster/disk.rs"]
+mod disk;
+#[path = "../fixture/mod.rs"]
+mod fixture;
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::net::SocketAddr;
+
+use base::prelude::*;
+use cache::Segment;
+use fleet::{Listed, Report};
+use node::forward::{Action, ControlCall, Event as Forwarded, Failure, Prompt, RequestHead};
+use node::{Config, Effect, Effects, Event, Keeper, LocalProcess, Node};
+use quorum::{Bootstrap, Member, Replica, Timing};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use wire::Hello;
+
+use disk::Disk;
+
+/// Number of entries with the role keeper.
+const KEEPERS: usize = 3;
+/// Interval between two ticks of a process, and latency of a frame; milliseconds.
+const TICK_MS: u64 = 10;
+const HOP_MS: u64 = 1;
+/// When callers begin: the keepers have elected a leader, and the configuration is in force. Milliseconds.
+pub const TRAFFIC_FROM_MS: u64 = 4_000;
+/// How long a crashed server is down, and how long the list shows the state before; milliseconds.
+const DOWN_MS: u64 = 3_200;
+const LIST_LAG_MS: u64 = 800;
+/// Time from the crash of a server or the loss of a machine after which a rule of the users binds; milliseconds.
+pub const STABLE_MS: u64 = 3_000;
+/// Crashes that are allowed before a segment must be known.
+pub const FREE_CRASHES: usize = 5;
+/// How long a caller waits for the whole response; milliseconds.
+const CALLER_TIMEOUT_MS: u64 = 6_000;
+/// Segment that all prompts of a kind begin with, that of a workspace, and the deadly ones.
+const KIND_SEGMENTS: u64 = 100;
+const WORKSPACE_SEGMENTS: u64 = 200;
+pub const DEADLY: u64 = 900;
+
+/// Prompts with a deadly segment come in this time, milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct Deadly {
+    pub segment: u64,
+    /// The kind and the workspace of the requests that have it.
+    pub kind: u64,
+    pub workspace: u64,
+    /// Fraction of the requests of that kind.
+    pub share: f64,
+    pub from: u64,
+    pub until: u64,
+    /// From when on servers survive it.
+    pub harmless_from: u64,
+}
+
+/// A disturbance.
+#[derive(Clone, Copy, Debug)]
+pub enum Fault {
+    /// A server crashes by itself.
+    Crash(usize),
+    /// An entry is killed and starts again this many milliseconds later.
+    Kill(usize, u64),
+    /// A server breaks off one of its responses and continues with the others.
+    Break(usize),
+    /// An entry loses all its connections to servers.
+    Reset(usize),
+}
+
+/// The parameters of a simulation.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub entries: usize,
+    pub servers: usize,
+    pub workspaces: u64,
+    /// Requests per second of each kind.
+    pub load: [f64; 2],
+    pub deadly: Vec<Deadly>,
+    pub faults: Vec<(u64, Fault)>,
+    pub end: u64,
+    pub seed: u64,
+}
+
+impl Plan {
+    pub fn new(seed: u64) -> Self {
+        Self {
+            entries: 8,
+            servers: 18,
+            workspaces: 10,
+            load: [50.0, 68.0],
+            deadly: Vec::new(),
+            faults: Vec::new(),
+            end: 38_000,
+            seed,
+        }
+    }
+
+    /// The day of the issue: a twentieth of one kind of request from 4 to 26 s.
+    pub fn tainted(seed: u64) -> Self {
+        Self { deadly: vec![deadly(DEADLY, 0, 0.05)], ..Self::new(seed) }
+    }
+}
+
+/// A deadly segment in this fraction of the requests of a kind, from 4 to 26 s of the traffic.
+pub fn deadly(segment: u64, kind: u64, share: f64) -> Deadly {
+    let (from, until) = (TRAFFIC_FROM_MS + 4_000, TRAFFIC_FROM_MS + 26_000);
+    Deadly { segment, kind, workspace: 0, share, from, until, harmless_from: u64::MAX }
+}
+
+#[derive(Debug)]
+enum Due {
+    Tick(usize, u64),
+    Event(usize, u64, Box<Event>),
+    Arrival(u64),
+    Retry(usize),
+    /// A run ends its prefill, or its response.
+    Begin(u64),
+    Finish(u64),
+    Return(usize),
+    Start(usize),
+    Fault(Fault),
+}
+
+#[derive(Debug, Default)]
+struct Host {
+    node: Option<Node>,
+    incarnation: u64,
+    disk: Disk,
+    contacts: Vec<wire::Contact>,
+}
+
+#[derive(Debug, Default)]
+struct Server {
+    /// Number of its starts.
+    born: u64,
+    up: bool,
+    /// Times at which it started or ended, with its identity if it is up.
+    history: Vec<(u64, Option<u64>)>,
+}
+
+/// A run on a server, and the exchange of the entry that sent it.
+#[derive(Clone, Debug)]
+struct Run {
+    server: usize,
+    host: usize,
+    incarnation: u64,
+    call: u64,
+    request: usize,
+    begun: bool,
+}
+
+/// A request of a caller, with all its attempts.
+#[derive(Clone, Debug)]
+pub struct Request {
+    pub at: u64,
+    pub kind: u64,
+    pub workspace: u64,
+    segments: Vec<Segment>,
+    /// The deadly segment that it has.
+    pub deadly: Option<u64>,
+    retried: bool,
+    /// When a server began its first attempt, and the number of attempts at servers.
+    pub begun: Option<u64>,
+    pub attempts: u32,
+    /// Whether its response was delivered completely.
+    pub served: bool,
+    /// Status and Retry-After in milliseconds of each rejection.
+    pub rejections: Vec<(u16, Option<u64>)>,
+}
+
+/// A request with a deadly segment that reached a server.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival {
+    pub at: u64,
+    pub segment: u64,
+}
+
+/// A crash of a server.
+#[derive(Clone, Copy, Debug)]
+pub struct Crash {
+    pub at: u64,
+    /// The segment that caused it, if one did.
+    pub segment: Option<u64>,
+}
+
+#[derive(Debug)]
+pub struct World {
+    plan: Plan,
+    now: u64,
+    number: u64,
+    queue: BinaryHeap<Reverse<(u64, u64)>>,
+    pending: HashMap<u64, Due>,
+    hosts: Vec<Host>,
+    servers: Vec<Server>,
+    runs: BTreeMap<u64, Run>,
+    /// Request of each exchange of an entry.
+    exchanges: HashMap<u64, usize>,
+    rng: Pcg64Mcg,
+    pub requests: Vec<Request>,
+    pub arrivals: Vec<Arrival>,
+    pub crashes: Vec<Crash>,
+    /// Log of all decisions, as text.
+    pub decisions: Vec<(u64, usize, String)>,
+}
+
+impl World {
+    pub fn simulate(plan: Plan) -> Self {
+        let mut world = Self {
+            now: 0,
+            number: 0,
+            queue: BinaryHeap::new(),
+            pending: HashMap::new(),
+            hosts: (0..plan.entries).map(|_| Host::default()).collect(),
+            servers: (0..plan.servers).map(|_| Server::default()).collect(),
+            runs: BTreeMap::new(),
+            exchanges: HashMap::new(),
+            rng: Pcg64Mcg::seed_from_u64(plan.seed),
+            requests: Vec::new(),
+            arrivals: Vec::new(),
+            crashes: Vec::new(),
+            decisions: Vec::new(),
+            plan,
+        };
+        for server in 0..world.servers.len() {
+            world.start_server(server);
+        }
+        for host in 0..world.hosts.len() {
+            world.hosts[host].disk.identity = host as u64 + 1;
+            world.start(host);
+        }
+        for kind in 0..world.plan.load.len() {
+            world.schedule(TRAFFIC_FROM_MS, Due::Arrival(kind as u64));
+        }
+        for (at, fault) in world.plan.faults.clone() {
+            world.schedule(at, Due::Fault(fault));
+        }
+        while let Some(Reverse((at, number))) = world.queue.pop() {
+            if at >= world.plan.end {
+                break;
+            }
+            world.now = at;
+            if let Some(due) = world.pending.remove(&number) {
+                world.handle(due);
+            }
+        }
+        world
+    }
+
+    fn schedule(&mut self, after: u64, due: Due) {
+        self.number += 1;
+        self.queue.push(Reverse((self.now + after, self.number)));
+        self.pending.insert(self.number, due);
+    }
+
+    fn event(&mut self, host: usize, after: u64, event: Event) {
+        let incarnation = self.hosts[host].incarnation;
+        self.schedule(after, Due::Event(host, incarnation, Box::new(event)));
+    }
+
+    fn hello(&self, host: usize) -> Hello {
+        Hello {
+            name: name(host),
+            incarnation: Incarnation(self.hosts[host].incarnation),
+            zone: Name::new("a"),
+            addr: SocketAddr::from(([10, 0, 0, host as u8], 7_700)),
+            entry: true,
+            keeper: host < KEEPERS,
+            server: None,
+        }
+    }
+
+    fn start(&mut self, host: usize) {
+        let first = self.hosts[host].incarnation == 0;
+        self.hosts[host].incarnation += 1 + self.now;
+        let hello = self.hello(host);
+        let names = if first { (0..KEEPERS).map(name).collect() } else { Vec::new() };
+        let bootstrap =
+            Bootstrap { names, epoch: 1, voters_wanted: KEEPERS, accept_new_members: false };
+        let found = &mut self.hosts[host];
+        let member = Member { name: hello.name.clone(), disk_id: found.disk.identity };
+        let saved = found.disk.saved.clone();
+        let quorum = Replica::new(member, bootstrap, Timing::default(), self.rng.random(), saved);
+        let keeper = Keeper::new(hello.name.clone(), quorum).expect("a state of this build");
+        let local = LocalProcess { hello: hello.clone(), version: Name::default(), started_ms: 0 };
+        let config = Config {
+            forward: Some(fixture::config()),
+            serve_unconfirmed: true,
+            ..Config::default()
+        };
+        found.node = Some(Node::new(local, config, (host < KEEPERS).then_some(keeper)));
+        if host < KEEPERS && !first {
+            self.restore(host);
+        }
+        let incarnation = self.hosts[host].incarnation;
+        self.schedule(self.now % TICK_MS, Due::Tick(host, incarnation));
+        for other in (0..self.hosts.len()).filter(|other| *other != host) {
+            if self.hosts[other].node.is_some() {
+                let peer = self.hello(other);
+                self.event(other, HOP_MS, Event::Connected(hello.clone()));
+                self.event(host, HOP_MS, Event::Connected(peer));
+            }
+        }
+        if first && host == 0 {
+            for (id, frame) in fixture::puts().into_iter().enumerate() {
+                let event = Event::Frame { peer: Name::new("operator"), frame };
+                self.event(0, 1_500 + id as u64, event);
+            }
+        }
+    }
+
+    /// What a keeper reads from its disk when it starts.
+    fn restore(&mut self, host: usize) {
+        let contacts = self.hosts[host].contacts.clone();
+        self.event(host, 0, Event::ContactsLoaded(contacts));
+    }
+
+    fn kill(&mut self, host: usize) {
+        self.hosts[host].node = None;
+        for other in 0..self.hosts.len() {
+            if self.hosts[other].node.is_some() {
+                self.event(other, HOP_MS, Event::Disconnected { peer: name(host) });
+            }
+        }
+        let lost: Vec<u64> =
+            self.runs.iter().filter(|(_, run)| run.host == host).map(|(id, _)| *id).collect();
+        for id in lost {
+            self.runs.remove(&id);
+        }
+    }
+
+    fn start_server(&mut self, server: usize) {
+        let now = self.now;
+        let found = &mut self.servers[server];
+        found.born += 1;
+        found.up = true;
+        found.history.push((now, Some(found.born)));
+    }
+
+    fn crash(&mut self, server: usize, segment: Option<u64>) {
+        if !self.servers[server].up {
+            return;
+        }
+        self.servers[server].up = false;
+        let now = self.now;
+        self.servers[server].history.push((now, None));
+        self.crashes.push(Crash { at: now, segment });
+        let lost: Vec<u64> =
+            self.runs.iter().filter(|(_, run)| run.server == server).map(|(id, _)| *id).collect();
+        for id in lost {
+            self.break_off(id);
+        }
+        let down = DOWN_MS + self.rng.random_range(0..300);
+        self.schedule(down, Due::Return(server));
+    }
+
+    /// The connection of a run is reset.
+    fn break_off(&mut self, id: u64) {
+        if let Some(run) = self.runs.remove(&id) {
+            let after = self.rng.random_range(1..=HOP_MS + 4);
+            let failed = Forwarded::Failed { call: run.call, failure: Failure::Aborted };
+            self.schedule(
+                after,
+                Due::Event(run.host, run.incarnation, Box::new(Event::Forward(failed))),
+            );
+        }
+    }
+
+    fn handle(&mut self, due: Due) {
+        match due {
+            Due::Tick(host, incarnation) => {
+                if self.hosts[host].incarnation == incarnation && self.hosts[host].node.is_some() {
+                    self.step(host, Event::Tick);
+                    self.schedule(TICK_MS, Due::Tick(host, incarnation));
+                }
+            }
+            Due::Event(host, incarnation, event) => {
+                if self.hosts[host].incarnation == incarnation {
+                    self.step(host, *event);
+                }
+            }
+            Due::Arrival(kind) => {
+                let request = self.new_request(kind);
+                self.requests.push(request);
+                self.send_request(self.requests.len() - 1);
+                let gap: f64 =
+                    self.rng.random_range(0.0..2.0) * 1_000.0 / self.plan.load[kind as usize];
+                self.schedule((gap.round() as u64).max(1), Due::Arrival(kind));
+            }
+            Due::Retry(request) => self.send_request(request),
+            Due::Begin(id) => self.begin(id),
+            Due::Finish(id) => {
+                if let Some(run) = self.runs.remove(&id) {
+                    self.requests[run.request].served = true;
+                    let completed = Forwarded::Completed { call: run.call };
+                    self.forward(&run, completed);
+                }
+            }
+            Due::Return(server) => self.start_server(server),
+            Due::Start(host) => self.start(host),
+            Due::Fault(fault) => self.fault(fault),
+        }
+    }
+
+    fn fault(&mut self, fault: Fault) {
+        match fault {
+            Fault::Crash(server) => self.crash(server, None),
+            Fault::Kill(host, down) => {
+                self.kill(host);
+                self.schedule(down, Due::Start(host));
+            }
+            Fault::Break(server) => {
+                let run = self.runs.iter().find(|(_, run)| run.server == server);
+                if let Some(id) = run.map(|(id, _)| *id) {
+                    self.break_off(id);
+                }
+            }
+            Fault::Reset(host) => {
+                let lost = self.runs.iter().filter(|(_, run)| run.host == host);
+                for id in lost.map(|(id, _)| *id).collect::<Vec<u64>>() {
+                    self.break_off(id);
+                }
+            }
+        }
+    }
+
+    fn new_request(&mut self, kind: u64) -> Request {
+        let now = self.now;
+        let coming = self
+            .plan
+            .deadly
+            .iter()
+            .filter(|found| found.kind == kind && (found.from..found.until).contains(&now));
+        let mut point: f64 = self.rng.random();
+        let mut chosen = None;
+        for deadly in coming {
+            if point < deadly.share {
+                chosen = Some(*deadly);
+                break;
+            }
+            point -= deadly.share;
+        }
+        // A few workspaces are large.
+        let drawn = self.rng.random_range(0.0..1.0_f64).powi(2) * self.plan.workspaces as f64;
+        let workspace = chosen.map_or(drawn as u64, |deadly| deadly.workspace);
+        let segment = |id, tokens| Segment { id, tokens };
+        let mut segments = vec![
+            segment(KIND_SEGMENTS + kind, 600),
+            segment(WORKSPACE_SEGMENTS + 50 * kind + workspace, 900),
+        ];
+        if let Some(deadly) = chosen {
+            segments.push(segment(deadly.segment, 500));
+        } else if self.rng.random_bool(0.3) {
+            // A document that some requests share.
+            segments.push(segment(1_000 + self.rng.random_range(0..200), 500));
+        }
+        segments.push(segment(1_000_000 + self.number, 200));
+        Request {
+            at: now,
+            kind,
+            workspace,
+            segments,
+            deadly: chosen.map(|deadly| deadly.segment),
+            retried: false,
+            begun: None,
+            attempts: 0,
+            served: false,
+            rejections: Vec::new(),
+        }
+    }
+
+    fn send_request(&mut self, number: usize) {
+        let live: Vec<usize> =
+            (0..self.hosts.len()).filter(|host| self.hosts[*host].node.is_some()).collect();
+        if live.is_empty() {
+            return;
+        }
+        let host = live[self.rng.random_range(0..live.len())];
+        self.number += 1;
+        let call = self.number;
+        self.exchanges.insert(call, number);
+        let request = &self.requests[number];
+        let tokens = request.segments.iter().map(|segment| segment.tokens).sum();
+        let left = (request.at + CALLER_TIMEOUT_MS).saturating_sub(self.now);
+        let head = RequestHead {
+            id: Name::from(format!("r{call}")),
+            host: "shop".to_owned(),
+            path: "/stream/x".to_owned(),
+            key: Some("key".to_owned()),
+            timeout: Some(Duration::from_millis(left)),
+            prompt: Some(Prompt {
+                model: Name::new("m"),
+                segments: request.segments.clone(),
+                tokens,
+                max_tokens: 40,
+            }),
+        };
+        let arrived = Forwarded::Arrived { call, head: Box::new(head) };
+        self.event(host, HOP_MS, Event::Forward(arrived));
+    }
+
+    fn forward(&mut self, run: &Run, event: Forwarded) {
+        let event = Box::new(Event::Forward(event));
+        self.schedule(HOP_MS, Due::Event(run.host, run.incarnation, event));
+    }
+
+    fn deadly_now(&self, request: usize) -> Option<u64> {
+        let segment = self.requests[request].deadly?;
+        let deadly = self.plan.deadly.iter().find(|deadly| deadly.segment == segment)?;
+        (self.now < deadly.harmless_from).then_some(segment)
+    }
+
+    /// A server has read the prompt of a run and begins the response.
+    fn begin(&mut self, id: u64) {
+        let Some(run) = self.runs.get_mut(&id) else {
+            return;
+        };
+        run.begun = true;
+        let run = run.clone();
+        if let Some(segment) = self.deadly_now(run.request) {
+            self.crash(run.server, Some(segment));
+            return;
+        }
+        let request = &mut self.requests[run.request];
+        if request.attempts == 1 {
+            request.begun.get_or_insert(self.now);
+        }
+        self.forward(&run, Forwarded::BodyStarted { call: run.call });
+        let writing = self.rng.random_range(60..1_500);
+        self.schedule(writing, Due::Finish(id));
+    }
+
+    fn step(&mut self, host: usize, event: Event) {
+        let mut out = Effects::new();
+        let Some(node) = &mut self.hosts[host].node else {
+            return;
+        };
+        node.step(Time::from_millis(self.now), event, &mut out);
+        for effect in out {
+            self.perform(host, effect);
+        }
+    }
+
+    fn perform(&mut self, from: usize, effect: Effect) {
+        match effect {
+            Effect::Send { to, frame } => {
+                let Some(to) = (0..self.hosts.len()).find(|host| name(*host) == to) else { return };
+                if self.hosts[to].node.is_some() {
+                    self.event(to, HOP_MS, Event::Frame { peer: name(from), frame });
+                }
+            }
+            Effect::Persist { seq, write } => {
+                self.hosts[from].disk.write(write);
+                self.event(from, HOP_MS, Event::Persisted { seq });
+            }
+            Effect::SaveContacts(contacts) => self.hosts[from].contacts = contacts,
+            Effect::Forward { call, action } => self.act(from, call, action),
+            Effect::Call(ControlCall::ReadList) => {
+                let list = Ok(self.list());
+                self.event(from, HOP_MS, Event::Forward(Forwarded::Listed { list }));
+            }
+            Effect::Call(ControlCall::Report { id, addr }) => {
+                let server = usize::from(addr.port());
+                if self.servers[server].up && id == server_id(server, self.servers[server].born) {
+                    let report = Report { version: 1, ..Report::default() };
+                    let notice = fleet::Notice::default();
+                    let reported = Forwarded::Reported { id, report, notice };
+                    self.event(from, HOP_MS, Event::Forward(reported));
+                }
+            }
+            Effect::Decision(decision) => {
+                self.decisions.push((self.now, from, format!("{decision:?}")));
+            }
+            Effect::Fail { text } => panic!("host {from}: {text}"),
+            _ => {}
+        }
+    }
+
+    fn act(&mut self, host: usize, call: u64, action: Action) {
+        let Some(request) = self.exchanges.get(&call).copied() else {
+            return;
+        };
+        match action {
+            Action::Send(attempt) => {
+                let server = usize::from(attempt.addr.port());
+                let incarnation = self.hosts[host].incarnation;
+                self.number += 1;
+                let id = self.number;
+                let run = Run { server, host, incarnation, call, request, begun: false };
+                let found = &self.servers[server];
+                if !found.up || attempt.id != server_id(server, found.born) {
+                    let failure = Failure::NotSent;
+                    self.forward(&run, Forwarded::Failed { call, failure });
+                    return;
+                }
+                self.requests[request].attempts += 1;
+                if let Some(segment) = self.requests[request].deadly {
+                    self.arrivals.push(Arrival { at: self.now, segment });
+                }
+                self.runs.insert(id, run.clone());
+                let response = node::forward::ResponseHead {
+                    status: 200,
+                    matches_request: true,
+                    ..node::forward::ResponseHead::default()
+                };
+                self.forward(&run, Forwarded::ResponseReceived { call, response });
+                let prefill = self.rng.random_range(20..180);
+                self.schedule(prefill, Due::Begin(id));
+            }
+            Action::Deliver => {}
+            Action::Reject(rejection) => {
+                self.runs.retain(|_, run| run.call != call);
+                let retry = rejection.retry_after.map(|after| after.as_millis() as u64);
+                let found = &mut self.requests[request];
+                found.rejections.push((rejection.status, retry));
+                let left = (found.at + CALLER_TIMEOUT_MS).saturating_sub(self.now);
+                let wait = retry.unwrap_or(0).min(left / 3);
+                if !std::mem::replace(&mut found.retried, true) && left > 0 {
+                    self.schedule(wait + 2 * HOP_MS, Due::Retry(request));
+                }
+            }
+        }
+    }
+
+    fn list(&self) -> Vec<Listed> {
+        let seen = self.now.saturating_sub(LIST_LAG_MS);
+        let servers = self.servers.iter().enumerate();
+        let listed = servers.filter_map(|(number, server)| {
+            let state = server.history.iter().rev().find(|(at, _)| *at <= seen);
+            let born = state.or(server.history.first())?.1?;
+            Some(Listed {
+                id: server_id(number, born),
+                born: Some(born),
+                addr: fixture::addr(number as u16),
+                slots: 48,
+                ..fixture::listed(number as u16)
+            })
+        });
+        listed.collect()
+    }
+
+    /// When the fifth crash caused by a segment was, or the last one if there were fewer.
+    pub fn fifth_crash(&self, segment: u64) -> Option<u64> {
+        let crashes = self.crashes.iter().filter(|crash| crash.segment == Some(segment));
+        crashes.take(FREE_CRASHES).last().map(|crash| crash.at)
+    }
+
+    pub fn crashes_by(&self, segment: u64) -> usize {
+        self.crashes.iter().filter(|crash| crash.segment == Some(segment)).count()
+    }
+
+    /// Requests with a segment that reached servers later than the stable time after its fifth crash.
+    pub fn late_arrivals(&self, segment: u64) -> usize {
+        if self.crashes_by(segment) < FREE_CRASHES {
+            return 0;
+        }
+        let from = self.fifth_crash(segment).map_or(u64::MAX, |at| at + STABLE_MS);
+        let late = |arrival: &&Arrival| arrival.segment == segment && arrival.at > from;
+        self.arrivals.iter().filter(late).count()
+    }
+
+    /// Fraction of the sound requests of a kind and workspace that began at their first attempt, in this time.
+    pub fn begun(&self, kind: u64, workspace: u64, times: std::ops::Range<u64>) -> f64 {
+        let sound = |request: &&Request| {
+            request.deadly.is_none()
+                && (request.kind, request.workspace) == (kind, workspace)
+                && times.contains(&request.at)
+        };
+        let begun = |request: &&Request| request.begun.is_some() && request.rejections.is_empty();
+        let all = self.requests.iter().filter(sound).count();
+        assert!(all >= 20, "{all} requests in {times:?}");
+        self.requests.iter().filter(sound).filter(begun).count() as f64 / all as f64
+    }
+
+    /// Fraction of the sound requests in this time that were served.
+    pub fn served(&self, times: std::ops::Range<u64>) -> f64 {
+        let sound = |request: &&Request| request.deadly.is_none() && times.contains(&request.at);
+        let all = self.requests.iter().filter(sound).count();
+        let served = self.requests.iter().filter(sound).filter(|request| request.served).count();
+        served as f64 / all.max(1) as f64
+    }
+}
+
+fn name(host: usize) -> Name {
+    Name::from(format!("entry-{host}"))
+}
+
+fn server_id(server: usize, born: u64) -> Name {
+    Name::from(format!("i-{server}-{born}"))
+}
