A stream that ends inside an event is broken off, not complete

What callers saw: a forwarded stream without a length whose connection ended in the middle of an event was delivered with that half event and the end of the body, as if it were whole; where the stream may be resumed, it was not.

Cause: relay sent the incomplete event on at the end of the body and reported the request as completed. Without a length or chunks, the end of the connection is the end of the body.

Change: a body that ends inside an event counts as aborted: resumed after the last complete event, or cut. Comments and empty lines at the end belong to no event and are passed on. With a length or chunks it is the same: by the standard for server-sent events a client drops an event without its final empty line.

Ruled out: an answer without a length whose connection is reset (hyper reports it; test), and whole ones (test).

--- a/crates/edge/src/events.rs
+++ b/crates/edge/src/events.rs
@@ -2,6 +2,8 @@
 
 use bytes::{Bytes, BytesMut};
 
+/// Content type of an event stream.
+pub(crate) const EVENT_STREAM: &str = "text/event-stream";
 /// Largest event in bytes: servers send a few tokens in each.
 const MAX_EVENT: usize = 256 << 10;
 
@@ -32,6 +34,12 @@
         self.partial.len() > MAX_EVENT
     }
 
+    /// Whether the received bytes end inside an event. Comments and empty lines belong to none.
+    pub fn is_inside_event(&self) -> bool {
+        let mut lines = self.partial[..].split(|byte| matches!(byte, b'\n' | b'\r'));
+        lines.any(|line| !line.is_empty() && !line.starts_with(b":"))
+    }
+
     /// Removes and returns the bytes of the incomplete event.
     pub fn take_partial(&mut self) -> Bytes {
         self.partial.split().freeze()
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -24,6 +24,7 @@
 use tokio::time::timeout;
 use tokio_stream::wrappers::ReceiverStream;
 
+use crate::events::EVENT_STREAM;
 use crate::meter::{Counted, Meter, Socket};
 use crate::pool::{Failure, Lease, Pool};
 use crate::{EventSplitter, Input, Inputs, Protocol, accept, start};
@@ -32,8 +33,6 @@
 const UNREAD_TIMEOUT: Duration = Duration::from_secs(4);
 /// Frames of a response that are buffered for a slow caller before reading from the server pauses.
 const MAX_QUEUED_FRAMES: usize = 32;
-/// Content type of an event stream.
-const EVENT_STREAM: &str = "text/event-stream";
 
 /// Limits on what a caller sends.
 #[derive(Clone, Copy, Debug)]
@@ -362,6 +361,11 @@
                 Some(Err(error)) => {
                     return self.handle_abort(lease, &error.to_string(), actions).await;
                 }
+                // A response without a length ends with its connection, also where that broke off.
+                None if self.events.as_ref().is_some_and(EventSplitter::is_inside_event) => {
+                    let why = "the stream ended inside an event";
+                    return self.handle_abort(lease, why, actions).await;
+                }
                 None => {
                     let rest =
                         self.events.as_mut().map(EventSplitter::take_partial).unwrap_or_default();
