A plain answer that ends inside an event is not stored as complete

What callers saw: the answer of a call that runs at most once was stored with half an event at its end and returned as complete to each resend.

Cause: the agent's client took the end of the body as the end of the answer; without a length that is the end of the connection. Engines were not affected: their streams end with a mark.

--- a/bin/tamarackbank/tests/once.rs
+++ b/bin/tamarackbank/tests/once.rs
@@ -2,6 +2,9 @@
 
 mod harness;
 
+use std::io::{Read, Write};
+use std::net::TcpListener;
+
 use harness::{
     agent_of, client, completion, fake, folder, get, keepers, leader, post, put, start, until,
 };
@@ -143,3 +146,36 @@
     assert_eq!(text(&first), text(&second));
     assert_eq!(get(&addr, "/started"), 1);
 }
+
+/// A plain service whose answers have no length and end with their connection inside an event.
+fn cut_stream() -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let addr = listener.local_addr().expect("an address").to_string();
+    std::thread::spawn(move || {
+        for mut socket in listener.incoming().flatten() {
+            std::thread::spawn(move || {
+                let mut bytes = [0; 4_096];
+                // The load that the agent reads gets the same answer.
+                if socket.read(&mut bytes).is_ok_and(|read| read > 0) {
+                    let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+                    let _ = socket.write_all(format!("{head}data: one\n\ndata: tw").as_bytes());
+                }
+            });
+        }
+    });
+    addr
+}
+
+// Guards against a stored answer that is returned as complete to each resend, although the server broke it off: without a
+// length its end looks like that of the connection.
+#[test]
+fn a_stream_that_ends_inside_an_event_is_not_stored_as_complete() {
+    let folder = folder("cut-stream");
+    let keepers = keepers(&folder, 17);
+    let addr = cut_stream();
+    let _agent = agent_of(&folder, 17, "agent-1", &addr, "kind = plain\nserves = probes");
+    let first = send_until_run(&keepers[0].callers, "/svc/probes/x", "a", &[KEY]);
+    assert!(first.0 != 200 || !first.1.contains("data: tw"), "{first:?}");
+    let second = send_until_run(&keepers[1].callers, "/svc/probes/x", "a", &[KEY]);
+    assert!(second.0 == 502 && !second.1.contains("data: tw"), "{second:?}");
+}
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -8,14 +8,16 @@
 use std::time::Duration;
 
 use base::{Code, Name, Revision, RunId, hex};
+use bytes::Bytes;
 use node::{Effect, Event, ServerEvent, TransferResult};
 use serde::Deserialize;
 use serde_json::{Value, json};
 use ureq::Agent;
 use wire::{Call, Load, Part, Prompt, Work};
 
+use crate::events::EVENT_STREAM;
 use crate::transfer::Transfer;
-use crate::{Input, Inputs};
+use crate::{EventSplitter, Input, Inputs};
 
 /// Longest wait for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -246,13 +248,21 @@
             status: response.status().as_u16(),
             content_type: kind.unwrap_or_default().to_owned(),
         };
+        let is_stream = kind.is_some_and(|kind| kind.starts_with(EVENT_STREAM));
+        let mut events = is_stream.then(EventSplitter::default);
         self.send(ServerEvent::Part { run, part: head });
         let mut reader = response.body_mut().as_reader();
         let mut chunk = vec![0; CHUNK_BYTES];
         loop {
             match reader.read(&mut chunk) {
+                Ok(0) if events.as_ref().is_some_and(EventSplitter::is_inside_event) => {
+                    return Err(Failure::Sent(Code::Cut));
+                }
                 Ok(0) => return Ok((0, 0)),
                 Ok(count) => {
+                    if let Some(events) = &mut events {
+                        events.push(&Bytes::copy_from_slice(&chunk[..count]));
+                    }
                     let part = Part::Bytes(chunk[..count].to_vec());
                     self.send(ServerEvent::Part { run, part });
                 }
