--- a/crates/node/tests/fleet/mod.rs
+++ b/crates/node/tests/fleet/mod.rs
@@ -14,6 +14,7 @@
 use base::prelude::*;
 use cache::Segment;
 use fleet::{Listed, Report};
+use node::decision::Decision;
 use node::forward::{Action, ControlCall, Event as Forwarded, Failure, Prompt, RequestHead};
 use node::{Config, Effect, Effects, Event, Keeper, LocalProcess, Node};
 use quorum::{Bootstrap, Member, Replica, Timing};
@@ -43,6 +44,8 @@
 const KIND_SEGMENTS: u64 = 100;
 const WORKSPACE_SEGMENTS: u64 = 200;
 pub const DEADLY: u64 = 900;
+/// Segments of documents that a few requests share.
+const DOCUMENTS: u64 = 1_000;
 
 /// Prompts with a deadly segment come in this time, milliseconds.
 #[derive(Clone, Copy, Debug)]
@@ -70,6 +73,8 @@
     Break(usize),
     /// An entry loses all its connections to servers.
     Reset(usize),
+    /// An entry stands still for this many milliseconds.
+    Freeze(usize, u64),
 }
 
 /// The parameters of a simulation.
@@ -132,6 +137,7 @@
     incarnation: u64,
     disk: Disk,
     contacts: Vec<wire::Contact>,
+    frozen_until: u64,
     evidence: Vec<wire::quarantine::Observation>,
 }
 
@@ -205,8 +211,8 @@
     pub requests: Vec<Request>,
     pub arrivals: Vec<Arrival>,
     pub crashes: Vec<Crash>,
-    /// Log of all decisions, as text.
-    pub decisions: Vec<(u64, usize, String)>,
+    /// Decisions, with their times and hosts.
+    pub decisions: Vec<(u64, usize, Decision)>,
 }
 
 impl World {
@@ -374,6 +380,13 @@
     }
 
     fn handle(&mut self, due: Due) {
+        if let Due::Tick(host, _) | Due::Event(host, ..) = due {
+            let wake = self.hosts[host].frozen_until;
+            if self.now < wake {
+                self.schedule(wake - self.now, due);
+                return;
+            }
+        }
         match due {
             Due::Tick(host, incarnation) => {
                 if self.hosts[host].incarnation == incarnation && self.hosts[host].node.is_some() {
@@ -428,6 +441,7 @@
                     self.break_off(id);
                 }
             }
+            Fault::Freeze(host, time) => self.hosts[host].frozen_until = self.now + time,
         }
     }
 
@@ -459,7 +473,7 @@
             segments.push(segment(deadly.segment, 500));
         } else if self.rng.random_bool(0.3) {
             // A document that some requests share.
-            segments.push(segment(1_000 + self.rng.random_range(0..200), 500));
+            segments.push(segment(DOCUMENTS + self.rng.random_range(0..200), 500));
         }
         segments.push(segment(1_000_000 + self.number, 200));
         Request {
@@ -579,7 +593,7 @@
                 }
             }
             Effect::Decision(decision) => {
-                self.decisions.push((self.now, from, format!("{decision:?}")));
+                self.decisions.push((self.now, from, *decision));
             }
             Effect::Fail { text } => panic!("host {from}: {text}"),
             _ => {}
@@ -665,6 +679,23 @@
         self.arrivals.iter().filter(late).count()
     }
 
+    /// Segments of sound requests that some process took for the cause of crashes.
+    pub fn wrongly_held(&self) -> Vec<u64> {
+        let mut found = Vec::new();
+        for (_, _, decision) in &self.decisions {
+            let Decision::Quarantined { held: true, hold, .. } = decision else {
+                continue;
+            };
+            let segments = hold.segments.iter().map(|segment| segment.id);
+            if segments.clone().all(|id| id < DEADLY || id >= DOCUMENTS) {
+                found.extend(segments);
+            }
+        }
+        found.sort_unstable();
+        found.dedup();
+        found
+    }
+
     /// Fraction of the sound requests of a kind and workspace that began at their first attempt, in this time.
     pub fn begun(&self, kind: u64, workspace: u64, times: std::ops::Range<u64>) -> f64 {
         let sound = |request: &&Request| {
--- a/crates/quarantine/src/verdict.rs
+++ b/crates/quarantine/src/verdict.rs
@@ -6,10 +6,13 @@
 
 use crate::{Crash, Segment, Server};
 
-/// Crashes from which a segment that never survived is blamed.
+/// Crashes from which a segment is blamed.
 const MIN_CRASHES: usize = 2;
-/// The same for a segment that survived before the first of these crashes.
-const MIN_CRASHES_AFTER_SURVIVAL: usize = 3;
+/// Further crashes that are needed for a segment that survived before the first of them, and where servers also crash with
+/// other causes.
+const MORE_CRASHES: usize = 1;
+/// Time before the first of its crashes in which crashes with other causes count against blaming a segment.
+const OTHER_CAUSES_WINDOW: Duration = Duration::from_secs(30);
 /// Crashes within this time have a common cause, such as a rack without power, and count as one.
 const COINCIDENCE: Duration = Duration::from_millis(20);
 
@@ -53,14 +56,24 @@
             }
         }
     }
+    explained.retain(|_, found| found.len() >= MIN_CRASHES);
     let mut holds = Vec::new();
+    let mut unexplained: BTreeSet<usize> = (0..crashes.len()).collect();
     loop {
         let best = explained
             .iter()
             .filter_map(|(segment, found)| {
                 let count = found.iter().map(|index| events[*index]).collect::<BTreeSet<_>>().len();
                 let survived = survived.contains_key(segment);
-                let needed = if survived { MIN_CRASHES_AFTER_SURVIVAL } else { MIN_CRASHES };
+                let at = |index: &usize| crashes[*index].at;
+                let (first, last) = (found.first().map(at)?, found.last().map(at)?);
+                let has_other_causes = unexplained
+                    .difference(found)
+                    .map(at)
+                    .any(|other| other <= last && other + OTHER_CAUSES_WINDOW > first);
+                let needed = MIN_CRASHES
+                    + if survived { MORE_CRASHES } else { 0 }
+                    + if has_other_causes { MORE_CRASHES } else { 0 };
                 (count >= needed).then_some(((!survived, count), found))
             })
             .max_by_key(|(rank, found)| (*rank, (*found).clone()));
@@ -78,9 +91,10 @@
         segments.sort();
         let explains = |index: &usize| (crashes[*index].server.clone(), crashes[*index].at);
         holds.push(Hold { segments, crashes: found.iter().map(explains).collect() });
+        unexplained.retain(|index| !found.contains(index));
         explained.retain(|_, other| {
             other.retain(|index| !found.contains(index));
-            !other.is_empty()
+            other.len() >= MIN_CRASHES
         });
     }
 }
