A prompt that is lost twice before a token is given up by entries with agents

What callers saw: nothing yet; found when the same class was looked for elsewhere. A prompt that ends each backend server before its first token was sent to every server of the model, without a limit on attempts.

Cause: attempt_lost sent prompts again without a limit, since a prompt continues from the tokens delivered; one without any token makes no progress.

Change: after two losses in a row without a token between them the request ends with code 3002. Servers that add tokens reset the count. The replayed world gets the fault "taint DOCUMENT" (replicas crash on its prompts) and the promise that one request crashes at most two.

Measured: the new tests of entry failed before (4 of 4 servers lost) and pass.

--- a/crates/node/src/entry/admit.rs
+++ b/crates/node/src/entry/admit.rs
@@ -113,6 +113,7 @@
             deadline,
             stage: Stage::Waiting,
             failed_attempts: 0,
+            losses_without_tokens: 0,
             may_have_run: false,
             excluded: Vec::new(),
             capacity_rejections: 0,
--- a/crates/node/src/entry/follow.rs
+++ b/crates/node/src/entry/follow.rs
@@ -14,6 +14,8 @@
 const MIN_PEERS: usize = 2;
 /// Failed attempts of one request after which the caller gets the failure.
 const MAX_ATTEMPTS: u32 = 3;
+/// Servers lost in a row without a token after which a prompt is given up.
+const MAX_LOSSES_WITHOUT_TOKENS: u32 = 2;
 
 impl Entry {
     /// Handles a frame from an agent.
@@ -214,8 +216,13 @@
         run.failed_attempts += 1;
         run.may_have_run = true;
         run.excluded.push(agent);
-        // A prompt continues from the tokens already delivered, without a limit on attempts.
-        let again = matches!(run.work, Work::Prompt(_)) || run.failed_attempts < MAX_ATTEMPTS;
+        run.losses_without_tokens += 1;
+        // A prompt continues from the tokens already delivered, as often as servers add some. One that ends each server
+        // before its first token must not end all of them.
+        let again = match run.work {
+            Work::Prompt(_) => run.losses_without_tokens < MAX_LOSSES_WITHOUT_TOKENS,
+            Work::Call(_) => run.failed_attempts < MAX_ATTEMPTS,
+        };
         self.release(number);
         if again {
             self.requeue_attempt(number);
@@ -249,6 +256,7 @@
 fn tokens(now: Time, run: &mut Run, text: &str, count: u32, out: &mut Effects) {
     run.first_token_at.get_or_insert(now);
     run.delivered += count;
+    run.losses_without_tokens = 0;
     if !run.streams() {
         run.text.push_str(text);
         return;
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -86,6 +86,8 @@
     pub stage: Stage,
     /// Attempts that failed or were rejected, except for lack of capacity.
     pub failed_attempts: u32,
+    /// Servers that were lost in a row before they sent a token.
+    pub losses_without_tokens: u32,
     /// Whether an earlier attempt was lost, so that reporting "not run" could be false.
     pub may_have_run: bool,
     /// Agents that rejected or lost it.
--- a/crates/node/tests/entry.rs
+++ b/crates/node/tests/entry.rs
@@ -101,6 +101,53 @@
     assert!(text.contains("\"unknown\"") && !text.contains("not-run"), "{text}");
 }
 
+/// Disconnects an agent for longer than it may take to connect again, while the others send heartbeats.
+fn lose(harness: &mut Harness, agent: &str) -> node::Effects {
+    let mut out = harness.step(Event::Disconnected { peer: Name::new(agent) });
+    for _ in 0..9 {
+        for other in (1..=5).map(|other| format!("agent-{other}")).filter(|other| other != agent) {
+            out.extend(harness.heartbeat(&other, "v1", false));
+        }
+        out.extend(harness.advance(Duration::from_millis(100)));
+    }
+    out
+}
+
+// Guards against a prompt that ends each server before its first token and is sent to all of them in turn.
+#[test]
+fn a_prompt_that_is_lost_twice_before_a_token_is_given_up() {
+    let mut harness = Harness::entry();
+    for agent in 1..=4 {
+        harness.connect(&format!("agent-{agent}"), 1, engine(), "v1");
+    }
+    let mut out = harness.prompt(1);
+    let mut lost = Vec::new();
+    while let Some((agent, _)) = starts(&out).into_iter().next() {
+        out = lose(&mut harness, &agent);
+        lost.push(agent);
+    }
+    assert_eq!(lost.len(), 2, "{lost:?}");
+    let (text, complete) = response(&out, 1);
+    assert_eq!(complete, Some(true));
+    assert!(text.contains("3002") && !text.contains("not-run"), "{text}");
+}
+
+// Guards against the same limit for prompts whose servers are lost after they have added tokens.
+#[test]
+fn a_prompt_continues_as_often_as_servers_add_tokens() {
+    let mut harness = Harness::entry();
+    for agent in 1..=5 {
+        harness.connect(&format!("agent-{agent}"), 1, engine(), "v1");
+    }
+    let mut out = harness.prompt(1);
+    for _ in 0..4 {
+        let (agent, start) = starts(&out).remove(0);
+        harness.frame(&agent, token(start.run, 0, "word "));
+        out = lose(&mut harness, &agent);
+    }
+    assert_eq!(starts(&out).len(), 1, "a fifth server continues");
+}
+
 #[test]
 fn a_request_without_a_server_is_rejected_immediately() {
     let mut harness = Harness::entry();
--- a/crates/node/tests/fleet/mod.rs
+++ b/crates/node/tests/fleet/mod.rs
@@ -687,7 +687,7 @@
                 continue;
             };
             let segments = hold.segments.iter().map(|segment| segment.id);
-            if segments.clone().all(|id| id < DEADLY || id >= DOCUMENTS) {
+            if !segments.clone().any(|id| (DEADLY..DOCUMENTS).contains(&id)) {
                 found.extend(segments);
             }
         }
--- a/crates/replay/src/trace.rs
+++ b/crates/replay/src/trace.rs
@@ -149,6 +149,8 @@
     StopAgent(u64),
     /// Rolls out the weight version with this number.
     Swap(u64),
+    /// From now on, each replica crashes as it sends the first token of a response to a prompt from this document.
+    Taint(u64),
 }
 
 /// One line of a trace after the settings.
@@ -289,6 +291,7 @@
             Self::LimitServer(n, None) => write!(f, "limit-server {n} none"),
             Self::StopAgent(n) => write!(f, "stop-agent {n}"),
             Self::Swap(version) => write!(f, "swap {version}"),
+            Self::Taint(document) => write!(f, "taint {document}"),
         }
     }
 }
@@ -356,8 +359,10 @@
         }
         ["stop-agent", n] => Ok(Fault::StopAgent(count(n)?)),
         ["swap", version] => Ok(Fault::Swap(count(version)?)),
+        ["taint", document] => Ok(Fault::Taint(number(document, u64::MAX)?)),
         _ => Err("expected kill-agent N, revive-agent N, kill-entry N, kill-store N, fill-store N, \
-                  slow-link N TIMES, slow-server N TIMES, limit-server N LIMIT, stop-agent N or swap N"
+                  slow-link N TIMES, slow-server N TIMES, limit-server N LIMIT, stop-agent N, swap N \
+                  or taint DOCUMENT"
             .to_owned()),
     }
 }
--- a/crates/replay/src/world/faults.rs
+++ b/crates/replay/src/world/faults.rs
@@ -5,9 +5,16 @@
 use node::Event;
 use record::Kind;
 
-use super::{HOP_LATENCY, MODEL, Store, World};
+use base::RunId;
+
+use super::{HOP_LATENCY, MODEL, Scheduled, Store, World};
 use crate::Fault;
 
+/// Replicas that one request may crash.
+const MAX_CRASHES: u32 = 2;
+/// Time until a crashed replica is back.
+const CRASH_TIME: Duration = Duration::from_secs(2);
+
 impl World<'_> {
     pub(super) fn agent(&self, number: u64) -> Option<usize> {
         self.names.get(&*format!("agent-{number}")).copied()
@@ -71,6 +78,9 @@
                 }
             }
             Fault::Swap(version) => self.swap(version),
+            Fault::Taint(document) => {
+                self.tainted.insert(document);
+            }
         }
     }
 
@@ -88,6 +98,21 @@
         self.put(1_001 + 2 * version, Kind::Rollout, MODEL, expect, &body);
     }
 
+    /// A replica crashes on a request, and starts again.
+    pub(super) fn crash(&mut self, index: usize, run: RunId) {
+        let crashes = self.crashed.entry((run.entry, run.number)).or_insert(0);
+        *crashes += 1;
+        let crashes = *crashes;
+        if crashes > MAX_CRASHES {
+            self.violated(
+                "crashes by one request",
+                format!("{run} has crashed {crashes} replicas"),
+            );
+        }
+        self.kill(index);
+        self.schedule(CRASH_TIME, Scheduled::Revive(index));
+    }
+
     pub(super) fn kill(&mut self, index: usize) {
         if self.processes[index].node.is_none() {
             return;
--- a/crates/replay/src/world/mod.rs
+++ b/crates/replay/src/world/mod.rs
@@ -57,12 +57,16 @@
     EngineStep(usize, Incarnation),
     /// A load report of an engine.
     Report(usize, Incarnation),
+    /// A replica that a prompt has crashed starts again.
+    Revive(usize),
 }
 
 /// A run on an engine.
 struct EngineRun {
     run: RunId,
     answer: Answer,
+    /// Whether the engine crashes as it sends the first token.
+    deadly: bool,
 }
 
 struct Process {
@@ -142,6 +146,10 @@
     /// Number of runs of each plain call, by body.
     plain_calls: HashMap<Vec<u8>, u32>,
     ended: Vec<(RunId, Code)>,
+    /// Documents whose prompts crash engines.
+    tainted: HashSet<u64>,
+    /// Number of engines that each request has crashed, by entry and run number.
+    crashed: HashMap<(Incarnation, u64), u32>,
     /// Version that the next rollout record gets.
     version: u64,
     out: Outcome,
@@ -198,6 +206,8 @@
             served: HashMap::new(),
             plain_calls: HashMap::new(),
             ended: Vec::new(),
+            tainted: HashSet::new(),
+            crashed: HashMap::new(),
             version: 1,
             out: Outcome::default(),
         }
@@ -395,6 +405,11 @@
                 }
                 Scheduled::EngineStep(index, incarnation) => self.engine_step(index, incarnation),
                 Scheduled::Report(index, incarnation) => self.report(index, incarnation),
+                Scheduled::Revive(index) => {
+                    if self.processes[index].node.is_none() {
+                        self.boot(index);
+                    }
+                }
             }
         }
     }
--- a/crates/replay/src/world/servers.rs
+++ b/crates/replay/src/world/servers.rs
@@ -40,6 +40,10 @@
             }
             Work::Prompt(prompt) => {
                 self.check_keys(run, &prompt);
+                let deadly = self.tainted.iter().any(|document| {
+                    let text = self.documents.get(document);
+                    text.is_some_and(|text| head(text) == head(&prompt.text))
+                });
                 let incarnation = self.processes[index].hello.incarnation;
                 let Some(engine) = &mut self.processes[index].engine else {
                     return;
@@ -51,7 +55,9 @@
                 }
                 engine.next += 1;
                 let id = engine.next;
-                engine.jobs.insert(id, EngineRun { run, answer: Answer::new(&prompt.text) });
+                engine
+                    .jobs
+                    .insert(id, EngineRun { run, answer: Answer::new(&prompt.text), deadly });
                 engine.batch.submit(Job {
                     id,
                     prompt_tokens: cache::estimate_tokens(&prompt.text),
@@ -118,6 +124,14 @@
             return;
         };
         let outputs = engine.batch.step();
+        let deadly = outputs.iter().find_map(|output| match output {
+            Output::Token { id, .. } => engine.jobs.get(id).filter(|found| found.deadly),
+            Output::End { .. } => None,
+        });
+        if let Some(run) = deadly.map(|found| found.run) {
+            self.crash(index, run);
+            return;
+        }
         let mut events = Vec::new();
         for output in outputs {
             match output {
--- a/crates/replay/tests/faults.rs
+++ b/crates/replay/tests/faults.rs
@@ -33,7 +33,7 @@
 
 use Fault::{
     FillStore, KillAgent, KillEntry, KillStore, LimitServer, ReviveAgent, SlowLink, SlowServer,
-    StopAgent, Swap,
+    StopAgent, Swap, Taint,
 };
 
 #[test_case(&[(8_000, KillAgent(1)), (15_000, ReviveAgent(1))]; "a server dies and comes back")]
@@ -64,6 +64,26 @@
     }
 }
 
+// Guards against a prompt that crashes each replica before its first token and is sent to all of them.
+#[test]
+fn a_document_that_crashes_replicas_does_not_end_all_of_them() {
+    let mut trace = small(Shape::Shatla, 4, 80);
+    let document = 9_000_000;
+    for second in [8, 11, 14, 17] {
+        let at = Time::from_millis(second * 1_000);
+        let index = trace.lines.partition_point(|(time, _)| *time <= at);
+        let ask = trace.lines.iter().find_map(|(_, line)| match line {
+            Line::Ask(ask) => Some(ask.clone()),
+            Line::Call { .. } | Line::Fault(_) => None,
+        });
+        let ask = replay::Ask { document, ..ask.expect("a prompt") };
+        trace.lines.insert(index, (at, Line::Ask(ask)));
+    }
+    let outcome = replay::run(&with_faults(trace, &[(7_000, Taint(document))]), Policy::Estimate);
+    assert_no_violations(&outcome);
+    assert!(outcome.completed * 100 >= outcome.requests * 95, "{outcome}");
+}
+
 #[test]
 fn a_replay_gives_the_same_figures_each_time() {
     let faults = [(8_000, KillAgent(1)), (9_000, Swap(2))];
