--- a/bin/tamarack/src/args.rs
+++ b/bin/tamarack/src/args.rs
@@ -50,6 +50,8 @@
     Dump(Dump),
     Ready(Ready),
     Explain(Explain),
+    Quarantine(Quarantine),
+    Release(Release),
     Story(Story),
     Trace(Generate),
     Replay(Replay),
@@ -218,6 +220,23 @@
     pub request: String,
 }
 
+/// Show the prompt segments that crash servers and are rejected; connect to an entry that forwards requests.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "quarantine")]
+pub struct Quarantine {}
+
+/// Release a prompt segment from quarantine, at all entries.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "release")]
+pub struct Release {
+    /// model
+    #[argh(positional)]
+    pub model: String,
+    /// ID of the segment, as `quarantine` shows it
+    #[argh(positional)]
+    pub segment: String,
+}
+
 /// Generate a seeded trace that resembles a deployment, and print it.
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "trace")]
--- a/bin/tamarack/src/main.rs
+++ b/bin/tamarack/src/main.rs
@@ -38,6 +38,8 @@
         Command::Dump(_) => orders::print_json(&client, "/dump"),
         Command::Ready(_) => orders::print_json(&client, "/ready"),
         Command::Explain(explain) => orders::explain(&client, &explain.request),
+        Command::Quarantine(_) => orders::quarantine(&client),
+        Command::Release(release) => orders::release(&client, &release),
         Command::Story(story) => story::show(&story),
         Command::Trace(generate) => trace::generate(&generate),
         Command::Bench(bench) => bench::run(&bench),
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -10,6 +10,8 @@
 //! | `GET /v1/history` | all changes and their authors, in log order; on a keeper |
 //! | `GET /v1/servers` | the processes and their status, on a keeper; servers without an agent, stores, weights |
 //! | `GET /v1/force/EPOCH.INDEX` | how many processes have applied a revision, and which lag behind; on a keeper |
+//! | `GET /v1/quarantine` | the quarantined prompt segments; on an entry that forwards requests |
+//! | `DELETE /v1/quarantine/MODEL/SEGMENT` | releases a segment at all entries; on any of them |
 //! | `GET /v1/explain/REQUEST` | how a backend server was chosen; on the entry that served the request |
 
 use base::{Code, Name, Revision};
@@ -45,6 +47,15 @@
     Force(Revision),
     /// How a backend server was chosen.
     Explain(String),
+    /// The quarantined prompt segments.
+    Quarantine,
+    /// Release a segment from quarantine.
+    Release {
+        /// Model.
+        model: Name,
+        /// ID of the segment.
+        segment: u64,
+    },
     /// Put a complete configuration.
     PutConfig(PutConfig),
     /// Read the complete configuration that was put last.
@@ -95,6 +106,10 @@
             })
             .map(Admin::Force)
             .ok_or_else(|| bad("a revision is EPOCH.INDEX")),
+        ("GET", ["v1", "quarantine"]) => Ok(Admin::Quarantine),
+        ("DELETE", ["v1", "quarantine", model, segment]) => u64::from_str_radix(segment, 16)
+            .map(|segment| Admin::Release { model: Name::new(model), segment })
+            .map_err(|_| bad("a segment is a hexadecimal number")),
         ("GET", ["v1", "explain", id]) => Ok(Admin::Explain((*id).to_owned())),
         _ => Err((Code::NoSuchPath, format!("{} {}", request.method, path))),
     }
--- a/crates/node/src/forward/mod.rs
+++ b/crates/node/src/forward/mod.rs
@@ -271,6 +271,7 @@
             "waiting": self.awaiting_config.len(),
             "list_age_ms": self.servers.read_at().map(|at| now.since(at).as_millis() as u64),
             "servers": self.dump_servers(now),
+            "quarantine": self.dump_quarantine(now),
             "stored": self.stores.tokens().into_iter().collect::<BTreeMap<_, _>>(),
             "weights": self.versions.iter().map(|(model, found)| (&**model, found.newest()))
                 .collect::<BTreeMap<_, _>>(),
--- a/crates/node/src/forward/quarantine.rs
+++ b/crates/node/src/forward/quarantine.rs
@@ -13,6 +13,7 @@
 use quarantine::{
     Candidate, Hold, Loss, Observation, Segment, Server, Stage, Survival, Table, Trial,
 };
+use serde_json::{Value, json};
 use wire::quarantine as border;
 
 use super::{Context, Failure, Forward, Progress, Run};
@@ -476,6 +477,25 @@
         held
     }
 
+    /// The quarantined segments, for operators.
+    pub fn dump_quarantine(&self, now: Time) -> Vec<Value> {
+        let now = table_now(now);
+        let shown = |hold: &Hold| {
+            let servers: Vec<&str> = hold.crashes.iter().map(|(server, _)| &*server.id).collect();
+            let trial = self.quarantine.table.trial(hold);
+            let segments = hold.segments.iter().map(|found| format!("{:x}", found.id));
+            json!({
+                "model": &*hold.segments[0].model,
+                "segments": segments.collect::<Vec<_>>().join(","),
+                "servers": servers.join(","),
+                "last_crash_ms": now.since(hold.last_crash()).as_millis() as u64,
+                "trials": trial.map_or(0, |trial| trial.number),
+                "last_trial_at": trial.map(|trial| &*trial.entry),
+            })
+        };
+        self.quarantine.holds().iter().map(shown).collect()
+    }
+
     /// Observations to send: to the leader, or as the leader to all entries.
     pub fn take_evidence(&mut self, cx: &Context<'_>) -> Option<border::Evidence> {
         let quarantine = &mut self.quarantine;
--- a/crates/node/src/process/dump.rs
+++ b/crates/node/src/process/dump.rs
@@ -57,7 +57,12 @@
                     None => missing("no decision of that request is kept here"),
                 }
             }
-            Admin::Put(_)
+            Admin::Quarantine => match &self.forward {
+                Some(forward) => (200, json!({ "quarantine": forward.dump_quarantine(now) })),
+                None => missing("ask an entry that forwards requests"),
+            },
+            Admin::Release { .. }
+            | Admin::Put(_)
             | Admin::Delete(_)
             | Admin::PutConfig(_)
             | Admin::StoredConfig
@@ -129,6 +134,8 @@
             let servers = || forward.servers().iter().map(|(_, server)| server);
             let limited = servers().filter(|server| server.health.limit().is_some()).count();
             all.push(("tamarack_forward_limited_servers", limited as f64));
+            let held = forward.dump_quarantine(now).len();
+            all.push(("tamarack_quarantined_segments", held as f64));
             let leaving = servers().filter(|server| server.is_leaving()).count();
             all.push(("tamarack_forward_leaving_servers", leaving as f64));
             let paused =
