--- a/crates/quarantine/src/crash.rs
+++ b/crates/quarantine/src/crash.rs
@@ -8,6 +8,8 @@
 
 /// Time after the first loss in which the losses of the other entries arrive.
 const SETTLE_TIME: Duration = Duration::from_millis(30);
+/// Time between the losses of two entries at the same crash: one may have been frozen.
+const MAX_DELAY: Duration = Duration::from_secs(5);
 /// Candidates kept of one entry's loss; those that the server had begun go first.
 const MAX_CANDIDATES: usize = 8;
 /// Segments kept of one candidate. Longer prompts are cut, and their other segments are never blamed.
@@ -24,12 +26,27 @@
     pub at: Time,
     /// The loss of each entry.
     losses: BTreeMap<Name, Loss>,
+    /// Whether it was once confirmed, and once explained.
+    pub(crate) confirmed: bool,
+    pub(crate) explained: bool,
 }
 
 impl Crash {
     /// The crash that a loss may belong to.
     pub(crate) fn new(loss: &Loss) -> Self {
-        Self { server: loss.server.clone(), at: loss.at, losses: BTreeMap::new() }
+        Self {
+            server: loss.server.clone(),
+            at: loss.at,
+            losses: BTreeMap::new(),
+            confirmed: false,
+            explained: false,
+        }
+    }
+
+    /// Whether a loss belongs to it. A server may start again under its identity, and crash again.
+    pub(crate) fn includes(&self, loss: &Loss) -> bool {
+        let apart = loss.at.since(self.at).max(self.at.since(loss.at));
+        self.server == loss.server && apart < MAX_DELAY
     }
 
     /// Adds a loss; returns whether it changed anything.
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -35,9 +35,6 @@
     holds: Vec<Hold>,
     /// Whether the holds may be out of date.
     changed: bool,
-    /// Crashes that were already reported as confirmed, and as explained.
-    confirmed: Vec<Server>,
-    explained: Vec<Server>,
 }
 
 /// What an update of a table changed.
@@ -66,7 +63,7 @@
     }
 
     fn merge_loss(&mut self, loss: &Loss) -> bool {
-        let known = self.crashes.iter().position(|crash| crash.server == loss.server);
+        let known = self.crashes.iter().position(|crash| crash.includes(loss));
         let index = known.unwrap_or_else(|| {
             self.crashes.push(Crash::new(loss));
             self.crashes.len() - 1
@@ -115,7 +112,7 @@
 
     /// Whether a server has lost runs recently without being a confirmed crash, so that a refused connection matters.
     pub fn is_unconfirmed(&self, now: Time, server: &Server, entries: usize) -> bool {
-        let found = self.crashes.iter().find(|crash| crash.server == *server);
+        let found = self.crashes.iter().rfind(|crash| crash.server == *server);
         found.is_some_and(|crash| !crash.is_confirmed(now, entries))
     }
 
@@ -125,9 +122,9 @@
         let mut changes = Changes::default();
         self.expire(now, entries);
         // A crash is confirmed some time after its last observation.
-        for crash in &self.crashes {
-            if !self.confirmed.contains(&crash.server) && crash.is_confirmed(now, entries) {
-                self.confirmed.push(crash.server.clone());
+        for crash in &mut self.crashes {
+            if !crash.confirmed && crash.is_confirmed(now, entries) {
+                crash.confirmed = true;
                 changes.crashes.push(crash.clone());
                 self.changed = true;
             }
@@ -136,7 +133,7 @@
             return changes;
         }
         let confirmed: Vec<&Crash> =
-            self.crashes.iter().filter(|crash| self.confirmed.contains(&crash.server)).collect();
+            self.crashes.iter().filter(|crash| crash.is_confirmed(now, entries)).collect();
         let holds = verdict::holds(&confirmed, &self.survived);
         let before = std::mem::replace(&mut self.holds, holds);
         let same = |one: &Hold, other: &Hold| one.segments == other.segments;
@@ -144,12 +141,11 @@
         changes.held = self.holds.iter().filter(new).cloned().collect();
         let gone = |hold: &Hold| !self.holds.iter().any(|other| same(hold, other));
         changes.released = before.iter().filter(|hold| gone(hold)).cloned().collect();
-        for hold in &self.holds {
-            for (server, _) in &hold.crashes {
-                if !self.explained.contains(server) {
-                    self.explained.push(server.clone());
-                    changes.explained.push((server.clone(), hold.clone()));
-                }
+        for crash in &mut self.crashes {
+            let hold = self.holds.iter().find(|hold| hold.explains(crash));
+            if let Some(hold) = hold.filter(|_| !crash.explained) {
+                crash.explained = true;
+                changes.explained.push((crash.server.clone(), hold.clone()));
             }
         }
         // The next quarantine of a segment has trials of its own.
@@ -165,13 +161,9 @@
 
     fn expire(&mut self, now: Time, entries: usize) {
         let holds = &self.holds;
-        let explained = |crash: &Crash| {
-            holds.iter().any(|hold| hold.crashes.iter().any(|(server, _)| *server == crash.server))
-        };
         let last_crash = |crash: &Crash| {
-            let explains =
-                |hold: &&Hold| hold.crashes.iter().any(|(server, _)| *server == crash.server);
-            holds.iter().filter(explains).map(Hold::last_crash).max()
+            let explaining = holds.iter().filter(|hold| hold.explains(crash));
+            explaining.map(Hold::last_crash).max()
         };
         let before = self.crashes.len();
         self.crashes.retain(|crash| match last_crash(crash) {
@@ -180,17 +172,13 @@
             None => now.since(crash.at) < UNCONFIRMED_RETENTION,
         });
         while self.crashes.len() > MAX_CRASHES {
-            let oldest = self.crashes.iter().position(|crash| !explained(crash));
+            let oldest = self.crashes.iter().position(|crash| last_crash(crash).is_none());
             self.crashes.remove(oldest.unwrap_or(0));
         }
         if self.crashes.len() == before {
             return;
         }
         self.changed = true;
-        let crashes = &self.crashes;
-        let is_kept = |server: &Server| crashes.iter().any(|crash| crash.server == *server);
-        self.confirmed.retain(is_kept);
-        self.explained.retain(is_kept);
         let survived = std::mem::take(&mut self.survived);
         self.survived =
             survived.into_iter().filter(|(segment, _)| self.is_watched(segment)).collect();
--- a/crates/quarantine/src/verdict.rs
+++ b/crates/quarantine/src/verdict.rs
@@ -33,6 +33,11 @@
         self.crashes.last().map_or(Time::ZERO, |(_, at)| *at)
     }
 
+    /// Whether it explains a crash.
+    pub(crate) fn explains(&self, crash: &Crash) -> bool {
+        self.crashes.iter().any(|(server, at)| (server, at) == (&crash.server, &crash.at))
+    }
+
     /// Whether a prompt has all its segments.
     pub fn matches(&self, model: &Name, segments: &[u64]) -> bool {
         self.segments
--- a/crates/quarantine/tests/table.rs
+++ b/crates/quarantine/tests/table.rs
@@ -305,6 +305,20 @@
     assert_eq!(held(&mut table, 71_100), [[DEADLY]]);
 }
 
+// Guards against taking the next crash of a server for the last one where it starts again under its identity.
+#[test]
+fn a_server_that_crashes_again_counts_again() {
+    let mut table = Table::default();
+    for at in [1_000, 9_000] {
+        crash(&mut table, "i-1", at, &[DEADLY]);
+    }
+    assert_eq!(held(&mut table, 9_100), [[DEADLY]]);
+    let mut late = loss("i-1", "e3", 10_000, &[]);
+    late.lost = 2;
+    table.merge(&Observation::Loss(late));
+    assert!(table.update(Time::from_millis(10_100), ENTRIES).crashes.is_empty(), "a late loss");
+}
+
 // Guards against memory that grows with the prompts of callers, and against losing a quarantine to a flood of other losses.
 #[test]
 fn losses_without_end_are_bounded_and_keep_the_quarantine() {
