node: exchange of observations in a file of its own; story shows the crashes behind a rejection

Change: forward/evidence.rs holds the exchange and the conversions; numbers of used trials end with the quarantine. tamarack story also shows the crashes of servers that a rejection names, however long ago.

--- a/bin/tamarack/src/story.rs
+++ b/bin/tamarack/src/story.rs
@@ -1,7 +1,8 @@
 //! The `story` command: shows what happened to one request, from the logs of several processes.
 //!
 //! Shows the log lines of the request and, around that time, the lines about its servers and the lines on
-//! the state of the processes that handled it, sorted by the processes' clocks.
+//! the state of the processes that handled it, sorted by the processes' clocks. If the request was rejected because of
+//! crashes of servers, however long ago, it also shows these.
 
 use std::collections::BTreeSet;
 use std::fs;
@@ -15,6 +16,9 @@
 /// Time before and after the request in which other lines are shown, milliseconds.
 const CONTEXT_MS: u64 = 2_000;
 
+/// Message of the lines on crashes of servers.
+const CRASH: &str = "server crash observed";
+
 /// One line of a log.
 struct Line {
     process: String,
@@ -66,12 +70,15 @@
     let context = start.saturating_sub(CONTEXT_MS)..=last.ms + CONTEXT_MS;
     let servers: BTreeSet<&str> =
         own.iter().map(|line| line.text("server")).filter(|server| !server.is_empty()).collect();
+    let crashed: BTreeSet<&str> =
+        own.iter().flat_map(|line| line.text("servers").split(',')).collect();
     let processes: BTreeSet<&str> = own.iter().map(|line| line.process.as_str()).collect();
     for line in &lines {
         let own = line.text("request") == story.id;
         let of_server = line.text("request").is_empty() && servers.contains(line.text("server"));
+        let of_crash = line.text("message") == CRASH && crashed.contains(line.text("server"));
         let of_process = line.is_process_state() && processes.contains(line.process.as_str());
-        if own || (context.contains(&line.ms) && (of_server || of_process)) {
+        if own || of_crash || (context.contains(&line.ms) && (of_server || of_process)) {
             println!("{}", line.format(start));
         }
     }
--- a/crates/node/src/forward/mod.rs
+++ b/crates/node/src/forward/mod.rs
@@ -13,6 +13,7 @@
 //! | `limits` | rate limits of servers, their advertisement and the issuer of permits |
 //! | `permits` | permits for calls to rate-limited servers |
 //! | `quarantine` | crashes of servers, and prompt segments that cause them |
+//! | `evidence` | exchanges observations of crashes |
 //! | `list` | reads and advertises the list of servers |
 //! | `weights` | weight versions that runs may begin on, and orders to servers |
 //! | `explain` | state and past decisions, for operators |
@@ -24,6 +25,7 @@
 
 mod admit;
 mod event;
+mod evidence;
 mod explain;
 mod follow;
 mod limits;
--- a/crates/node/src/forward/quarantine.rs
+++ b/crates/node/src/forward/quarantine.rs
@@ -1,21 +1,17 @@
-//! Observes crashes of servers and exchanges what was observed, so that prompts with a segment that crashes servers are
-//! rejected at every entry.
+//! Observes crashes of servers, and rejects prompts with segments that cause them.
 //!
-//! Entries send their observations to the leader among the keepers, which passes new ones on to all entries. Each process
-//! decides by itself which segments are quarantined ([`quarantine::Table`]); the leader also permits trials. It sends all
-//! observations at an interval and to processes that have connected; an entry answers with those that are missing there, so
-//! that a new leader learns them too. Keepers save the observations on their disks.
+//! Each process decides by itself which segments are quarantined ([`quarantine::Table`]), on the same observations
+//! (`evidence`). The leader among the keepers also permits trials. Keepers save the observations on their disks.
 
 use std::collections::{HashMap, VecDeque};
 
 use base::prelude::*;
 use fleet::Key;
-use quarantine::{
-    Candidate, Hold, Loss, Observation, Segment, Server, Stage, Survival, Table, Trial,
-};
+use quarantine::{Candidate, Hold, Loss, Observation, Segment, Server, Stage, Survival, Table};
 use serde_json::{Value, json};
 use wire::quarantine as border;
 
+use super::evidence::candidate_segments;
 use super::{Context, Failure, Forward, Progress, Run};
 use crate::decision::Decision;
 use crate::{Effect, Effects};
@@ -31,8 +27,6 @@
 const SURVIVAL_RETENTION: Duration = Duration::from_secs(60);
 /// Minimum time between two messages that the same segment survived.
 const SURVIVAL_INTERVAL: Duration = Duration::from_millis(200);
-/// Interval between two messages of the leader with all observations.
-const COMPLETE_INTERVAL: Duration = Duration::from_secs(5);
 /// Minimum time between two messages that requests were rejected, which the leader answers with a trial.
 const HELD_BACK_INTERVAL: Duration = Duration::from_millis(250);
 /// Minimum Retry-After of a prompt with a quarantined segment.
@@ -44,7 +38,7 @@
 
 /// Runs that this entry has lost at one server.
 #[derive(Debug)]
-struct PendingLoss {
+pub(super) struct PendingLoss {
     server: Server,
     at: Time,
     lost: u32,
@@ -55,8 +49,8 @@
 /// What this process has observed of crashes and knows from others.
 #[derive(Debug, Default)]
 pub(super) struct Quarantine {
-    table: Table,
-    losses: HashMap<Key, PendingLoss>,
+    pub(super) table: Table,
+    pub(super) losses: HashMap<Key, PendingLoss>,
     /// Responses that have just begun: when each counts as a survival, the exchange and its attempt.
     begun: VecDeque<(Time, u64, u32)>,
     /// Last survival of each segment at this entry.
@@ -66,12 +60,12 @@
     /// Number of the last trial of each segment that this entry has used.
     used_trials: HashMap<Segment, u32>,
     /// Observations to send.
-    outbox: Vec<Observation>,
+    pub(super) outbox: Vec<Observation>,
     held_back: Vec<border::Segment>,
     next_held_back: Time,
-    next_complete: Time,
+    pub(super) next_complete: Time,
     /// Term of the last message with all observations.
-    term: u64,
+    pub(super) term: u64,
 }
 
 impl Quarantine {
@@ -82,7 +76,7 @@
 }
 
 /// The current time on the clock of the table.
-fn table_now(now: Time) -> Time {
+pub(super) fn table_now(now: Time) -> Time {
     now + CLOCK_OFFSET
 }
 
@@ -153,7 +147,7 @@
     }
 
     /// Number of runs of this entry that a server has begun to answer.
-    fn answered_runs(&self, key: Key) -> u32 {
+    pub(super) fn answered_runs(&self, key: Key) -> u32 {
         let answered = |run: &&Run| {
             run.placement
                 .is_some_and(|placement| placement.server == key && placement.head_at.is_some())
@@ -162,7 +156,7 @@
     }
 
     /// Adds an observation of this process, and sends it if it is new.
-    fn observe(&mut self, observation: Observation) {
+    pub(super) fn observe(&mut self, observation: Observation) {
         if self.quarantine.table.merge(&observation) {
             self.quarantine.outbox.push(observation);
         }
@@ -216,6 +210,9 @@
             return;
         }
         let at = table_now(begun);
+        if self.quarantine.sent_survivals.len() > MAX_SURVIVALS {
+            self.quarantine.sent_survivals.clear();
+        }
         self.quarantine.sent_survivals.insert(segment.clone(), now);
         self.observe(Observation::Survival(Survival { segment, at }));
     }
@@ -336,7 +333,7 @@
     }
 
     /// Sends the last survivals at this entry of segments that may have caused a crash.
-    fn send_own_survivals(&mut self, now: Time, segments: Vec<Segment>) {
+    pub(super) fn send_own_survivals(&mut self, now: Time, segments: Vec<Segment>) {
         for segment in segments {
             if let Some(begun) = self.quarantine.survivals.get(&segment).copied() {
                 self.send_survival(now, segment, begun);
@@ -344,7 +341,7 @@
         }
     }
 
-    fn update_quarantine(&mut self, cx: &Context<'_>, out: &mut Effects) {
+    pub(super) fn update_quarantine(&mut self, cx: &Context<'_>, out: &mut Effects) {
         let now = table_now(cx.now);
         let changes = self.quarantine.table.update(now, cx.entries);
         for crash in changes.crashes {
@@ -364,6 +361,10 @@
         if !changed {
             return;
         }
+        let holds = self.quarantine.table.holds();
+        let is_held = |segment: &Segment| holds.iter().any(|hold| hold.segments.contains(segment));
+        // Trials are numbered anew if a segment is quarantined again.
+        self.quarantine.used_trials.retain(|segment, _| is_held(segment));
         out.push(Effect::SaveEvidence(self.evidence(cx.now).observations));
         // Those that no server has begun to answer would crash more servers.
         let waiting: Vec<u64> = self
@@ -381,60 +382,6 @@
         }
     }
 
-    /// Handles observations that a peer sent.
-    pub fn evidence_received(
-        &mut self,
-        cx: &Context<'_>,
-        evidence: &border::Evidence,
-        out: &mut Effects,
-    ) {
-        let mut sent = Table::default();
-        let mut segments = Vec::new();
-        for observation in &evidence.observations {
-            let observation = from_border(cx.now, observation);
-            sent.merge(&observation);
-            if !self.quarantine.table.merge(&observation) {
-                continue;
-            }
-            segments.extend(candidate_segments(&observation));
-            self.contradict(cx, &observation);
-            if let Observation::Trial(trial) = &observation {
-                out.push(Effect::Decision(Box::new(Decision::TrialPermitted(trial.clone()))));
-            }
-            if cx.term.is_some() {
-                self.quarantine.outbox.push(observation);
-            }
-        }
-        self.send_own_survivals(cx.now, segments);
-        if evidence.complete && cx.term.is_none() {
-            let own = self.quarantine.table.observations();
-            self.quarantine.outbox.extend(own.into_iter().filter(|found| sent.merge(found)));
-        }
-        self.update_quarantine(cx, out);
-    }
-
-    /// Reports that a server on which another entry has lost runs continues to answer runs of this one.
-    fn contradict(&mut self, cx: &Context<'_>, observation: &Observation) {
-        let Observation::Loss(loss) = observation else {
-            return;
-        };
-        let Some(key) = self.servers.incarnation_key(&loss.server.id, loss.server.born) else {
-            return;
-        };
-        let remaining = self.answered_runs(key);
-        if loss.lost == 0 || remaining == 0 || self.quarantine.losses.contains_key(&key) {
-            return;
-        }
-        self.observe(Observation::Loss(Loss {
-            entry: cx.process.clone(),
-            lost: 0,
-            remaining,
-            refused: false,
-            candidates: Vec::new(),
-            ..loss.clone()
-        }));
-    }
-
     /// As the leader: permits the next trial of quarantined segments to an entry that has rejected such a request.
     pub fn held_back(
         &mut self,
@@ -496,33 +443,6 @@
         self.quarantine.holds().iter().map(shown).collect()
     }
 
-    /// Observations to send: to the leader, or as the leader to all entries.
-    pub fn take_evidence(&mut self, cx: &Context<'_>) -> Option<border::Evidence> {
-        let quarantine = &mut self.quarantine;
-        if let Some(term) = cx.term {
-            let new_term = std::mem::replace(&mut quarantine.term, term) != term;
-            let due = cx.now >= quarantine.next_complete && !quarantine.table.is_empty();
-            if new_term || due {
-                quarantine.next_complete = cx.now + COMPLETE_INTERVAL;
-                quarantine.outbox.clear();
-                return Some(self.evidence(cx.now));
-            }
-        } else {
-            quarantine.term = 0;
-            // Kept for a leader to come; the table has them too.
-            if self.limits.reachable().is_none() {
-                quarantine.outbox.clear();
-                return None;
-            }
-        }
-        let observations = std::mem::take(&mut self.quarantine.outbox);
-        if observations.is_empty() {
-            return None;
-        }
-        let observations = observations.iter().map(|found| to_wire(cx.now, found)).collect();
-        Some(border::Evidence { complete: false, observations })
-    }
-
     /// The quarantined segments of requests that this entry has rejected, if they are to be sent.
     pub fn take_held_back(&mut self, now: Time) -> Vec<border::Segment> {
         if now < self.quarantine.next_held_back || self.quarantine.held_back.is_empty() {
@@ -531,111 +451,8 @@
         self.quarantine.next_held_back = now + HELD_BACK_INTERVAL;
         std::mem::take(&mut self.quarantine.held_back)
     }
-
-    /// The leader, if it is another process and reachable.
-    pub fn leader(&self) -> Option<&Name> {
-        self.limits.reachable().map(|issuer| &issuer.name)
-    }
-
-    /// All observations.
-    pub fn evidence(&self, now: Time) -> border::Evidence {
-        let observations = self.quarantine.table.observations();
-        let observations = observations.iter().map(|found| to_wire(now, found)).collect();
-        border::Evidence { complete: true, observations }
-    }
 }
 
-fn candidate_segments(observation: &Observation) -> Vec<Segment> {
-    let Observation::Loss(loss) = observation else {
-        return Vec::new();
-    };
-    let segments = |candidate: &Candidate| -> Vec<Segment> {
-        let segment = |id: &u64| Segment { model: candidate.model.clone(), id: *id };
-        candidate.segments.iter().map(segment).collect()
-    };
-    loss.candidates.iter().flat_map(segments).collect()
-}
-
-fn to_border(segment: &Segment) -> border::Segment {
+pub(super) fn to_border(segment: &Segment) -> border::Segment {
     border::Segment { model: segment.model.clone(), id: segment.id }
 }
-
-fn to_wire(now: Time, observation: &Observation) -> border::Observation {
-    let ago_us = |at: Time| table_now(now).since(at).as_micros() as u64;
-    match observation {
-        Observation::Loss(loss) => border::Observation::Loss {
-            server: wire::limit::ServerIncarnation {
-                id: loss.server.id.clone(),
-                born: loss.server.born,
-            },
-            entry: loss.entry.clone(),
-            ago_us: ago_us(loss.at),
-            lost: loss.lost,
-            remaining: loss.remaining,
-            refused: loss.refused,
-            candidates: loss
-                .candidates
-                .iter()
-                .map(|candidate| border::Candidate {
-                    request: candidate.request.clone(),
-                    begun: candidate.stage == Stage::Begun,
-                    model: candidate.model.clone(),
-                    segments: candidate.segments.clone(),
-                })
-                .collect(),
-        },
-        Observation::Survival(survival) => border::Observation::Survival {
-            segment: to_border(&survival.segment),
-            ago_us: ago_us(survival.at),
-        },
-        Observation::Trial(trial) => border::Observation::Trial {
-            segment: to_border(&trial.segment),
-            entry: trial.entry.clone(),
-            number: trial.number,
-            ago_us: ago_us(trial.at),
-        },
-    }
-}
-
-fn from_border(now: Time, observation: &border::Observation) -> Observation {
-    let at = |ago_us: u64| table_now(now) - Duration::from_micros(ago_us);
-    let segment = |found: &border::Segment| Segment { model: found.model.clone(), id: found.id };
-    match observation {
-        border::Observation::Loss {
-            server,
-            entry,
-            ago_us,
-            lost,
-            remaining,
-            refused,
-            candidates,
-        } => Observation::Loss(Loss {
-            server: Server { id: server.id.clone(), born: server.born },
-            entry: entry.clone(),
-            at: at(*ago_us),
-            lost: *lost,
-            remaining: *remaining,
-            refused: *refused,
-            candidates: candidates
-                .iter()
-                .map(|candidate| Candidate {
-                    request: candidate.request.clone(),
-                    stage: if candidate.begun { Stage::Begun } else { Stage::Sent },
-                    model: candidate.model.clone(),
-                    segments: candidate.segments.clone(),
-                })
-                .collect(),
-        }),
-        border::Observation::Survival { segment: found, ago_us } => {
-            Observation::Survival(Survival { segment: segment(found), at: at(*ago_us) })
-        }
-        border::Observation::Trial { segment: found, entry, number, ago_us } => {
-            Observation::Trial(Trial {
-                segment: segment(found),
-                entry: entry.clone(),
-                number: *number,
-                at: at(*ago_us),
-            })
-        }
-    }
-}
--- a/crates/node/src/process/dump.rs
+++ b/crates/node/src/process/dump.rs
@@ -6,7 +6,7 @@
 
 use super::Node;
 use crate::admin::{self, Admin};
-use crate::{Keeper, entry};
+use crate::{Effects, Keeper, entry};
 
 impl Node {
     /// Answers an operator's request that changes nothing: status and body.
@@ -70,6 +70,27 @@
         }
     }
 
+    /// Releases a prompt segment from quarantine, for an operator.
+    pub(super) fn release_segment(
+        &mut self,
+        now: Time,
+        model: &Name,
+        segment: u64,
+        out: &mut Effects,
+    ) -> (u16, Value) {
+        let mut released = false;
+        self.with_forward(now, |forward, cx| {
+            released = forward.release_segment(cx, model, segment, out);
+        });
+        if released {
+            return (200, json!({ "released": format!("{segment:x}") }));
+        }
+        let code = Code::NoSuchRecord;
+        let text = "that segment is not quarantined here";
+        let error = json!({ "code": code.number(), "type": code.as_str(), "message": text });
+        (code.status(), json!({ "error": error }))
+    }
+
     /// The processes that a keeper tracks, and the servers for forwarded requests.
     fn servers(&self, now: Time) -> Option<Value> {
         let members = self.keeper.as_ref().map(|keeper| {
--- a/crates/node/src/process/mod.rs
+++ b/crates/node/src/process/mod.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use base::prelude::*;
-use serde_json::{Value, json};
+use serde_json::Value;
 use wire::quarantine::Evidence;
 use wire::{Answer, Frame, Heartbeat, Hello, Request};
 
@@ -605,15 +605,8 @@
             return;
         }
         if let Admin::Release { model, segment } = admin {
-            let mut released = false;
-            self.with_forward(now, |forward, cx| {
-                released = forward.release_segment(cx, model, *segment, out);
-            });
-            if released {
-                respond(call, 200, &json!({ "released": format!("{segment:x}") }), out);
-            } else {
-                reject(call, Code::NoSuchRecord, "that segment is not quarantined here", out);
-            }
+            let (status, body) = self.release_segment(now, model, *segment, out);
+            respond(call, status, &body, out);
             return;
         }
         let (status, body) = self.operator_read(now, admin);
