Trials from 30 s on; fewer messages on single lost runs

Each single lost run made every entry with runs at that server report that these go on.

Entries contradict only what looks like a crash: runs lost by several entries. All observations are sent every 30 s; a new leader and a new connection get them at once.

--- a/crates/node/src/forward/evidence.rs
+++ b/crates/node/src/forward/evidence.rs
@@ -14,7 +14,7 @@
 use crate::{Effect, Effects};
 
 /// Interval between two messages of the leader with all observations.
-const COMPLETE_INTERVAL: Duration = Duration::from_secs(5);
+const COMPLETE_INTERVAL: Duration = Duration::from_secs(30);
 
 impl Forward {
     /// Handles observations that a peer sent.
@@ -57,8 +57,13 @@
         let Some(key) = self.servers.incarnation_key(&loss.server.id, loss.server.born) else {
             return;
         };
+        if !self.quarantine.table.is_likely(&loss.server, cx.entries)
+            || self.quarantine.losses.contains_key(&key)
+        {
+            return;
+        }
         let remaining = self.answered_runs(key);
-        if loss.lost == 0 || remaining == 0 || self.quarantine.losses.contains_key(&key) {
+        if remaining == 0 {
             return;
         }
         self.observe(Observation::Loss(Loss {
--- a/crates/quarantine/src/crash.rs
+++ b/crates/quarantine/src/crash.rs
@@ -97,6 +97,11 @@
         if self.losses().any(|loss| loss.refused) {
             return true;
         }
+        self.is_likely(entries)
+    }
+
+    /// Whether nothing known speaks against a crash; an entry whose runs there go on has to report it.
+    pub(crate) fn is_likely(&self, entries: usize) -> bool {
         let alive = self.losses().any(|loss| loss.remaining > 0);
         let losers = self.losses().filter(|loss| loss.lost > 0).count();
         !alive && self.lost() >= MIN_LOST && (losers > 1 || entries <= 1)
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -18,7 +18,7 @@
 /// Trials of a quarantined segment. The users allow three requests after the fifth crash.
 pub const MAX_TRIALS: u32 = 3;
 /// Time from the last crash or trial to the next trial; doubles with each trial.
-const TRIAL_INTERVAL: Duration = Duration::from_secs(15);
+const TRIAL_INTERVAL: Duration = Duration::from_secs(30);
 /// Difference between the times of the same survival at two processes, from the latency of messages.
 const TOLERANCE: Duration = Duration::from_millis(100);
 /// How long an entry may use a permitted trial.
@@ -110,6 +110,12 @@
         self.survived.get(segment).copied()
     }
 
+    /// Whether a server seems to have crashed, so that an entry whose runs there go on has to report it.
+    pub fn is_likely(&self, server: &Server, entries: usize) -> bool {
+        let found = self.crashes.iter().rfind(|crash| crash.server == *server);
+        found.is_some_and(|crash| crash.is_likely(entries))
+    }
+
     /// Whether a server has lost runs recently without being a confirmed crash, so that a refused connection matters.
     pub fn is_unconfirmed(&self, now: Time, server: &Server, entries: usize) -> bool {
         let found = self.crashes.iter().rfind(|crash| crash.server == *server);
