--- a/bin/tamarack/tests/cli.rs
+++ b/bin/tamarack/tests/cli.rs
@@ -70,6 +70,7 @@
 
 #[test_case("given-up.log", "c98c08f99fad98b7", &["code=3003", "took_ms=401"]; "given up")]
 #[test_case("cut.log", "c36e1bf88a8a7dc8", &["stalled_ms=3018", "code=2008"]; "cut midway")]
+#[test_case("quarantine.log", "5ba69446f73205f5", &["server crash observed", "segments=12ca9047f126  ", "code=2009"]; "quarantined")]
 #[test_case("late.log", "c129c6563c08cd33", &["ahead=2892", "first_ms=1320"]; "late")]
 fn the_story_of_a_request_leads_to_its_cause(log: &str, id: &str, expected: &[&str]) {
     let log = format!("{}/../../docs/logs/{log}", env!("CARGO_MANIFEST_DIR"));
