A process that learns late keeps old crashes that a quarantined segment explains; trials are saved

Cause: a table removed crashes older than ten minutes before it decided what they show. A process that started later than that, a new leader or a keeper that read its disk forgot the segment. Trials were not saved, so that a restart of all processes permitted three more.

Change: the table decides before it removes, and again after. Keepers also save when a trial is permitted and when another crash is explained. Only prompts that a server lost go to the least used server.

--- a/crates/node/src/forward/evidence.rs
+++ b/crates/node/src/forward/evidence.rs
@@ -36,6 +36,7 @@
             self.contradict(cx, &observation);
             if let Observation::Trial(trial) = &observation {
                 out.push(Effect::Decision(Box::new(Decision::TrialPermitted(trial.clone()))));
+                self.quarantine.unsaved = true;
             }
             if cx.term.is_some() {
                 self.quarantine.outbox.push(observation);
--- a/crates/node/src/forward/follow.rs
+++ b/crates/node/src/forward/follow.rs
@@ -142,7 +142,7 @@
         let Some(run) = self.runs.get_mut(&call) else {
             return;
         };
-        if failure != Failure::NotSent {
+        if failure != Failure::NotSent && run.head.prompt.is_some() {
             run.is_suspect |= run.placement.is_some_and(|placement| placement.body_at.is_none());
         }
         if let Some(server) =
--- a/crates/node/src/forward/quarantine.rs
+++ b/crates/node/src/forward/quarantine.rs
@@ -66,6 +66,8 @@
     pub(super) next_complete: Time,
     /// Term of the last message with all observations.
     pub(super) term: u64,
+    /// Whether a trial was permitted that is not on the disk yet.
+    pub(super) unsaved: bool,
 }
 
 impl Quarantine {
@@ -348,16 +350,20 @@
             let age = now.since(crash.at);
             out.push(Effect::Decision(Box::new(Decision::ServerCrashed { crash, age })));
         }
+        let unsaved = std::mem::take(&mut self.quarantine.unsaved) || !changes.explained.is_empty();
+        let changed = !changes.held.is_empty() || !changes.released.is_empty();
         for (server, hold) in changes.explained {
             out.push(Effect::Decision(Box::new(Decision::CrashExplained { server, hold })));
         }
-        let changed = !changes.held.is_empty() || !changes.released.is_empty();
         for (held, holds) in [(true, changes.held), (false, changes.released)] {
             for hold in holds {
                 let age = now.since(hold.last_crash());
                 out.push(Effect::Decision(Box::new(Decision::Quarantined { held, hold, age })));
             }
         }
+        if changed || unsaved {
+            out.push(Effect::SaveEvidence(self.evidence(cx.now).observations));
+        }
         if !changed {
             return;
         }
@@ -365,7 +371,6 @@
         let is_held = |segment: &Segment| holds.iter().any(|hold| hold.segments.contains(segment));
         // Trials are numbered anew if a segment is quarantined again.
         self.quarantine.used_trials.retain(|segment, _| is_held(segment));
-        out.push(Effect::SaveEvidence(self.evidence(cx.now).observations));
         // Those that no server has begun to answer would crash more servers.
         let waiting: Vec<u64> = self
             .runs
@@ -402,6 +407,7 @@
             for trial in self.quarantine.table.permit_trial(now, &hold, entry, changed_at) {
                 out.push(Effect::Decision(Box::new(Decision::TrialPermitted(trial.clone()))));
                 self.quarantine.outbox.push(Observation::Trial(trial));
+                self.quarantine.unsaved = true;
             }
         }
     }
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -126,7 +126,6 @@
     /// number of entries.
     pub fn update(&mut self, now: Time, entries: usize) -> Changes {
         let mut changes = Changes::default();
-        self.expire(now, entries);
         // A crash is confirmed some time after its last observation.
         for crash in &mut self.crashes {
             if !crash.confirmed && crash.is_confirmed(now, entries) {
@@ -135,13 +134,15 @@
                 self.changed = true;
             }
         }
-        if !std::mem::take(&mut self.changed) {
+        if !self.changed && !self.has_expired(now, entries) {
             return changes;
         }
-        let confirmed: Vec<&Crash> =
-            self.crashes.iter().filter(|crash| crash.is_confirmed(now, entries)).collect();
-        let holds = verdict::holds(&confirmed, &self.survived);
-        let before = std::mem::replace(&mut self.holds, holds);
+        let before = self.holds.clone();
+        // First with what this process has only just learned: a crash that is old by itself may be one that a segment explains.
+        self.decide(now, entries);
+        self.expire(now, entries);
+        self.decide(now, entries);
+        self.changed = false;
         let same = |one: &Hold, other: &Hold| one.segments == other.segments;
         let new = |hold: &&Hold| !before.iter().any(|other| same(hold, other));
         changes.held = self.holds.iter().filter(new).cloned().collect();
@@ -165,29 +166,43 @@
         changes
     }
 
+    fn decide(&mut self, now: Time, entries: usize) {
+        let confirmed: Vec<&Crash> =
+            self.crashes.iter().filter(|crash| crash.is_confirmed(now, entries)).collect();
+        self.holds = verdict::holds(&confirmed, &self.survived);
+    }
+
+    /// Whether an observation is old enough to be removed.
+    fn is_old(&self, crash: &Crash, now: Time, entries: usize) -> bool {
+        let explaining = self.holds.iter().filter(|hold| hold.explains(crash));
+        match explaining.map(Hold::last_crash).max() {
+            Some(last) => now.since(last) >= HOLD_RETENTION,
+            None if crash.is_confirmed(now, entries) => now.since(crash.at) >= CRASH_RETENTION,
+            None => now.since(crash.at) >= UNCONFIRMED_RETENTION,
+        }
+    }
+
+    fn has_expired(&self, now: Time, entries: usize) -> bool {
+        self.crashes.iter().any(|crash| self.is_old(crash, now, entries))
+    }
+
     fn expire(&mut self, now: Time, entries: usize) {
-        let holds = &self.holds;
-        let last_crash = |crash: &Crash| {
-            let explaining = holds.iter().filter(|hold| hold.explains(crash));
-            explaining.map(Hold::last_crash).max()
-        };
-        let before = self.crashes.len();
-        self.crashes.retain(|crash| match last_crash(crash) {
-            Some(last) => now.since(last) < HOLD_RETENTION,
-            None if crash.is_confirmed(now, entries) => now.since(crash.at) < CRASH_RETENTION,
-            None => now.since(crash.at) < UNCONFIRMED_RETENTION,
-        });
-        while self.crashes.len() > MAX_CRASHES {
-            let oldest = self.crashes.iter().position(|crash| last_crash(crash).is_none());
-            self.crashes.remove(oldest.unwrap_or(0));
+        let crashes = std::mem::take(&mut self.crashes);
+        let (old, mut kept): (Vec<Crash>, Vec<Crash>) =
+            crashes.into_iter().partition(|crash| self.is_old(crash, now, entries));
+        let surplus = kept.len().saturating_sub(MAX_CRASHES);
+        for _ in 0..surplus {
+            let holds = &self.holds;
+            let unexplained =
+                kept.iter().position(|crash| !holds.iter().any(|hold| hold.explains(crash)));
+            kept.remove(unexplained.unwrap_or(0));
         }
-        if self.crashes.len() == before {
-            return;
+        self.crashes = kept;
+        if !old.is_empty() || surplus > 0 {
+            let survived = std::mem::take(&mut self.survived);
+            self.survived =
+                survived.into_iter().filter(|(segment, _)| self.is_watched(segment)).collect();
         }
-        self.changed = true;
-        let survived = std::mem::take(&mut self.survived);
-        self.survived =
-            survived.into_iter().filter(|(segment, _)| self.is_watched(segment)).collect();
     }
 
     /// The quarantined segments.
--- a/crates/quarantine/tests/table.rs
+++ b/crates/quarantine/tests/table.rs
@@ -339,6 +339,22 @@
     assert!(observations.len() < 300 && all < 40_000, "{}, {all}", observations.len());
 }
 
+// Guards against a process that starts long after the crashes, or a keeper that reads them from its disk, and removes them as old
+// before it has decided what they show.
+#[test]
+fn a_process_that_learns_late_holds_back_the_same_segments() {
+    let (mut table, _) = quarantined();
+    let later = 1_800_000;
+    assert_eq!(held(&mut table, later), [[DEADLY]]);
+    let mut other = Table::default();
+    for observation in table.observations() {
+        other.merge(&observation);
+    }
+    for step in 0..3 {
+        assert_eq!(held(&mut other, later + step), [[DEADLY]]);
+    }
+}
+
 #[test]
 fn a_quarantine_ends_an_hour_after_the_last_crash() {
     let (mut table, _) = quarantined();
