quarantine: the verdict in smaller functions

Cause: holds() mixed three steps, and its map of crashes by segment was called explained.

Change: crashes_by_segment and min_crashes; no change of behaviour.

--- a/crates/quarantine/src/verdict.rs
+++ b/crates/quarantine/src/verdict.rs
@@ -47,63 +47,73 @@
 }
 
 /// The segments that explain these crashes, which are sorted by time. `survived` is the last survival of a segment.
+///
+/// The segments with the strongest evidence are taken first, and the crashes that they explain no longer count for others.
 pub(crate) fn holds(crashes: &[&Crash], survived: &HashMap<Segment, Time>) -> Vec<Hold> {
     let events = events(crashes);
-    // The crashes of each segment since its last survival.
-    let mut explained: HashMap<Segment, BTreeSet<usize>> = HashMap::new();
-    for (index, crash) in crashes.iter().enumerate() {
-        for candidate in crash.candidates() {
-            for id in &candidate.segments {
-                let segment = Segment { model: candidate.model.clone(), id: *id };
-                if survived.get(&segment).is_none_or(|at| crash.at > *at) {
-                    explained.entry(segment).or_default().insert(index);
-                }
-            }
-        }
-    }
-    explained.retain(|_, found| found.len() >= MIN_CRASHES);
-    let mut holds = Vec::new();
+    let mut by_segment = crashes_by_segment(crashes, survived);
     let mut unexplained: BTreeSet<usize> = (0..crashes.len()).collect();
+    let mut holds = Vec::new();
     loop {
-        let best = explained
-            .iter()
-            .filter_map(|(segment, found)| {
-                let count = found.iter().map(|index| events[*index]).collect::<BTreeSet<_>>().len();
-                let survived = survived.contains_key(segment);
-                let at = |index: &usize| crashes[*index].at;
-                let (first, last) = (found.first().map(at)?, found.last().map(at)?);
-                let has_other_causes = unexplained
-                    .difference(found)
-                    .map(at)
-                    .any(|other| other <= last && other + OTHER_CAUSES_WINDOW > first);
-                let needed = MIN_CRASHES
-                    + if survived { MORE_CRASHES } else { 0 }
-                    + if has_other_causes { MORE_CRASHES } else { 0 };
-                (count >= needed).then_some(((!survived, count), found))
-            })
-            .max_by_key(|(rank, found)| (*rank, (*found).clone()));
-        let Some(((unseen, _), found)) = best else {
+        let strength = |(segment, found): (&Segment, &BTreeSet<usize>)| {
+            let count = found.iter().map(|index| events[*index]).collect::<BTreeSet<_>>().len();
+            let survived = survived.contains_key(segment);
+            let needed = min_crashes(crashes, found, &unexplained, survived);
+            (count >= needed).then(|| (!survived, count, found.clone()))
+        };
+        let Some((never_survived, _, found)) = by_segment.iter().filter_map(strength).max() else {
             return holds;
         };
-        let found = found.clone();
-        let mut segments: Vec<Segment> = explained
-            .iter()
-            .filter(|(segment, other)| {
-                **other == found && survived.contains_key(*segment) != unseen
-            })
-            .map(|(segment, _)| segment.clone())
-            .collect();
+        let is_alike = |segment: &Segment| survived.contains_key(segment) != never_survived;
+        let alike =
+            by_segment.iter().filter(|(segment, other)| **other == found && is_alike(segment));
+        let mut segments: Vec<Segment> = alike.map(|(segment, _)| segment.clone()).collect();
         segments.sort();
-        let explains = |index: &usize| (crashes[*index].server.clone(), crashes[*index].at);
-        holds.push(Hold { segments, crashes: found.iter().map(explains).collect() });
+        let explained = |index: &usize| (crashes[*index].server.clone(), crashes[*index].at);
+        holds.push(Hold { segments, crashes: found.iter().map(explained).collect() });
         unexplained.retain(|index| !found.contains(index));
-        explained.retain(|_, other| {
+        by_segment.retain(|_, other| {
             other.retain(|index| !found.contains(index));
             other.len() >= MIN_CRASHES
         });
     }
 }
 
+/// The crashes of each segment since its last survival, without segments that have too few to be blamed.
+fn crashes_by_segment(
+    crashes: &[&Crash],
+    survived: &HashMap<Segment, Time>,
+) -> HashMap<Segment, BTreeSet<usize>> {
+    let mut found: HashMap<Segment, BTreeSet<usize>> = HashMap::new();
+    for (index, crash) in crashes.iter().enumerate() {
+        for candidate in crash.candidates() {
+            for id in &candidate.segments {
+                let segment = Segment { model: candidate.model.clone(), id: *id };
+                if survived.get(&segment).is_none_or(|at| crash.at > *at) {
+                    found.entry(segment).or_default().insert(index);
+                }
+            }
+        }
+    }
+    found.retain(|_, crashes| crashes.len() >= MIN_CRASHES);
+    found
+}
+
+/// How many crashes a segment needs to be blamed. `found` are its crashes, `survived` whether it survived before them.
+fn min_crashes(
+    crashes: &[&Crash],
+    found: &BTreeSet<usize>,
+    unexplained: &BTreeSet<usize>,
+    survived: bool,
+) -> usize {
+    let at = |index: &usize| crashes[*index].at;
+    let first = found.first().map_or(Time::ZERO, at);
+    let last = found.last().map_or(Time::ZERO, at);
+    let mut others = unexplained.difference(found).map(at);
+    let has_other_causes = others.any(|other| other <= last && other + OTHER_CAUSES_WINDOW > first);
+    MIN_CRASHES + MORE_CRASHES * (usize::from(survived) + usize::from(has_other_causes))
+}
+
 /// Number of the event that each crash belongs to.
 fn events(crashes: &[&Crash]) -> Vec<usize> {
     let mut events = Vec::with_capacity(crashes.len());
