--- a/crates/edge/src/notes.rs
+++ b/crates/edge/src/notes.rs
@@ -109,8 +109,8 @@
             log::warn!(server:% = server.id, segments = segments(hold); "server crash explained by prompt segments");
         }
         Decision::Quarantined { held, hold, age } => {
-            let servers: Vec<&str> = hold.crashes.iter().map(|(server, _)| &*server.id).collect();
-            let (segments, servers, age_ms) = (segments(hold), servers.join(","), millis(*age));
+            let (segments, servers, age_ms) =
+                (segments(hold), hold.servers().join(","), millis(*age));
             if *held {
                 log::warn!(segments, servers, age_ms; "prompt segments quarantined");
             } else {
@@ -119,9 +119,8 @@
         }
         Decision::HeldBack { request, hold, last_crash, trials, retry_after } => {
             metrics.record_held_back();
-            let servers: Vec<&str> = hold.crashes.iter().map(|(server, _)| &*server.id).collect();
             log::info!(
-                request:% = request, segments = segments(hold), servers = servers.join(","),
+                request:% = request, segments = segments(hold), servers = hold.servers().join(","),
                 age_ms = millis(*last_crash), trials = u64::from(*trials), back_ms = millis(*retry_after);
                 "request with quarantined prompt segments rejected"
             );
--- a/crates/node/src/forward/evidence.rs
+++ b/crates/node/src/forward/evidence.rs
@@ -24,11 +24,14 @@
         evidence: &border::Evidence,
         out: &mut Effects,
     ) {
-        let mut sent = Table::default();
+        // What the sender has, to find what it lacks.
+        let mut sent = evidence.complete.then(Table::default);
         let mut segments = Vec::new();
         for observation in &evidence.observations {
             let observation = from_border(cx.now, observation);
-            sent.merge(&observation);
+            if let Some(sent) = &mut sent {
+                sent.merge(&observation);
+            }
             if !self.quarantine.table.merge(&observation) {
                 continue;
             }
@@ -43,7 +46,7 @@
             }
         }
         self.send_own_survivals(cx.now, segments);
-        if evidence.complete && cx.term.is_none() {
+        if let Some(mut sent) = sent.filter(|_| cx.term.is_none()) {
             let own = self.quarantine.table.observations();
             self.quarantine.outbox.extend(own.into_iter().filter(|found| sent.merge(found)));
         }
--- a/crates/node/src/forward/quarantine.rs
+++ b/crates/node/src/forward/quarantine.rs
@@ -168,7 +168,6 @@
     pub(super) fn response_begun(&mut self, now: Time, call: u64) {
         if let Some(run) = self.runs.get(&call)
             && run.head.prompt.is_some()
-            && run.status < 300
         {
             self.quarantine.begun.push_back((now + BEGIN_TIME, call, run.attempts));
         }
@@ -430,17 +429,21 @@
         held
     }
 
+    /// Number of groups of segments that are quarantined together.
+    pub fn quarantined_groups(&self) -> usize {
+        self.quarantine.holds().len()
+    }
+
     /// The quarantined segments, for operators.
     pub fn dump_quarantine(&self, now: Time) -> Vec<Value> {
         let now = table_now(now);
         let shown = |hold: &Hold| {
-            let servers: Vec<&str> = hold.crashes.iter().map(|(server, _)| &*server.id).collect();
             let trial = self.quarantine.table.trial(hold);
             let segments = hold.segments.iter().map(|found| format!("{:x}", found.id));
             json!({
                 "model": &*hold.segments[0].model,
                 "segments": segments.collect::<Vec<_>>().join(","),
-                "servers": servers.join(","),
+                "servers": hold.servers().join(","),
                 "last_crash_ms": now.since(hold.last_crash()).as_millis() as u64,
                 "trials": trial.map_or(0, |trial| trial.number),
                 "last_trial_at": trial.map(|trial| &*trial.entry),
--- a/crates/node/src/process/dump.rs
+++ b/crates/node/src/process/dump.rs
@@ -11,11 +11,7 @@
 impl Node {
     /// Answers an operator's request that changes nothing: status and body.
     pub(super) fn operator_read(&self, now: Time, admin: &Admin) -> (u16, Value) {
-        let missing = |text: &str| {
-            let code = Code::NoSuchPath;
-            let error = json!({ "code": code.number(), "type": code.as_str(), "message": text });
-            (404, json!({ "error": error }))
-        };
+        let missing = |text: &str| error(Code::NoSuchPath, text);
         match admin {
             Admin::Ready if self.ready(now) => (200, json!({ "ready": true })),
             Admin::Ready => (503, json!({ "ready": false, "stopping": self.stopping.is_some() })),
@@ -85,10 +81,7 @@
         if released {
             return (200, json!({ "released": format!("{segment:x}") }));
         }
-        let code = Code::NoSuchRecord;
-        let text = "that segment is not quarantined here";
-        let error = json!({ "code": code.number(), "type": code.as_str(), "message": text });
-        (code.status(), json!({ "error": error }))
+        error(Code::NoSuchRecord, "that segment is not quarantined here")
     }
 
     /// The processes that a keeper tracks, and the servers for forwarded requests.
@@ -155,7 +148,7 @@
             let servers = || forward.servers().iter().map(|(_, server)| server);
             let limited = servers().filter(|server| server.health.limit().is_some()).count();
             all.push(("tamarack_forward_limited_servers", limited as f64));
-            let held = forward.dump_quarantine(now).len();
+            let held = forward.quarantined_groups();
             all.push(("tamarack_quarantined_segments", held as f64));
             let leaving = servers().filter(|server| server.is_leaving()).count();
             all.push(("tamarack_forward_leaving_servers", leaving as f64));
@@ -231,3 +224,9 @@
         "candidates": table,
     })
 }
+
+/// The status and the body of an error.
+fn error(code: Code, text: &str) -> (u16, Value) {
+    let error = json!({ "code": code.number(), "type": code.as_str(), "message": text });
+    (code.status(), json!({ "error": error }))
+}
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -105,11 +105,6 @@
         })
     }
 
-    /// When a segment was last known to survive.
-    pub fn survived_at(&self, segment: &Segment) -> Option<Time> {
-        self.survived.get(segment).copied()
-    }
-
     /// Whether a server seems to have crashed, so that an entry whose runs there go on has to report it.
     pub fn is_likely(&self, server: &Server, entries: usize) -> bool {
         let found = self.crashes.iter().rfind(|crash| crash.server == *server);
--- a/crates/quarantine/src/verdict.rs
+++ b/crates/quarantine/src/verdict.rs
@@ -33,6 +33,11 @@
         self.crashes.last().map_or(Time::ZERO, |(_, at)| *at)
     }
 
+    /// Identities of the crashed servers, by the times of the crashes.
+    pub fn servers(&self) -> Vec<&str> {
+        self.crashes.iter().map(|(server, _)| &*server.id).collect()
+    }
+
     /// Whether it explains a crash.
     pub(crate) fn explains(&self, crash: &Crash) -> bool {
         self.crashes.iter().any(|(server, at)| (server, at) == (&crash.server, &crash.at))
