--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -17,6 +17,8 @@
 const CRASH_CAUSES: [&str; 2] = ["unknown", "segment"];
 /// What was done with tokens, as label values.
 const TOKENS: [&str; 3] = ["computed", "cached", "generated"];
+/// Software version of the server at which a stream was resumed, against the one before, as label values.
+const SOFTWARE: [&str; 2] = ["same", "other"];
 /// Outcomes of permit requests.
 const PERMITS: [Permit; 4] = [Permit::Granted, Permit::Denied, Permit::Unanswered, Permit::Standby];
 /// Directions of bytes on a link, as label values.
@@ -39,6 +41,7 @@
     limits_unreadable: IntCounter,
     notices: IntCounterVec,
     permits: IntCounterVec,
+    resumed: IntCounterVec,
     crashes: IntCounterVec,
     held_back: IntCounter,
     trials: IntCounter,
@@ -96,6 +99,13 @@
                 ),
                 &["outcome"],
             )?,
+            resumed: IntCounterVec::new(
+                Opts::new(
+                    "tamarack_streams_resumed_total",
+                    "Streams resumed at another server within one response, by its software version against the one before",
+                ),
+                &["software"],
+            )?,
             crashes: IntCounterVec::new(
                 Opts::new(
                     "tamarack_server_crashes_total",
@@ -124,6 +134,7 @@
         metrics.registry.register(Box::new(metrics.old_weights.clone()))?;
         metrics.registry.register(Box::new(metrics.limits_unreadable.clone()))?;
         metrics.registry.register(Box::new(metrics.permits.clone()))?;
+        metrics.registry.register(Box::new(metrics.resumed.clone()))?;
         metrics.registry.register(Box::new(metrics.notices.clone()))?;
         metrics.registry.register(Box::new(metrics.crashes.clone()))?;
         metrics.registry.register(Box::new(metrics.held_back.clone()))?;
@@ -133,6 +144,9 @@
         for outcome in PERMITS {
             metrics.permits.with_label_values(&[outcome.as_str()]);
         }
+        for software in SOFTWARE {
+            metrics.resumed.with_label_values(&[software]);
+        }
         for what in NOTICES {
             metrics.notices.with_label_values(&[what]);
         }
@@ -163,6 +177,11 @@
         self.permits.with_label_values(&[outcome.as_str()]).inc();
     }
 
+    /// Counts a stream that was resumed at another server; `same` if that has the same software version.
+    pub fn record_resumed(&self, same: bool) {
+        self.resumed.with_label_values(&[if same { SOFTWARE[0] } else { SOFTWARE[1] }]).inc();
+    }
+
     /// Counts a response with an invalid rate limit.
     pub fn record_invalid_limit(&self) {
         self.limits_unreadable.inc();
--- a/crates/edge/src/notes.rs
+++ b/crates/edge/src/notes.rs
@@ -10,7 +10,19 @@
 pub fn write(decision: &Decision, metrics: &Metrics) {
     let millis = |time: std::time::Duration| time.as_millis() as u64;
     match decision {
-        Decision::Ended { request, route, server, attempts, inputs, code, status, took, first } => {
+        Decision::Ended {
+            request,
+            route,
+            server,
+            software,
+            resumes,
+            attempts,
+            inputs,
+            code,
+            status,
+            took,
+            first,
+        } => {
             metrics.record_request(*code, *took, *first);
             let allowed = inputs.allowed;
             if *status < 500 && inputs.version < allowed.newest {
@@ -18,7 +30,8 @@
             }
             log::info!(
                 request:% = request, route:% = route,
-                server = server.as_deref().unwrap_or_default(), tries = u64::from(*attempts),
+                server = server.as_deref().unwrap_or_default(), software = software.as_deref().unwrap_or_default(),
+                resumes = resumes.as_deref().unwrap_or_default(), tries = u64::from(*attempts),
                 reading = inputs.prefill_tokens, fetching = inputs.transfer_tokens, ahead = inputs.queued_tokens,
                 beside = u64::from(inputs.in_flight), cost_ms = inputs.cost_ms as u64,
                 list_age_ms = millis(inputs.list_age), version = inputs.version, version_least = allowed.oldest,
@@ -29,6 +42,14 @@
                 "request ended"
             );
         }
+        Decision::Resumed { request, server, software, from_server, from_software } => {
+            metrics.record_resumed(software == from_software);
+            log::info!(
+                request:% = request, server:% = server, software:% = software, from:% = from_server,
+                from_software:% = from_software;
+                "stream resumed at another server"
+            );
+        }
         Decision::AttemptFailed { request, server, reason, action, progress, segments } => {
             metrics.record_failed_attempt();
             let body_ms = match progress {
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -36,6 +36,8 @@
     pub cold: Duration,
     /// Models that it holds, with their weight versions.
     pub models: Vec<(Name, u64)>,
+    /// Version of its software: what servers of two versions write of one stream does not fit together.
+    pub software: Name,
 }
 
 impl Listed {
--- a/crates/fleet/tests/servers.rs
+++ b/crates/fleet/tests/servers.rs
@@ -19,6 +19,7 @@
         leaving: false,
         cold: Duration::ZERO,
         models: vec![(Name::new("m"), 1)],
+        software: Name::new("v1"),
     }
 }
 
--- a/crates/node/src/decision.rs
+++ b/crates/node/src/decision.rs
@@ -88,6 +88,10 @@
         route: Name,
         /// Server of the last attempt.
         server: Option<Name>,
+        /// Software version of that server.
+        software: Option<Name>,
+        /// For a stream that the client resumes: the attempt that it names as the first one.
+        resumes: Option<Name>,
         /// Total number of attempts.
         attempts: u32,
         /// The inputs on which the last server was chosen.
@@ -101,6 +105,19 @@
         /// Time from arrival to the first bytes of the response.
         first: Option<Duration>,
     },
+    /// A stream continues at another server within the same response.
+    Resumed {
+        /// The caller's ID of the request.
+        request: Name,
+        /// The server.
+        server: Name,
+        /// Its software version.
+        software: Name,
+        /// The server before.
+        from_server: Name,
+        /// Its software version.
+        from_software: Name,
+    },
     /// An attempt failed.
     AttemptFailed {
         /// The caller's ID of the request.
--- a/crates/node/src/forward/event.rs
+++ b/crates/node/src/forward/event.rs
@@ -27,6 +27,13 @@
     }
 }
 
+/// A client's request to go on with a stream that broke off.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Resumption {
+    /// ID of the client attempt that received the first event; none if the client names none, or none that can be an ID.
+    pub first_attempt: Option<Name>,
+}
+
 /// The head of a request, as the reducer needs it.
 #[derive(Clone, Debug, Default)]
 pub struct RequestHead {
@@ -42,6 +49,8 @@
     pub timeout: Option<Duration>,
     /// The prompt, for requests that name one.
     pub prompt: Option<Prompt>,
+    /// The stream to go on with, if it names the last event that the client has.
+    pub resumption: Option<Resumption>,
 }
 
 /// One attempt: a request as it is sent to one server.
--- a/crates/node/src/forward/follow.rs
+++ b/crates/node/src/forward/follow.rs
@@ -316,6 +316,8 @@
             request: run.head.id,
             route: run.route,
             server: run.last_server,
+            software: run.last_software,
+            resumes: run.head.resumption.map(|found| found.first_attempt.unwrap_or_default()),
             attempts: run.attempts,
             inputs: run.inputs,
             code,
--- a/crates/node/src/forward/list.rs
+++ b/crates/node/src/forward/list.rs
@@ -147,6 +147,7 @@
         leaving: listed.leaving,
         cold_ms: listed.cold.as_millis() as u32,
         models: listed.models.clone(),
+        software: listed.software.clone(),
     }
 }
 
@@ -161,5 +162,6 @@
         leaving: listed.leaving,
         cold: Duration::from_millis(u64::from(listed.cold_ms)),
         models: listed.models,
+        software: listed.software,
     }
 }
--- a/crates/node/src/forward/mod.rs
+++ b/crates/node/src/forward/mod.rs
@@ -64,7 +64,7 @@
 
 pub use event::{
     Action, Attempt, Change, ControlCall, Event, Failure, Progress, Prompt, Rejection, RequestHead,
-    ResponseHead,
+    ResponseHead, Resumption,
 };
 pub use follow::MISDIRECTED;
 
@@ -178,6 +178,8 @@
     tried_servers: Vec<Key>,
     placement: Option<Placement>,
     last_server: Option<Name>,
+    /// Software version of that server.
+    last_software: Option<Name>,
     inputs: PlacementInputs,
     /// Whether delivery of a response to the caller has begun.
     delivery_started: bool,
--- a/crates/node/src/forward/place.rs
+++ b/crates/node/src/forward/place.rs
@@ -11,7 +11,7 @@
 use super::permits::MAX_PERMIT_REQUESTS;
 use super::stores::{Sources, Transfer};
 use super::{Action, Attempt, Context, Forward, Placement, Prompt, Run, jitter};
-use crate::decision::{Allowed, PlacementInputs};
+use crate::decision::{Allowed, Decision, PlacementInputs};
 use crate::{Effect, Effects};
 
 /// Fraction of an engine's memory that is assumed to cache prompt segments; the rest is for runs.
@@ -160,7 +160,18 @@
         run.attempts += 1;
         run.possible_executions += 1;
         run.tried_servers.push(key);
+        let software = server.listed.software.clone();
+        if run.delivery_started {
+            out.push(Effect::Decision(Box::new(Decision::Resumed {
+                request: run.head.id.clone(),
+                server: server.listed.id.clone(),
+                software: software.clone(),
+                from_server: run.last_server.clone().unwrap_or_default(),
+                from_software: run.last_software.clone().unwrap_or_default(),
+            })));
+        }
         run.last_server = Some(server.listed.id.clone());
+        run.last_software = Some(software);
         run.inputs = PlacementInputs {
             prefill_tokens,
             transfer_tokens: transfer.fetched_tokens,
--- a/crates/node/tests/cluster/mod.rs
+++ b/crates/node/tests/cluster/mod.rs
@@ -233,6 +233,7 @@
                     key: Some("key".to_owned()),
                     timeout: None,
                     prompt: None,
+                    resumption: None,
                 };
                 self.event(entry, Event::Arrived { call, head: Box::new(head) });
                 let gap: f64 = self.rng.random_range(0.0..2.0) * 1_000.0 / self.plan.load;
--- a/crates/node/tests/fleet/mod.rs
+++ b/crates/node/tests/fleet/mod.rs
@@ -515,6 +515,7 @@
                 tokens,
                 max_tokens: 40,
             }),
+            resumption: None,
         };
         let arrived = Forwarded::Arrived { call, head: Box::new(head) };
         self.event(host, HOP_MS, Event::Forward(arrived));
--- a/crates/node/tests/forward.rs
+++ b/crates/node/tests/forward.rs
@@ -121,6 +121,7 @@
             key: Some(key.to_owned()),
             timeout: None,
             prompt: (!segments.is_empty()).then_some(prompt),
+            resumption: None,
         };
         self.event(Event::Arrived { call, head: Box::new(head) });
     }
@@ -601,6 +602,7 @@
         leaving: number == 1,
         cold_ms: 0,
         models: vec![(Name::new("m"), 1)],
+        software: Name::new("v1"),
     };
     harness.event(Event::Listed { list: Ok((1..=2).map(listed).collect()) });
     harness.wait(4_000);
--- a/crates/wire/src/list.rs
+++ b/crates/wire/src/list.rs
@@ -28,6 +28,8 @@
     pub cold_ms: u32,
     /// Loaded models and their weight versions.
     pub models: Vec<(Name, u64)>,
+    /// Version of its software.
+    pub software: Name,
 }
 
 /// The server list as read at one time.
