Tests: streams that break off while servers of two software versions serve (failing)

Whole processes without a network: a rolling release, then crashes and broken responses; entries killed in turn; all of them without power at once. Clients resume their streams at any entry and compare the software version of each event.

--- a/crates/node/tests/fleet/mod.rs
+++ b/crates/node/tests/fleet/mod.rs
@@ -15,7 +15,9 @@
 use cache::Segment;
 use fleet::{Listed, Report};
 use node::decision::Decision;
-use node::forward::{Action, ControlCall, Event as Forwarded, Failure, Prompt, RequestHead};
+use node::forward::{
+    Action, ControlCall, Event as Forwarded, Failure, Prompt, RequestHead, Resumption as Resumes,
+};
 use node::{Config, Effect, Effects, Event, Keeper, LocalProcess, Node};
 use quorum::{Bootstrap, Member, Replica, Timing};
 use rand::{Rng, SeedableRng};
@@ -34,6 +36,8 @@
 /// How long a crashed server is down, and how long the list shows the state before; milliseconds.
 const DOWN_MS: u64 = 3_200;
 const LIST_LAG_MS: u64 = 800;
+/// Time from the notice that a server is leaving to its end, milliseconds.
+const DRAIN_MS: u64 = 5_000;
 /// Time from the crash of a server or the loss of a machine after which a rule of the users binds; milliseconds.
 pub const STABLE_MS: u64 = 3_000;
 /// Crashes that are allowed before a segment must be known.
@@ -75,6 +79,10 @@
     Reset(usize),
     /// An entry stands still for this many milliseconds.
     Freeze(usize, u64),
+    /// A server is replaced by one of this software version; the old one drains and leaves.
+    Release(usize, u64),
+    /// A server crashes and does not return.
+    Remove(usize),
 }
 
 /// The parameters of a simulation.
@@ -87,6 +95,8 @@
     pub load: [f64; 2],
     pub deadly: Vec<Deadly>,
     pub faults: Vec<(u64, Fault)>,
+    /// Number of retries of a client whose stream broke off. It resumes the stream if it has an event.
+    pub stream_retries: u32,
     pub end: u64,
     pub seed: u64,
 }
@@ -100,6 +110,7 @@
             load: [50.0, 68.0],
             deadly: Vec::new(),
             faults: Vec::new(),
+            stream_retries: 0,
             end: 38_000,
             seed,
         }
@@ -129,6 +140,8 @@
     Return(usize),
     Start(usize),
     Fault(Fault),
+    /// A drained server ends.
+    End(usize),
 }
 
 #[derive(Debug, Default)]
@@ -146,6 +159,9 @@
     /// Number of its starts.
     born: u64,
     up: bool,
+    /// Version of its software, and since when it is leaving.
+    software: u64,
+    leaving_at: Option<u64>,
     /// Times at which it started or ended, with its identity if it is up.
     history: Vec<(u64, Option<u64>)>,
 }
@@ -178,6 +194,22 @@
     pub served: bool,
     /// Status and Retry-After in milliseconds of each rejection.
     pub rejections: Vec<(u16, Option<u64>)>,
+    /// The attempt that received the first event, and the software version that wrote each event since.
+    pub first_attempt: Option<Name>,
+    pub events: Vec<u64>,
+    pub resumptions: Vec<Resumption>,
+    stream_retries: u32,
+}
+
+/// A stream that a client resumed.
+#[derive(Clone, Copy, Debug)]
+pub struct Resumption {
+    pub at: u64,
+    /// Software version of its events, and the number of servers of that version that took new requests then.
+    pub software: u64,
+    pub serving: usize,
+    /// Whether it went on.
+    pub continued: bool,
 }
 
 /// A request with a deadly segment that reached a server.
@@ -207,6 +239,8 @@
     runs: BTreeMap<u64, Run>,
     /// Request of each exchange of an entry.
     exchanges: HashMap<u64, usize>,
+    /// Entry of each exchange that has not ended.
+    open: BTreeMap<u64, usize>,
     rng: Pcg64Mcg,
     pub requests: Vec<Request>,
     pub arrivals: Vec<Arrival>,
@@ -226,6 +260,7 @@
             servers: (0..plan.servers).map(|_| Server::default()).collect(),
             runs: BTreeMap::new(),
             exchanges: HashMap::new(),
+            open: BTreeMap::new(),
             rng: Pcg64Mcg::seed_from_u64(plan.seed),
             requests: Vec::new(),
             arrivals: Vec::new(),
@@ -340,6 +375,23 @@
         for id in lost {
             self.runs.remove(&id);
         }
+        let cut: Vec<u64> =
+            self.open.iter().filter(|(_, of)| **of == host).map(|(call, _)| *call).collect();
+        for call in cut {
+            self.stream_broken(call);
+        }
+    }
+
+    /// The client's connection ends without the end of its response.
+    fn stream_broken(&mut self, call: u64) {
+        self.open.remove(&call);
+        let number = self.exchanges[&call];
+        let request = &mut self.requests[number];
+        if request.stream_retries < self.plan.stream_retries {
+            request.stream_retries += 1;
+            let after = self.rng.random_range(50..400);
+            self.schedule(after, Due::Retry(number));
+        }
     }
 
     fn start_server(&mut self, server: usize) {
@@ -364,7 +416,9 @@
             self.break_off(id);
         }
         let down = DOWN_MS + self.rng.random_range(0..300);
-        self.schedule(down, Due::Return(server));
+        if self.servers[server].leaving_at.is_none() {
+            self.schedule(down, Due::Return(server));
+        }
     }
 
     /// The connection of a run is reset.
@@ -411,12 +465,18 @@
             Due::Begin(id) => self.begin(id),
             Due::Finish(id) => {
                 if let Some(run) = self.runs.remove(&id) {
+                    self.event_written(&run);
+                    self.open.remove(&run.call);
                     self.requests[run.request].served = true;
                     let completed = Forwarded::Completed { call: run.call };
                     self.forward(&run, completed);
                 }
             }
             Due::Return(server) => self.start_server(server),
+            Due::End(server) => {
+                self.crash(server, None);
+                self.servers[server].leaving_at = Some(0);
+            }
             Due::Start(host) => self.start(host),
             Due::Fault(fault) => self.fault(fault),
         }
@@ -442,6 +502,16 @@
                 }
             }
             Fault::Freeze(host, time) => self.hosts[host].frozen_until = self.now + time,
+            Fault::Release(server, software) => {
+                self.servers.push(Server { software, ..Server::default() });
+                self.start_server(self.servers.len() - 1);
+                self.servers[server].leaving_at = Some(self.now);
+                self.schedule(DRAIN_MS, Due::End(server));
+            }
+            Fault::Remove(server) => {
+                self.servers[server].leaving_at = Some(u64::MAX);
+                self.crash(server, None);
+            }
         }
     }
 
@@ -487,6 +557,10 @@
             attempts: 0,
             served: false,
             rejections: Vec::new(),
+            first_attempt: None,
+            events: Vec::new(),
+            resumptions: Vec::new(),
+            stream_retries: 0,
         }
     }
 
@@ -494,17 +568,22 @@
         let live: Vec<usize> =
             (0..self.hosts.len()).filter(|host| self.hosts[*host].node.is_some()).collect();
         if live.is_empty() {
+            if self.requests[number].stream_retries > 0 {
+                self.schedule(100, Due::Retry(number));
+            }
             return;
         }
         let host = live[self.rng.random_range(0..live.len())];
         self.number += 1;
         let call = self.number;
         self.exchanges.insert(call, number);
+        self.open.insert(call, host);
+        let resumption = self.resumption(number);
         let request = &self.requests[number];
         let tokens = request.segments.iter().map(|segment| segment.tokens).sum();
         let left = (request.at + CALLER_TIMEOUT_MS).saturating_sub(self.now);
         let head = RequestHead {
-            id: Name::from(format!("r{call}")),
+            id: attempt_id(call),
             host: "shop".to_owned(),
             path: "/stream/x".to_owned(),
             key: Some("key".to_owned()),
@@ -515,12 +594,38 @@
                 tokens,
                 max_tokens: 40,
             }),
-            resumption: None,
+            resumption,
         };
         let arrived = Forwarded::Arrived { call, head: Box::new(head) };
         self.event(host, HOP_MS, Event::Forward(arrived));
     }
 
+    /// The client goes on with its stream, if it has an event of it.
+    fn resumption(&mut self, number: usize) -> Option<Resumes> {
+        let request = &self.requests[number];
+        let (first_attempt, software) = (request.first_attempt.clone()?, *request.events.first()?);
+        let serves = |server: &&Server| {
+            server.up && server.software == software && server.leaving_at.is_none()
+        };
+        let serving = self.servers.iter().filter(serves).count();
+        let resumption = Resumption { at: self.now, software, serving, continued: false };
+        self.requests[number].resumptions.push(resumption);
+        Some(Resumes { first_attempt: Some(first_attempt) })
+    }
+
+    /// The client receives an event of a run.
+    fn event_written(&mut self, run: &Run) {
+        let software = self.servers[run.server].software;
+        let request = &mut self.requests[run.request];
+        request.first_attempt.get_or_insert_with(|| attempt_id(run.call));
+        request.events.push(software);
+        if request.first_attempt != Some(attempt_id(run.call))
+            && let Some(resumption) = request.resumptions.last_mut()
+        {
+            resumption.continued = true;
+        }
+    }
+
     fn forward(&mut self, run: &Run, event: Forwarded) {
         let event = Box::new(Event::Forward(event));
         self.schedule(HOP_MS, Due::Event(run.host, run.incarnation, event));
@@ -543,6 +648,7 @@
             self.crash(run.server, Some(segment));
             return;
         }
+        self.event_written(&run);
         let request = &mut self.requests[run.request];
         if request.attempts == 1 {
             request.begun.get_or_insert(self.now);
@@ -635,6 +741,18 @@
             Action::Deliver => {}
             Action::Reject(rejection) => {
                 self.runs.retain(|_, run| run.call != call);
+                self.open.remove(&call);
+                let found = &self.requests[request];
+                if found.first_attempt == Some(attempt_id(call)) || rejection.status == 502 {
+                    // The response had begun, or it may have.
+                    self.stream_broken(call);
+                    return;
+                }
+                if found.first_attempt.is_some() && rejection.retry_after.is_none() {
+                    // Refused for good: the client starts again.
+                    let found = &mut self.requests[request];
+                    (found.first_attempt, found.events) = (None, Vec::new());
+                }
                 let retry = rejection.retry_after.map(|after| after.as_millis() as u64);
                 let found = &mut self.requests[request];
                 found.rejections.push((rejection.status, retry));
@@ -658,6 +776,8 @@
                 born: Some(born),
                 addr: fixture::addr(number as u16),
                 slots: 48,
+                leaving: server.leaving_at.is_some_and(|at| at <= seen),
+                software: Name::from(format!("v{}", server.software)),
                 ..fixture::listed(number as u16)
             })
         });
@@ -710,6 +830,21 @@
         self.requests.iter().filter(sound).filter(begun).count() as f64 / all as f64
     }
 
+    /// Number of requests whose events were written by more than one software version.
+    pub fn mixed_streams(&self) -> usize {
+        let is_mixed = |request: &&Request| {
+            request.events.iter().any(|software| Some(software) != request.events.first())
+        };
+        self.requests.iter().filter(is_mixed).count()
+    }
+
+    /// Resumptions while at least two servers of their software version served, and those of them that went on.
+    pub fn resumptions(&self) -> (usize, usize) {
+        let all = self.requests.iter().flat_map(|request| &request.resumptions);
+        let counted: Vec<&Resumption> = all.filter(|found| found.serving >= 2).collect();
+        (counted.len(), counted.iter().filter(|found| found.continued).count())
+    }
+
     /// Fraction of the sound requests in this time that were served.
     pub fn served(&self, times: std::ops::Range<u64>) -> f64 {
         let sound = |request: &&Request| request.deadly.is_none() && times.contains(&request.at);
@@ -723,6 +858,10 @@
     Name::from(format!("entry-{host}"))
 }
 
+fn attempt_id(call: u64) -> Name {
+    Name::from(format!("r{call}"))
+}
+
 fn server_id(server: usize, born: u64) -> Name {
     Name::from(format!("i-{server}-{born}"))
 }
