A response that broke off goes on only at its own software version

Callers saw: one response with events of two software versions. Cause: the choice of a server for a resumed stream did not know software versions. Class: outputs of two servers are joined without a check that they fit.

Before the client may have an event another version is the last resort; afterwards it is none. A server that is listed as leaving still takes streams that only its version can go on with, for half of its drain time.

Test: a_response_that_broke_off_goes_on_at_its_own_software_version failed before (v1, then v2).

--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -114,6 +114,8 @@
     version_reported_at: Option<Time>,
     /// Its last report, and when it was received.
     report: Option<(Report, Time)>,
+    /// When its list entry changed to leaving.
+    listed_leaving_since: Option<Time>,
 }
 
 impl Server {
@@ -132,6 +134,7 @@
             next_poll: Time::ZERO,
             version_reported_at: None,
             report: None,
+            listed_leaving_since: None,
         }
     }
 
@@ -144,6 +147,27 @@
         }
     }
 
+    /// The same for a request that only it can serve, although it is listed as leaving: for `drain` since it was first seen to
+    /// leave. One that was leaving when it was first seen may have drained.
+    pub fn eligibility_while_draining(&self, now: Time, drain: Duration) -> Eligibility {
+        let since = self.listed_leaving_since;
+        if since.is_none_or(|since| now.since(since) >= drain) {
+            return Eligibility::Ineligible;
+        }
+        match self.health.eligibility(now, drain) {
+            Eligibility::Ineligible => Eligibility::Ineligible,
+            Eligibility::Eligible | Eligibility::LastResort => Eligibility::LastResort,
+        }
+    }
+
+    /// Sets its list entry.
+    pub(crate) fn set_listed(&mut self, now: Time, listed: Listed) {
+        if listed.leaving && !self.listed.leaving {
+            self.listed_leaving_since = Some(now);
+        }
+        self.listed = listed;
+    }
+
     /// Whether it accepts requests and is not leaving.
     pub fn is_usable(&self, now: Time) -> bool {
         !self.is_leaving() && self.health.eligible_at() <= now
--- a/crates/fleet/src/servers.rs
+++ b/crates/fleet/src/servers.rs
@@ -45,7 +45,7 @@
             let found = tracked.and_then(|key| Some((key, self.all.get_mut(key)?)));
             let key = if let Some((key, server)) = found {
                 server.apply_listed_version(now, listed.version());
-                server.listed = listed;
+                server.set_listed(now, listed);
                 key
             } else {
                 let incarnation = (listed.id.clone(), listed.born);
--- a/crates/node/src/forward/admit.rs
+++ b/crates/node/src/forward/admit.rs
@@ -3,6 +3,7 @@
 use base::prelude::*;
 use rand::Rng;
 use record::Workspace;
+use resume::Binding;
 
 use super::{Action, Context, Forward, Rejection, RequestHead, Run, jitter};
 use crate::decision::{Decision, PlacementInputs};
@@ -113,6 +114,7 @@
             last_server: None,
             last_software: None,
             inputs: PlacementInputs::default(),
+            binding: Binding::default(),
             delivery_started: false,
             status: 0,
             first_bytes_at: None,
--- a/crates/node/src/forward/follow.rs
+++ b/crates/node/src/forward/follow.rs
@@ -95,6 +95,7 @@
             run.status = response.status;
         }
         run.delivery_started = true;
+        run.binding.begin();
         out.push(Effect::Forward { call, action: Action::Deliver });
     }
 
--- a/crates/node/src/forward/mod.rs
+++ b/crates/node/src/forward/mod.rs
@@ -49,6 +49,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use record::{RetryPolicy, View};
+use resume::Binding;
 use route::PrefillRate;
 use serde_json::{Value, json};
 
@@ -181,6 +182,8 @@
     /// Software version of that server.
     last_software: Option<Name>,
     inputs: PlacementInputs,
+    /// The software version that it is bound to, if it is a stream.
+    binding: Binding,
     /// Whether delivery of a response to the caller has begun.
     delivery_started: bool,
     status: u16,
--- a/crates/node/src/forward/place.rs
+++ b/crates/node/src/forward/place.rs
@@ -4,7 +4,8 @@
 use cache::salt_number;
 use fleet::{Eligibility, Key, RateLimit, Server, Servers};
 use rand::Rng;
-use record::Engine;
+use record::{Engine, RetryPolicy};
+use resume::{Binding, Fit, Origin};
 use route::direct::{self, Candidate};
 use route::overload;
 
@@ -27,6 +28,9 @@
 /// Fraction of the interval between two permits during which the next permit is reserved for requests that gain
 /// by it: about what the capacity of a bucket covers.
 const RESERVED_FRACTION: f64 = 0.25;
+/// Fraction of a server's drain time for which one that is listed as leaving takes streams that only it can go on with. The
+/// list reaches an entry up to a second late.
+const LISTED_DRAIN_FRACTION: f64 = 0.5;
 /// Penalty of a server that holds an older weight version than the newest, milliseconds.
 const OLD_WEIGHTS_PENALTY_MS: f64 = 1_000.0;
 
@@ -171,7 +175,7 @@
             })));
         }
         run.last_server = Some(server.listed.id.clone());
-        run.last_software = Some(software);
+        run.last_software = Some(software.clone());
         run.inputs = PlacementInputs {
             prefill_tokens,
             transfer_tokens: transfer.fetched_tokens,
@@ -214,6 +218,7 @@
             fetch: transfer.fetch.into_iter().chain([None]).collect(),
             save: save.into_iter().chain([None]).collect(),
         };
+        self.bind_stream(call, &software);
         self.loads.mark_changed(addr);
         if let Some((source, millis)) = transfer.main_source {
             self.stores.transfer_started(source, millis);
@@ -222,6 +227,17 @@
         out.push(Effect::Forward { call, action: Action::Send(Box::new(attempt)) });
     }
 
+    /// Binds a stream to the software version of the server that it is being sent to.
+    fn bind_stream(&mut self, call: u64, software: &Name) {
+        let Some(run) = self.runs.get_mut(&call) else {
+            return;
+        };
+        if run.retry_policy == RetryPolicy::Resume && !run.binding.is_final() {
+            let origin = Origin { service: run.service.clone(), software: software.clone() };
+            run.binding = Binding::Sent(origin);
+        }
+    }
+
     /// The servers that a request can be sent to.
     fn options(&self, cx: &Context<'_>, run: &Run) -> Options {
         let allowed = model(cx, run).map(|model| self.allowed(cx.now, model)).unwrap_or_default();
@@ -232,8 +248,12 @@
         for (key, server) in self.servers.of_service(&run.service) {
             let version = expected_version(server, allowed);
             let too_old = version < allowed.oldest;
-            let eligibility = server.eligibility(cx.now, self.config.server_drain);
-            if eligibility == Eligibility::Ineligible || too_old || run.tried_servers.contains(&key)
+            let eligibility = self.eligibility(cx.now, run, server);
+            let fit = run.binding.fit(&server.listed.software);
+            if eligibility == Eligibility::Ineligible
+                || too_old
+                || run.tried_servers.contains(&key)
+                || fit == Fit::Unfit
             {
                 continue;
             }
@@ -276,12 +296,25 @@
                 penalty_ms: if old { OLD_WEIGHTS_PENALTY_MS } else { 0.0 },
             });
             let limited = server.health.rate_limit.is_some();
-            options.choices.push(EligibleServer { key, version, transfer, eligibility, limited });
+            let choice = EligibleServer { key, version, transfer, eligibility, limited, fit };
+            options.choices.push(choice);
         }
+        options.drop_moves();
         options.drop_last_resort();
         options
     }
 
+    /// Whether a request may be sent to a server. One that is listed as leaving still takes streams that can go on nowhere else,
+    /// for a part of its drain time.
+    fn eligibility(&self, now: Time, run: &Run, server: &Server) -> Eligibility {
+        let drain = self.config.server_drain;
+        if run.binding.is_final() && server.listed.leaving {
+            server.eligibility_while_draining(now, drain.mul_f64(LISTED_DRAIN_FRACTION))
+        } else {
+            server.eligibility(now, drain)
+        }
+    }
+
     /// The transfers of a prompt for a server.
     fn transfer_for(
         &self,
@@ -316,6 +349,8 @@
     eligibility: Eligibility,
     /// Whether it needs a permit.
     limited: bool,
+    /// How well it fits the stream.
+    fit: Fit,
 }
 
 /// The servers that a request can be sent to, with the data that was computed for them.
@@ -330,15 +365,25 @@
 }
 
 impl Options {
+    /// Removes servers that the stream would move to, if there is one of its software version.
+    fn drop_moves(&mut self) {
+        if self.choices.iter().any(|choice| choice.fit == Fit::Fits) {
+            self.retain(|choice| choice.fit == Fit::Fits);
+        }
+    }
+
+    fn retain(&mut self, keep: impl Fn(&EligibleServer) -> bool) {
+        let mut kept = self.choices.iter().map(&keep);
+        self.candidates.retain(|_| kept.next().unwrap_or_default());
+        self.choices.retain(&keep);
+    }
+
     /// Removes servers that are a last resort, if there is an eligible one.
     fn drop_last_resort(&mut self) {
         let is_eligible = |choice: &EligibleServer| choice.eligibility == Eligibility::Eligible;
-        if !self.choices.iter().any(is_eligible) {
-            return;
+        if self.choices.iter().any(is_eligible) {
+            self.retain(is_eligible);
         }
-        let mut eligible = self.choices.iter().map(is_eligible);
-        self.candidates.retain(|_| eligible.next().unwrap_or_default());
-        self.choices.retain(is_eligible);
     }
 
     /// The server without a rate limit that has the lowest cost; `point` selects among equal ones.
--- a/crates/node/tests/forward.rs
+++ b/crates/node/tests/forward.rs
@@ -333,6 +333,48 @@
     assert_eq!(harness.rejected(1).0, Code::DeadlineRunning);
 }
 
+/// Two servers of one software version and eight of another one.
+fn two_software_versions() -> Vec<Listed> {
+    let software = |number: u16| Name::new(if number <= 2 { "v1" } else { "v2" });
+    (1..=10).map(|number| Listed { software: software(number), ..listed(number) }).collect()
+}
+
+// Guards against events of two software versions in one response: a server breaks off after the response has begun, and most
+// other servers have another version.
+#[test]
+fn a_response_that_broke_off_goes_on_at_its_own_software_version() {
+    for call in 1..40 {
+        let mut harness = Harness::new(0);
+        harness.event(Event::Listed { list: Ok(two_software_versions()) });
+        for busy in 100..100 + call {
+            harness.request(busy, "/safe/x");
+        }
+        harness.request(call, "/stream/x");
+        let list = two_software_versions();
+        let software = |attempt: &Attempt| {
+            list.iter().find(|server| server.id == attempt.id).expect("listed").software.clone()
+        };
+        let first = harness.sent(call);
+        harness.respond(call, 200, false);
+        assert_eq!(harness.actions(call), [Action::Deliver]);
+        harness.event(Event::Failed { call, failure: Failure::Aborted });
+        assert_eq!(software(&harness.sent(call)), software(&first));
+    }
+}
+
+// Guards against a request that fails although another software version could take it: the only servers of its version turn it
+// away before the client has anything.
+#[test]
+fn a_stream_without_an_event_may_move_to_another_software_version() {
+    let mut harness = Harness::new(0);
+    let list = two_software_versions().into_iter().skip(1).take(2).collect();
+    harness.event(Event::Listed { list: Ok(list) });
+    harness.request(1, "/stream/x");
+    let first = harness.sent(1);
+    harness.respond(1, 503, true);
+    assert_ne!(harness.sent(1).id, first.id);
+}
+
 #[test]
 fn servers_that_fail_are_ejected_and_return() {
     let mut harness = Harness::new(2);
