Clients' resumptions go on only at the software version that began the stream

Callers saw: after a crash of an entry, a reset or a loss of power they took their stream up again (Resumes, Last-Event-Id), got 200 and a whole stream, whose first part came from one software version and the rest from another. Cause: an entry read neither header and placed the request like a new one. Class: a process that has just started takes state that it does not have for absent.

Change: an entry records the origin (service, software version) of each resumable stream at up to three keepers as it sends the first attempt, without waiting; keepers write the records of a tick with one sync, apart from the agreed log. A client's resumption is looked up here and then at all linked keepers; an entry that doesn't know refuses (2010, 2011, or 503 with the time at which a server of the version is back). A stream that has to move to another version before its first event holds that event back until the keepers with the earlier record have replaced it on their disks.

--- a/crates/base/src/code.rs
+++ b/crates/base/src/code.rs
@@ -94,6 +94,10 @@
     Cancelled = 2008, "cancelled before the start", 499, NotRun;
     /// Servers crashed as they began to answer prompts with the same segment.
     Quarantined = 2009, "prompt segment crashes servers", 503, NotRun;
+    /// It is not known which service and software version began the stream that the client resumes.
+    StreamUnknown = 2010, "origin of the stream unknown", 503, NotRun;
+    /// No server of the software version that began the stream is left.
+    StreamGone = 2011, "software of the stream gone", 503, NotRun;
     /// The run was sent, but its result is not known.
     Unknown = 3001, "may have run", 502, Unknown;
     /// The run was interrupted before its end and could not be resumed.
--- a/crates/disk/src/store.rs
+++ b/crates/disk/src/store.rs
@@ -7,8 +7,7 @@
 use quorum::{Entry, HardState, Saved, Snapshot, Write};
 use serde::{Deserialize, Serialize};
 
-use crate::Error;
-use crate::segment;
+use crate::{Error, Recent, segment};
 
 const CONTACTS: &str = "contacts";
 const EVIDENCE: &str = "evidence";
@@ -49,6 +48,10 @@
     pub contacts: Option<Vec<u8>>,
     /// The observations of crashed servers that were written last.
     pub evidence: Option<Vec<u8>>,
+    /// The log of recent records, ready to write.
+    pub recent: Recent,
+    /// The records in it.
+    pub recent_records: Vec<Vec<u8>>,
 }
 
 /// The files of one keeper.
@@ -97,12 +100,22 @@
             log.set_len(read.end as u64).map_err(Error::io(&path))?;
         }
         log.sync_all().map_err(Error::io(&path))?;
+        let (recent, recent_records) = Recent::open(directory)?;
         sync_directory(directory)?;
         let hard_state = saved.hard_state.clone();
         let length = read.end as u64;
         let directory = directory.to_owned();
         let store = Self { directory, number, log, length, hard_state, syncs: 0, _lock: lock };
-        Ok(Opened { store, saved, identity, torn_bytes: torn, contacts, evidence })
+        Ok(Opened {
+            store,
+            saved,
+            identity,
+            torn_bytes: torn,
+            contacts,
+            evidence,
+            recent,
+            recent_records,
+        })
     }
 
     /// Number of syncs since the directory was opened.
@@ -258,7 +271,7 @@
     directory.join(format!("{LOG}{number}"))
 }
 
-fn open_log(path: &Path) -> Result<File, Error> {
+pub(crate) fn open_log(path: &Path) -> Result<File, Error> {
     OpenOptions::new().create(true).append(true).open(path).map_err(Error::io(path))
 }
 
@@ -277,7 +290,7 @@
     sync_directory(directory)
 }
 
-fn sync_directory(directory: &Path) -> Result<(), Error> {
+pub(crate) fn sync_directory(directory: &Path) -> Result<(), Error> {
     File::open(directory).and_then(|file| file.sync_all()).map_err(Error::io(directory))
 }
 
--- a/crates/edge/src/files.rs
+++ b/crates/edge/src/files.rs
@@ -5,11 +5,11 @@
 use std::thread;
 use std::time::Duration;
 
-use disk::{Opened, Store};
+use disk::{Opened, Recent, Store};
 use node::Event;
 use quorum::Write;
 use wire::quarantine::{Evidence, Observation};
-use wire::{Contact, DecodeError, Decoder, Frame};
+use wire::{Contact, DecodeError, Decoder, Frame, stream};
 
 use crate::{Input, Inputs};
 
@@ -28,6 +28,15 @@
         /// What to write.
         write: Write,
     },
+    /// Adds records of streams.
+    Streams {
+        /// Number of the write.
+        number: u64,
+        /// The records.
+        records: Vec<stream::Record>,
+        /// Whether the older generation of records is dropped before.
+        new_generation: bool,
+    },
     /// Replaces the addresses of other processes.
     Contacts(Vec<Contact>),
     /// Replaces the observations of crashed servers.
@@ -70,6 +79,18 @@
     }
 }
 
+/// The records of streams in the folder; those that were written in another format are left out.
+pub fn streams(opened: &Opened) -> Vec<stream::Record> {
+    let mut records = Vec::new();
+    for bytes in &opened.recent_records {
+        match frame(bytes) {
+            Ok(Some(Frame::StreamRecords(found))) => records.extend(found.records),
+            found => log::warn!(found:?; "records of streams unreadable"),
+        }
+    }
+    records
+}
+
 fn frame(bytes: &[u8]) -> Result<Option<Frame>, DecodeError> {
     let mut decoder = Decoder::default();
     decoder.push(bytes);
@@ -80,14 +101,14 @@
 ///
 /// # Errors
 /// The thread can't be started.
-pub fn start(store: Store, inputs: Inputs) -> std::io::Result<Sender<Command>> {
+pub fn start(store: Store, recent: Recent, inputs: Inputs) -> std::io::Result<Sender<Command>> {
     let (sender, commands) = channel();
     let thread = thread::Builder::new().name("files".to_owned());
-    thread.spawn(move || run(store, &commands, &inputs))?;
+    thread.spawn(move || run(store, recent, &commands, &inputs))?;
     Ok(sender)
 }
 
-fn run(mut store: Store, commands: &Receiver<Command>, inputs: &Inputs) {
+fn run(mut store: Store, mut recent: Recent, commands: &Receiver<Command>, inputs: &Inputs) {
     let mut contacts = None;
     let mut evidence = None;
     loop {
@@ -102,12 +123,18 @@
         }
         let mut writes = Vec::new();
         let mut last = None;
+        let mut streams = Streams::default();
         for command in first.into_iter().chain(commands.try_iter()) {
             match command {
                 Command::Log { seq, write } => {
                     last = Some(seq);
                     writes.push(write);
                 }
+                Command::Streams { number, records, new_generation } => {
+                    streams.numbers.push(number);
+                    streams.records.extend(records);
+                    streams.new_generation |= new_generation;
+                }
                 Command::Contacts(found) => {
                     contacts = Some(wire::encode(&Frame::Contacts(found)));
                 }
@@ -127,6 +154,20 @@
                 return;
             }
         }
+        if !streams.numbers.is_empty() {
+            match streams.write(&mut recent) {
+                Ok(()) => {
+                    for number in streams.numbers {
+                        let event = Event::StreamsSaved { number };
+                        if inputs.send(Input::Event(event)).is_err() {
+                            return;
+                        }
+                    }
+                }
+                // Keepers without these records don't know the streams, which then don't go on.
+                Err(error) => log::warn!("records of streams not written: {error}"),
+            }
+        }
         contacts = contacts.filter(|bytes| {
             is_unwritten(store.write_contacts(bytes), "peer address file not written")
         });
@@ -136,6 +177,25 @@
     }
 }
 
+/// Records of streams to write together.
+#[derive(Debug, Default)]
+struct Streams {
+    /// Numbers of the writes.
+    numbers: Vec<u64>,
+    records: Vec<stream::Record>,
+    new_generation: bool,
+}
+
+impl Streams {
+    fn write(&mut self, recent: &mut Recent) -> Result<(), disk::Error> {
+        if self.new_generation {
+            recent.start_generation()?;
+        }
+        let records = stream::Records { ack: None, records: std::mem::take(&mut self.records) };
+        recent.append(&wire::encode(&Frame::StreamRecords(records)))
+    }
+}
+
 /// Whether a file has to be written again, since the disk is full. Logs an error as `message`.
 fn is_unwritten(result: Result<(), disk::Error>, message: &str) -> bool {
     let Err(error) = result else {
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -178,6 +178,9 @@
             Effect::Persist { seq, write } => {
                 self.write(files::Command::Log { seq, write });
             }
+            Effect::SaveStreams { number, records, new_generation } => {
+                self.write(files::Command::Streams { number, records, new_generation });
+            }
             Effect::SaveContacts(contacts) => self.write(files::Command::Contacts(contacts)),
             Effect::SaveEvidence(observations) => {
                 self.write(files::Command::Evidence(observations));
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -19,6 +19,8 @@
 const TOKENS: [&str; 3] = ["computed", "cached", "generated"];
 /// Software version of the server at which a stream was resumed, against the one before, as label values.
 const SOFTWARE: [&str; 2] = ["same", "other"];
+/// Label value of a stream that goes on after the client resumed it.
+pub const GOES_ON: &str = "goes on";
 /// Outcomes of permit requests.
 const PERMITS: [Permit; 4] = [Permit::Granted, Permit::Denied, Permit::Unanswered, Permit::Standby];
 /// Directions of bytes on a link, as label values.
@@ -42,6 +44,7 @@
     notices: IntCounterVec,
     permits: IntCounterVec,
     resumed: IntCounterVec,
+    resumptions: IntCounterVec,
     crashes: IntCounterVec,
     held_back: IntCounter,
     trials: IntCounter,
@@ -106,6 +109,13 @@
                 ),
                 &["software"],
             )?,
+            resumptions: IntCounterVec::new(
+                Opts::new(
+                    "tamarack_stream_resumptions_total",
+                    "Streams that clients resumed or that could not go on within their response, by outcome",
+                ),
+                &["outcome"],
+            )?,
             crashes: IntCounterVec::new(
                 Opts::new(
                     "tamarack_server_crashes_total",
@@ -135,6 +145,7 @@
         metrics.registry.register(Box::new(metrics.limits_unreadable.clone()))?;
         metrics.registry.register(Box::new(metrics.permits.clone()))?;
         metrics.registry.register(Box::new(metrics.resumed.clone()))?;
+        metrics.registry.register(Box::new(metrics.resumptions.clone()))?;
         metrics.registry.register(Box::new(metrics.notices.clone()))?;
         metrics.registry.register(Box::new(metrics.crashes.clone()))?;
         metrics.registry.register(Box::new(metrics.held_back.clone()))?;
@@ -182,6 +193,11 @@
         self.resumed.with_label_values(&[if same { SOFTWARE[0] } else { SOFTWARE[1] }]).inc();
     }
 
+    /// Counts a stream that a client resumed, or that could not go on within its response.
+    pub fn record_resumption(&self, outcome: &str) {
+        self.resumptions.with_label_values(&[outcome]).inc();
+    }
+
     /// Counts a response with an invalid rate limit.
     pub fn record_invalid_limit(&self) {
         self.limits_unreadable.inc();
--- a/crates/edge/src/notes.rs
+++ b/crates/edge/src/notes.rs
@@ -3,8 +3,9 @@
 use node::decision::{Decision, Source};
 use node::forward::Progress;
 use quarantine::Hold;
+use resume::Refusal;
 
-use crate::metrics::Metrics;
+use crate::metrics::{GOES_ON, Metrics};
 
 /// Writes a decision to the log and counts it.
 pub fn write(decision: &Decision, metrics: &Metrics) {
@@ -50,6 +51,16 @@
                 "stream resumed at another server"
             );
         }
+        Decision::Resumption(found) => {
+            let outcome = found.refusal.map_or(GOES_ON, Refusal::as_str);
+            metrics.record_resumption(outcome);
+            log::info!(
+                request:% = found.request, resumes:% = found.first_attempt, within_response = found.within_response,
+                software:% = found.software, source:% = found.source, servers = found.listed, usable = found.usable,
+                waited_ms = millis(found.waited), outcome;
+                "stream resumption"
+            );
+        }
         Decision::AttemptFailed { request, server, reason, action, progress, segments } => {
             metrics.record_failed_attempt();
             let body_ms = match progress {
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -182,6 +182,10 @@
     if !evidence.is_empty() {
         let _ = inputs.send(Input::Event(Event::EvidenceLoaded(evidence)));
     }
+    let streams = files::streams(&opened);
+    if !streams.is_empty() {
+        let _ = inputs.send(Input::Event(Event::StreamsLoaded(streams)));
+    }
     let member = Member { name: name.clone(), disk_id: opened.identity };
     let bootstrap = Bootstrap {
         names: settings.voters.clone(),
@@ -192,6 +196,6 @@
     let seed = process.hello.seed();
     let quorum = Replica::new(member, bootstrap, Timing::default(), seed, opened.saved);
     let keeper = Keeper::new(name, quorum).map_err(io::Error::other)?;
-    let files = files::start(opened.store, inputs.clone())?;
+    let files = files::start(opened.store, opened.recent, inputs.clone())?;
     Ok(Some((keeper, files)))
 }
--- a/crates/node/src/decision.rs
+++ b/crates/node/src/decision.rs
@@ -6,6 +6,7 @@
 use base::{Code, Name, Revision};
 use fleet::{Calls, Limit};
 use quarantine::{Crash, Hold, Trial};
+use resume::Refusal;
 
 use crate::forward;
 
@@ -52,6 +53,29 @@
     Process(Name),
 }
 
+/// A stream goes on after it broke off, or does not.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Resumption {
+    /// The caller's ID of the request.
+    pub request: Name,
+    /// The attempt that received the first event.
+    pub first_attempt: Name,
+    /// Whether the response that broke off is that of this request.
+    pub within_response: bool,
+    /// The software version that began it; empty if unknown.
+    pub software: Name,
+    /// The process that knew that.
+    pub source: Name,
+    /// Servers of that version on the list, and those of them that accepted requests.
+    pub listed: usize,
+    /// See `listed`.
+    pub usable: usize,
+    /// Time since the request arrived.
+    pub waited: Duration,
+    /// Why it does not go on; none if it does.
+    pub refusal: Option<Refusal>,
+}
+
 /// Outcome of a permit request for a rate-limited server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Permit {
@@ -118,6 +142,8 @@
         /// Its software version.
         from_software: Name,
     },
+    /// A client resumes a stream, or a stream can't go on.
+    Resumption(Resumption),
     /// An attempt failed.
     AttemptFailed {
         /// The caller's ID of the request.
--- a/crates/node/src/effect.rs
+++ b/crates/node/src/effect.rs
@@ -133,6 +133,15 @@
     },
     /// Replace the processes saved on the disk.
     SaveContacts(Vec<Contact>),
+    /// Write records of streams to the disk and sync.
+    SaveStreams {
+        /// Number of the write.
+        number: u64,
+        /// The records.
+        records: Vec<wire::stream::Record>,
+        /// Whether the records before the last such write are not needed any more.
+        new_generation: bool,
+    },
     /// Replace the observations of crashes saved on the disk.
     SaveEvidence(Vec<wire::quarantine::Observation>),
     /// Log a line when a request has ended.
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -162,6 +162,13 @@
     ContactsLoaded(Vec<Contact>),
     /// Observations of crashes that an earlier incarnation saved, read from the disk.
     EvidenceLoaded(Vec<wire::quarantine::Observation>),
+    /// Records of streams that an earlier incarnation wrote, read from the disk.
+    StreamsLoaded(Vec<wire::stream::Record>),
+    /// A write of records of streams is synced.
+    StreamsSaved {
+        /// Number of the write.
+        number: u64,
+    },
     /// The disk is full or fails.
     DiskFailed {
         /// The error.
--- a/crates/node/src/forward/admit.rs
+++ b/crates/node/src/forward/admit.rs
@@ -5,7 +5,7 @@
 use record::Workspace;
 use resume::Binding;
 
-use super::{Action, Context, Forward, Rejection, RequestHead, Run, jitter};
+use super::{Action, Context, Forward, Recorded, Rejection, RequestHead, Run, jitter};
 use crate::decision::{Decision, PlacementInputs};
 use crate::{Effect, Effects};
 
@@ -59,15 +59,26 @@
                 return;
             }
         };
-        self.retry_budgets
-            .entry(run.service.clone())
-            .or_default()
-            .request(cx.now, &self.config.allowance);
+        let engine = cx.view.service(&run.service).is_some_and(|service| service.engine.is_some());
+        let resumes = engine && run.head.resumption.is_some();
         self.deadlines.insert((run.deadline, call));
         self.runs.insert(call, run);
+        if resumes {
+            self.resume_stream(cx, call, out);
+            return;
+        }
+        self.count_request(cx.now, call);
         self.place(cx, call, out);
     }
 
+    /// Counts a request towards the retry budget of its service.
+    pub(super) fn count_request(&mut self, now: Time, call: u64) {
+        if let Some(run) = self.runs.get(&call) {
+            let budget = self.retry_budgets.entry(run.service.clone()).or_default();
+            budget.request(now, &self.config.allowance);
+        }
+    }
+
     fn new_run(
         &mut self,
         cx: &Context<'_>,
@@ -115,6 +126,8 @@
             last_software: None,
             inputs: PlacementInputs::default(),
             binding: Binding::default(),
+            recorded: Recorded::default(),
+            origin_source: None,
             delivery_started: false,
             status: 0,
             first_bytes_at: None,
--- a/crates/node/src/forward/follow.rs
+++ b/crates/node/src/forward/follow.rs
@@ -94,9 +94,11 @@
         if !run.delivery_started {
             run.status = response.status;
         }
-        run.delivery_started = true;
-        run.binding.begin();
-        out.push(Effect::Forward { call, action: Action::Deliver });
+        if run.recorded.is_unacknowledged() {
+            run.recorded.hold();
+            return;
+        }
+        self.deliver(call, out);
     }
 
     /// The first bytes of the body were delivered, so the prefill is complete.
--- a/crates/node/src/forward/mod.rs
+++ b/crates/node/src/forward/mod.rs
@@ -14,6 +14,7 @@
 //! | `permits` | permits for calls to rate-limited servers |
 //! | `quarantine` | crashes of servers, and prompt segments that cause them |
 //! | `evidence` | exchanges observations of crashes |
+//! | `streams` | streams that go on after they broke off, and the records of their origins |
 //! | `list` | reads and advertises the list of servers |
 //! | `weights` | weight versions that runs may begin on, and orders to servers |
 //! | `explain` | state and past decisions, for operators |
@@ -37,6 +38,7 @@
 mod quarantine;
 mod reader;
 mod stores;
+mod streams;
 mod weights;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -62,6 +64,7 @@
 use permits::PendingPermit;
 use quarantine::Quarantine;
 use stores::Stores;
+use streams::{Recorded, Streams};
 
 pub use event::{
     Action, Attempt, Change, ControlCall, Event, Failure, Progress, Prompt, Rejection, RequestHead,
@@ -184,6 +187,9 @@
     inputs: PlacementInputs,
     /// The software version that it is bound to, if it is a stream.
     binding: Binding,
+    recorded: Recorded,
+    /// For a stream that the client resumes: the process that knew its origin.
+    origin_source: Option<Name>,
     /// Whether delivery of a response to the caller has begun.
     delivery_started: bool,
     status: u16,
@@ -217,6 +223,7 @@
     loads: LoadExchange,
     limits: Limits,
     quarantine: Quarantine,
+    streams: Streams,
     /// Requests that wait for the configuration, each with the time of its arrival.
     awaiting_config: VecDeque<(Time, u64, Box<RequestHead>)>,
     runs: HashMap<u64, Run>,
@@ -246,6 +253,7 @@
             loads: LoadExchange::default(),
             limits: Limits::default(),
             quarantine: Quarantine::default(),
+            streams: Streams::default(),
             awaiting_config: VecDeque::new(),
             runs: HashMap::new(),
             deadlines: BTreeSet::new(),
@@ -327,6 +335,7 @@
             self.deadline_passed(cx, call, out);
         }
         self.expire_permit_requests(cx, out);
+        self.tick_streams(cx, out);
         self.tick_quarantine(cx, out);
         self.admit_waiting(cx, out);
         self.read_list(cx, out);
--- a/crates/node/src/forward/place.rs
+++ b/crates/node/src/forward/place.rs
@@ -4,8 +4,8 @@
 use cache::salt_number;
 use fleet::{Eligibility, Key, RateLimit, Server, Servers};
 use rand::Rng;
-use record::{Engine, RetryPolicy};
-use resume::{Binding, Fit, Origin};
+use record::Engine;
+use resume::Fit;
 use route::direct::{self, Candidate};
 use route::overload;
 
@@ -94,6 +94,13 @@
             self.send(cx, call, options.take(index), out);
             return;
         }
+        if let Some(run) = self.runs.get(&call).filter(|run| run.binding.is_final())
+            && options.candidates.is_empty()
+        {
+            let refusal = self.version_refusal(cx.now, run);
+            self.refuse_stream(cx, call, refusal, out);
+            return;
+        }
         let rejection = if options.candidates.is_empty() {
             (Code::NoServer, "no backend server can take it now")
         } else {
@@ -131,7 +138,10 @@
             return None;
         }
         let waited = cx.now.since(run.arrived_at);
-        let retry_after = overload::admit(best, run.target, waited).err()?;
+        // The first event of a stream that goes on is not the one that has a target.
+        let is_resumed = run.binding.is_final();
+        let target = if is_resumed { run.deadline.since(run.arrived_at) } else { run.target };
+        let retry_after = overload::admit(best, target, waited).err()?;
         run.inputs.cost_ms = direct::cost_ms(best);
         (run.inputs.queued_tokens, run.inputs.in_flight) = (best.queued_tokens, best.running);
         Some(jitter(&mut self.rng, retry_after))
@@ -218,24 +228,20 @@
             fetch: transfer.fetch.into_iter().chain([None]).collect(),
             save: save.into_iter().chain([None]).collect(),
         };
-        self.bind_stream(call, &software);
+        self.bind_stream(cx.now, call, &software);
         self.loads.mark_changed(addr);
         if let Some((source, millis)) = transfer.main_source {
             self.stores.transfer_started(source, millis);
             self.loads.mark_changed(source);
         }
-        out.push(Effect::Forward { call, action: Action::Send(Box::new(attempt)) });
-    }
-
-    /// Binds a stream to the software version of the server that it is being sent to.
-    fn bind_stream(&mut self, call: u64, software: &Name) {
-        let Some(run) = self.runs.get_mut(&call) else {
-            return;
-        };
-        if run.retry_policy == RetryPolicy::Resume && !run.binding.is_final() {
-            let origin = Origin { service: run.service.clone(), software: software.clone() };
-            run.binding = Binding::Sent(origin);
+        if self
+            .runs
+            .get(&call)
+            .is_some_and(|run| run.head.resumption.is_some() && run.attempts == 1)
+        {
+            self.note_resumption(cx, call, None, out);
         }
+        out.push(Effect::Forward { call, action: Action::Send(Box::new(attempt)) });
     }
 
     /// The servers that a request can be sent to.
@@ -254,6 +260,7 @@
                 || too_old
                 || run.tried_servers.contains(&key)
                 || fit == Fit::Unfit
+                || (fit == Fit::Moves && !self.streams.can_move(&run.recorded))
             {
                 continue;
             }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -22,6 +22,7 @@
 mod process;
 mod rollout;
 mod run;
+mod stream_keeper;
 mod watch;
 
 pub use agent::Agent;
--- a/crates/node/src/process/dump.rs
+++ b/crates/node/src/process/dump.rs
@@ -150,6 +150,7 @@
             all.push(("tamarack_forward_limited_servers", limited as f64));
             let held = forward.quarantined_groups();
             all.push(("tamarack_quarantined_segments", held as f64));
+            all.push(("tamarack_streams_remembered", forward.remembered_streams() as f64));
             let leaving = servers().filter(|server| server.is_leaving()).count();
             all.push(("tamarack_forward_leaving_servers", leaving as f64));
             let paused =
@@ -159,6 +160,9 @@
                 all.push(("tamarack_forward_list_age_seconds", now.since(at).as_secs_f64()));
             }
         }
+        if let Some(streams) = &self.streams {
+            all.push(("tamarack_streams_recorded", streams.len() as f64));
+        }
         if let Some(entry) = &self.entry {
             all.push(("tamarack_entry_open", entry.open() as f64));
             all.push(("tamarack_entry_waiting", entry.waiting() as f64));
--- a/crates/node/src/process/mod.rs
+++ b/crates/node/src/process/mod.rs
@@ -17,6 +17,7 @@
 use crate::entry::{self, claim_status_in};
 use crate::forward::Forward;
 use crate::keeper_client::{KeeperClient, Purpose};
+use crate::stream_keeper::StreamKeeper;
 use crate::watch::Watch;
 use crate::{Agent, Config, Effect, Effects, Entry, Event, Keeper, agent, api, effect};
 
@@ -57,6 +58,8 @@
     agent: Option<Agent>,
     keeper: Option<Keeper>,
     forward: Option<Forward>,
+    /// The origins of streams, if the process is a keeper.
+    streams: Option<StreamKeeper>,
     /// The keeper that reads and advertises the contents of the stores.
     store_reader: Option<Name>,
     last_tick: Time,
@@ -100,6 +103,7 @@
         watch.serve_unconfirmed = config.serve_unconfirmed;
         let contacts = Contacts::new(local.hello.clone());
         Self {
+            streams: keeper.as_ref().map(|_| StreamKeeper::default()),
             local,
             config,
             watch,
@@ -225,6 +229,16 @@
                 let evidence = Evidence { complete: false, observations };
                 self.with_forward(now, |forward, cx| forward.evidence_received(cx, &evidence, out));
             }
+            Event::StreamsLoaded(records) => {
+                if let Some(streams) = &mut self.streams {
+                    streams.load(now, records);
+                }
+            }
+            Event::StreamsSaved { number } => {
+                if let Some(streams) = &mut self.streams {
+                    streams.written(number, out);
+                }
+            }
             Event::DiskFailed { text } => {
                 // A keeper that cannot sync must stop participating in the quorum; the other roles end as on a shutdown.
                 self.keeper = None;
@@ -261,6 +275,9 @@
             }
             self.keepers.connected(&hello.name);
             self.watch.connected(&hello.name, out);
+            if let Some(forward) = &mut self.forward {
+                forward.keeper_linked(now, &hello.name, out);
+            }
         }
         if let Some(keeper) = &mut self.keeper {
             keeper.connected(now, &hello, out);
@@ -291,6 +308,9 @@
             let decision = Decision::Keeper { keeper: peer.clone(), up: false };
             out.push(Effect::Decision(Box::new(decision)));
         }
+        if let Some(forward) = &mut self.forward {
+            forward.keeper_unlinked(peer);
+        }
         self.peer_clocks.remove(peer);
         self.keepers.disconnected(now, peer);
         self.watch.disconnected(peer);
@@ -377,6 +397,10 @@
             | Frame::Permit(_)
             | Frame::Evidence(_)
             | Frame::HeldBack(_) => self.handle_server_frame(now, peer, frame, out),
+            Frame::StreamRecords(_)
+            | Frame::StreamsRecorded { .. }
+            | Frame::StreamQuery { .. }
+            | Frame::StreamFound { .. } => self.handle_stream_frame(now, peer, frame, out),
             Frame::Contacts(contacts) => self.handle_contacts(now, peer, &contacts, out),
             Frame::Hello(_) | Frame::Idle => {}
         }
@@ -469,6 +493,9 @@
         self.with_entry(now, |entry, cx| entry.tick(cx, out));
         self.with_agent(now, |agent, cx| agent.tick(cx, out));
         self.with_forward(now, |forward, cx| forward.tick(cx, out));
+        if let Some(streams) = &mut self.streams {
+            streams.tick(now, out);
+        }
         self.send_loads(now, out);
         self.send_evidence(now, out);
         self.expire_contacts(now, out);
--- a/crates/node/tests/fleet/mod.rs
+++ b/crates/node/tests/fleet/mod.rs
@@ -152,6 +152,7 @@
     contacts: Vec<wire::Contact>,
     frozen_until: u64,
     evidence: Vec<wire::quarantine::Observation>,
+    streams: Vec<wire::stream::Record>,
 }
 
 #[derive(Debug, Default)]
@@ -361,6 +362,8 @@
         self.event(host, 0, Event::ContactsLoaded(contacts));
         let evidence = self.hosts[host].evidence.clone();
         self.event(host, 0, Event::EvidenceLoaded(evidence));
+        let streams = self.hosts[host].streams.clone();
+        self.event(host, 0, Event::StreamsLoaded(streams));
     }
 
     fn kill(&mut self, host: usize) {
@@ -685,6 +688,10 @@
             Effect::SaveEvidence(evidence) if from < KEEPERS => {
                 self.hosts[from].evidence = evidence;
             }
+            Effect::SaveStreams { number, records, .. } => {
+                self.hosts[from].streams.extend(records);
+                self.event(from, HOP_MS, Event::StreamsSaved { number });
+            }
             Effect::Forward { call, action } => self.act(from, call, action),
             Effect::Call(ControlCall::ReadList) => {
                 let list = Ok(self.list());
--- a/crates/replay/src/world/mod.rs
+++ b/crates/replay/src/world/mod.rs
@@ -491,6 +491,7 @@
             | Effect::StopDialing { .. }
             | Effect::SaveContacts(_)
             | Effect::SaveEvidence(_)
+            | Effect::SaveStreams { .. }
             | Effect::Exit { .. }
             | Effect::Forward { .. }
             | Effect::Call(_)
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     Answer, CacheDelta, Contact, Digest, Inventory, List, Part, Piece, Priority, Request,
-    ServerLoad, VersionAges, Work, limit, quarantine,
+    ServerLoad, VersionAges, Work, limit, quarantine, stream,
 };
 
 /// The backend server of an agent.
@@ -285,4 +285,25 @@
     Evidence(quarantine::Evidence),
     /// Entry to keeper: a request with these quarantined segments was rejected.
     HeldBack(Vec<quarantine::Segment>),
+    /// Entry to keeper: origins of streams.
+    StreamRecords(stream::Records),
+    /// Keeper to entry: records with this number are on the disk.
+    StreamsRecorded {
+        /// The number.
+        ack: u64,
+    },
+    /// Entry to keeper: a lookup of the origin of a stream.
+    StreamQuery {
+        /// Number of the exchange.
+        call: u64,
+        /// Key of the stream.
+        key: [u8; 16],
+    },
+    /// Keeper to entry: the response to [`Frame::StreamQuery`].
+    StreamFound {
+        /// Number of the exchange.
+        call: u64,
+        /// What the keeper knows.
+        found: stream::Lookup,
+    },
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -26,6 +26,7 @@
 mod part;
 pub mod quarantine;
 mod request;
+pub mod stream;
 mod version_ages;
 mod work;
 
