--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -10,6 +10,7 @@
     Encoder, Gauge, Histogram, HistogramOpts, IntCounter, IntCounterVec, Opts, Registry,
     TextEncoder,
 };
+use resume::Refusal;
 
 /// Kinds of notices from servers, as label values.
 const NOTICES: [&str; 3] = ["leaving", "pause", "unreadable"];
@@ -21,6 +22,15 @@
 const SOFTWARE: [&str; 2] = ["same", "other"];
 /// Label value of a stream that goes on after the client resumed it.
 pub const GOES_ON: &str = "goes on";
+/// Outcomes of streams that clients resumed.
+const RESUMPTIONS: [&str; 6] = [
+    GOES_ON,
+    Refusal::UnknownOrigin.as_str(),
+    Refusal::NoAnswer.as_str(),
+    Refusal::OtherService.as_str(),
+    Refusal::VersionGone.as_str(),
+    Refusal::VersionUnavailable(Duration::ZERO).as_str(),
+];
 /// Outcomes of permit requests.
 const PERMITS: [Permit; 4] = [Permit::Granted, Permit::Denied, Permit::Unanswered, Permit::Standby];
 /// Directions of bytes on a link, as label values.
@@ -155,6 +165,9 @@
         for outcome in PERMITS {
             metrics.permits.with_label_values(&[outcome.as_str()]);
         }
+        for outcome in RESUMPTIONS {
+            metrics.resumptions.with_label_values(&[outcome]);
+        }
         for software in SOFTWARE {
             metrics.resumed.with_label_values(&[software]);
         }
