A lookup of a stream outlasts a reset of the links to the keepers

Callers saw: 503 at once for a stream that the keepers knew, just after all links of the entry were reset. Cause: without links no answer was outstanding, and only new links counted as unsettled.

--- a/crates/node/src/forward/streams.rs
+++ b/crates/node/src/forward/streams.rs
@@ -21,7 +21,8 @@
 const COPIES: usize = 3;
 /// Longest wait for the keepers' answers to a lookup.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(600);
-/// Time without a new link to a keeper after which no further keeper is expected. Links come up within it after a start.
+/// Time without a change of the links to keepers after which no further keeper is expected. Links come up within it after a
+/// start, and come back after a reset.
 const LINKS_SETTLED: Duration = Duration::from_secs(2);
 
 /// Records and lookups of one entry.
@@ -33,8 +34,8 @@
     outbox: Vec<(u64, Key, Write)>,
     /// The linked keepers.
     keepers: BTreeSet<Name>,
-    /// When a keeper was linked last.
-    linked_at: Time,
+    /// When a link to a keeper came up or was lost last.
+    links_changed_at: Time,
     /// Requests whose stream is being looked up.
     lookups: BTreeMap<u64, PendingLookup>,
     /// Requests that wait for acknowledgements, by their number.
@@ -107,7 +108,7 @@
         if !self.streams.keepers.insert(keeper.clone()) {
             return;
         }
-        self.streams.linked_at = now;
+        self.streams.links_changed_at = now;
         for (call, lookup) in &mut self.streams.lookups {
             lookup.unanswered.insert(keeper.clone());
             out.push(query(keeper, *call, lookup.key));
@@ -115,8 +116,9 @@
     }
 
     /// The link to a keeper was lost.
-    pub fn keeper_unlinked(&mut self, keeper: &Name) {
+    pub fn keeper_unlinked(&mut self, now: Time, keeper: &Name) {
         self.streams.keepers.remove(keeper);
+        self.streams.links_changed_at = now;
         for lookup in self.streams.lookups.values_mut() {
             lookup.unanswered.remove(keeper);
         }
@@ -197,7 +199,7 @@
     }
 
     fn links_settled(&self, now: Time) -> bool {
-        now.since(self.streams.linked_at) >= LINKS_SETTLED
+        now.since(self.streams.links_changed_at) >= LINKS_SETTLED
     }
 
     fn send_records(&mut self, cx: &Context<'_>, out: &mut Effects) {
--- a/crates/node/src/process/mod.rs
+++ b/crates/node/src/process/mod.rs
@@ -309,7 +309,7 @@
             out.push(Effect::Decision(Box::new(decision)));
         }
         if let Some(forward) = &mut self.forward {
-            forward.keeper_unlinked(peer);
+            forward.keeper_unlinked(now, peer);
         }
         self.peer_clocks.remove(peer);
         self.keepers.disconnected(now, peer);
--- a/crates/node/tests/streams.rs
+++ b/crates/node/tests/streams.rs
@@ -210,6 +210,21 @@
     assert_eq!(&*entry.software(1), "v1");
 }
 
+// Guards against refusing a stream at once because all links were reset a moment ago: they come back.
+#[test]
+fn a_lookup_outlasts_a_reset_of_the_links() {
+    let mut entry = Entry::new(&["k1", "k2"], &["v1", "v2"]);
+    for keeper in ["k1", "k2"] {
+        entry.forward.keeper_unlinked(entry.now, &Name::new(keeper));
+    }
+    entry.resume(1, "first");
+    entry.wait(300);
+    assert_eq!(entry.actions(1), []);
+    entry.forward.keeper_linked(entry.now, &Name::new("k2"), &mut entry.out);
+    entry.found("k2", 1, known("v1"));
+    assert_eq!(&*entry.software(1), "v1");
+}
+
 // Guards against what clients may send: a resumption of no stream, of a stream that may not be repeated, and one whose keepers
 // contradict each other.
 #[test_case("/stream/x", None; "it names no stream")]
@@ -304,7 +319,7 @@
 fn a_stream_that_moved_ends_if_a_keeper_is_lost() {
     let mut entry = moved();
     entry.wait(10);
-    entry.forward.keeper_unlinked(&Name::new("k1"));
+    entry.forward.keeper_unlinked(entry.now, &Name::new("k1"));
     entry.respond(1, 200, false);
     entry.wait(10);
     assert_eq!(entry.rejected(1).1, 502);
