--- a/crates/node/src/forward/admit.rs
+++ b/crates/node/src/forward/admit.rs
@@ -2,7 +2,7 @@
 
 use base::prelude::*;
 use rand::Rng;
-use record::Workspace;
+use record::{RetryPolicy, Workspace};
 use resume::Binding;
 
 use super::{Action, Context, Forward, Recorded, Rejection, RequestHead, Run, jitter};
@@ -60,7 +60,9 @@
             }
         };
         let engine = cx.view.service(&run.service).is_some_and(|service| service.engine.is_some());
-        let resumes = engine && run.head.resumption.is_some();
+        // Elsewhere the header says nothing about a stream.
+        let is_stream = engine || run.retry_policy == RetryPolicy::Resume;
+        let resumes = is_stream && run.head.resumption.is_some();
         self.deadlines.insert((run.deadline, call));
         self.runs.insert(call, run);
         if resumes {
--- a/crates/node/src/forward/place.rs
+++ b/crates/node/src/forward/place.rs
@@ -311,15 +311,20 @@
         options
     }
 
-    /// Whether a request may be sent to a server. One that is listed as leaving still takes streams that can go on nowhere else,
-    /// for a part of its drain time.
+    /// Whether a request may be sent to a server. Streams that only its software version can go on with are sent to one that is
+    /// ejected, and for a part of its drain time to one that is listed as leaving, if no other server can take them.
     fn eligibility(&self, now: Time, run: &Run, server: &Server) -> Eligibility {
         let drain = self.config.server_drain;
-        if run.binding.is_final() && server.listed.leaving {
-            server.eligibility_while_draining(now, drain.mul_f64(LISTED_DRAIN_FRACTION))
-        } else {
-            server.eligibility(now, drain)
+        if !run.binding.is_final() {
+            return server.eligibility(now, drain);
+        }
+        if server.listed.leaving {
+            return server.eligibility_while_draining(now, drain.mul_f64(LISTED_DRAIN_FRACTION));
+        }
+        if server.health.is_only_ejected(now) {
+            return Eligibility::LastResort;
         }
+        server.eligibility(now, drain)
     }
 
     /// The transfers of a prompt for a server.
--- a/crates/node/tests/streams.rs
+++ b/crates/node/tests/streams.rs
@@ -270,6 +270,22 @@
     assert!(retry_after.is_some_and(|time| time >= Duration::from_millis(500)), "{retry_after:?}");
 }
 
+// Guards against streams that are cut because the few servers of their version broke off other responses a moment ago.
+#[test]
+fn a_stream_goes_on_at_an_ejected_server_if_its_version_has_no_other() {
+    let mut entry = Entry::new(&["k1"], &["v1", "v1"]);
+    for call in [1, 2] {
+        entry.request(call, "/once/x", None);
+        entry.sent(call);
+        entry.event(Event::Failed { call, failure: Failure::Aborted });
+    }
+    entry.request(3, "/stream/x", None);
+    entry.actions(3);
+    entry.resume(4, "first");
+    entry.found("k1", 4, known("v1"));
+    assert_eq!(&*entry.software(4), "v1");
+}
+
 // Guards against a chain that loses its origin: each resumption names the attempt that received the first event.
 #[test]
 fn a_stream_is_resumed_again_and_at_two_places_at_once() {
