--- a/bin/tamarack/src/story.rs
+++ b/bin/tamarack/src/story.rs
@@ -1,7 +1,8 @@
 //! The `story` command: shows what happened to one request, from the logs of several processes.
 //!
 //! Shows the log lines of the request and, around that time, the lines about its servers and the lines on
-//! the state of the processes that handled it, sorted by the processes' clocks. If the request was rejected because of
+//! the state of the processes that handled it, sorted by the processes' clocks. If it resumes a stream, the lines of the
+//! request that began the stream are shown too. If the request was rejected because of
 //! crashes of servers, however long ago, it also shows these.
 
 use std::collections::BTreeSet;
@@ -62,6 +63,12 @@
     }
     lines.sort_by_key(|line| line.ms);
     let own: Vec<&Line> = lines.iter().filter(|line| line.text("request") == story.id).collect();
+    // A stream that the request resumes began with another request, which other ones may have resumed before.
+    let resumed: BTreeSet<&str> =
+        own.iter().map(|line| line.text("resumes")).filter(|first| !first.is_empty()).collect();
+    let of_stream = |line: &Line| {
+        resumed.contains(line.text("request")) || resumed.contains(line.text("resumes"))
+    };
     let (Some(first), Some(last)) = (own.first(), own.last()) else {
         return Err(Error::Rejected(format!("no log line names the request '{}'", story.id)));
     };
@@ -78,7 +85,11 @@
         let of_server = line.text("request").is_empty() && servers.contains(line.text("server"));
         let of_crash = line.text("message") == CRASH && crashed.contains(line.text("server"));
         let of_process = line.is_process_state() && processes.contains(line.process.as_str());
-        if own || of_crash || (context.contains(&line.ms) && (of_server || of_process)) {
+        if own
+            || of_crash
+            || of_stream(line)
+            || (context.contains(&line.ms) && (of_server || of_process))
+        {
             println!("{}", line.format(start));
         }
     }
--- a/crates/fleet/tests/servers.rs
+++ b/crates/fleet/tests/servers.rs
@@ -318,3 +318,18 @@
     servers.by_id("i-0").expect("there").set_reported_version(now, 1);
     assert_eq!(rollout.due_orders(now, &servers, &model, 2, 0).orders.len(), 1);
 }
+
+// Guards against a backoff that is forgotten although its server has not restarted: one reading of the list lacks the start time
+// of its entry, and the next one has it again.
+#[test]
+fn a_backoff_outlasts_a_list_entry_without_a_start_time() {
+    let mut servers = Servers::default();
+    let entry = |born| Listed { born, ..listed("i-1", 80) };
+    servers.apply_list(Time::from_millis(0), vec![entry(Some(5))]);
+    let server = servers.by_id("i-1").expect("listed");
+    server.health.start_backoff(Time::from_millis(10), Duration::from_secs(3));
+    servers.apply_list(Time::from_millis(1_000), vec![entry(None)]);
+    servers.apply_list(Time::from_millis(2_000), vec![entry(Some(5))]);
+    let server = servers.by_id("i-1").expect("listed");
+    assert!(server.health.backoff_until(Time::from_millis(2_100)).is_some());
+}
--- a/crates/node/tests/forward.rs
+++ b/crates/node/tests/forward.rs
@@ -6,7 +6,7 @@
 
 use base::prelude::*;
 use cache::Segment;
-use fleet::{Limit, LimitNotice, Listed, Notice, Report, StoreDelta, StoredSegment};
+use fleet::{Backoff, Limit, LimitNotice, Listed, Notice, Report, StoreDelta, StoredSegment};
 use node::decision::{Allowed, Decision};
 use node::forward::{
     Action, Attempt, Context, ControlCall, Event, Failure, Forward, Prompt, RequestHead,
@@ -1133,3 +1133,30 @@
     harness.prompt(3, "/once/x", "key", &[(3, 100)]);
     harness.sent(3);
 }
+
+// Guards against requests to a server that asked for none: its response arrives when the request has ended, since the caller has
+// left or its time is over, and the backoff in it is lost with the request.
+#[test_case(false; "the caller has left")]
+#[test_case(true; "its time is over")]
+fn a_backoff_counts_also_in_the_response_to_a_request_that_has_ended(expires: bool) {
+    let mut harness = Harness::new(1);
+    harness.request(1, "/safe/x");
+    harness.sent(1);
+    if expires {
+        harness.wait(4_001);
+    } else {
+        harness.event(Event::ClientDisconnected { call: 1 });
+    }
+    let notice = Notice { backoff: Backoff::For(Duration::from_secs(3)), ..Notice::default() };
+    let response = ResponseHead {
+        status: 503,
+        matches_request: true,
+        not_run: true,
+        notice,
+        ..ResponseHead::default()
+    };
+    harness.event(Event::ResponseReceived { call: 1, response });
+    harness.wait(1_000);
+    harness.request(2, "/safe/x");
+    assert_eq!(harness.rejected(2).1, 503);
+}
