A late acknowledgement frees no stream that moved again; a server that changed its version makes its streams uncertain

Found while reading the diff, not seen by callers. (1) A stream that moved twice before its first event could be released by the keepers' answers to the first move, while a keeper's disk still named the version between. (2) A server that restarts under its identity with another software version was believed to have the one before; when the list shows the change, its streams in progress are marked uncertain here and at keepers, so they go on nowhere.

Tests: an_acknowledgement_counts_only_for_its_own_move, a_stream_of_a_server_that_changed_its_version_is_uncertain.

--- a/crates/node/src/forward/list.rs
+++ b/crates/node/src/forward/list.rs
@@ -124,6 +124,7 @@
     fn apply_list(&mut self, now: Time, list: Vec<Listed>, out: &mut Effects) {
         let before = self.server_counts();
         self.servers.apply_list(now, list);
+        self.check_origins(now);
         let (servers, leaving) = self.server_counts();
         if (servers, leaving) != before {
             out.push(Effect::Decision(Box::new(Decision::Listed { servers, leaving })));
--- a/crates/node/src/forward/streams.rs
+++ b/crates/node/src/forward/streams.rs
@@ -141,7 +141,7 @@
         if run.binding.origin() == Some(&origin) {
             return;
         }
-        let key = Key::new(run.workspace.as_deref(), &run.head.id);
+        let key = stream_key(run);
         let streams = &mut self.streams;
         let unsent = streams.outbox.iter().position(|(_, found, _)| *found == key);
         let moved = run.binding.origin().is_some();
@@ -155,6 +155,8 @@
             };
         } else if moved {
             run.recorded.moved = Some(Unacknowledged::Unsent);
+            // Acknowledgements of an earlier move don't count for this one.
+            streams.moves.retain(|_, moved| *moved != call);
             streams.outbox.push((call, key, Write::Moved(origin.clone())));
         } else {
             streams.outbox.push((call, key, Write::First(origin.clone())));
@@ -163,6 +165,27 @@
         streams.own.insert(now, key, write);
     }
 
+    /// Marks streams uncertain whose server has restarted under its identity with another software version: it may have written
+    /// their events before the list showed that.
+    pub(super) fn check_origins(&mut self, now: Time) {
+        let has_changed = |run: &Run| {
+            let key = run.last_server.as_ref().and_then(|id| self.servers.key(id));
+            let listed = key.and_then(|key| self.servers.get(key)).map(|server| &server.listed);
+            listed.is_some_and(|listed| Some(&listed.software) != run.last_software.as_ref())
+        };
+        let bound = self.runs.iter().filter(|(_, run)| run.binding.origin().is_some());
+        let mut changed: Vec<u64> =
+            bound.filter(|(_, run)| has_changed(run)).map(|(call, _)| *call).collect();
+        changed.sort_unstable();
+        for call in changed {
+            let Some(run) = self.runs.get_mut(&call) else { continue };
+            run.binding = Binding::Uncertain;
+            let key = stream_key(run);
+            self.streams.own.insert(now, key, Write::Uncertain);
+            self.streams.outbox.push((call, key, Write::Uncertain));
+        }
+    }
+
     /// Sends the records of the last tick, and ends waits that are over.
     pub(super) fn tick_streams(&mut self, cx: &Context<'_>, out: &mut Effects) {
         self.streams.own.drop_oldest(cx.now);
@@ -287,13 +310,12 @@
             return;
         };
         let resumption = run.head.resumption.as_ref();
-        let first_attempt = resumption.and_then(|found| found.first_attempt.as_ref());
-        let resumable = run.retry_policy == record::RetryPolicy::Resume;
-        let Some(first_attempt) = first_attempt.filter(|_| resumable) else {
+        let is_named = resumption.is_some_and(|found| found.first_attempt.is_some());
+        if !is_named || run.retry_policy != record::RetryPolicy::Resume {
             self.lookup_ended(cx, call, Err(Refusal::UnknownOrigin), &Name::default(), out);
             return;
-        };
-        let key = Key::new(run.workspace.as_deref(), first_attempt);
+        }
+        let key = stream_key(run);
         match self.streams.own.lookup(key) {
             Lookup::Known(origin) => self.lookup_ended(cx, call, Ok(origin), cx.process, out),
             Lookup::Uncertain => {
@@ -462,6 +484,13 @@
     }
 }
 
+/// The key of the stream that a request begins or resumes.
+fn stream_key(run: &Run) -> Key {
+    let resumption = run.head.resumption.as_ref();
+    let first_attempt = resumption.and_then(|found| found.first_attempt.as_ref());
+    Key::new(run.workspace.as_deref(), first_attempt.unwrap_or(&run.head.id))
+}
+
 fn query(keeper: &Name, call: u64, key: Key) -> Effect {
     Effect::Send { to: keeper.clone(), frame: Frame::StreamQuery { call, key: key.0 } }
 }
--- a/crates/node/tests/streams.rs
+++ b/crates/node/tests/streams.rs
@@ -330,6 +330,51 @@
     assert_eq!(entry.actions(1), [Action::Deliver]);
 }
 
+// Guards against a late acknowledgement of an earlier move that releases a stream which has moved again.
+#[test]
+fn an_acknowledgement_counts_only_for_its_own_move() {
+    let mut entry = moved();
+    entry.wait(10);
+    let earlier = entry.acks();
+    let list = vec![listed(1), Listed { software: Name::new("v3"), ..listed(3) }];
+    entry.list.clone_from(&list);
+    entry.event(Event::Listed { list: Ok(list) });
+    entry.respond(1, 503, true);
+    assert_eq!(&*entry.software(1), "v3");
+    entry.wait(10);
+    entry.respond(1, 200, false);
+    for (keeper, ack) in earlier {
+        entry.forward.stream_recorded(&keeper, ack, &mut entry.out);
+    }
+    assert_eq!(entry.actions(1), [], "the keepers may still name v2");
+    for (keeper, ack) in entry.acks() {
+        entry.forward.stream_recorded(&keeper, ack, &mut entry.out);
+    }
+    assert_eq!(entry.actions(1), [Action::Deliver]);
+}
+
+// Guards against going on with a stream whose server restarted under its identity with another version before the list showed it.
+#[test]
+fn a_stream_of_a_server_that_changed_its_version_is_uncertain() {
+    let mut entry = Entry::new(&["k1"], &["v1", "v1"]);
+    entry.request(1, "/stream/x", None);
+    let id = entry.sent(1).id;
+    entry.respond(1, 200, false);
+    entry.actions(1);
+    entry.wait(10);
+    let mut list = entry.list.clone();
+    for server in list.iter_mut().filter(|server| server.id == id) {
+        (server.software, server.born) = (Name::new("v2"), Some(9));
+    }
+    entry.event(Event::Listed { list: Ok(list) });
+    entry.event(Event::Failed { call: 1, failure: Failure::Aborted });
+    assert_eq!(entry.rejected(1).1, 502);
+    entry.resume(2, "r1");
+    assert_eq!(entry.rejected(2).0, Code::StreamUnknown);
+    entry.frames();
+    entry.wait(10);
+}
+
 // Guards against a first event that is passed on although a lost keeper still names the version before.
 #[test]
 fn a_stream_that_moved_ends_if_a_keeper_is_lost() {
