Streams that go on: one place for eligibility, for wire conversions and for the servers of an origin

Found while reading the change once more; behaviour stays. - Which servers a bound stream may use was decided in two crates: fleet::Server::bound_eligibility has all of it, and Health keeps its list of reasons once. - admit used its own copy of place::engine, and streams its own copies of the lookup of a route; RequestHead::route and resumed_attempt serve all. - The servers of an origin were filtered twice, origins were decoded twice, the encoding stood in another file than the decoding. - The hash of each keeper is computed once a flush. Frames about streams have a file of their own in process.

No test changed.

--- a/crates/fleet/src/health.rs
+++ b/crates/fleet/src/health.rs
@@ -102,14 +102,17 @@
 
     /// Whether it is ineligible only since requests to it have failed or were rejected, which may have been about those requests.
     pub fn is_only_ejected(&self, now: Time) -> bool {
-        let others = self.misdirected_until.max(self.changing_until).max(self.backoff.0);
-        self.is_ejected(now) && others <= now && self.leaving.is_none()
+        self.is_ejected(now) && self.unavailable_until() <= now && self.leaving.is_none()
     }
 
     /// When every temporary reason against it has ended. Leaving is not included: it never ends.
     pub fn eligible_at(&self) -> Time {
-        let observed = self.ejected_until.max(self.misdirected_until).max(self.changing_until);
-        observed.max(self.backoff.0)
+        self.ejected_until.max(self.unavailable_until())
+    }
+
+    /// When every temporary reason but an ejection has ended.
+    fn unavailable_until(&self) -> Time {
+        self.misdirected_until.max(self.changing_until).max(self.backoff.0)
     }
 
     /// Since when it is leaving, and whether a response to this process said so.
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -12,6 +12,9 @@
 const MAX_LOAD_AGE: Duration = Duration::from_secs(1);
 /// Age at which a server is queried for another report before an order.
 const MAX_REPORT_AGE: Duration = Duration::from_secs(1);
+/// Fraction of the drain time for which a server that is listed as leaving takes requests that only its software version can
+/// serve. The list reaches an entry up to a second late.
+const LISTED_DRAIN_FRACTION: f64 = 0.5;
 /// Minimum time between two report queries: reports are some hundred milliseconds old.
 const MIN_POLL_INTERVAL: Duration = Duration::from_millis(300);
 
@@ -147,16 +150,23 @@
         }
     }
 
-    /// The same for a request that only it can serve, although it is listed as leaving: for `drain` since it was first seen to
-    /// leave. One that was leaving when it was first seen may have drained.
-    pub fn eligibility_while_draining(&self, now: Time, drain: Duration) -> Eligibility {
-        let since = self.listed_leaving_since;
-        if since.is_none_or(|since| now.since(since) >= drain) {
-            return Eligibility::Ineligible;
+    /// The same for a request that only servers of its software version can serve. As a last resort, that may be one that is
+    /// ejected, or one that is listed as leaving, for a part of `drain` since it was first seen to leave. One that was leaving
+    /// when it was first seen may have drained.
+    pub fn bound_eligibility(&self, now: Time, drain: Duration) -> Eligibility {
+        if !self.listed.leaving {
+            return if self.health.is_only_ejected(now) {
+                Eligibility::LastResort
+            } else {
+                self.health.eligibility(now, drain)
+            };
         }
-        match self.health.eligibility(now, drain) {
-            Eligibility::Ineligible => Eligibility::Ineligible,
-            Eligibility::Eligible | Eligibility::LastResort => Eligibility::LastResort,
+        let drain = drain.mul_f64(LISTED_DRAIN_FRACTION);
+        let drains = self.listed_leaving_since.is_some_and(|since| now.since(since) < drain);
+        if drains && self.health.eligibility(now, drain) != Eligibility::Ineligible {
+            Eligibility::LastResort
+        } else {
+            Eligibility::Ineligible
         }
     }
 
--- a/crates/node/src/decision.rs
+++ b/crates/node/src/decision.rs
@@ -66,9 +66,9 @@
     pub software: Name,
     /// The process that knew that.
     pub source: Name,
-    /// Servers of that version on the list, and those of them that accepted requests.
+    /// Number of servers of that version on the list.
     pub listed: usize,
-    /// See `listed`.
+    /// Number of those that accepted requests.
     pub usable: usize,
     /// Time since the request arrived.
     pub waited: Duration,
@@ -114,7 +114,7 @@
         server: Option<Name>,
         /// Software version of that server.
         software: Option<Name>,
-        /// For a stream that the client resumes: the attempt that it names as the first one.
+        /// The attempt that received the first event of the stream, if the client resumes one and names it.
         resumes: Option<Name>,
         /// Total number of attempts.
         attempts: u32,
--- a/crates/node/src/forward/admit.rs
+++ b/crates/node/src/forward/admit.rs
@@ -5,6 +5,7 @@
 use record::{RetryPolicy, Workspace};
 use resume::Binding;
 
+use super::place::engine;
 use super::{Action, Context, Forward, Recorded, Rejection, RequestHead, Run, jitter};
 use crate::decision::{Decision, PlacementInputs};
 use crate::{Effect, Effects};
@@ -59,9 +60,8 @@
                 return;
             }
         };
-        let engine = cx.view.service(&run.service).is_some_and(|service| service.engine.is_some());
         // Elsewhere the header says nothing about a stream.
-        let is_stream = engine || run.retry_policy == RetryPolicy::Resume;
+        let is_stream = engine(cx, &run).is_some() || run.retry_policy == RetryPolicy::Resume;
         let resumes = is_stream && run.head.resumption.is_some();
         self.deadlines.insert((run.deadline, call));
         self.runs.insert(call, run);
@@ -93,8 +93,7 @@
         if !cx.ready {
             return Err((head, Code::NotReady, "no configuration is known here yet"));
         }
-        let path = head.path.split('?').next().unwrap_or_default();
-        let Some(route) = cx.view.route_table().find(&head.host, path) else {
+        let Some(route) = head.route(cx.view) else {
             return Err(self.denied(cx, head, Code::NoSuchPath, "no route has this host and path"));
         };
         let mut workspace: Option<&Workspace> = None;
--- a/crates/node/src/forward/event.rs
+++ b/crates/node/src/forward/event.rs
@@ -6,6 +6,7 @@
 use cache::Segment;
 use fleet::rollout::Reply;
 use fleet::{Listed, Load, Notice, Report, StoreDelta};
+use record::{Route, View};
 
 /// A prompt whose segments the caller names.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -53,6 +54,19 @@
     pub resumption: Option<Resumption>,
 }
 
+impl RequestHead {
+    /// The route for its host and path.
+    pub(super) fn route<'a>(&self, view: &'a View) -> Option<&'a Route> {
+        let path = self.path.split('?').next().unwrap_or_default();
+        view.route_table().find(&self.host, path)
+    }
+
+    /// The attempt that it names as the one that received the first event of its stream.
+    pub(super) fn resumed_attempt(&self) -> Option<&Name> {
+        self.resumption.as_ref()?.first_attempt.as_ref()
+    }
+}
+
 /// One attempt: a request as it is sent to one server.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Attempt {
--- a/crates/node/src/forward/follow.rs
+++ b/crates/node/src/forward/follow.rs
@@ -320,7 +320,7 @@
             route: run.route,
             server: run.last_server,
             software: run.last_software,
-            resumes: run.head.resumption.map(|found| found.first_attempt.unwrap_or_default()),
+            resumes: run.head.resumption.and_then(|found| found.first_attempt),
             attempts: run.attempts,
             inputs: run.inputs,
             code,
--- a/crates/node/src/forward/place.rs
+++ b/crates/node/src/forward/place.rs
@@ -28,9 +28,6 @@
 /// Fraction of the interval between two permits during which the next permit is reserved for requests that gain
 /// by it: about what the capacity of a bucket covers.
 const RESERVED_FRACTION: f64 = 0.25;
-/// Fraction of a server's drain time for which one that is listed as leaving takes streams that only it can go on with. The
-/// list reaches an entry up to a second late.
-const LISTED_DRAIN_FRACTION: f64 = 0.5;
 /// Penalty of a server that holds an older weight version than the newest, milliseconds.
 const OLD_WEIGHTS_PENALTY_MS: f64 = 1_000.0;
 
@@ -254,7 +251,12 @@
         for (key, server) in self.servers.of_service(&run.service) {
             let version = expected_version(server, allowed);
             let too_old = version < allowed.oldest;
-            let eligibility = self.eligibility(cx.now, run, server);
+            let drain = self.config.server_drain;
+            let eligibility = if run.binding.is_final() {
+                server.bound_eligibility(cx.now, drain)
+            } else {
+                server.eligibility(cx.now, drain)
+            };
             let fit = run.binding.fit(&server.listed.software);
             if eligibility == Eligibility::Ineligible
                 || too_old
@@ -311,22 +313,6 @@
         options
     }
 
-    /// Whether a request may be sent to a server. Streams that only its software version can go on with are sent to one that is
-    /// ejected, and for a part of its drain time to one that is listed as leaving, if no other server can take them.
-    fn eligibility(&self, now: Time, run: &Run, server: &Server) -> Eligibility {
-        let drain = self.config.server_drain;
-        if !run.binding.is_final() {
-            return server.eligibility(now, drain);
-        }
-        if server.listed.leaving {
-            return server.eligibility_while_draining(now, drain.mul_f64(LISTED_DRAIN_FRACTION));
-        }
-        if server.health.is_only_ejected(now) {
-            return Eligibility::LastResort;
-        }
-        server.eligibility(now, drain)
-    }
-
     /// The transfers of a prompt for a server.
     fn transfer_for(
         &self,
@@ -479,7 +465,7 @@
 }
 
 /// The engine of a request's service, if it has one.
-fn engine<'a>(cx: &Context<'a>, run: &Run) -> Option<&'a Engine> {
+pub(super) fn engine<'a>(cx: &Context<'a>, run: &Run) -> Option<&'a Engine> {
     cx.view.service(&run.service).and_then(|service| service.engine.as_ref())
 }
 
--- a/crates/node/src/forward/streams.rs
+++ b/crates/node/src/forward/streams.rs
@@ -5,16 +5,19 @@
 //! the origin in its own table and then at all keepers. If a stream moves to another origin before its first event, that event
 //! waits until the keepers that have the earlier record have replaced it on their disks.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
 use base::prelude::*;
 use cache::salt_number;
+use fleet::Server;
+use record::RetryPolicy;
 use resume::{Availability, Binding, Key, Lookup, Origin, Refusal, Table, Write};
 use wire::{Frame, stream};
 
 use super::{Action, Context, Forward, Run};
 use crate::decision::{Decision, Resumption};
-use crate::stream_keeper::to_wire;
+use crate::stream_keeper::{origin_from_wire, to_wire};
 use crate::{Effect, Effects};
 
 /// Number of keepers that record a stream: one may be down while another one loses its disk.
@@ -96,7 +99,7 @@
             (keeper == process, salt_number(&format!("{process} {keeper}")))
         };
         let mut keepers: Vec<Name> = self.keepers.iter().cloned().collect();
-        keepers.sort_unstable_by_key(|keeper| std::cmp::Reverse(weight(keeper)));
+        keepers.sort_by_cached_key(|keeper| Reverse(weight(keeper)));
         keepers.truncate(COPIES);
         keepers
     }
@@ -134,7 +137,7 @@
         let Some(run) = self.runs.get_mut(&call) else {
             return;
         };
-        if run.retry_policy != record::RetryPolicy::Resume || run.binding.is_final() {
+        if run.retry_policy != RetryPolicy::Resume || run.binding.is_final() {
             return;
         }
         let origin = Origin { service: run.service.clone(), software: software.clone() };
@@ -190,8 +193,8 @@
     pub(super) fn tick_streams(&mut self, cx: &Context<'_>, out: &mut Effects) {
         self.streams.own.drop_oldest(cx.now);
         self.send_records(cx, out);
-        let unlinked: Vec<u64> = self.streams.moves.values().copied().collect();
-        for call in unlinked {
+        let moved: Vec<u64> = self.streams.moves.values().copied().collect();
+        for call in moved {
             let lost = |run: &Run| match &run.recorded.moved {
                 Some(Unacknowledged::By(keepers)) => !keepers.is_subset(&self.streams.keepers),
                 _ => false,
@@ -233,9 +236,10 @@
         let recorders = self.streams.recorders(cx.process);
         let mut first = Vec::new();
         for (call, key, write) in outbox {
-            let record = stream::Record { key: key.0, write: write_to_wire(&write) };
+            let is_first = matches!(write, Write::First(_));
+            let record = to_wire(key, write);
             let run = self.runs.get_mut(&call);
-            if matches!(write, Write::First(_)) {
+            if is_first {
                 if let Some(run) = run {
                     run.recorded.keepers.clone_from(&recorders);
                 }
@@ -309,9 +313,8 @@
         let Some(run) = self.runs.get(&call) else {
             return;
         };
-        let resumption = run.head.resumption.as_ref();
-        let is_named = resumption.is_some_and(|found| found.first_attempt.is_some());
-        if !is_named || run.retry_policy != record::RetryPolicy::Resume {
+        let is_named = run.head.resumed_attempt().is_some();
+        if !is_named || run.retry_policy != RetryPolicy::Resume {
             self.lookup_ended(cx, call, Err(Refusal::UnknownOrigin), &Name::default(), out);
             return;
         }
@@ -343,8 +346,7 @@
         };
         match found {
             stream::Lookup::Known(origin) => {
-                let origin = Origin { service: origin.service, software: origin.software };
-                let key = lookup.key;
+                let (key, origin) = (lookup.key, origin_from_wire(origin));
                 self.streams.own.insert(cx.now, key, Write::First(origin.clone()));
                 self.lookup_ended(cx, call, Ok(origin), keeper, out);
             }
@@ -371,18 +373,12 @@
             return;
         };
         run.origin_source = Some(source.clone());
-        let path = run.head.path.split('?').next().unwrap_or_default();
-        let route = cx.view.route_table().find(&run.head.host, path);
-        let serves = |origin: &Origin| {
-            let backends = route.iter().flat_map(|route| &route.backends);
-            backends.into_iter().any(|backend| backend.service == origin.service)
-        };
-        let found =
-            found.and_then(
-                |origin| {
-                    if serves(&origin) { Ok(origin) } else { Err(Refusal::OtherService) }
-                },
-            );
+        let backends = run.head.route(cx.view).into_iter().flat_map(|route| &route.backends);
+        let found = found.and_then(|origin| {
+            let mut services = backends.map(|backend| &backend.service);
+            let serves = services.any(|service| *service == origin.service);
+            if serves { Ok(origin) } else { Err(Refusal::OtherService) }
+        });
         match found {
             Ok(origin) => {
                 run.service = origin.service.clone();
@@ -429,18 +425,20 @@
         let Some(origin) = run.binding.origin() else {
             return Refusal::UnknownOrigin;
         };
+        let availability = |server: &Server| {
+            if server.is_leaving() {
+                Availability::Leaving
+            } else {
+                Availability::At(server.health.eligible_at())
+            }
+        };
+        Refusal::of_version(now, self.servers_of(origin).map(availability))
+    }
+
+    /// The servers on the list that have the service and software version of an origin.
+    fn servers_of(&self, origin: &Origin) -> impl Iterator<Item = &Server> {
         let servers = self.servers.of_service(&origin.service).map(|(_, server)| server);
-        let servers = servers.filter(|server| server.listed.software == origin.software);
-        Refusal::of_version(
-            now,
-            servers.map(|server| {
-                if server.is_leaving() {
-                    Availability::Leaving
-                } else {
-                    Availability::At(server.health.eligible_at())
-                }
-            }),
-        )
+        servers.filter(|server| server.listed.software == origin.software)
     }
 
     /// Logs that a stream goes on after the client resumed it, or why it does not go on.
@@ -455,29 +453,19 @@
             return;
         };
         let origin = run.binding.origin();
-        let servers = origin.into_iter().flat_map(|origin| {
-            let servers = self.servers.of_service(&origin.service).map(|(_, server)| server);
-            servers.filter(|server| server.listed.software == origin.software)
-        });
-        let (mut listed, mut usable) = (0, 0);
-        for server in servers {
-            listed += 1;
-            usable += usize::from(server.is_usable(cx.now));
-        }
-        let resumption = run.head.resumption.as_ref();
-        let first_attempt = resumption.and_then(|found| found.first_attempt.clone());
+        let servers: Vec<&Server> =
+            origin.into_iter().flat_map(|origin| self.servers_of(origin)).collect();
+        let within_response = run.head.resumption.is_none();
+        // Within a response, the stream is that of the request itself.
+        let own = within_response.then_some(&run.head.id);
         out.push(Effect::Decision(Box::new(Decision::Resumption(Resumption {
             request: run.head.id.clone(),
-            // Within a response, the stream is that of the request itself.
-            first_attempt: match resumption {
-                Some(_) => first_attempt.unwrap_or_default(),
-                None => run.head.id.clone(),
-            },
-            within_response: resumption.is_none(),
+            first_attempt: run.head.resumed_attempt().or(own).cloned().unwrap_or_default(),
+            within_response,
             software: origin.map(|origin| origin.software.clone()).unwrap_or_default(),
             source: run.origin_source.clone().unwrap_or_default(),
-            listed,
-            usable,
+            listed: servers.len(),
+            usable: servers.iter().filter(|server| server.is_usable(cx.now)).count(),
             waited: cx.now.since(run.arrived_at),
             refusal,
         }))));
@@ -486,19 +474,9 @@
 
 /// The key of the stream that a request begins or resumes.
 fn stream_key(run: &Run) -> Key {
-    let resumption = run.head.resumption.as_ref();
-    let first_attempt = resumption.and_then(|found| found.first_attempt.as_ref());
-    Key::new(run.workspace.as_deref(), first_attempt.unwrap_or(&run.head.id))
+    Key::new(run.workspace.as_deref(), run.head.resumed_attempt().unwrap_or(&run.head.id))
 }
 
 fn query(keeper: &Name, call: u64, key: Key) -> Effect {
     Effect::Send { to: keeper.clone(), frame: Frame::StreamQuery { call, key: key.0 } }
 }
-
-fn write_to_wire(write: &Write) -> stream::Write {
-    match write {
-        Write::First(origin) => stream::Write::First(to_wire(origin.clone())),
-        Write::Moved(origin) => stream::Write::Moved(to_wire(origin.clone())),
-        Write::Uncertain => stream::Write::Uncertain,
-    }
-}
--- a/crates/node/src/process/advertise.rs
+++ b/crates/node/src/process/advertise.rs
@@ -7,7 +7,6 @@
 use crate::decision::Decision;
 use crate::forward::{self, Forward};
 use crate::{Effect, Effects, Entry, Keeper};
-use resume::Key;
 
 /// Time between two ticks from which the process counts as stalled; ticks come every 10 ms.
 const STALL_THRESHOLD: Duration = Duration::from_millis(500);
@@ -96,39 +95,6 @@
         }
     }
 
-    /// Handles a frame about the origins of streams.
-    pub(super) fn handle_stream_frame(
-        &mut self,
-        now: Time,
-        peer: &Name,
-        frame: Frame,
-        out: &mut Effects,
-    ) {
-        match frame {
-            Frame::StreamRecords(records) => {
-                if let Some(streams) = &mut self.streams {
-                    streams.record(now, peer, records);
-                }
-            }
-            Frame::StreamQuery { call, key } => {
-                if let Some(streams) = &self.streams {
-                    let found = streams.lookup(Key(key));
-                    let frame = Frame::StreamFound { call, found };
-                    out.push(Effect::Send { to: peer.clone(), frame });
-                }
-            }
-            Frame::StreamFound { call, found } => self.with_forward(now, |forward, cx| {
-                forward.stream_found(cx, peer, (call, found), out);
-            }),
-            Frame::StreamsRecorded { ack } => {
-                if let Some(forward) = &mut self.forward {
-                    forward.stream_recorded(peer, ack, out);
-                }
-            }
-            _ => {}
-        }
-    }
-
     fn send_to_entries(&self, frame: &Frame, out: &mut Effects) {
         let me = &self.local.hello.name;
         for hello in self.peers.values().filter(|hello| hello.entry && hello.name != *me) {
--- a/crates/node/src/process/mod.rs
+++ b/crates/node/src/process/mod.rs
@@ -3,6 +3,7 @@
 mod advertise;
 mod discovery;
 mod dump;
+mod streams;
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -229,16 +230,8 @@
                 let evidence = Evidence { complete: false, observations };
                 self.with_forward(now, |forward, cx| forward.evidence_received(cx, &evidence, out));
             }
-            Event::StreamsLoaded(records) => {
-                if let Some(streams) = &mut self.streams {
-                    streams.load(now, records);
-                }
-            }
-            Event::StreamsSaved { number } => {
-                if let Some(streams) = &mut self.streams {
-                    streams.written(number, out);
-                }
-            }
+            Event::StreamsLoaded(records) => self.streams_loaded(now, records),
+            Event::StreamsSaved { number } => self.streams_saved(number, out),
             Event::DiskFailed { text } => {
                 // A keeper that cannot sync must stop participating in the quorum; the other roles end as on a shutdown.
                 self.keeper = None;
--- a/crates/node/src/stream_keeper.rs
+++ b/crates/node/src/stream_keeper.rs
@@ -62,7 +62,7 @@
     /// What is known about a stream.
     pub fn lookup(&self, key: Key) -> stream::Lookup {
         match self.table.lookup(key) {
-            Lookup::Known(origin) => stream::Lookup::Known(to_wire(origin)),
+            Lookup::Known(origin) => stream::Lookup::Known(origin_to_wire(origin)),
             Lookup::Uncertain => stream::Lookup::Uncertain,
             Lookup::Unknown => stream::Lookup::Unknown,
         }
@@ -101,18 +101,29 @@
     }
 }
 
-/// Decodes what is recorded about a stream.
-pub(crate) fn from_wire(write: stream::Write) -> Write {
-    let origin =
-        |found: stream::Origin| Origin { service: found.service, software: found.software };
+/// Encodes what is recorded about a stream.
+pub(crate) fn to_wire(key: Key, write: Write) -> stream::Record {
+    let write = match write {
+        Write::First(origin) => stream::Write::First(origin_to_wire(origin)),
+        Write::Moved(origin) => stream::Write::Moved(origin_to_wire(origin)),
+        Write::Uncertain => stream::Write::Uncertain,
+    };
+    stream::Record { key: key.0, write }
+}
+
+fn from_wire(write: stream::Write) -> Write {
     match write {
-        stream::Write::First(found) => Write::First(origin(found)),
-        stream::Write::Moved(found) => Write::Moved(origin(found)),
+        stream::Write::First(origin) => Write::First(origin_from_wire(origin)),
+        stream::Write::Moved(origin) => Write::Moved(origin_from_wire(origin)),
         stream::Write::Uncertain => Write::Uncertain,
     }
 }
 
-/// Encodes an origin.
-pub(crate) fn to_wire(origin: Origin) -> stream::Origin {
+fn origin_to_wire(origin: Origin) -> stream::Origin {
     stream::Origin { service: origin.service, software: origin.software }
 }
+
+/// Decodes an origin.
+pub(crate) fn origin_from_wire(origin: stream::Origin) -> Origin {
+    Origin { service: origin.service, software: origin.software }
+}
