--- a/crates/disk/src/recent.rs
+++ b/crates/disk/src/recent.rs
@@ -4,9 +4,8 @@
 use std::io::Write;
 use std::path::{Path, PathBuf};
 
-use crate::segment;
 use crate::store::open_log;
-use crate::{Error, store};
+use crate::{Error, segment};
 
 /// Names of the files of the two generations.
 const FILES: [&str; 2] = ["streams-0", "streams-1"];
@@ -25,8 +24,8 @@
 }
 
 impl Recent {
-    /// Opens the log in a directory, and returns the records that it holds. A damaged part is dropped: it costs what
-    /// was recorded there.
+    /// Opens the log in a directory, which the caller syncs, and returns the records that it holds. A damaged part is dropped:
+    /// it costs what was recorded there.
     ///
     /// # Errors
     /// The files can't be read or created.
@@ -46,7 +45,6 @@
         for ((file, path), length) in files.iter().zip(&paths).zip(lengths) {
             file.set_len(length).and_then(|()| file.sync_all()).map_err(Error::io(path))?;
         }
-        store::sync_directory(directory)?;
         let current = usize::from(lengths[1] < lengths[0]);
         Ok((Self { paths, files, lengths, current }, records))
     }
--- a/crates/disk/src/store.rs
+++ b/crates/disk/src/store.rs
@@ -290,7 +290,7 @@
     sync_directory(directory)
 }
 
-pub(crate) fn sync_directory(directory: &Path) -> Result<(), Error> {
+fn sync_directory(directory: &Path) -> Result<(), Error> {
     File::open(directory).and_then(|file| file.sync_all()).map_err(Error::io(directory))
 }
 
