Tests of forwarding share one harness

The tests of streams had written the harness of forward.rs again. It moves to tests/forwarder, and both use it; each assertion stays. A fault of the simulation that no test used is removed.

--- a/crates/node/tests/fleet/mod.rs
+++ b/crates/node/tests/fleet/mod.rs
@@ -81,8 +81,6 @@
     Freeze(usize, u64),
     /// A server is replaced by one of this software version; the old one drains and leaves.
     Release(usize, u64),
-    /// A server crashes and does not return.
-    Remove(usize),
 }
 
 /// The parameters of a simulation.
@@ -511,10 +509,6 @@
                 self.servers[server].leaving_at = Some(self.now);
                 self.schedule(DRAIN_MS, Due::End(server));
             }
-            Fault::Remove(server) => {
-                self.servers[server].leaving_at = Some(u64::MAX);
-                self.crash(server, None);
-            }
         }
     }
 
--- a/crates/node/tests/forward.rs
+++ b/crates/node/tests/forward.rs
@@ -1,23 +1,19 @@
 //! Forwarded requests: admission, placement, the outcome reported for each attempt, and the exchange between entries.
 
-mod fixture;
+mod forwarder;
 
 use std::net::SocketAddr;
 
 use base::prelude::*;
-use cache::Segment;
-use fleet::{Backoff, Limit, LimitNotice, Listed, Notice, Report, StoreDelta, StoredSegment};
+use fleet::{Backoff, Limit, LimitNotice, Listed, Notice, Report};
+use node::Effect;
 use node::decision::{Allowed, Decision};
-use node::forward::{
-    Action, Attempt, Context, ControlCall, Event, Failure, Forward, Prompt, RequestHead,
-    ResponseHead,
-};
-use node::{Effect, Effects};
-use record::View;
+use node::forward::{Action, Attempt, ControlCall, Event, Failure, ResponseHead};
 use serde_json::{Value, json};
 use test_case::test_case;
 
-use fixture::{STORE, addr, config, listed, view};
+use forwarder::Harness;
+use forwarder::fixture::{STORE, addr, listed, view};
 
 /// The load of an entry that has nothing in flight at a server.
 fn no_load(server: SocketAddr) -> wire::ServerLoad {
@@ -37,158 +33,6 @@
     Notice { limit, ..Notice::default() }
 }
 
-struct Harness {
-    forward: Forward,
-    view: View,
-    now: Time,
-    ready: bool,
-    confirmed_ago: Option<Duration>,
-    drain_delay_elapsed: bool,
-    term: Option<u64>,
-    out: Effects,
-}
-
-impl Harness {
-    fn new(servers: u16) -> Self {
-        let mut harness = Self {
-            forward: Forward::new(config(), Name::new("a"), 7),
-            view: view(1),
-            now: Time::from_millis(1_000),
-            ready: true,
-            confirmed_ago: Some(Duration::ZERO),
-            drain_delay_elapsed: false,
-            term: None,
-            out: Vec::new(),
-        };
-        harness.event(Event::Listed { list: Ok((1..=servers).map(listed).collect()) });
-        harness.tick();
-        harness.out.clear();
-        harness
-    }
-
-    /// A harness in which a weight version has just been set.
-    fn with_version(servers: u16, version: u64) -> Self {
-        let mut harness = Self::new(servers);
-        harness.view = view(version);
-        harness.wait(10);
-        harness
-    }
-
-    fn step(&mut self, run: impl FnOnce(&mut Forward, &Context<'_>, &mut Effects)) {
-        let cx = Context {
-            now: self.now,
-            view: &self.view,
-            ready: self.ready,
-            confirmed_ago: self.confirmed_ago,
-            drain_delay_elapsed: self.drain_delay_elapsed,
-            entries: 4,
-            entry_index: 0,
-            term: self.term,
-            process: &Name::new("e0"),
-        };
-        run(&mut self.forward, &cx, &mut self.out);
-    }
-
-    fn event(&mut self, event: Event) {
-        self.step(|forward, cx, out| forward.event(cx, event, out));
-    }
-
-    fn tick(&mut self) {
-        self.step(Forward::tick);
-    }
-
-    fn wait(&mut self, millis: u64) {
-        self.now = self.now + Duration::from_millis(millis);
-        self.tick();
-    }
-
-    fn request(&mut self, call: u64, path: &str) {
-        self.prompt(call, path, "key", &[]);
-    }
-
-    fn prompt(&mut self, call: u64, path: &str, key: &str, segments: &[(u64, u32)]) {
-        let named = |(id, tokens): &(u64, u32)| Segment { id: *id, tokens: *tokens };
-        let prompt = Prompt {
-            model: Name::new("m"),
-            segments: segments.iter().map(named).collect(),
-            tokens: segments.iter().map(|(_, tokens)| tokens).sum(),
-            max_tokens: 10,
-        };
-        let head = RequestHead {
-            id: Name::from(format!("r{call}")),
-            host: "shop".to_owned(),
-            path: path.to_owned(),
-            key: Some(key.to_owned()),
-            timeout: None,
-            prompt: (!segments.is_empty()).then_some(prompt),
-            resumption: None,
-        };
-        self.event(Event::Arrived { call, head: Box::new(head) });
-    }
-
-    fn respond(&mut self, call: u64, status: u16, not_run: bool) {
-        let response =
-            ResponseHead { status, matches_request: true, not_run, ..ResponseHead::default() };
-        self.event(Event::ResponseReceived { call, response });
-    }
-
-    /// The actions for one exchange since the last call.
-    fn actions(&mut self, call: u64) -> Vec<Action> {
-        let mut found = Vec::new();
-        self.out.retain(|effect| match effect {
-            Effect::Forward { call: to, action } if *to == call => {
-                found.push(action.clone());
-                false
-            }
-            _ => true,
-        });
-        found
-    }
-
-    fn sent(&mut self, call: u64) -> Attempt {
-        match self.actions(call).as_slice() {
-            [Action::Send(to)] => (**to).clone(),
-            other => panic!("{other:?}"),
-        }
-    }
-
-    fn rejected(&mut self, call: u64) -> (Code, u16, bool) {
-        match self.actions(call).as_slice() {
-            [Action::Reject(found)] => (found.code, found.status, found.retry_after.is_some()),
-            other => panic!("{other:?}"),
-        }
-    }
-
-    /// The decisions for the log.
-    fn decisions(&self) -> impl Iterator<Item = &Decision> {
-        self.out.iter().filter_map(|effect| match effect {
-            Effect::Decision(note) => Some(&**note),
-            _ => None,
-        })
-    }
-
-    /// Delivers the report of a server.
-    fn report(&mut self, id: &str, version: u64, orders: u64) {
-        let report = Report { version, orders, ..Report::default() };
-        let notice = Notice::default();
-        self.event(Event::Reported { id: Name::new(id), report, notice });
-    }
-
-    /// Delivers the complete inventory of a store or server.
-    fn store_read(&mut self, addr: SocketAddr, salt: &str, segments: &[(u64, u32)]) {
-        let stored = |(id, tokens): &(u64, u32)| StoredSegment {
-            salt: salt.to_owned(),
-            id: *id,
-            tokens: *tokens,
-        };
-        let segments = segments.iter().map(stored).collect();
-        let delta = StoreDelta { epoch: 1, next_event: 9, gap: false, segments };
-        let store = addr.to_string() == STORE;
-        let since = if store { None } else { Some(0) };
-        self.event(Event::StoreRead { addr, since, delta: Ok(delta) });
-    }
-}
-
 #[test_case("/nowhere/x", "key", Code::NoSuchPath, 404; "no route")]
 #[test_case("/safe/x", "other", Code::BadKey, 401; "no workspace")]
 fn what_the_configuration_does_not_allow_is_denied_immediately(
--- /dev/null
+++ b/crates/node/tests/forwarder/mod.rs
@@ -0,0 +1,182 @@
+//! An entry that forwards requests, driven by events.
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+#[path = "../fixture/mod.rs"]
+pub mod fixture;
+
+use std::net::SocketAddr;
+
+use base::prelude::*;
+use cache::Segment;
+use fleet::{Listed, Notice, Report, StoreDelta, StoredSegment};
+use node::decision::Decision;
+use node::forward::{
+    Action, Attempt, Context, Event, Forward, Prompt, Rejection, RequestHead, ResponseHead,
+};
+use node::{Effect, Effects};
+use record::View;
+
+use fixture::{STORE, config, listed, view};
+
+/// An entry that forwards requests, without a network.
+pub struct Harness {
+    pub forward: Forward,
+    pub view: View,
+    pub now: Time,
+    pub ready: bool,
+    pub confirmed_ago: Option<Duration>,
+    pub drain_delay_elapsed: bool,
+    pub term: Option<u64>,
+    pub out: Effects,
+}
+
+impl Harness {
+    pub fn new(servers: u16) -> Self {
+        Self::with_list((1..=servers).map(listed).collect())
+    }
+
+    pub fn with_list(list: Vec<Listed>) -> Self {
+        let mut harness = Self {
+            forward: Forward::new(config(), Name::new("a"), 7),
+            view: view(1),
+            now: Time::from_millis(1_000),
+            ready: true,
+            confirmed_ago: Some(Duration::ZERO),
+            drain_delay_elapsed: false,
+            term: None,
+            out: Vec::new(),
+        };
+        harness.event(Event::Listed { list: Ok(list) });
+        harness.tick();
+        harness.out.clear();
+        harness
+    }
+
+    /// A harness in which a weight version has just been set.
+    pub fn with_version(servers: u16, version: u64) -> Self {
+        let mut harness = Self::new(servers);
+        harness.view = view(version);
+        harness.wait(10);
+        harness
+    }
+
+    pub fn step(&mut self, run: impl FnOnce(&mut Forward, &Context<'_>, &mut Effects)) {
+        let cx = Context {
+            now: self.now,
+            view: &self.view,
+            ready: self.ready,
+            confirmed_ago: self.confirmed_ago,
+            drain_delay_elapsed: self.drain_delay_elapsed,
+            entries: 4,
+            entry_index: 0,
+            term: self.term,
+            process: &Name::new("e0"),
+        };
+        run(&mut self.forward, &cx, &mut self.out);
+    }
+
+    pub fn event(&mut self, event: Event) {
+        self.step(|forward, cx, out| forward.event(cx, event, out));
+    }
+
+    pub fn tick(&mut self) {
+        self.step(Forward::tick);
+    }
+
+    pub fn wait(&mut self, millis: u64) {
+        self.now = self.now + Duration::from_millis(millis);
+        self.tick();
+    }
+
+    pub fn request(&mut self, call: u64, path: &str) {
+        self.prompt(call, path, "key", &[]);
+    }
+
+    pub fn prompt(&mut self, call: u64, path: &str, key: &str, segments: &[(u64, u32)]) {
+        let named = |(id, tokens): &(u64, u32)| Segment { id: *id, tokens: *tokens };
+        let prompt = Prompt {
+            model: Name::new("m"),
+            segments: segments.iter().map(named).collect(),
+            tokens: segments.iter().map(|(_, tokens)| tokens).sum(),
+            max_tokens: 10,
+        };
+        let head = RequestHead {
+            id: Name::from(format!("r{call}")),
+            host: "shop".to_owned(),
+            path: path.to_owned(),
+            key: Some(key.to_owned()),
+            timeout: None,
+            prompt: (!segments.is_empty()).then_some(prompt),
+            resumption: None,
+        };
+        self.event(Event::Arrived { call, head: Box::new(head) });
+    }
+
+    pub fn respond(&mut self, call: u64, status: u16, not_run: bool) {
+        let response =
+            ResponseHead { status, matches_request: true, not_run, ..ResponseHead::default() };
+        self.event(Event::ResponseReceived { call, response });
+    }
+
+    /// The actions for one exchange since the last call.
+    pub fn actions(&mut self, call: u64) -> Vec<Action> {
+        let mut found = Vec::new();
+        self.out.retain(|effect| match effect {
+            Effect::Forward { call: to, action } if *to == call => {
+                found.push(action.clone());
+                false
+            }
+            _ => true,
+        });
+        found
+    }
+
+    pub fn sent(&mut self, call: u64) -> Attempt {
+        match self.actions(call).as_slice() {
+            [Action::Send(to)] => (**to).clone(),
+            other => panic!("{other:?}"),
+        }
+    }
+
+    pub fn rejection(&mut self, call: u64) -> Rejection {
+        match self.actions(call).as_slice() {
+            [Action::Reject(found)] => found.clone(),
+            other => panic!("{other:?}"),
+        }
+    }
+
+    /// Code and status of a rejection, and whether it has a Retry-After.
+    pub fn rejected(&mut self, call: u64) -> (Code, u16, bool) {
+        let found = self.rejection(call);
+        (found.code, found.status, found.retry_after.is_some())
+    }
+
+    /// The decisions for the log.
+    pub fn decisions(&self) -> impl Iterator<Item = &Decision> {
+        self.out.iter().filter_map(|effect| match effect {
+            Effect::Decision(note) => Some(&**note),
+            _ => None,
+        })
+    }
+
+    /// Delivers the report of a server.
+    pub fn report(&mut self, id: &str, version: u64, orders: u64) {
+        let report = Report { version, orders, ..Report::default() };
+        let notice = Notice::default();
+        self.event(Event::Reported { id: Name::new(id), report, notice });
+    }
+
+    /// Delivers the complete inventory of a store or server.
+    pub fn store_read(&mut self, addr: SocketAddr, salt: &str, segments: &[(u64, u32)]) {
+        let stored = |(id, tokens): &(u64, u32)| StoredSegment {
+            salt: salt.to_owned(),
+            id: *id,
+            tokens: *tokens,
+        };
+        let segments = segments.iter().map(stored).collect();
+        let delta = StoreDelta { epoch: 1, next_event: 9, gap: false, segments };
+        let store = addr.to_string() == STORE;
+        let since = if store { None } else { Some(0) };
+        self.event(Event::StoreRead { addr, since, delta: Ok(delta) });
+    }
+}
--- a/crates/node/tests/streams.rs
+++ b/crates/node/tests/streams.rs
@@ -1,155 +1,90 @@
 //! Streams that clients resume: the lookup of their origin, refusals, and streams that move before their first event.
 
-mod fixture;
+mod forwarder;
 
 use base::prelude::*;
 use fleet::Listed;
+use node::Effect;
 use node::decision::Decision;
-use node::forward::{
-    Action, Attempt, Context, Event, Failure, Forward, RequestHead, ResponseHead, Resumption,
-};
-use node::{Effect, Effects};
-use record::View;
+use node::forward::{Action, Event, Failure, RequestHead, Resumption};
 use test_case::test_case;
 use wire::{Frame, stream};
 
-use fixture::{config, listed, view};
+use forwarder::Harness;
+use forwarder::fixture::listed;
 
-struct Entry {
-    forward: Forward,
-    view: View,
-    now: Time,
-    list: Vec<Listed>,
-    out: Effects,
-}
-
-impl Entry {
-    /// An entry with these keepers, which have been linked for a while, and servers of these software versions.
-    fn new(keepers: &[&str], software: &[&str]) -> Self {
-        let list: Vec<Listed> = (1_u16..)
-            .zip(software)
-            .map(|(number, software)| Listed { software: Name::new(software), ..listed(number) })
-            .collect();
-        let mut entry = Self {
-            forward: Forward::new(config(), Name::new("a"), 7),
-            view: view(1),
-            now: Time::from_millis(1_000),
-            list: list.clone(),
-            out: Vec::new(),
-        };
-        for keeper in keepers {
-            entry.forward.keeper_linked(entry.now, &Name::new(keeper), &mut entry.out);
-        }
-        entry.now = Time::from_millis(5_000);
-        entry.event(Event::Listed { list: Ok(list) });
-        entry
-    }
-
-    fn step(&mut self, run: impl FnOnce(&mut Forward, &Context<'_>, &mut Effects)) {
-        let process = Name::new("e0");
-        let cx = Context {
-            now: self.now,
-            view: &self.view,
-            ready: true,
-            confirmed_ago: Some(Duration::ZERO),
-            drain_delay_elapsed: false,
-            entries: 4,
-            entry_index: 0,
-            term: None,
-            process: &process,
-        };
-        run(&mut self.forward, &cx, &mut self.out);
-    }
-
-    fn event(&mut self, event: Event) {
-        self.step(|forward, cx, out| forward.event(cx, event, out));
-    }
-
-    fn wait(&mut self, ms: u64) {
-        self.now = self.now + Duration::from_millis(ms);
-        self.step(Forward::tick);
-    }
-
-    fn request(&mut self, call: u64, path: &str, resumption: Option<Resumption>) {
-        let head = RequestHead {
-            id: Name::from(format!("r{call}")),
-            host: "shop".to_owned(),
-            path: path.to_owned(),
-            key: Some("key".to_owned()),
-            resumption,
-            ..RequestHead::default()
-        };
-        self.event(Event::Arrived { call, head: Box::new(head) });
+/// An entry with these keepers, which have been linked for a while, and servers of these software versions.
+fn entry(keepers: &[&str], software: &[&str]) -> Harness {
+    let servers = (1_u16..).zip(software);
+    let list = servers.map(|(number, software)| of_software(number, software)).collect();
+    let mut entry = Harness::with_list(list);
+    for keeper in keepers {
+        entry.forward.keeper_linked(entry.now, &Name::new(keeper), &mut entry.out);
     }
+    entry.now = Time::from_millis(5_000);
+    entry.out.clear();
+    entry
+}
 
-    fn resume(&mut self, call: u64, first_attempt: &str) {
-        let first_attempt = Some(Name::new(first_attempt));
-        self.request(call, "/stream/x", Some(Resumption { first_attempt }));
-    }
+fn of_software(number: u16, software: &str) -> Listed {
+    Listed { software: Name::new(software), ..listed(number) }
+}
 
-    fn respond(&mut self, call: u64, status: u16, not_run: bool) {
-        let response =
-            ResponseHead { status, matches_request: true, not_run, ..ResponseHead::default() };
-        self.event(Event::ResponseReceived { call, response });
-    }
+fn request(entry: &mut Harness, call: u64, path: &str, resumption: Option<Resumption>) {
+    let head = RequestHead {
+        id: Name::from(format!("r{call}")),
+        host: "shop".to_owned(),
+        path: path.to_owned(),
+        key: Some("key".to_owned()),
+        resumption,
+        ..RequestHead::default()
+    };
+    entry.event(Event::Arrived { call, head: Box::new(head) });
+}
 
-    fn found(&mut self, keeper: &str, call: u64, found: stream::Lookup) {
-        let keeper = Name::new(keeper);
-        self.step(|forward, cx, out| forward.stream_found(cx, &keeper, (call, found), out));
-    }
+fn resume(entry: &mut Harness, call: u64, first_attempt: &str) {
+    let first_attempt = Some(Name::new(first_attempt));
+    request(entry, call, "/stream/x", Some(Resumption { first_attempt }));
+}
 
-    fn actions(&mut self, call: u64) -> Vec<Action> {
-        let mut found = Vec::new();
-        self.out.retain(|effect| match effect {
-            Effect::Forward { call: to, action } if *to == call => {
-                found.push(action.clone());
-                false
-            }
-            _ => true,
-        });
-        found
-    }
+/// A keeper answers a lookup.
+fn found(entry: &mut Harness, keeper: &str, call: u64, found: stream::Lookup) {
+    let keeper = Name::new(keeper);
+    entry.step(|forward, cx, out| forward.stream_found(cx, &keeper, (call, found), out));
+}
 
-    fn sent(&mut self, call: u64) -> Attempt {
-        match self.actions(call).as_slice() {
-            [Action::Send(to)] => (**to).clone(),
-            other => panic!("{other:?}"),
-        }
-    }
+/// Software version of the server that a request was sent to.
+fn software(entry: &mut Harness, call: u64) -> Name {
+    let id = entry.sent(call).id;
+    let mut servers = entry.forward.servers().iter().map(|(_, server)| &server.listed);
+    servers.find(|listed| listed.id == id).expect("listed").software.clone()
+}
 
-    fn software(&mut self, call: u64) -> Name {
-        let id = self.sent(call).id;
-        self.list.iter().find(|server| server.id == id).expect("listed").software.clone()
-    }
+fn rejected(entry: &mut Harness, call: u64) -> (Code, u16, Option<Duration>) {
+    let found = entry.rejection(call);
+    (found.code, found.status, found.retry_after)
+}
 
-    fn rejected(&mut self, call: u64) -> (Code, u16, Option<Duration>) {
-        match self.actions(call).as_slice() {
-            [Action::Reject(found)] => (found.code, found.status, found.retry_after),
-            other => panic!("{other:?}"),
+/// The frames to other processes, with their receivers.
+fn frames(entry: &mut Harness) -> Vec<(Name, Frame)> {
+    let mut found = Vec::new();
+    entry.out.retain(|effect| match effect {
+        Effect::Send { to, frame } => {
+            found.push((to.clone(), frame.clone()));
+            false
         }
-    }
-
-    /// The frames about streams, with their receivers.
-    fn frames(&mut self) -> Vec<(Name, Frame)> {
-        let mut found = Vec::new();
-        self.out.retain(|effect| match effect {
-            Effect::Send { to, frame } => {
-                found.push((to.clone(), frame.clone()));
-                false
-            }
-            _ => true,
-        });
-        found
-    }
+        _ => true,
+    });
+    found
+}
 
-    /// The number that each keeper is to acknowledge.
-    fn acks(&mut self) -> Vec<(Name, u64)> {
-        let ack = |(to, frame)| match frame {
-            Frame::StreamRecords(stream::Records { ack: Some(ack), .. }) => Some((to, ack)),
-            _ => None,
-        };
-        self.frames().into_iter().filter_map(ack).collect()
-    }
+/// The number that each keeper is to acknowledge.
+fn acks(entry: &mut Harness) -> Vec<(Name, u64)> {
+    let ack = |(to, frame)| match frame {
+        Frame::StreamRecords(stream::Records { ack: Some(ack), .. }) => Some((to, ack)),
+        _ => None,
+    };
+    frames(entry).into_iter().filter_map(ack).collect()
 }
 
 fn known(software: &str) -> stream::Lookup {
@@ -161,12 +96,12 @@
 #[test]
 fn a_resumption_goes_to_the_version_that_a_keeper_knows() {
     for call in 1..20 {
-        let mut entry = Entry::new(&["k1", "k2"], &["v1", "v2", "v2", "v2", "v2"]);
-        entry.resume(call, "first");
+        let mut entry = entry(&["k1", "k2"], &["v1", "v2", "v2", "v2", "v2"]);
+        resume(&mut entry, call, "first");
         assert_eq!(entry.actions(call), [], "it waits for the keepers");
-        entry.found("k2", call, stream::Lookup::Unknown);
-        entry.found("k1", call, known("v1"));
-        assert_eq!(&*entry.software(call), "v1");
+        found(&mut entry, "k2", call, stream::Lookup::Unknown);
+        found(&mut entry, "k1", call, known("v1"));
+        assert_eq!(&*software(&mut entry, call), "v1");
     }
 }
 
@@ -174,55 +109,55 @@
 // keeper knows the stream.
 #[test]
 fn an_entry_that_sees_one_version_refuses_a_stream_that_nobody_knows() {
-    let mut entry = Entry::new(&["k1", "k2"], &["v2", "v2"]);
-    entry.resume(1, "first");
-    entry.found("k1", 1, stream::Lookup::Unknown);
+    let mut entry = entry(&["k1", "k2"], &["v2", "v2"]);
+    resume(&mut entry, 1, "first");
+    found(&mut entry, "k1", 1, stream::Lookup::Unknown);
     entry.wait(10);
     assert_eq!(entry.actions(1), [], "the other one may know");
-    entry.found("k2", 1, stream::Lookup::Unknown);
+    found(&mut entry, "k2", 1, stream::Lookup::Unknown);
     entry.wait(10);
-    assert_eq!(entry.rejected(1), (Code::StreamUnknown, 503, None));
+    assert_eq!(rejected(&mut entry, 1), (Code::StreamUnknown, 503, None));
 }
 
 // Guards against refusing a stream for good while the keepers can't be asked: the client is told to come back.
 #[test_case(&[]; "none is linked")]
 #[test_case(&["k1"]; "one does not answer")]
 fn a_client_comes_back_if_the_keepers_did_not_answer(keepers: &[&str]) {
-    let mut entry = Entry::new(keepers, &["v1", "v2"]);
-    entry.resume(1, "first");
+    let mut entry = entry(keepers, &["v1", "v2"]);
+    resume(&mut entry, 1, "first");
     entry.wait(700);
-    let (code, status, retry_after) = entry.rejected(1);
+    let (code, status, retry_after) = rejected(&mut entry, 1);
     assert_eq!((code, status, retry_after.is_some()), (Code::NotReady, 503, true));
 }
 
 // Guards against an entry that has just started and asks only the keepers to which it has a link so far.
 #[test]
 fn a_keeper_that_is_linked_later_is_asked_too() {
-    let mut entry = Entry::new(&["k1"], &["v1", "v2", "v2"]);
+    let mut entry = entry(&["k1"], &["v1", "v2", "v2"]);
     entry.forward.keeper_linked(entry.now, &Name::new("k2"), &mut entry.out);
-    entry.resume(1, "first");
-    entry.found("k1", 1, stream::Lookup::Unknown);
-    entry.found("k2", 1, stream::Lookup::Unknown);
+    resume(&mut entry, 1, "first");
+    found(&mut entry, "k1", 1, stream::Lookup::Unknown);
+    found(&mut entry, "k2", 1, stream::Lookup::Unknown);
     entry.wait(100);
     assert_eq!(entry.actions(1), [], "links still come up");
     entry.forward.keeper_linked(entry.now, &Name::new("k3"), &mut entry.out);
-    entry.found("k3", 1, known("v1"));
-    assert_eq!(&*entry.software(1), "v1");
+    found(&mut entry, "k3", 1, known("v1"));
+    assert_eq!(&*software(&mut entry, 1), "v1");
 }
 
 // Guards against refusing a stream at once because all links were reset a moment ago: they come back.
 #[test]
 fn a_lookup_outlasts_a_reset_of_the_links() {
-    let mut entry = Entry::new(&["k1", "k2"], &["v1", "v2"]);
+    let mut entry = entry(&["k1", "k2"], &["v1", "v2"]);
     for keeper in ["k1", "k2"] {
         entry.forward.keeper_unlinked(entry.now, &Name::new(keeper));
     }
-    entry.resume(1, "first");
+    resume(&mut entry, 1, "first");
     entry.wait(300);
     assert_eq!(entry.actions(1), []);
     entry.forward.keeper_linked(entry.now, &Name::new("k2"), &mut entry.out);
-    entry.found("k2", 1, known("v1"));
-    assert_eq!(&*entry.software(1), "v1");
+    found(&mut entry, "k2", 1, known("v1"));
+    assert_eq!(&*software(&mut entry, 1), "v1");
 }
 
 // Guards against what clients may send: a resumption of no stream, of a stream that may not be repeated, and one whose keepers
@@ -230,42 +165,42 @@
 #[test_case("/stream/x", None; "it names no stream")]
 #[test_case("/once/x", Some("first"); "the route may not resume")]
 fn a_resumption_of_no_known_stream_is_refused_at_once(path: &str, first_attempt: Option<&str>) {
-    let mut entry = Entry::new(&["k1"], &["v1"]);
+    let mut entry = entry(&["k1"], &["v1"]);
     let first_attempt = first_attempt.map(Name::new);
-    entry.request(1, path, Some(Resumption { first_attempt }));
-    assert_eq!(entry.rejected(1), (Code::StreamUnknown, 503, None));
+    request(&mut entry, 1, path, Some(Resumption { first_attempt }));
+    assert_eq!(rejected(&mut entry, 1), (Code::StreamUnknown, 503, None));
 }
 
 #[test]
 fn a_stream_with_two_origins_is_refused() {
-    let mut entry = Entry::new(&["k1"], &["v1", "v2"]);
-    entry.resume(1, "first");
-    entry.found("k1", 1, stream::Lookup::Uncertain);
-    assert_eq!(entry.rejected(1).0, Code::StreamUnknown);
+    let mut entry = entry(&["k1"], &["v1", "v2"]);
+    resume(&mut entry, 1, "first");
+    found(&mut entry, "k1", 1, stream::Lookup::Uncertain);
+    assert_eq!(rejected(&mut entry, 1).0, Code::StreamUnknown);
 }
 
 // Guards against a route that has moved: the service that began the stream does not serve it any more.
 #[test]
 fn a_stream_of_another_service_is_refused() {
-    let mut entry = Entry::new(&["k1"], &["v1", "v2"]);
-    entry.resume(1, "first");
+    let mut entry = entry(&["k1"], &["v1", "v2"]);
+    resume(&mut entry, 1, "first");
     let origin = stream::Origin { service: Name::new("old"), software: Name::new("v1") };
-    entry.found("k1", 1, stream::Lookup::Known(origin));
-    assert_eq!(entry.rejected(1).0, Code::StreamUnknown);
+    found(&mut entry, "k1", 1, stream::Lookup::Known(origin));
+    assert_eq!(rejected(&mut entry, 1).0, Code::StreamUnknown);
 }
 
 // Guards against a client that waits for a version that is gone, and against one that gives up while its servers are only down.
 #[test]
 fn a_client_learns_whether_its_version_is_gone_or_down() {
-    let mut entry = Entry::new(&["k1"], &["v1", "v2", "v2"]);
-    entry.resume(1, "first");
-    entry.found("k1", 1, known("v0"));
-    assert_eq!(entry.rejected(1), (Code::StreamGone, 503, None));
-    entry.resume(2, "second");
-    entry.found("k1", 2, known("v1"));
-    assert_eq!(&*entry.software(2), "v1");
+    let mut entry = entry(&["k1"], &["v1", "v2", "v2"]);
+    resume(&mut entry, 1, "first");
+    found(&mut entry, "k1", 1, known("v0"));
+    assert_eq!(rejected(&mut entry, 1), (Code::StreamGone, 503, None));
+    resume(&mut entry, 2, "second");
+    found(&mut entry, "k1", 2, known("v1"));
+    assert_eq!(&*software(&mut entry, 2), "v1");
     entry.event(Event::Failed { call: 2, failure: Failure::NotSent });
-    let (code, status, retry_after) = entry.rejected(2);
+    let (code, status, retry_after) = rejected(&mut entry, 2);
     assert_eq!((code, status), (Code::NoServer, 503));
     assert!(retry_after.is_some_and(|time| time >= Duration::from_millis(500)), "{retry_after:?}");
 }
@@ -273,45 +208,44 @@
 // Guards against streams that are cut because the few servers of their version broke off other responses a moment ago.
 #[test]
 fn a_stream_goes_on_at_an_ejected_server_if_its_version_has_no_other() {
-    let mut entry = Entry::new(&["k1"], &["v1", "v1"]);
+    let mut entry = entry(&["k1"], &["v1", "v1"]);
     for call in [1, 2] {
-        entry.request(call, "/once/x", None);
+        request(&mut entry, call, "/once/x", None);
         entry.sent(call);
         entry.event(Event::Failed { call, failure: Failure::Aborted });
     }
-    entry.request(3, "/stream/x", None);
+    request(&mut entry, 3, "/stream/x", None);
     entry.actions(3);
-    entry.resume(4, "first");
-    entry.found("k1", 4, known("v1"));
-    assert_eq!(&*entry.software(4), "v1");
+    resume(&mut entry, 4, "first");
+    found(&mut entry, "k1", 4, known("v1"));
+    assert_eq!(&*software(&mut entry, 4), "v1");
 }
 
 // Guards against a chain that loses its origin: each resumption names the attempt that received the first event.
 #[test]
 fn a_stream_is_resumed_again_and_at_two_places_at_once() {
-    let mut entry = Entry::new(&["k1"], &["v1", "v1", "v1", "v2", "v2", "v2"]);
-    entry.request(1, "/stream/x", None);
-    let first = entry.software(1);
+    let mut entry = entry(&["k1"], &["v1", "v1", "v1", "v2", "v2", "v2"]);
+    request(&mut entry, 1, "/stream/x", None);
+    let first = software(&mut entry, 1);
     entry.respond(1, 200, false);
     entry.event(Event::ClientDisconnected { call: 1 });
     for call in 2..6 {
-        entry.resume(call, "r1");
-        assert_eq!(entry.software(call), first, "this entry knows what it sent");
+        resume(&mut entry, call, "r1");
+        assert_eq!(software(&mut entry, call), first, "this entry knows what it sent");
     }
 }
 
 /// An entry whose stream was sent to the only server of v1, which then turned it away, so that it moved to v2.
-fn moved() -> Entry {
-    let mut entry = Entry::new(&["k1", "k2"], &["v1"]);
-    entry.request(1, "/stream/x", None);
+fn moved() -> Harness {
+    let mut entry = entry(&["k1", "k2"], &["v1"]);
+    request(&mut entry, 1, "/stream/x", None);
     entry.wait(10);
-    assert_eq!(&*entry.software(1), "v1");
-    let list = vec![listed(1), Listed { software: Name::new("v2"), ..listed(2) }];
-    entry.list.clone_from(&list);
+    assert_eq!(&*software(&mut entry, 1), "v1");
+    let list = vec![listed(1), of_software(2, "v2")];
     entry.event(Event::Listed { list: Ok(list) });
-    entry.frames();
+    frames(&mut entry);
     entry.respond(1, 503, true);
-    assert_eq!(&*entry.software(1), "v2");
+    assert_eq!(&*software(&mut entry, 1), "v2");
     entry
 }
 
@@ -320,7 +254,7 @@
 fn a_stream_that_moved_waits_for_its_keepers_before_the_first_event() {
     let mut entry = moved();
     entry.wait(10);
-    let acks = entry.acks();
+    let acks = acks(&mut entry);
     assert_eq!(acks.len(), 2);
     entry.respond(1, 200, false);
     assert_eq!(entry.actions(1), [], "held back");
@@ -335,19 +269,18 @@
 fn an_acknowledgement_counts_only_for_its_own_move() {
     let mut entry = moved();
     entry.wait(10);
-    let earlier = entry.acks();
-    let list = vec![listed(1), Listed { software: Name::new("v3"), ..listed(3) }];
-    entry.list.clone_from(&list);
+    let earlier = acks(&mut entry);
+    let list = vec![listed(1), of_software(3, "v3")];
     entry.event(Event::Listed { list: Ok(list) });
     entry.respond(1, 503, true);
-    assert_eq!(&*entry.software(1), "v3");
+    assert_eq!(&*software(&mut entry, 1), "v3");
     entry.wait(10);
     entry.respond(1, 200, false);
     for (keeper, ack) in earlier {
         entry.forward.stream_recorded(&keeper, ack, &mut entry.out);
     }
     assert_eq!(entry.actions(1), [], "the keepers may still name v2");
-    for (keeper, ack) in entry.acks() {
+    for (keeper, ack) in acks(&mut entry) {
         entry.forward.stream_recorded(&keeper, ack, &mut entry.out);
     }
     assert_eq!(entry.actions(1), [Action::Deliver]);
@@ -356,22 +289,23 @@
 // Guards against going on with a stream whose server restarted under its identity with another version before the list showed it.
 #[test]
 fn a_stream_of_a_server_that_changed_its_version_is_uncertain() {
-    let mut entry = Entry::new(&["k1"], &["v1", "v1"]);
-    entry.request(1, "/stream/x", None);
+    let mut entry = entry(&["k1"], &["v1", "v1"]);
+    request(&mut entry, 1, "/stream/x", None);
     let id = entry.sent(1).id;
     entry.respond(1, 200, false);
     entry.actions(1);
     entry.wait(10);
-    let mut list = entry.list.clone();
+    let mut list: Vec<Listed> =
+        entry.forward.servers().iter().map(|(_, server)| server.listed.clone()).collect();
     for server in list.iter_mut().filter(|server| server.id == id) {
         (server.software, server.born) = (Name::new("v2"), Some(9));
     }
     entry.event(Event::Listed { list: Ok(list) });
     entry.event(Event::Failed { call: 1, failure: Failure::Aborted });
-    assert_eq!(entry.rejected(1).1, 502);
-    entry.resume(2, "r1");
-    assert_eq!(entry.rejected(2).0, Code::StreamUnknown);
-    entry.frames();
+    assert_eq!(rejected(&mut entry, 1).1, 502);
+    resume(&mut entry, 2, "r1");
+    assert_eq!(rejected(&mut entry, 2).0, Code::StreamUnknown);
+    frames(&mut entry);
     entry.wait(10);
 }
 
@@ -383,29 +317,29 @@
     entry.forward.keeper_unlinked(entry.now, &Name::new("k1"));
     entry.respond(1, 200, false);
     entry.wait(10);
-    assert_eq!(entry.rejected(1).1, 502);
+    assert_eq!(rejected(&mut entry, 1).1, 502);
 }
 
 // Guards against a wait where none is needed: a server that turns a request away does so before the record is sent.
 #[test]
 fn a_stream_that_moves_at_once_waits_for_nobody() {
-    let mut entry = Entry::new(&["k1", "k2"], &["v1", "v2"]);
-    entry.request(1, "/stream/x", None);
+    let mut entry = entry(&["k1", "k2"], &["v1", "v2"]);
+    request(&mut entry, 1, "/stream/x", None);
     entry.sent(1);
     entry.respond(1, 503, true);
     entry.sent(1);
     entry.respond(1, 200, false);
     assert_eq!(entry.actions(1), [Action::Deliver]);
     entry.wait(10);
-    assert_eq!(entry.acks(), []);
+    assert_eq!(acks(&mut entry), []);
 }
 
 // Guards against an operator who can't see why a stream did not go on.
 #[test]
 fn the_log_names_the_first_attempt_its_version_and_who_knew() {
-    let mut entry = Entry::new(&["k1"], &["v1", "v1", "v2"]);
-    entry.resume(1, "first");
-    entry.found("k1", 1, known("v1"));
+    let mut entry = entry(&["k1"], &["v1", "v1", "v2"]);
+    resume(&mut entry, 1, "first");
+    found(&mut entry, "k1", 1, known("v1"));
     let found = entry.out.iter().find_map(|effect| match effect {
         Effect::Decision(decision) => match &**decision {
             Decision::Resumption(found) => Some(found.clone()),
