A server keeps its health while the list lacks its start time

Cause: an entry of the list without `born` replaced the known start time by none, and the next complete reading then looked like a restart: backoff, leaving, rate limit and ejection started anew. The same where the entry was missing in between, where the first reading lacked the start time, and between processes, one of which did not know it yet: their notices, limits and permits did not find the server.

Change: a known start time stays known; what a server has said is kept, also over readings that lack the entry, wherever both readings may be about the same incarnation (same address and service, and no two different start times). A restart, which another start time shows, still begins with empty state, also after readings without it.

Evidence: a_backoff_outlasts_a_list_entry_without_a_start_time, four of five cases of a_backoff_outlasts_incomplete_readings_of_the_list and two of four of another_process_may_not_know_when_a_server_started failed before (7 of 32 tests of the file) and pass now; the five cases of a_restart_ends_a_backoff_also_after_incomplete_readings passed before and pass now.

--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -170,11 +170,12 @@
         }
     }
 
-    /// Sets its list entry.
-    pub(crate) fn set_listed(&mut self, now: Time, listed: Listed) {
+    /// Sets its list entry. The start time stays known if the entry names none.
+    pub(crate) fn set_listed(&mut self, now: Time, mut listed: Listed) {
         if listed.leaving && !self.listed.leaving {
             self.listed_leaving_since = Some(now);
         }
+        listed.born = listed.born.or(self.listed.born);
         self.listed = listed;
     }
 
--- a/crates/fleet/src/servers.rs
+++ b/crates/fleet/src/servers.rs
@@ -24,45 +24,70 @@
     ids: HashMap<Name, Key>,
     services: BTreeMap<Name, Vec<Key>>,
     addrs: HashMap<SocketAddr, Key>,
-    /// Health of incarnations that disappeared from the list, and when they did.
-    unlisted: HashMap<(Name, Option<u64>), (Health, Time)>,
+    /// Incarnations that disappeared from the list, by identity.
+    unlisted: HashMap<Name, Vec<Unlisted>>,
     read_at: Option<Time>,
     generation: u64,
 }
 
+/// An incarnation that disappeared from the list.
+#[derive(Debug)]
+struct Unlisted {
+    listed: Listed,
+    health: Health,
+    since: Time,
+}
+
 impl Servers {
     /// Applies a complete list. Servers that are missing are removed; one that restarted under the same identity, or
-    /// whose identity moved to another address or service, starts with empty state.
+    /// whose identity moved to another address or service, starts with empty state. Where a start time is missing, what
+    /// the server has said still applies.
     pub fn apply_list(&mut self, now: Time, list: Vec<Listed>) {
         self.read_at = Some(now);
         self.generation += 1;
         let mut ids = HashMap::new();
-        for listed in list {
+        for mut listed in list {
             let id = listed.id.clone();
-            let tracked = self.ids.get(&id).copied().filter(|key| {
-                self.all.get(*key).is_some_and(|server| same_incarnation(&server.listed, &listed))
-            });
-            let found = tracked.and_then(|key| Some((key, self.all.get_mut(key)?)));
-            let key = if let Some((key, server)) = found {
-                server.apply_listed_version(now, listed.version());
-                server.set_listed(now, listed);
-                key
-            } else {
-                let incarnation = (listed.id.clone(), listed.born);
-                let health = self.unlisted.remove(&incarnation).map(|(health, _)| health);
-                self.all.insert(Server::new(listed, health.unwrap_or_default()))
+            let tracked = self.ids.get(&id).copied();
+            let tracked = tracked.and_then(|key| Some((key, self.all.get_mut(key)?)));
+            let key = match tracked {
+                Some((key, server)) if same_incarnation(&server.listed, &listed) => {
+                    server.apply_listed_version(now, listed.version());
+                    server.set_listed(now, listed);
+                    key
+                }
+                tracked => {
+                    let tracked = tracked.map(|(_, server)| (&mut server.listed, server.health));
+                    let tracked = tracked.filter(|(tracked, _)| same_place(tracked, &listed));
+                    let unlisted = self.unlisted.get_mut(&id).into_iter().flatten().rev();
+                    let unlisted = unlisted.map(|found| (&mut found.listed, found.health));
+                    let earlier = tracked
+                        .into_iter()
+                        .chain(unlisted)
+                        .find(|(earlier, _)| may_be_same_incarnation(earlier, &listed));
+                    let health = earlier.map(|(earlier, health)| {
+                        listed.born = listed.born.or(earlier.born);
+                        earlier.born = listed.born;
+                        health
+                    });
+                    self.all.insert(Server::new(listed, health.unwrap_or_default()))
+                }
             };
             ids.insert(id, key);
         }
         self.ids = ids;
         let listed: HashSet<Key> = self.ids.values().copied().collect();
-        self.unlisted.retain(|_, (_, at)| now.since(*at) < UNLISTED_RETENTION);
+        self.unlisted.retain(|_, found| {
+            found.retain(|found| now.since(found.since) < UNLISTED_RETENTION);
+            !found.is_empty()
+        });
         let unlisted = &mut self.unlisted;
         self.all.retain(|key, server| {
             let is_listed = listed.contains(&key);
             if !is_listed {
-                let incarnation = (server.listed.id.clone(), server.listed.born);
-                unlisted.insert(incarnation, (server.health, now));
+                let (listed, health) = (server.listed.clone(), server.health);
+                let found = unlisted.entry(listed.id.clone()).or_default();
+                found.push(Unlisted { listed, health, since: now });
             }
             is_listed
         });
@@ -109,10 +134,10 @@
         self.all.get_mut(self.key(id)?)
     }
 
-    /// Key of one incarnation of a server.
+    /// Key of one incarnation of a server, as another process names it.
     pub fn incarnation_key(&self, id: &str, born: Option<u64>) -> Option<Key> {
         let key = self.key(id)?;
-        (self.all.get(key)?.listed.born == born).then_some(key)
+        may_be_same_start(self.all.get(key)?.listed.born, born).then_some(key)
     }
 
     /// All servers.
@@ -148,7 +173,21 @@
     }
 }
 
+/// Whether a list entry is about the incarnation that is tracked. An entry without a start time may be incomplete.
 fn same_incarnation(tracked: &Listed, listed: &Listed) -> bool {
-    let same = tracked.addr == listed.addr && tracked.service == listed.service;
-    same && (tracked.born == listed.born || listed.born.is_none())
+    same_place(tracked, listed) && (tracked.born == listed.born || listed.born.is_none())
+}
+
+/// Whether two list entries of one identity may be about the same incarnation.
+fn may_be_same_incarnation(earlier: &Listed, listed: &Listed) -> bool {
+    let same_start = earlier.born.is_some() && earlier.born == listed.born;
+    same_start || (same_place(earlier, listed) && may_be_same_start(earlier.born, listed.born))
+}
+
+fn same_place(left: &Listed, right: &Listed) -> bool {
+    left.addr == right.addr && left.service == right.service
+}
+
+fn may_be_same_start(left: Option<u64>, right: Option<u64>) -> bool {
+    left == right || left.is_none() || right.is_none()
 }
--- a/crates/fleet/tests/servers.rs
+++ b/crates/fleet/tests/servers.rs
@@ -333,3 +333,58 @@
     let server = servers.by_id("i-1").expect("listed");
     assert!(server.health.backoff_until(Time::from_millis(2_100)).is_some());
 }
+
+/// Whether the backoff that a server requested under the first list is in force after the others.
+fn outlasts(lists: &[Vec<Listed>]) -> bool {
+    let mut servers = Servers::default();
+    for (second, list) in (0..).zip(lists) {
+        servers.apply_list(Time::from_millis(second * 1_000), list.clone());
+        if second == 0 {
+            let server = servers.by_id("i-1").expect("listed");
+            server.health.start_backoff(Time::from_millis(10), Duration::from_secs(10));
+        }
+    }
+    let server = servers.by_id("i-1").expect("listed");
+    server.health.backoff_until(Time::from_millis(9_000)).is_some()
+}
+
+fn started(born: Option<u64>) -> Vec<Listed> {
+    vec![Listed { born, ..listed("i-1", 80) }]
+}
+
+// Guards against a backoff that is forgotten although its server has not restarted: readings of the list lack its entry, or the
+// start time in it, in any order.
+#[test_case(&[started(None), started(Some(5))]; "the first reading lacks the start time")]
+#[test_case(&[started(Some(5)), vec![], started(None)]; "missing, then without it")]
+#[test_case(&[started(Some(5)), started(None), vec![], started(Some(5))]; "without it, then missing")]
+#[test_case(&[started(None), vec![], started(Some(5))]; "never seen with it before it was missing")]
+#[test_case(&[started(Some(5)), started(Some(9)), started(Some(5))]; "a wrong reading in between")]
+fn a_backoff_outlasts_incomplete_readings_of_the_list(lists: &[Vec<Listed>]) {
+    assert!(outlasts(lists));
+}
+
+// Guards against a server that is avoided for what an earlier process under its identity has asked for: it has restarted while
+// readings of the list lacked its entry or its start time.
+#[test_case(&[started(Some(5)), started(None), started(Some(9))]; "without it in between")]
+#[test_case(&[started(Some(5)), vec![], started(Some(9))]; "missing in between")]
+#[test_case(&[started(Some(5)), vec![], started(None), started(Some(9))]; "missing and without it")]
+#[test_case(&[started(None), started(Some(5)), started(Some(9))]; "first seen without it")]
+#[test_case(&[started(None), vec![], started(Some(5)), started(Some(9))]; "first seen without it, then missing")]
+fn a_restart_ends_a_backoff_also_after_incomplete_readings(lists: &[Vec<Listed>]) {
+    assert!(!outlasts(lists));
+}
+
+// Guards against notices and permits that get lost between processes, one of which has not yet read the start time of a server.
+#[test_case(Some(5), Some(5), true; "the same")]
+#[test_case(None, Some(5), true; "not known here")]
+#[test_case(Some(5), None, true; "not known there")]
+#[test_case(Some(5), Some(9), false; "another incarnation")]
+fn another_process_may_not_know_when_a_server_started(
+    here: Option<u64>,
+    there: Option<u64>,
+    found: bool,
+) {
+    let mut servers = Servers::default();
+    servers.apply_list(Time::ZERO, started(here));
+    assert_eq!(servers.incarnation_key("i-1", there).is_some(), found);
+}
