A response still says what its server accepts when its request has ended

Cause: the reducer dropped a response whose request it no longer had, as it does when the deadline passes while the response is in the queue. A server that does not repeat its time in each 503 was then unknown to ask for a backoff; the same for a leaving notice and a rate limit.

A response to it is read like any other for load, weight version, misdirection, notices and limits, by the same function; it has no effect on requests.

--- a/crates/node/src/forward/follow.rs
+++ b/crates/node/src/forward/follow.rs
@@ -1,11 +1,12 @@
 //! Handles responses, failed attempts and the end of each request.
 
 use base::prelude::*;
+use fleet::Key;
 use record::RetryPolicy;
 use route::direct;
 
 use super::weights::request_report;
-use super::{Action, Context, Failure, Forward, Progress, ResponseHead};
+use super::{Action, Context, Failure, Forward, Placement, Progress, ResponseHead};
 use crate::decision::Decision;
 use crate::{Effect, Effects};
 
@@ -22,32 +23,13 @@
         response: &ResponseHead,
         out: &mut Effects,
     ) {
-        let Some(run) = self.runs.get_mut(&call) else {
+        let Some(run) = self.runs.get(&call) else {
+            self.late_response_received(cx, call, response, out);
             return;
         };
-        let server = run.placement.and_then(|placement| self.servers.get_mut(placement.server));
-        if let Some(server) = server {
-            if let Some(load) = response.load {
-                server.set_load(cx.now, load);
-            }
-            if let Some(version) = response.version {
-                server.set_reported_version(cx.now, version);
-            }
-            if response.status == MISDIRECTED {
-                server.health.record_misdirection(cx.now);
-                self.loads.mark_changed(server.listed.addr);
-                // Only the leader requests the report of a rate-limited server.
-                if server.health.rate_limit.is_none() && server.try_poll(cx.now) {
-                    out.push(request_report(server));
-                }
-            }
-        }
-        if response.matches_request
-            && response.status != MISDIRECTED
-            && let Some(placement) = run.placement
-        {
+        if let Some(placement) = run.placement {
             let request = (&run.head.id.clone(), run.sent_at);
-            self.notice_from_response(cx, placement.server, request, response.notice, out);
+            self.server_responded(cx, placement.server, request, response, out);
         }
         let Some(run) = self.runs.get_mut(&call) else {
             return;
@@ -101,6 +83,36 @@
         self.deliver(call, out);
     }
 
+    /// Applies what a response says about its server.
+    pub(super) fn server_responded(
+        &mut self,
+        cx: &Context<'_>,
+        key: Key,
+        request: (&Name, Time),
+        response: &ResponseHead,
+        out: &mut Effects,
+    ) {
+        if let Some(server) = self.servers.get_mut(key) {
+            if let Some(load) = response.load {
+                server.set_load(cx.now, load);
+            }
+            if let Some(version) = response.version {
+                server.set_reported_version(cx.now, version);
+            }
+            if response.status == MISDIRECTED {
+                server.health.record_misdirection(cx.now);
+                self.loads.mark_changed(server.listed.addr);
+                // Only the leader requests the report of a rate-limited server.
+                if server.health.rate_limit.is_none() && server.try_poll(cx.now) {
+                    out.push(request_report(server));
+                }
+            }
+        }
+        if response.matches_request && response.status != MISDIRECTED {
+            self.notice_from_response(cx, key, request, response.notice, out);
+        }
+    }
+
     /// The first bytes of the body were delivered, so the prefill is complete.
     pub(super) fn body_started(&mut self, cx: &Context<'_>, call: u64) {
         let Some(run) = self.runs.get_mut(&call) else {
@@ -307,10 +319,11 @@
         status: Option<u16>,
         out: &mut Effects,
     ) {
-        self.release(call);
         let Some(run) = self.runs.remove(&call) else {
             return;
         };
+        self.retain_attempt(cx.now, call, &run);
+        self.release_placement(run.placement);
         self.deadlines.remove(&(run.deadline, call));
         out.push(Effect::Decision(Box::new(Decision::Ended {
             status: status.unwrap_or(run.status),
@@ -329,7 +342,12 @@
 
     /// Removes the current attempt from the load of its server.
     fn release(&mut self, call: u64) {
-        let Some(placement) = self.runs.get_mut(&call).and_then(|run| run.placement.take()) else {
+        let placement = self.runs.get_mut(&call).and_then(|run| run.placement.take());
+        self.release_placement(placement);
+    }
+
+    fn release_placement(&mut self, placement: Option<Placement>) {
+        let Some(placement) = placement else {
             return;
         };
         if let Some(server) = self.servers.get_mut(placement.server) {
--- a/crates/node/src/forward/mod.rs
+++ b/crates/node/src/forward/mod.rs
@@ -6,6 +6,7 @@
 //! | `admit` | admits a request, holds it for the configuration or rejects it |
 //! | `place` | chooses the backend server of an attempt |
 //! | `follow` | handles responses, failed attempts and the end of a request |
+//! | `ended` | handles responses that arrive when their requests have ended |
 //! | `load` | exchanges the load of servers with the other entries |
 //! | `stores` | chooses where prompt segments are fetched from and saved to |
 //! | `reader` | reads the segment inventories of stores and servers |
@@ -25,6 +26,7 @@
 //! stated that it has not run the request.
 
 mod admit;
+mod ended;
 mod event;
 mod evidence;
 mod explain;
@@ -57,6 +59,7 @@
 
 use crate::Effects;
 use crate::decision::PlacementInputs;
+use ended::EndedAttempt;
 use explain::RecentRequests;
 use limits::Limits;
 use list::ListState;
@@ -227,6 +230,7 @@
     /// Requests that wait for the configuration, each with the time of its arrival.
     awaiting_config: VecDeque<(Time, u64, Box<RequestHead>)>,
     runs: HashMap<u64, Run>,
+    ended: VecDeque<EndedAttempt>,
     deadlines: BTreeSet<(Time, u64)>,
     retry_budgets: HashMap<Name, SharedBudget>,
     /// Prefill rate of the engines of each service.
@@ -256,6 +260,7 @@
             streams: Streams::default(),
             awaiting_config: VecDeque::new(),
             runs: HashMap::new(),
+            ended: VecDeque::new(),
             deadlines: BTreeSet::new(),
             retry_budgets: HashMap::new(),
             prefill_rates: HashMap::new(),
--- a/crates/node/tests/forward.rs
+++ b/crates/node/tests/forward.rs
@@ -1004,3 +1004,51 @@
     harness.request(2, "/safe/x");
     assert_eq!(harness.rejected(2).1, 503);
 }
+
+/// A response that rejects a request and asks for a backoff of 3 s.
+fn asks_for_backoff() -> ResponseHead {
+    let notice = Notice { backoff: Backoff::For(Duration::from_secs(3)), ..Notice::default() };
+    ResponseHead {
+        status: 503,
+        matches_request: true,
+        not_run: true,
+        notice,
+        ..ResponseHead::default()
+    }
+}
+
+// Guards against leaving notices and rate limits that are lost with the request: the response arrives when the caller has left.
+#[test]
+fn all_notices_count_in_the_response_to_a_request_that_has_ended() {
+    let mut harness = Harness::new(1);
+    harness.request(1, "/safe/x");
+    harness.sent(1);
+    harness.event(Event::ClientDisconnected { call: 1 });
+    harness.out.clear();
+    let rate = LimitNotice::Rate(Limit(8_000));
+    let notice = Notice { leaving: true, limit: rate, ..Notice::default() };
+    let response =
+        ResponseHead { status: 200, matches_request: true, notice, ..ResponseHead::default() };
+    harness.event(Event::ResponseReceived { call: 1, response });
+    let noted = harness.decisions().filter(|note| {
+        matches!(note, Decision::ServerLeaving { .. } | Decision::Limited { limit: Some(_), .. })
+    });
+    assert_eq!(noted.count(), 2);
+}
+
+// Guards against a response that is applied to the server although another one sent it, or twice, or long after its request.
+#[test_case(ResponseHead { status: 421, ..asks_for_backoff() }, 0; "another server at the address")]
+#[test_case(ResponseHead { matches_request: false, ..asks_for_backoff() }, 0; "to another request")]
+#[test_case(asks_for_backoff(), 1_001; "long after the request")]
+fn a_foreign_response_to_a_request_that_has_ended_asks_for_nothing(
+    response: ResponseHead,
+    later: u64,
+) {
+    let mut harness = Harness::new(1);
+    harness.request(1, "/safe/x");
+    harness.sent(1);
+    harness.event(Event::ClientDisconnected { call: 1 });
+    harness.wait(later);
+    harness.event(Event::ResponseReceived { call: 1, response });
+    assert!(!harness.decisions().any(|note| matches!(note, Decision::BackoffRequested { .. })));
+}
