The edge reads a response that has arrived when its request ends

Cause: an attempt ended at once when the caller had left or the reducer had rejected the request, also if the response was there at the same time, so its notices never reached the reducer. Processes with a fraction of a core see both at once.

Change: a response that is there counts first. If it is not, the task that reads the connection runs once more, and then the connection is closed as before: nobody waits for a response, so a server never works longer for a caller who has left.

Evidence: a_backoff_counts_although_the_request_has_ended (a real process, stopped while its caller leaves or its time runs out and the server answers) failed in both cases before, with 1 request within the backoff where 0 may come, and passes now.

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -4,8 +4,8 @@
 //! the reducer's actions; the bytes of a response go directly from the server to the caller.
 
 use std::convert::Infallible;
-use std::future::pending;
-use std::pin::pin;
+use std::future::{pending, ready};
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -20,7 +20,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{Sender, UnboundedReceiver, channel, unbounded_channel};
 use tokio::sync::{oneshot, watch};
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, yield_now};
 use tokio::time::timeout;
 use tokio_stream::wrappers::ReceiverStream;
 
@@ -254,15 +254,22 @@
     ) -> Option<Action> {
         let request = self.request(to);
         let pool = self.shared.pool.clone();
+        let mut sent = pin!(pool.send(to.addr, request));
         let next = tokio::select! {
             biased;
+            sent = sent.as_mut() => Next::Sent(sent),
             action = actions.recv() => Next::Action(action),
             () = self.caller.disconnected() => Next::Disconnected,
-            sent = pool.send(to.addr, request) => Next::Sent(sent),
         };
         let (response, lease) = match next {
-            Next::Action(action) => return action,
-            Next::Disconnected => return self.caller_disconnected(),
+            Next::Action(action) => {
+                self.report_received(sent).await;
+                return action;
+            }
+            Next::Disconnected => {
+                self.report_received(sent).await;
+                return self.caller_disconnected();
+            }
             Next::Sent(Ok(sent)) => sent,
             Next::Sent(Err(failure)) => {
                 let failure = match failure {
@@ -291,6 +298,26 @@
         }
     }
 
+    /// Reports the response to an attempt that ends, if it has been received: the server may ask for no more requests.
+    /// Does not wait for one, since the server works until the connection is closed.
+    async fn report_received(
+        &self,
+        sent: Pin<&mut impl Future<Output = Result<(Response<Counted>, Lease), Failure>>>,
+    ) {
+        // The task that reads the connection runs first.
+        yield_now().await;
+        let sent = tokio::select! {
+            biased;
+            sent = sent => sent,
+            () = ready(()) => return,
+        };
+        if let Ok((response, _)) = sent {
+            let (parts, _) = response.into_parts();
+            let response = self.shared.protocol.parse_response_head(&self.id, &parts);
+            self.shared.notify(Event::ResponseReceived { call: self.call, response });
+        }
+    }
+
     fn request(&self, to: &Attempt) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
         request.method_mut().clone_from(&self.parts.method);
