Notices reach a server that the list lacked for a moment

Cause: a reading of the list that lacks an entry, as an invalid one or a missed page does, removes the server with its key, and the next reading gives it another one. A response to a request sent before found nothing under the old key, and one to a report or an order nothing under the identity while it was missing: backoff, leaving notice and rate limit were lost.

Change: an earlier key leads to the incarnation's present one, or while it is missing to its retained health, for the minute in which that is retained; never to another incarnation. Rate limits still need the server to be on the list: its next response names them again.

--- a/crates/fleet/src/servers.rs
+++ b/crates/fleet/src/servers.rs
@@ -33,6 +33,7 @@
 /// An incarnation that disappeared from the list.
 #[derive(Debug)]
 struct Unlisted {
+    key: Key,
     listed: Listed,
     health: Health,
     since: Time,
@@ -87,7 +88,7 @@
             if !is_listed {
                 let (listed, health) = (server.listed.clone(), server.health);
                 let found = unlisted.entry(listed.id.clone()).or_default();
-                found.push(Unlisted { listed, health, since: now });
+                found.push(Unlisted { key, listed, health, since: now });
             }
             is_listed
         });
@@ -140,6 +141,44 @@
         may_be_same_start(self.all.get(key)?.listed.born, born).then_some(key)
     }
 
+    /// Key of the server of this identity, also of one that has disappeared from the list lately.
+    pub fn last_key(&self, id: &str) -> Option<Key> {
+        self.key(id).or_else(|| Some(self.unlisted.get(id)?.last()?.key))
+    }
+
+    /// List entry and health of an incarnation, also of one that has disappeared from the list lately, or that has
+    /// returned to it with another key: its responses still arrive.
+    pub fn health_mut(&mut self, key: Key) -> Option<(&Listed, &mut Health)> {
+        let key = self.current_key(key);
+        if let Some(server) = self.all.get_mut(key) {
+            return Some((&server.listed, &mut server.health));
+        }
+        let found = self.unlisted.values_mut().flatten().find(|found| found.key == key)?;
+        Some((&found.listed, &mut found.health))
+    }
+
+    /// The latest key of an incarnation.
+    pub fn current_key(&self, key: Key) -> Key {
+        if self.all.contains_key(key) {
+            return key;
+        }
+        let mut unlisted = self.unlisted.values();
+        let earlier = unlisted.find_map(|found| {
+            let at = found.iter().position(|found| found.key == key)?;
+            Some(&found[at..])
+        });
+        let Some(earlier @ [first, ..]) = earlier else {
+            return key;
+        };
+        let listed = self.key(&first.listed.id).filter(|key| {
+            let server = self.all.get(*key);
+            server.is_some_and(|server| may_be_same_incarnation(&first.listed, &server.listed))
+        });
+        let last =
+            || earlier.iter().rfind(|found| may_be_same_incarnation(&first.listed, &found.listed));
+        listed.or_else(|| Some(last()?.key)).unwrap_or(key)
+    }
+
     /// All servers.
     pub fn iter_mut(&mut self) -> impl Iterator<Item = (Key, &mut Server)> {
         self.all.iter_mut()
--- a/crates/fleet/tests/servers.rs
+++ b/crates/fleet/tests/servers.rs
@@ -374,6 +374,31 @@
     assert!(!outlasts(lists));
 }
 
+// Guards against notices that get lost with their server's key: it has disappeared from the list, or has returned to it with
+// another key, when the response to an earlier request arrives.
+#[test]
+fn the_health_of_an_incarnation_is_found_by_its_earlier_key() {
+    let mut servers = Servers::default();
+    let now = Time::from_millis;
+    servers.apply_list(now(0), started(Some(5)));
+    let old = servers.key("i-1").expect("listed");
+    servers.apply_list(now(1_000), Vec::new());
+    assert_eq!(servers.last_key("i-1"), Some(old));
+    let (_, health) = servers.health_mut(old).expect("retained");
+    health.start_backoff(now(1_100), Duration::from_secs(3));
+    servers.apply_list(now(2_000), started(Some(5)));
+    let server = servers.by_id("i-1").expect("listed");
+    assert!(server.health.backoff_until(now(2_100)).is_some());
+    let (_, health) = servers.health_mut(old).expect("on the list again");
+    health.mark_leaving(now(2_200), true);
+    assert!(servers.by_id("i-1").expect("listed").health.leaving().is_some());
+    servers.apply_list(now(3_000), started(Some(9)));
+    let (_, health) = servers.health_mut(old).expect("retained");
+    health.start_backoff(now(3_100), Duration::from_secs(3));
+    let server = servers.by_id("i-1").expect("listed");
+    assert!(server.health.backoff_until(now(3_200)).is_none(), "another incarnation");
+}
+
 // Guards against notices and permits that get lost between processes, one of which has not yet read the start time of a server.
 #[test_case(Some(5), Some(5), true; "the same")]
 #[test_case(None, Some(5), true; "not known here")]
--- a/crates/node/src/forward/notices.rs
+++ b/crates/node/src/forward/notices.rs
@@ -9,7 +9,7 @@
 use fleet::{Backoff, Key, Notice, Server};
 use rand::Rng;
 use wire::Frame;
-use wire::limit::{self, Observed};
+use wire::limit::{self, Observed, ServerIncarnation};
 
 use super::limits::incarnation;
 use super::{Context, Forward};
@@ -30,6 +30,7 @@
         out: &mut Effects,
     ) {
         self.apply_notice(cx, key, request, notice, out);
+        let key = self.servers.current_key(key);
         self.limit_from_response(cx, key, (request, sent), notice.limit, out);
     }
 
@@ -41,7 +42,7 @@
         notice: Notice,
         out: &mut Effects,
     ) {
-        if let Some(key) = self.servers.key(id) {
+        if let Some(key) = self.servers.last_key(id) {
             self.apply_notice(cx, key, &Name::default(), notice, out);
         }
     }
@@ -56,14 +57,14 @@
         notice: Notice,
         out: &mut Effects,
     ) {
-        let Some(server) = self.servers.get_mut(key) else {
+        let Some((listed, health)) = self.servers.health_mut(key) else {
             return;
         };
-        let id = server.listed.id.clone();
+        let (id, born) = (listed.id.clone(), listed.born);
         let mut notices = Vec::new();
         if notice.leaving {
-            let before = server.health.leaving();
-            if server.health.mark_leaving(cx.now, true) {
+            let before = health.leaving();
+            if health.mark_leaving(cx.now, true) {
                 let note = Decision::ServerLeaving {
                     server: id.clone(),
                     from: Source::Answer(request.clone()),
@@ -78,17 +79,17 @@
         match notice.backoff {
             Backoff::None => {}
             Backoff::Invalid => {
-                out.push(Effect::Decision(Box::new(Decision::BackoffUnreadable { server: id })));
+                out.push(Effect::Decision(Box::new(Decision::BackoffUnreadable {
+                    server: id.clone(),
+                })));
             }
             Backoff::For(requested) => {
-                let is_new = server.health.start_backoff(cx.now, requested);
-                let time = server
-                    .health
-                    .backoff_until(cx.now)
-                    .map_or(Duration::ZERO, |end| end.since(cx.now));
+                let is_new = health.start_backoff(cx.now, requested);
+                let time =
+                    health.backoff_until(cx.now).map_or(Duration::ZERO, |end| end.since(cx.now));
                 if is_new {
                     out.push(Effect::Decision(Box::new(Decision::BackoffRequested {
-                        server: id,
+                        server: id.clone(),
                         request: request.clone(),
                         asked: requested,
                         time,
@@ -97,7 +98,7 @@
                 }
             }
         }
-        let server = incarnation(server);
+        let server = ServerIncarnation { id, born };
         let observed: Vec<Observed> = notices
             .into_iter()
             .map(|notice| Observed { server: server.clone(), notice, ago_us: 0 })
--- a/crates/node/src/forward/weights.rs
+++ b/crates/node/src/forward/weights.rs
@@ -28,7 +28,7 @@
         (report, notice): (Report, Notice),
         out: &mut Effects,
     ) {
-        let Some(key) = self.servers.key(id) else {
+        let Some(key) = self.servers.last_key(id) else {
             return;
         };
         self.apply_notice(cx, key, &Name::default(), notice, out);
--- a/crates/node/tests/forward.rs
+++ b/crates/node/tests/forward.rs
@@ -1052,3 +1052,36 @@
     harness.event(Event::ResponseReceived { call: 1, response });
     assert!(!harness.decisions().any(|note| matches!(note, Decision::BackoffRequested { .. })));
 }
+
+// Guards against requests to a server that asked for none: a reading of the list lacks its entry while its response arrives, or it
+// has returned with another key.
+#[test_case(false; "while it is missing")]
+#[test_case(true; "after it has returned")]
+fn a_backoff_counts_also_from_a_server_that_was_missing_on_the_list(returned: bool) {
+    let mut harness = Harness::new(1);
+    harness.request(1, "/safe/x");
+    harness.sent(1);
+    harness.event(Event::Listed { list: Ok(Vec::new()) });
+    if returned {
+        harness.event(Event::Listed { list: Ok(vec![listed(1)]) });
+    }
+    harness.event(Event::ResponseReceived { call: 1, response: asks_for_backoff() });
+    harness.actions(1);
+    harness.event(Event::Listed { list: Ok(vec![listed(1)]) });
+    harness.wait(1_000);
+    harness.request(2, "/safe/x");
+    assert_eq!(harness.rejected(2).1, 503);
+}
+
+// Guards against a backoff that is lost with the answer to a call of the process's own, while a reading of the list lacks the
+// server.
+#[test]
+fn a_backoff_counts_also_in_a_report_from_a_server_that_was_missing_on_the_list() {
+    let mut harness = Harness::new(1);
+    harness.event(Event::Listed { list: Ok(Vec::new()) });
+    let notice = asks_for_backoff().notice;
+    harness.event(Event::ReportFailed { id: Name::new("i-1"), notice });
+    harness.event(Event::Listed { list: Ok(vec![listed(1)]) });
+    harness.request(2, "/safe/x");
+    assert_eq!(harness.rejected(2).1, 503);
+}
