Fences for fetches from stores: messages without effect yet, and tests that fail

The leader frees segments of a weight version two seconds after no server on its list holds it, and nothing bounds a fetch: not at a server that left the list, not by an entry without contact to the leader, not against a free that is carried out late or sent by a new leader.

`node` fence models entries, leaders that change, servers whose requests wait, late frees and a store that records each fetch's interval, in time.

--- a/crates/edge/src/direct.rs
+++ b/crates/edge/src/direct.rs
@@ -110,8 +110,8 @@
                 }
                 Some(forward::Event::StoreRead { addr, since, delta })
             }
-            forward::ControlCall::FreeSegments { addr, epoch, segments } => {
-                let call = self.protocol.free_request(epoch, &segments);
+            forward::ControlCall::FreeSegments { addr, epoch, until_ms, segments } => {
+                let call = self.protocol.free_request(epoch, until_ms, &segments);
                 let result = self.call(addr, call, (RESPONSE_TIMEOUT, MAX_SMALL_RESPONSE)).await;
                 let status = result.as_ref().map_or(0, |(status, ..)| *status);
                 let error = result.err().unwrap_or_default();
--- a/crates/edge/src/protocol.rs
+++ b/crates/edge/src/protocol.rs
@@ -92,8 +92,9 @@
     /// A description of the error.
     fn parse_store_delta(&self, complete: bool, body: &[u8]) -> Result<StoreDelta, String>;
 
-    /// The request to free segments, by salt and ID, on a store with this incarnation.
-    fn free_request(&self, epoch: u64, segments: &[(Name, u64)]) -> Call;
+    /// The request to free segments, by salt and ID, on a store with this incarnation; `until_ms` is the time on its
+    /// clock from which it must refuse.
+    fn free_request(&self, epoch: u64, until_ms: Option<u64>, segments: &[(Name, u64)]) -> Call;
 
     /// The request that orders a server to load a weight version.
     fn version_change_request(&self, change: &Change, holder: &str) -> Call;
--- a/crates/fleet/src/store_delta.rs
+++ b/crates/fleet/src/store_delta.rs
@@ -20,6 +20,8 @@
     pub next_event: u64,
     /// Whether earlier events were lost.
     pub gap: bool,
+    /// The servers' clock when the store responded, milliseconds.
+    pub clock_ms: Option<u64>,
     /// Segments that are complete now, or removed.
     pub segments: Vec<StoredSegment>,
 }
--- a/crates/node/src/forward/event.rs
+++ b/crates/node/src/forward/event.rs
@@ -86,6 +86,8 @@
     pub salt: Option<Name>,
     /// Where each segment of the prompt is fetched from, unless the server holds it.
     pub fetch: Vec<Option<SocketAddr>>,
+    /// Time on the servers' clock at which an unfinished fetch is discarded, milliseconds.
+    pub fetch_until_ms: Option<u64>,
     /// The store that each segment is saved to after its prefill.
     pub save: Vec<Option<SocketAddr>>,
 }
@@ -280,6 +282,8 @@
         addr: SocketAddr,
         /// Incarnation of the store.
         epoch: u64,
+        /// Time on the store's clock from which it must not be carried out any more, milliseconds.
+        until_ms: Option<u64>,
         /// Salt and ID of each segment.
         segments: Vec<(Name, u64)>,
     },
--- a/crates/node/src/forward/place.rs
+++ b/crates/node/src/forward/place.rs
@@ -223,6 +223,7 @@
             salt,
             // The last segment belongs to this request only: it is stored nowhere, and no other needs it.
             fetch: transfer.fetch.into_iter().chain([None]).collect(),
+            fetch_until_ms: None,
             save: save.into_iter().chain([None]).collect(),
         };
         self.bind_stream(cx.now, call, &software);
--- a/crates/node/src/forward/reader.rs
+++ b/crates/node/src/forward/reader.rs
@@ -268,7 +268,12 @@
                 .take(MAX_FREED)
                 .collect();
             if !segments.is_empty() {
-                out.push(Effect::Call(ControlCall::FreeSegments { addr, epoch, segments }));
+                out.push(Effect::Call(ControlCall::FreeSegments {
+                    addr,
+                    epoch,
+                    until_ms: None,
+                    segments,
+                }));
             }
         }
     }
--- a/crates/node/src/forward/stores.rs
+++ b/crates/node/src/forward/stores.rs
@@ -376,6 +376,14 @@
         self.stores.take_delta()
     }
 
+    /// As the leader: leases for fetches from stores to advertise to the entries.
+    pub fn take_fetch_leases(&mut self) -> Vec<wire::FetchLease> {
+        Vec::new()
+    }
+
+    /// Applies leases for fetches from stores that the leader advertised.
+    pub fn fetch_leases_advertised(&mut self, _now: Time, _leases: &[wire::FetchLease]) {}
+
     /// The complete inventory, for an entry that has connected.
     pub fn inventory(&self) -> wire::Inventory {
         self.stores.full_inventory()
--- a/crates/node/src/process/advertise.rs
+++ b/crates/node/src/process/advertise.rs
@@ -82,6 +82,7 @@
             Frame::Loads(loads) => forward.apply_loads(now, peer, &loads),
             Frame::LoadTotals(totals) => forward.apply_load_totals(now, &totals),
             Frame::VersionAges(update) => forward.version_ages_advertised(now, &update),
+            Frame::FetchLeases(leases) => forward.fetch_leases_advertised(now, &leases),
             Frame::LimitsObserved(observed) => forward.limits_observed(cx, peer, &observed, out),
             Frame::Limits(update) => forward.limits_advertised(cx, peer, &update, out),
             Frame::PermitRequest(request) => reply = forward.permit_requested(cx, &request),
@@ -176,12 +177,13 @@
         }
     }
 
-    /// Sends the loads of this entry at the servers to the leader; as the leader, sends the load totals, limits
-    /// and ages of weight versions to all entries.
+    /// Sends the loads of this entry at the servers to the leader; as the leader, sends the load totals, limits,
+    /// ages of weight versions and leases for fetches to all entries.
     pub(super) fn send_loads(&mut self, now: Time, out: &mut Effects) {
         let me = self.local.hello.name.clone();
         let mut totals = Vec::new();
         let mut ages = Vec::new();
+        let mut leases = Vec::new();
         let mut limits = None;
         let mut is_leader = false;
         self.with_forward(now, |forward, cx| {
@@ -189,6 +191,7 @@
             totals = forward.take_load_totals(cx);
             ages = forward.take_version_ages(cx);
             limits = forward.take_limits(cx);
+            leases = forward.take_fetch_leases();
         });
         if let Some(limits) = limits {
             self.send_to_entries(&Frame::Limits(limits), out);
@@ -196,6 +199,10 @@
         if !ages.is_empty() {
             self.send_to_entries(&Frame::VersionAges(ages), out);
         }
+        self.advertise_inventory_and_list(out);
+        if !leases.is_empty() {
+            self.send_to_entries(&Frame::FetchLeases(leases), out);
+        }
         let Some(forward) = &mut self.forward else {
             return;
         };
--- a/crates/node/src/process/mod.rs
+++ b/crates/node/src/process/mod.rs
@@ -384,6 +384,7 @@
             | Frame::Loads(_)
             | Frame::LoadTotals(_)
             | Frame::VersionAges(_)
+            | Frame::FetchLeases(_)
             | Frame::LimitsObserved(_)
             | Frame::Limits(_)
             | Frame::PermitRequest(_)
--- /dev/null
+++ b/crates/node/tests/fence.rs
@@ -0,0 +1,582 @@
+//! Fetches of prompt segments from stores against frees of stale segments: by rule, and in simulated time.
+
+mod forwarder;
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+
+use base::prelude::*;
+use fleet::{Listed, Notice, Report, StoreDelta, StoredSegment};
+use node::Effect;
+use node::forward::{Action, Attempt, ControlCall, Event};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use test_case::test_case;
+use wire::FetchLease;
+
+use forwarder::fixture::{STORE, listed, view};
+use forwarder::{Harness, SERVERS_CLOCK_MS};
+
+/// Interval between two ticks, milliseconds.
+const TICK_MS: u64 = 50;
+/// Longest lease, and the bounds of a report's age and of a free; milliseconds.
+const LONGEST_LEASE_MS: u64 = 10_000;
+const REPORT_AGE_MS: u64 = 2_000;
+const FREE_MS: u64 = 1_000;
+const PROMPT: [(u64, u32); 2] = [(1, 2_500), (9, 100)];
+
+/// A free that the leader sent.
+#[derive(Clone, Debug)]
+struct Free {
+    at_ms: u64,
+    until_ms: Option<u64>,
+    segments: Vec<(Name, u64)>,
+}
+
+fn store() -> SocketAddr {
+    STORE.parse().expect("an address")
+}
+
+fn server(number: u16, version: u64) -> Listed {
+    Listed { models: vec![(Name::new("m"), version)], ..listed(number) }
+}
+
+/// A leader whose only server holds weight version 1.
+fn leader(term: u64) -> Harness {
+    let mut harness = Harness::with_list(vec![server(1, 1)]);
+    harness.term = Some(term);
+    harness
+}
+
+/// Passes time at a leader; a store that holds the segment of `PROMPT` for version 1 answers its reads at once. Returns
+/// the frees and leases.
+fn pass(harness: &mut Harness, millis: u64, has_clock: bool) -> (Vec<Free>, Vec<FetchLease>) {
+    let (mut frees, mut leases) = (Vec::new(), Vec::new());
+    for _ in 0..millis / TICK_MS {
+        harness.wait(TICK_MS);
+        leases.extend(harness.forward.take_fetch_leases());
+        for effect in std::mem::take(&mut harness.out) {
+            match effect {
+                Effect::Call(ControlCall::ReadStore { addr, since }) => {
+                    let held = StoredSegment { salt: "*/m/1".to_owned(), id: 1, tokens: 2_500 };
+                    let segments =
+                        if addr == store() && since.is_none() { vec![held] } else { Vec::new() };
+                    let clock_ms = has_clock.then(|| harness.servers_clock_ms());
+                    let delta =
+                        StoreDelta { epoch: 1, next_event: 9, gap: false, clock_ms, segments };
+                    harness.event(Event::StoreRead { addr, since, delta: Ok(delta) });
+                }
+                Effect::Call(ControlCall::FreeSegments { until_ms, segments, .. }) => {
+                    let at_ms = harness.servers_clock_ms();
+                    frees.push(Free { at_ms, until_ms, segments });
+                }
+                _ => {}
+            }
+        }
+    }
+    (frees, leases)
+}
+
+fn fetches(harness: &mut Harness, call: u64) -> Attempt {
+    harness.prompt(call, "/stream/x", "key", &PROMPT);
+    harness.sent(call)
+}
+
+/// Names version 2, which another server holds already; the one with version 1 has left the list.
+fn replace_server(harness: &mut Harness) {
+    harness.view = view(2);
+    harness.event(Event::Listed { list: Ok(vec![server(2, 2)]) });
+}
+
+// Guards against incident MIXED: a server that had left the list fetched a segment that was freed meanwhile.
+#[test]
+fn no_free_overlaps_a_fetch_queued_at_a_server_that_left_the_list() {
+    let mut harness = leader(1);
+    pass(&mut harness, 20_000, true);
+    let attempt = fetches(&mut harness, 1);
+    assert_eq!(attempt.fetch[0], Some(store()));
+    let until_ms = attempt.fetch_until_ms.expect("a fetch from a store has an end");
+    replace_server(&mut harness);
+    let (frees, _) = pass(&mut harness, 30_000, true);
+    let first = frees.first().expect("stale segments are freed in the end");
+    assert_eq!(first.segments, [(Name::new("*/m/1"), 1)]);
+    assert!(first.at_ms > until_ms, "freed at {}, fetched until {until_ms}", first.at_ms);
+}
+
+// Guards against incident MIXED: the timer of a free ran in a process that had not led before.
+#[test]
+fn a_new_leader_frees_nothing_before_earlier_leases_have_ended() {
+    let mut harness = leader(4);
+    replace_server(&mut harness);
+    let began_ms = harness.servers_clock_ms();
+    let (frees, _) = pass(&mut harness, 30_000, true);
+    let first = frees.first().expect("stale segments are freed in the end");
+    assert!(
+        first.at_ms > began_ms + LONGEST_LEASE_MS + REPORT_AGE_MS,
+        "freed {} ms after the leader began",
+        first.at_ms - began_ms
+    );
+    harness.term = None;
+    pass(&mut harness, 500, true);
+    harness.term = Some(6);
+    let again_ms = harness.servers_clock_ms();
+    let (frees, _) = pass(&mut harness, 30_000, true);
+    let first = frees.first().expect("stale segments are freed in the end");
+    assert!(first.at_ms > again_ms + LONGEST_LEASE_MS + REPORT_AGE_MS, "another term led between");
+}
+
+// Guards against incident MIXED: a free was carried out late, after a server had come back with the old weights.
+#[test]
+fn a_late_free_cannot_hit_a_version_that_is_leased_again() {
+    let mut harness = leader(1);
+    replace_server(&mut harness);
+    let (frees, _) = pass(&mut harness, 30_000, true);
+    let last = frees.last().expect("stale segments are freed");
+    for free in &frees {
+        let bounded = free.until_ms.is_some_and(|until_ms| until_ms <= free.at_ms + FREE_MS);
+        assert!(bounded, "{free:?}");
+    }
+    // The server with the old weights is back.
+    harness.event(Event::Listed { list: Ok(vec![server(1, 1), server(2, 2)]) });
+    let (_, leases) = pass(&mut harness, 10_000, true);
+    assert!(leases.iter().any(|lease| lease.version == 2));
+    assert!(leases.iter().all(|lease| lease.version != 1), "freed in this term");
+    // The next leader doesn't know of the free. It leases the version once no free can be carried out any more.
+    let mut next = leader(2);
+    next.now = harness.now;
+    let began_ms = next.servers_clock_ms();
+    assert!(last.until_ms.is_some_and(|until_ms| until_ms <= began_ms + FREE_MS));
+    let (_, leases) = pass(&mut next, 10_000, true);
+    let first = leases.iter().find(|lease| lease.version == 1).expect("leased in the end");
+    let issued_ms = first.until_ms - u64::from(first.left_ms);
+    assert!(issued_ms > began_ms + FREE_MS + REPORT_AGE_MS, "leased {issued_ms}");
+}
+
+// Guards against incident MIXED: an entry without contact to the leader fetched by an old inventory.
+#[test]
+fn an_entry_cut_off_from_the_leader_stops_fetching_and_saving_when_its_lease_ends() {
+    let mut leader = leader(1);
+    let (_, leases) = pass(&mut leader, 8_000, true);
+    let mut entry = Harness::with_list(vec![server(1, 1)]);
+    entry.now = leader.now;
+    entry.event(Event::Listed { list: Ok(vec![server(1, 1)]) });
+    let inventory = leader.forward.inventory();
+    entry.forward.inventory_advertised(&inventory);
+    let without = fetches(&mut entry, 1);
+    assert_eq!((without.fetch[0], without.fetch_until_ms), (None, None), "no lease yet");
+    let lease = leases.last().expect("a lease");
+    entry.forward.fetch_leases_advertised(entry.now, std::slice::from_ref(lease));
+    let with = fetches(&mut entry, 2);
+    assert_eq!((with.fetch[0], with.fetch_until_ms), (Some(store()), Some(lease.until_ms)));
+    entry.wait(u64::from(lease.left_ms));
+    entry.prompt(3, "/stream/x", "key", &[(1, 2_500), (2, 2_500), (9, 100)]);
+    let after = entry.sent(3);
+    assert_eq!(after.fetch, [None; 3]);
+    assert_eq!(after.save, [None; 3]);
+}
+
+// Guards against incident MIXED: without a clock, nothing bounds the fetches.
+#[test]
+fn a_store_without_a_clock_is_never_freed() {
+    let mut harness = leader(1);
+    replace_server(&mut harness);
+    let (frees, _) = pass(&mut harness, 60_000, false);
+    assert!(frees.is_empty(), "{frees:?}");
+}
+
+/// A part on the simulated store.
+#[derive(Clone, Copy, Debug)]
+struct Part {
+    tokens: u32,
+    /// When its save is complete, milliseconds.
+    complete_at: u64,
+}
+
+/// A fetch by a simulated server; times in milliseconds.
+#[derive(Clone, Debug)]
+struct Fetch {
+    begin: u64,
+    end: u64,
+    /// End after which it is discarded.
+    until: Option<u64>,
+    salt: Name,
+    id: u64,
+}
+
+impl Fetch {
+    /// Whether it uses the part at a time.
+    fn uses(&self, now: u64) -> bool {
+        let kept = self.until.is_none_or(|until| self.end < until);
+        kept && self.begin <= now && now < self.end
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Server {
+    version: u64,
+    listed: bool,
+    /// How long each of its requests waits before its fetch begins, milliseconds.
+    delay: u64,
+}
+
+/// Something that happens at a time.
+#[derive(Debug)]
+enum Due {
+    /// An entry receives an event, a frame of leases or an inventory.
+    Event(usize, Event),
+    Leases(usize, Vec<FetchLease>),
+    Inventory(usize, wire::Inventory),
+    Begin(usize, u64, Box<Attempt>),
+    Free(u64, Option<u64>, Vec<(Name, u64)>),
+    /// A server changes to a weight version.
+    Version(usize, u64),
+    Listed(usize, bool),
+    Restart,
+}
+
+/// Entries, one of which leads at a time, servers and one store; times in milliseconds.
+struct World {
+    now: u64,
+    entries: Vec<Harness>,
+    /// Until when an entry receives nothing from the leader.
+    cut: Vec<u64>,
+    leader: usize,
+    term: u64,
+    named: u64,
+    servers: Vec<Server>,
+    parts: BTreeMap<(Name, u64), Part>,
+    events: Vec<(u64, StoredSegment)>,
+    epoch: u64,
+    fetches: Vec<Fetch>,
+    due: BTreeMap<(u64, u64), Due>,
+    number: u64,
+    calls: HashMap<u64, u64>,
+    rng: Pcg64Mcg,
+    freed: usize,
+    fetched: usize,
+    violations: Vec<String>,
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let servers = vec![Server { version: 1, listed: true, delay: 0 }; 4];
+        let list: Vec<Listed> = (1..=4).map(|number| server(number, 1)).collect();
+        let mut entries: Vec<Harness> = (0..3).map(|_| Harness::with_list(list.clone())).collect();
+        entries[0].term = Some(1);
+        Self {
+            now: 1_000,
+            entries,
+            cut: vec![0; 3],
+            leader: 0,
+            term: 1,
+            named: 1,
+            servers,
+            parts: BTreeMap::new(),
+            events: Vec::new(),
+            epoch: 1,
+            fetches: Vec::new(),
+            due: BTreeMap::new(),
+            number: 0,
+            calls: HashMap::new(),
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            freed: 0,
+            fetched: 0,
+            violations: Vec::new(),
+        }
+    }
+
+    fn clock(&self) -> u64 {
+        self.now + SERVERS_CLOCK_MS
+    }
+
+    fn after(&mut self, millis: u64, due: Due) {
+        self.number += 1;
+        self.due.insert((self.now + millis, self.number), due);
+    }
+
+    fn run(&mut self, end: u64, restarts: bool) {
+        while self.now < end {
+            self.now += 10;
+            while let Some(entry) = self.due.first_entry().filter(|due| due.key().0 <= self.now) {
+                let due = entry.remove();
+                self.happen(due);
+            }
+            if self.now % TICK_MS == 0 {
+                for entry in 0..self.entries.len() {
+                    self.step(entry, None);
+                }
+                let entry = self.rng.random_range(0..self.entries.len());
+                self.request(entry);
+            }
+            if self.now % 8_000 == 0 {
+                self.name_weights();
+            }
+            if self.now % 3_000 == 0 {
+                self.disturb(restarts);
+            }
+            let now = self.now;
+            self.fetches.retain(|fetch| fetch.end > now);
+        }
+    }
+
+    fn request(&mut self, entry: usize) {
+        self.number += 1;
+        let (call, kind) = (self.number, self.rng.random_range(1..6));
+        self.calls.insert(call, kind);
+        let segments = [(kind, 2_500), (10 + kind, 4_000), (1_000 + call, 100)];
+        self.entries[entry].now = Time::from_millis(self.now);
+        self.entries[entry].prompt(call, "/stream/x", "key", &segments);
+        self.effects(entry);
+    }
+
+    fn name_weights(&mut self) {
+        self.named += 1;
+        for entry in &mut self.entries {
+            entry.view = view(self.named);
+        }
+        for server in 0..self.servers.len() {
+            let wait = self.rng.random_range(200..3_000);
+            self.after(wait, Due::Version(server, self.named));
+        }
+    }
+
+    fn disturb(&mut self, restarts: bool) {
+        let server = self.rng.random_range(0..self.servers.len());
+        let entry = self.rng.random_range(0..self.entries.len());
+        match self.rng.random_range(0..6) {
+            // A server leaves the list; its requests wait, and are completed.
+            0 | 1 => {
+                self.servers[server].delay = self.rng.random_range(1_000..9_000);
+                self.after(300, Due::Listed(server, false));
+                let back = self.rng.random_range(4_000..9_000);
+                self.after(back, Due::Listed(server, true));
+            }
+            // A server comes back with the weights that it had before.
+            2 => {
+                let old = self.servers[server].version.saturating_sub(1).max(1);
+                self.after(0, Due::Version(server, old));
+                self.after(4_000, Due::Version(server, self.named));
+            }
+            3 if entry != self.leader => {
+                self.cut[entry] = self.now + self.rng.random_range(1_000..20_000);
+            }
+            4 => self.elect(entry),
+            5 if restarts => self.after(0, Due::Restart),
+            _ => {}
+        }
+    }
+
+    /// Another entry leads; like a process that has read no frame for a while, it doesn't know what came before.
+    fn elect(&mut self, entry: usize) {
+        self.entries[self.leader].term = None;
+        self.term += 1;
+        self.leader = entry;
+        self.cut[entry] = 0;
+        self.entries[entry].term = Some(self.term);
+    }
+
+    fn happen(&mut self, due: Due) {
+        match due {
+            Due::Event(entry, event) => self.step(entry, Some(event)),
+            Due::Leases(entry, leases) => {
+                let now = Time::from_millis(self.now);
+                self.entries[entry].forward.fetch_leases_advertised(now, &leases);
+            }
+            Due::Inventory(entry, inventory) => {
+                self.entries[entry].forward.inventory_advertised(&inventory);
+            }
+            Due::Begin(entry, call, attempt) => self.begin(entry, call, &attempt),
+            Due::Free(epoch, until_ms, segments) => self.free(epoch, until_ms, segments),
+            Due::Version(server, version) => {
+                self.servers[server].version = version;
+                self.list_changed();
+                let id = Name::from(format!("i-{}", server + 1));
+                let report = Report { version, ..Report::default() };
+                let reported = Event::Reported { id, report, notice: Notice::default() };
+                self.after(200, Due::Event(self.leader, reported));
+            }
+            Due::Listed(server, is_listed) => {
+                self.servers[server].listed = is_listed;
+                if is_listed {
+                    self.servers[server].delay = 0;
+                }
+                self.list_changed();
+            }
+            Due::Restart => {
+                self.epoch += 1;
+                self.parts.clear();
+                self.events.clear();
+                self.fetches.clear();
+            }
+        }
+    }
+
+    fn list_changed(&mut self) {
+        let servers = self.servers.iter().enumerate().filter(|(_, server)| server.listed);
+        let list: Vec<Listed> =
+            servers.map(|(number, found)| server(number as u16 + 1, found.version)).collect();
+        for entry in 0..self.entries.len() {
+            if self.cut[entry] <= self.now {
+                let delay = self.rng.random_range(300..900);
+                self.after(delay, Due::Event(entry, Event::Listed { list: Ok(list.clone()) }));
+            }
+        }
+    }
+
+    /// A server begins a request: it fetches what the store has, and saves the rest.
+    fn begin(&mut self, entry: usize, call: u64, attempt: &Attempt) {
+        let salt = attempt.salt.clone().expect("a salt");
+        let kind = self.calls[&call];
+        let ids = [kind, 10 + kind];
+        let until = attempt.fetch_until_ms.map(|until_ms| until_ms - SERVERS_CLOCK_MS);
+        let mut begin = self.now;
+        for (id, _) in ids.iter().zip(&attempt.fetch).filter(|(_, from)| **from == Some(store())) {
+            let Some(part) = self.parts.get(&(salt.clone(), *id)) else { continue };
+            let end = begin + self.rng.random_range(50..1_500);
+            let fetch = Fetch { begin, end, until, salt: salt.clone(), id: *id };
+            if fetch.uses(begin) {
+                self.fetched += 1;
+                if part.complete_at > begin {
+                    self.violations.push(format!("at {begin}: read a partial part: {fetch:?}"));
+                }
+            }
+            self.fetches.push(fetch);
+            begin = end;
+        }
+        for (id, _) in ids.iter().zip(&attempt.save).filter(|(_, to)| **to == Some(store())) {
+            let complete_at = begin + self.rng.random_range(50..800);
+            let tokens = if *id < 10 { 2_500 } else { 4_000 };
+            if self.parts.contains_key(&(salt.clone(), *id)) {
+                continue;
+            }
+            self.parts.insert((salt.clone(), *id), Part { tokens, complete_at });
+            let stored = StoredSegment { salt: salt.to_string(), id: *id, tokens };
+            self.events.push((complete_at, stored));
+        }
+        let response = node::forward::ResponseHead {
+            status: 200,
+            matches_request: true,
+            ..node::forward::ResponseHead::default()
+        };
+        self.step(entry, Some(Event::ResponseReceived { call, response }));
+        self.step(entry, Some(Event::BodyStarted { call }));
+        self.after(200, Due::Event(entry, Event::Completed { call }));
+    }
+
+    fn free(&mut self, epoch: u64, until_ms: Option<u64>, segments: Vec<(Name, u64)>) {
+        if epoch != self.epoch || until_ms.is_some_and(|until_ms| until_ms <= self.clock()) {
+            return;
+        }
+        for (salt, id) in segments {
+            if self.parts.remove(&(salt.clone(), id)).is_none() {
+                continue;
+            }
+            self.freed += 1;
+            let now = self.now;
+            let used = |fetch: &&Fetch| fetch.salt == salt && fetch.id == id && fetch.uses(now);
+            if let Some(fetch) = self.fetches.iter().find(used) {
+                self.violations.push(format!("at {now}: freed during {fetch:?}"));
+            }
+            let gone = StoredSegment { salt: salt.to_string(), id, tokens: 0 };
+            self.events.push((now, gone));
+        }
+    }
+
+    /// Passes an event to an entry, or a tick.
+    fn step(&mut self, entry: usize, event: Option<Event>) {
+        self.entries[entry].now = Time::from_millis(self.now);
+        match event {
+            Some(event) => self.entries[entry].event(event),
+            None => self.entries[entry].tick(),
+        }
+        self.effects(entry);
+    }
+
+    fn effects(&mut self, entry: usize) {
+        for effect in std::mem::take(&mut self.entries[entry].out) {
+            match effect {
+                Effect::Call(ControlCall::ReadStore { addr, since }) => {
+                    let delta = self.read(addr, since);
+                    let delay = self.rng.random_range(10..120);
+                    let read = Event::StoreRead { addr, since, delta: Ok(delta) };
+                    self.after(delay, Due::Event(entry, read));
+                }
+                Effect::Call(ControlCall::FreeSegments { epoch, until_ms, segments, .. }) => {
+                    let late = self.rng.random_range(0..3) == 0;
+                    let delay = if late { self.rng.random_range(0..6_000) } else { 5 };
+                    self.after(delay, Due::Free(epoch, until_ms, segments));
+                }
+                Effect::Forward { call, action: Action::Send(attempt) } => {
+                    let server = usize::from(attempt.addr.port()) - 1;
+                    let mut delay = self.rng.random_range(1..200);
+                    if self.rng.random_range(0..4) == 0 {
+                        delay += self.servers[server].delay;
+                    }
+                    self.after(delay, Due::Begin(entry, call, attempt));
+                }
+                _ => {}
+            }
+        }
+        let inventory = self.entries[entry].forward.take_inventory_delta();
+        let leases = self.entries[entry].forward.take_fetch_leases();
+        for other in (0..self.entries.len()).filter(|other| *other != entry) {
+            if self.cut[other] > self.now {
+                continue;
+            }
+            if self.cut[other] > 0 && entry == self.leader {
+                // It has connected again.
+                self.cut[other] = 0;
+                let full = self.entries[entry].forward.inventory();
+                self.after(2, Due::Inventory(other, full));
+            }
+            if let Some(inventory) = inventory.clone() {
+                self.after(2, Due::Inventory(other, inventory));
+            }
+            if !leases.is_empty() {
+                self.after(2, Due::Leases(other, leases.clone()));
+            }
+        }
+    }
+
+    /// What the store reports; a server reports nothing.
+    fn read(&mut self, addr: SocketAddr, since: Option<u64>) -> StoreDelta {
+        let clock_ms = Some(self.clock() - self.rng.random_range(0..300));
+        if addr != store() {
+            return StoreDelta { epoch: 1, next_event: 0, gap: false, clock_ms, segments: vec![] };
+        }
+        let from = since.unwrap_or(0) as usize;
+        let reported = self.events.iter().filter(|(at, _)| *at <= self.now);
+        let next_event = reported.count() as u64;
+        self.events.sort_by_key(|(at, _)| *at);
+        let segments = if since.is_some() {
+            let events = self.events.iter().take(next_event as usize).skip(from);
+            events.map(|(_, stored)| stored.clone()).collect()
+        } else {
+            let complete = self.parts.iter().filter(|(_, part)| part.complete_at <= self.now);
+            let stored = |((salt, id), part): (&(Name, u64), &Part)| StoredSegment {
+                salt: salt.to_string(),
+                id: *id,
+                tokens: part.tokens,
+            };
+            complete.map(stored).collect()
+        };
+        StoreDelta { epoch: self.epoch, next_event, gap: false, clock_ms, segments }
+    }
+}
+
+// Guards against incident MIXED: leaving servers, changes of leader, entries without contact and late frees.
+#[test_case(0..20, false; "frees")]
+#[test_case(20..40, true; "frees and restarts of the store")]
+fn no_fetch_uses_a_part_that_is_freed_or_incomplete(seeds: std::ops::Range<u64>, restarts: bool) {
+    let (mut freed, mut fetched) = (0, 0);
+    for seed in seeds {
+        let mut world = World::new(seed);
+        world.run(120_000, restarts);
+        assert!(world.violations.is_empty(), "seed {seed}: {:#?}", world.violations);
+        freed += world.freed;
+        fetched += world.fetched;
+    }
+    println!("{freed} parts freed, {fetched} fetched");
+    assert!(freed > 100, "only {freed} parts were freed");
+    assert!(fetched > 1_000, "only {fetched} parts were fetched");
+}
--- a/crates/node/tests/forwarder/mod.rs
+++ b/crates/node/tests/forwarder/mod.rs
@@ -18,6 +18,11 @@
 
 use fixture::{STORE, config, listed, view};
 
+/// The servers' clock at the start of that of the harness, milliseconds.
+pub const SERVERS_CLOCK_MS: u64 = 700_000;
+/// Duration of the leases that tests deliver, milliseconds.
+const LEASE_MS: u64 = 10_000;
+
 /// An entry that forwards requests, without a network.
 pub struct Harness {
     pub forward: Forward,
@@ -166,6 +171,19 @@
         self.event(Event::Reported { id: Name::new(id), report, notice });
     }
 
+    /// The servers' clock, milliseconds.
+    pub fn servers_clock_ms(&self) -> u64 {
+        self.now.0 / 1_000 + SERVERS_CLOCK_MS
+    }
+
+    /// Delivers a lease for fetches of this weight version from stores, and for saves.
+    pub fn lease(&mut self, version: u64) {
+        let until_ms = self.servers_clock_ms() + LEASE_MS;
+        let left_ms = LEASE_MS as u32;
+        let lease = wire::FetchLease { model: Name::new("m"), version, until_ms, left_ms };
+        self.forward.fetch_leases_advertised(self.now, &[lease]);
+    }
+
     /// Delivers the complete inventory of a store or server.
     pub fn store_read(&mut self, addr: SocketAddr, salt: &str, segments: &[(u64, u32)]) {
         let stored = |(id, tokens): &(u64, u32)| StoredSegment {
@@ -174,7 +192,8 @@
             tokens: *tokens,
         };
         let segments = segments.iter().map(stored).collect();
-        let delta = StoreDelta { epoch: 1, next_event: 9, gap: false, segments };
+        let clock_ms = Some(self.servers_clock_ms());
+        let delta = StoreDelta { epoch: 1, next_event: 9, gap: false, clock_ms, segments };
         let store = addr.to_string() == STORE;
         let since = if store { None } else { Some(0) };
         self.event(Event::StoreRead { addr, since, delta: Ok(delta) });
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -8,8 +8,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    Answer, CacheDelta, Contact, Digest, Inventory, List, Part, Piece, Priority, Request,
-    ServerLoad, VersionAges, Work, limit, quarantine, stream,
+    Answer, CacheDelta, Contact, Digest, FetchLease, Inventory, List, Part, Piece, Priority,
+    Request, ServerLoad, VersionAges, Work, limit, quarantine, stream,
 };
 
 /// The backend server of an agent.
@@ -306,4 +306,6 @@
         /// What the keeper knows.
         found: stream::Lookup,
     },
+    /// Keeper to entry: leases for fetches from stores.
+    FetchLeases(Vec<FetchLease>),
 }
--- a/crates/wire/src/inventory.rs
+++ b/crates/wire/src/inventory.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use base::Name;
 use serde::{Deserialize, Serialize};
 
 /// A prompt segment on a store.
@@ -37,6 +38,19 @@
     pub holdings: Vec<Holdings>,
 }
 
+/// Permission to fetch the segments of a weight version from stores, and to save them there.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FetchLease {
+    /// Model.
+    pub model: Name,
+    /// Weight version.
+    pub version: u64,
+    /// End on the servers' clock, milliseconds.
+    pub until_ms: u64,
+    /// Estimated time left until then, milliseconds.
+    pub left_ms: u32,
+}
+
 /// The load that one entry, or all entries together, put on a server or store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerLoad {
