No free of stale segments overlaps a fetch from a store

Cause: the leader freed segments of a weight version two seconds after no server on its list held it, on the claim that nothing fetches stale ones. A server that has left the list still completes queued requests, an entry without contact to the leader still chooses old segments, the delay ran on the clock of a process that may not have led, and a free may be carried out late.

Change: the leader issues leases for fetches, per weight version and on the servers' clock; each fetch from a store ends with its lease, and without one an entry neither fetches from stores nor saves to them. Segments are freed only once the store's own clock has passed the end of the last lease for their version. A free expires after a second, and a freed version is not leased again in the term. A new leader waits until all leases and frees of earlier ones have expired, and discards responses to reads of earlier terms. A store that restarted is offered again after the last lease that was issued before all entries were told; an entry that connects is told of withdrawn inventories, which it kept before.

Two tests of `forward` now deliver leases or the clock: the one on stale segments asserts the end of the last lease in place of the fixed delay; the one on late prompts has a lease where the inventories are known.

--- a/crates/edge/src/notes.rs
+++ b/crates/edge/src/notes.rs
@@ -38,6 +38,8 @@
                 list_age_ms = millis(inputs.list_age), version = inputs.version, version_least = allowed.oldest,
                 version_newest = allowed.newest, version_newest_age_ms = millis(allowed.newest_age),
                 limit = inputs.limit.map_or(0.0, fleet::Limit::per_second),
+                fetch_from = inputs.fetch_from.map_or_else(String::new, |source| source.to_string()),
+                fetch_until_ms = inputs.fetch_until_ms.unwrap_or(0),
                 code = code.number(), status = u64::from(*status), took_ms = millis(*took),
                 first_ms = first.map_or(0, millis);
                 "request ended"
@@ -192,6 +194,20 @@
         Decision::InventoryRead { location, segments, took } => {
             log::info!(place:% = location, parts = segments, took_ms = millis(*took); "prompt segment inventory read");
         }
+        Decision::VersionsLeased { model, versions, term, clock_ms } => {
+            log::info!(
+                model:% = model, versions = decimal_list(versions), term, clock_ms;
+                "weight versions leased for fetches"
+            );
+        }
+        Decision::Freed(free) => {
+            log::info!(
+                store:% = free.store, model:% = free.model, versions = decimal_list(&free.versions),
+                parts = free.segments, floor = free.floor, held_by:% = free.held_by, holders = free.holders,
+                clock_ms = free.clock_ms, last_lease_ms = free.last_lease_ms, list_age_ms = millis(free.list_age);
+                "stale prompt segments to free"
+            );
+        }
         Decision::Stalled { time } => {
             log::warn!(stalled_ms = millis(*time); "process stalled");
         }
@@ -242,6 +258,11 @@
     hex_list(&ids)
 }
 
+fn decimal_list(numbers: &[u64]) -> String {
+    let numbers: Vec<String> = numbers.iter().map(u64::to_string).collect();
+    numbers.join(",")
+}
+
 /// IDs of prompt segments, as callers write them.
 fn hex_list(segments: &[u64]) -> String {
     let ids: Vec<String> = segments.iter().map(|id| format!("{id:x}")).collect();
--- a/crates/node/src/decision.rs
+++ b/crates/node/src/decision.rs
@@ -31,6 +31,10 @@
     pub allowed: Allowed,
     /// Its rate limit, if it had one: a permit was needed.
     pub limit: Option<Limit>,
+    /// Source of the largest segment that is fetched.
+    pub fetch_from: Option<SocketAddr>,
+    /// When an unfinished fetch is discarded, on the servers' clock; none if no store is a source.
+    pub fetch_until_ms: Option<u64>,
 }
 
 /// The weight versions on which runs of a model may start.
@@ -76,6 +80,31 @@
     pub refusal: Option<Refusal>,
 }
 
+/// A call that frees stale segments on a store, with its reason.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Free {
+    /// The store.
+    pub store: SocketAddr,
+    /// The model.
+    pub model: Name,
+    /// The weight versions that the segments were computed with.
+    pub versions: Vec<u64>,
+    /// Number of segments.
+    pub segments: usize,
+    /// Oldest version that a server on the list holds.
+    pub floor: u64,
+    /// A server that holds it; empty if it is the newest version that was set.
+    pub held_by: Name,
+    /// Number of servers that hold it.
+    pub holders: usize,
+    /// Clock of the store, milliseconds.
+    pub clock_ms: u64,
+    /// End of the last lease that this leader issued for one of the versions; 0 if it issued none.
+    pub last_lease_ms: u64,
+    /// Age of the list of servers.
+    pub list_age: Duration,
+}
+
 /// Outcome of a permit request for a rate-limited server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Permit {
@@ -327,6 +356,19 @@
         /// Duration of the read.
         took: Duration,
     },
+    /// At the leader: the weight versions of a model whose segments may be fetched from stores have changed.
+    VersionsLeased {
+        /// The model.
+        model: Name,
+        /// The versions.
+        versions: Vec<u64>,
+        /// Term in which this process leads.
+        term: u64,
+        /// The servers' clock, milliseconds.
+        clock_ms: u64,
+    },
+    /// At the leader: stale segments on a store are freed.
+    Freed(Free),
     /// This process stalled: frozen, suspended, or not scheduled.
     Stalled {
         /// The duration.
--- a/crates/node/src/forward/explain.rs
+++ b/crates/node/src/forward/explain.rs
@@ -323,6 +323,8 @@
         "version_newest": inputs.allowed.newest,
         "version_newest_age_ms": millis(inputs.allowed.newest_age),
         "limit": inputs.limit.map(Limit::per_second),
+        "fetch_from": inputs.fetch_from.map(|source| source.to_string()),
+        "fetch_until_ms": inputs.fetch_until_ms,
     })
 }
 
--- /dev/null
+++ b/crates/node/src/forward/fence.rs
@@ -0,0 +1,304 @@
+//! The fence between fetches of prompt segments from stores and frees of stale segments.
+//!
+//! A store doesn't know its readers: a server may fetch long after its entry chose the source, even if it has left
+//! the list or the entry has given up the attempt. Therefore every fetch from a store ends at a time on the
+//! servers' clock, after which the server discards it. That time comes from a lease that the leader issues to all
+//! entries for each weight version. Without a lease, an entry neither fetches from stores nor saves to them.
+//!
+//! The leader frees segments of a version only after the store's own clock has passed the end of the last lease
+//! for it. A free expires too, so that one that is carried out late can't hit a version that a later leader leases
+//! again; within a term, a freed version is never leased again. A new leader doesn't know the leases and frees of
+//! its predecessors, so it waits until all of them have expired.
+//!
+//! The rules rely on the servers' clock and on the terms of leaders, not on timers or on the list of servers. An
+//! observed clock is a lower bound of the current one.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+
+use base::prelude::*;
+use fleet::Servers;
+use wire::FetchLease;
+
+use super::Context;
+
+/// Duration of a lease for the newest weight version; it outlasts a change of leader.
+pub(super) const NEWEST_LEASE: Duration = Duration::from_secs(10);
+/// Duration of a lease for an older version. No lease is longer than the one for the newest.
+const OLDER_LEASE: Duration = Duration::from_secs(3);
+/// How long a free may take to be carried out.
+const FREE_EXPIRY: Duration = Duration::from_secs(1);
+/// Upper bound of the age of an observed clock.
+const CLOCK_MARGIN: Duration = Duration::from_secs(2);
+/// Age of an observed clock from which no lease is derived from it.
+const MAX_CLOCK_AGE: Duration = Duration::from_secs(5);
+/// Interval between renewals of the leases.
+const RENEWAL_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval between attempts while no lease can be issued.
+const RETRY_INTERVAL: Duration = Duration::from_millis(100);
+
+/// The oldest weight version of a model that servers on the list hold.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Floor {
+    pub version: u64,
+    /// A server that holds it; empty if it is the newest version that was set.
+    pub holder: Name,
+    /// Number of servers that hold it.
+    pub holders: usize,
+}
+
+/// A lease of this process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Lease {
+    /// End on the servers' clock, milliseconds.
+    pub until_ms: u64,
+    /// Estimated end on the clock of this process.
+    pub ends: Time,
+}
+
+/// Permission to free segments of a version on a store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Release {
+    /// Clock of the store, milliseconds.
+    pub clock_ms: u64,
+    /// When the free expires, on that clock.
+    pub until_ms: u64,
+}
+
+/// The leases of this process, and as the leader, what it needs to issue leases and to free segments.
+#[derive(Debug, Default)]
+pub(super) struct Fence {
+    leases: HashMap<Name, BTreeMap<u64, Lease>>,
+    /// Term of the state below.
+    term: u64,
+    /// When this process began to lead in that term.
+    since: Time,
+    /// Last observed clock of each store, and when it was received.
+    clocks: HashMap<SocketAddr, (u64, Time)>,
+    /// First clock that was observed after the predecessor's leadership had ended.
+    first_clock_ms: Option<u64>,
+    /// End of the last lease that was issued for each version.
+    issued: HashMap<Name, BTreeMap<u64, u64>>,
+    /// For each model, the version below which segments were freed.
+    freed_below: HashMap<Name, u64>,
+    next_renewal: Time,
+    /// Revision of the configuration at the last renewal.
+    revision: Revision,
+    /// The versions that were leased at the last renewal.
+    leased: BTreeMap<Name, BTreeSet<u64>>,
+}
+
+impl Fence {
+    /// As the leader in a term: discards the state of earlier terms.
+    pub fn lead(&mut self, now: Time, term: u64) {
+        if self.term == term {
+            return;
+        }
+        let leases = std::mem::take(&mut self.leases);
+        *self = Self { leases, term, since: now, ..Self::default() };
+    }
+
+    /// As the leader: records the clock in the response of a store. `began` is the time at which the read began, and
+    /// `predecessor` how long a predecessor may still consider itself the leader.
+    pub fn observe(
+        &mut self,
+        now: Time,
+        store: SocketAddr,
+        clock_ms: Option<u64>,
+        (began, predecessor): (Time, Duration),
+    ) {
+        let Some(clock_ms) = clock_ms else { return };
+        self.clocks.insert(store, (clock_ms, now));
+        if began >= self.since + predecessor {
+            self.first_clock_ms.get_or_insert(clock_ms);
+        }
+    }
+
+    /// Discards the clocks of other stores.
+    pub fn retain_stores(&mut self, is_store: impl Fn(&SocketAddr) -> bool) {
+        self.clocks.retain(|addr, _| is_store(addr));
+    }
+
+    /// Lower bound of the servers' clock.
+    fn clock_ms(&self, now: Time) -> Option<u64> {
+        let recent = self.clocks.values().filter(|(_, at)| now.since(*at) < MAX_CLOCK_AGE);
+        recent.map(|(clock_ms, at)| clock_ms + millis(now.since(*at))).max()
+    }
+
+    /// Clock of a store when it last responded with one.
+    pub fn store_clock_ms(&self, store: SocketAddr) -> Option<u64> {
+        self.clocks.get(&store).map(|(clock_ms, _)| *clock_ms)
+    }
+
+    /// Whether all frees of earlier leaders have expired.
+    fn earlier_frees_expired(&self, clock_ms: u64) -> bool {
+        self.first_clock_ms
+            .is_some_and(|first| clock_ms > first + millis(FREE_EXPIRY + CLOCK_MARGIN))
+    }
+
+    /// When all leases of earlier leaders have expired, on the servers' clock.
+    fn earlier_leases_end_ms(&self) -> Option<u64> {
+        Some(self.first_clock_ms? + millis(NEWEST_LEASE + CLOCK_MARGIN))
+    }
+
+    /// When all leases have expired that any leader has issued so far, on the servers' clock.
+    pub fn last_lease_end_ms(&self) -> Option<u64> {
+        let issued = self.issued.values().flat_map(BTreeMap::values).copied().max();
+        self.earlier_leases_end_ms().max(issued)
+    }
+
+    /// End of the last lease for a version, on the servers' clock; 0 if this leader issued none.
+    pub fn issued_until_ms(&self, model: &str, version: u64) -> u64 {
+        let versions = self.issued.get(model);
+        versions.and_then(|versions| versions.get(&version)).copied().unwrap_or(0)
+    }
+
+    /// As the leader: issues leases for the versions in use, if due. They apply to this process too.
+    pub fn renew(&mut self, cx: &Context<'_>, servers: &Servers) -> Renewal {
+        let due = cx.now >= self.next_renewal || cx.view.revision != self.revision;
+        if cx.term != Some(self.term) || !due {
+            return Renewal::default();
+        }
+        let clock_ms = self.clock_ms(cx.now).filter(|clock| self.earlier_frees_expired(*clock));
+        let Some(clock_ms) = clock_ms else {
+            self.next_renewal = cx.now + RETRY_INTERVAL;
+            return Renewal::default();
+        };
+        self.next_renewal = cx.now + RENEWAL_INTERVAL;
+        self.revision = cx.view.revision;
+        let newest: HashMap<Name, u64> = cx.view.target_versions().into_iter().collect();
+        let mut in_use = versions_in_use(servers);
+        for (model, version) in &newest {
+            in_use.entry(model.clone()).or_default().insert(*version);
+        }
+        for (model, versions) in &mut in_use {
+            let freed_below = self.freed_below.get(model).copied().unwrap_or(0);
+            versions.retain(|version| *version >= freed_below);
+        }
+        let mut leases = Vec::new();
+        for (model, versions) in &in_use {
+            for version in versions {
+                let is_newest = newest.get(model) == Some(version);
+                let left = if is_newest { NEWEST_LEASE } else { OLDER_LEASE };
+                let until_ms = clock_ms + millis(left);
+                let issued = self.issued.entry(model.clone()).or_default();
+                let issued = issued.entry(*version).or_default();
+                *issued = until_ms.max(*issued);
+                leases.push(FetchLease {
+                    model: model.clone(),
+                    version: *version,
+                    until_ms,
+                    left_ms: millis(left) as u32,
+                });
+            }
+        }
+        // No store can free on behalf of a lease that has expired on the clocks of all stores.
+        let oldest_clock_ms = self.clocks.values().map(|(clock_ms, _)| *clock_ms).min();
+        for versions in self.issued.values_mut() {
+            versions.retain(|_, until_ms| Some(*until_ms) >= oldest_clock_ms);
+        }
+        self.apply(cx.now, &leases);
+        let changed = in_use.iter().filter(|(model, versions)| {
+            self.leased.get(*model).is_none_or(|leased| leased != *versions)
+        });
+        let changed = changed.map(|(model, found)| (model.clone(), found.clone())).collect();
+        let is_first = self.leased.is_empty();
+        self.leased = in_use;
+        Renewal { leases, changed, clock_ms, is_first }
+    }
+
+    /// Applies leases that a leader issued. Each remains valid until its end, whoever leads then.
+    pub fn apply(&mut self, now: Time, leases: &[FetchLease]) {
+        for versions in self.leases.values_mut() {
+            versions.retain(|_, lease| now < lease.ends);
+        }
+        self.leases.retain(|_, versions| !versions.is_empty());
+        for lease in leases {
+            let versions = self.leases.entry(lease.model.clone()).or_default();
+            let ends = now + Duration::from_millis(u64::from(lease.left_ms));
+            let found = Lease { until_ms: lease.until_ms, ends };
+            let known = versions.entry(lease.version).or_insert(found);
+            if lease.until_ms > known.until_ms {
+                *known = found;
+            }
+        }
+    }
+
+    /// The lease for fetches and saves of a version, if it is valid.
+    pub fn lease(&self, now: Time, model: &str, version: u64) -> Option<Lease> {
+        let lease = self.leases.get(model)?.get(&version)?;
+        (now < lease.ends).then_some(*lease)
+    }
+
+    /// As the leader: whether segments of a version may be freed on a store now. The version must be below the
+    /// floor of its model.
+    pub fn release(&self, store: SocketAddr, model: &str, version: u64) -> Option<Release> {
+        let clock_ms = self.store_clock_ms(store)?;
+        let last_lease_end_ms =
+            self.earlier_leases_end_ms()?.max(self.issued_until_ms(model, version));
+        let until_ms = clock_ms + millis(FREE_EXPIRY);
+        (clock_ms > last_lease_end_ms).then_some(Release { clock_ms, until_ms })
+    }
+
+    /// As the leader: segments of the versions below this one were freed, so none of them is leased any more.
+    pub fn freed(&mut self, model: &Name, below: u64) {
+        let freed_below = self.freed_below.entry(model.clone()).or_default();
+        *freed_below = below.max(*freed_below);
+    }
+}
+
+/// Leases issued by the leader.
+#[derive(Debug, Default)]
+pub(super) struct Renewal {
+    pub leases: Vec<FetchLease>,
+    /// The models whose leased versions have changed, with these versions.
+    pub changed: Vec<(Name, BTreeSet<u64>)>,
+    /// Estimate of the servers' clock.
+    pub clock_ms: u64,
+    /// Whether they are the first in this term.
+    pub is_first: bool,
+}
+
+/// The weight versions of each model that servers on the list may run on: a server reports one number for all its
+/// models, while the list names one for each.
+fn versions_in_use(servers: &Servers) -> BTreeMap<Name, BTreeSet<u64>> {
+    let mut in_use: BTreeMap<Name, BTreeSet<u64>> = BTreeMap::new();
+    for (_, server) in servers.iter() {
+        for (model, version) in &server.listed.models {
+            let versions = in_use.entry(model.clone()).or_default();
+            versions.extend([*version, server.version].into_iter().filter(|found| *found > 0));
+        }
+    }
+    in_use
+}
+
+/// The floor of each model; none for a model of which a server holds an unknown version.
+pub(super) fn floors(cx: &Context<'_>, servers: &Servers) -> BTreeMap<Name, Floor> {
+    let mut floors: BTreeMap<Name, Floor> = BTreeMap::new();
+    for (_, server) in servers.iter() {
+        for (model, listed) in &server.listed.models {
+            let version = server.version.min(*listed);
+            let holder = || server.listed.id.clone();
+            let floor = floors.entry(model.clone()).or_insert_with(|| Floor {
+                version,
+                holder: holder(),
+                holders: 0,
+            });
+            if version < floor.version {
+                *floor = Floor { version, holder: holder(), holders: 0 };
+            }
+            floor.holders += usize::from(version == floor.version);
+        }
+    }
+    for (model, newest) in cx.view.target_versions() {
+        if let Some(floor) = floors.get_mut(&model).filter(|floor| newest < floor.version) {
+            *floor = Floor { version: newest, holder: Name::default(), holders: 0 };
+        }
+    }
+    floors.retain(|_, floor| floor.version > 0);
+    floors
+}
+
+fn millis(time: Duration) -> u64 {
+    time.as_millis() as u64
+}
--- a/crates/node/src/forward/mod.rs
+++ b/crates/node/src/forward/mod.rs
@@ -9,7 +9,8 @@
 //! | `ended` | handles responses that arrive when their requests have ended |
 //! | `load` | exchanges the load of servers with the other entries |
 //! | `stores` | chooses where prompt segments are fetched from and saved to |
-//! | `reader` | reads the segment inventories of stores and servers |
+//! | `reader` | reads the segment inventories of stores and servers, and frees stale segments |
+//! | `fence` | leases for fetches from stores, which no free overlaps |
 //! | `notices` | leaving and backoff notices of servers |
 //! | `limits` | rate limits of servers, their advertisement and the issuer of permits |
 //! | `permits` | permits for calls to rate-limited servers |
@@ -30,6 +31,7 @@
 mod event;
 mod evidence;
 mod explain;
+mod fence;
 mod follow;
 mod limits;
 mod list;
@@ -325,7 +327,8 @@
             }
             Event::ReportFailed { id, notice } => self.notice_from_call(cx, &id, notice, out),
             Event::StoreRead { addr, since, delta } => {
-                self.stores.read_finished(cx, addr, since, delta, out);
+                let predecessor = self.config.lease;
+                self.stores.read_finished(cx, (addr, since), delta, predecessor, out);
             }
         }
         self.record_decisions(cx, out, from);
@@ -347,6 +350,7 @@
         self.record_weights(cx, out);
         self.order_weights(cx, out);
         self.stores.read(cx, &self.servers, &mut self.limits, out);
+        self.stores.renew_leases(cx, &self.servers, out);
         self.stores.free_stale(cx, &self.servers, out);
         self.record_decisions(cx, out, from);
     }
--- a/crates/node/src/forward/place.rs
+++ b/crates/node/src/forward/place.rs
@@ -123,7 +123,8 @@
     ) -> Option<Duration> {
         let (choice, best) = (&options.choices[best], &options.candidates[best]);
         let addr = self.servers.get(choice.key)?.listed.addr;
-        if !self.stores.has_holdings_of(addr) || !self.stores.has_store_holdings(cx) {
+        let sources = options.sources_of(choice.version)?;
+        if !self.stores.has_holdings_of(addr) || !self.stores.has_store_holdings(cx, sources) {
             return None;
         }
         let run = self.runs.get_mut(&call)?;
@@ -193,6 +194,7 @@
             version: expected,
             allowed,
             limit: server.health.limit(),
+            ..PlacementInputs::default()
         };
         let memory_tokens = candidate.memory_needed;
         run.placement = Some(Placement {
@@ -213,6 +215,9 @@
             save = self.stores.save(cx, &sources);
         }
         let addr = server.listed.addr;
+        let fetch_until_ms = sources.fetch_until_ms(&transfer.fetch);
+        run.inputs.fetch_from = transfer.main_source.map(|(source, _)| source);
+        run.inputs.fetch_until_ms = fetch_until_ms;
         let attempt = Attempt {
             id: server.listed.id.clone(),
             addr,
@@ -223,7 +228,7 @@
             salt,
             // The last segment belongs to this request only: it is stored nowhere, and no other needs it.
             fetch: transfer.fetch.into_iter().chain([None]).collect(),
-            fetch_until_ms: None,
+            fetch_until_ms,
             save: save.into_iter().chain([None]).collect(),
         };
         self.bind_stream(cx.now, call, &software);
@@ -274,6 +279,8 @@
                 let sources = sources_by_version.iter().position(|(found, _)| *found == version);
                 let sources = sources.unwrap_or_else(|| {
                     let salt = salt_number(&salt(run, &prompt.model, version));
+                    let lease = self.stores.fence.lease(cx.now, &prompt.model, version);
+                    let salt = (salt, lease);
                     let found =
                         self.stores.sources(cx, &self.servers, engine, salt, &prompt.segments);
                     sources_by_version.push((version, found));
@@ -364,6 +371,12 @@
 }
 
 impl Options {
+    /// The sources of the prompt's segments for a weight version.
+    fn sources_of(&self, version: u64) -> Option<&Sources> {
+        let mut found = self.sources_by_version.iter();
+        found.find(|(of, _)| *of == version).map(|(_, sources)| sources)
+    }
+
     /// Removes servers that the stream would move to, if there is one of its software version.
     fn drop_moves(&mut self) {
         if self.choices.iter().any(|choice| choice.fit == Fit::Fits) {
--- a/crates/node/src/forward/reader.rs
+++ b/crates/node/src/forward/reader.rs
@@ -2,9 +2,12 @@
 //!
 //! Only the leader among the keepers reads their events, since stores and servers accept few readers.
 //! The state of the reads is kept while its lease lapses: when it leads again in the same term, no other
-//! process can have led in between.
+//! process can have led in between. In another term, a response to an earlier read is discarded.
+//!
+//! A store that restarted is offered again only after the last lease has expired that was issued before all entries
+//! were told: an entry with the earlier inventory could otherwise fetch a segment that another one is saving again.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use base::prelude::*;
@@ -12,10 +15,11 @@
 use fleet::{Servers, StoreDelta};
 use wire::{Holdings, StoredSegment};
 
+use super::fence::{Floor, floors};
 use super::limits::Limits;
 use super::stores::{Stores, stores};
 use super::{Context, ControlCall};
-use crate::decision::Decision;
+use crate::decision::{Decision, Free};
 use crate::{Effect, Effects};
 
 /// Time between two reads of the events of one target, so that one read returns several events.
@@ -31,8 +35,6 @@
 const FULL_READ_INTERVAL: Duration = Duration::from_secs(8);
 /// Time between two searches for stale segments.
 const FREE_INTERVAL: Duration = Duration::from_secs(1);
-/// How long no server must have held an old weight version before the segments computed with it are freed.
-const FREE_DELAY: Duration = Duration::from_secs(2);
 /// Maximum number of segments that one call frees.
 const MAX_FREED: usize = 1_000;
 
@@ -46,6 +48,15 @@
     lists: u64,
 }
 
+/// A store that has restarted and is not offered yet.
+#[derive(Clone, Copy, Debug)]
+struct Closed {
+    /// Its incarnation.
+    epoch: u64,
+    /// Time on the servers' clock from which it is offered, milliseconds; none if it isn't known yet.
+    until_ms: Option<u64>,
+}
+
 /// State of the reads of one target.
 #[derive(Debug, Default)]
 pub(super) struct ReadState {
@@ -58,6 +69,10 @@
     next_full: Time,
     /// Whether the target is a store; otherwise it is a server.
     store: bool,
+    /// Whether the pending read began in an earlier term.
+    outdated: bool,
+    /// Set while the store has restarted and is not offered yet.
+    closed: Option<Closed>,
     /// When the last read began.
     began: Time,
     /// When reads began to fail, if the last one failed.
@@ -90,6 +105,7 @@
             return;
         };
         self.term = self.term.max(term);
+        self.fence.lead(cx.now, term);
         let version =
             TargetsVersion { term, revision: cx.view.revision, lists: servers.generation() };
         if self.targets_version != version {
@@ -130,26 +146,25 @@
     /// Determines the read targets: the stores of the configuration and the engines on the list.
     fn find_targets(&mut self, cx: &Context<'_>, servers: &Servers, version: TargetsVersion) {
         if self.targets_version.term != version.term {
-            self.reads.clear();
+            self.reads.retain(|_, read| read.pending);
+            for read in self.reads.values_mut() {
+                *read = ReadState { pending: true, outdated: true, ..ReadState::default() };
+            }
         }
         self.targets_version = version;
         let stores: BTreeSet<SocketAddr> = stores(cx).map(|store| store.addr).collect();
+        self.fence.retain_stores(|addr| stores.contains(addr));
         let engines = servers.iter().filter(|(_, server)| !server.listed.models.is_empty());
         let engines: BTreeSet<SocketAddr> = engines
             .map(|(_, server)| server.listed.addr)
             .filter(|at| !stores.contains(at))
             .collect();
         let is_target = |addr: &SocketAddr| stores.contains(addr) || engines.contains(addr);
-        self.reads.retain(|addr, _| is_target(addr));
+        self.reads.retain(|addr, read| is_target(addr) || read.pending);
         let removed: Vec<SocketAddr> =
             self.inventory.stores().filter(|addr| !is_target(addr)).collect();
         for addr in removed {
-            self.publish(Holdings {
-                store: addr,
-                epoch: None,
-                complete: true,
-                segments: Vec::new(),
-            });
+            self.withdraw(addr);
         }
         // The stores hold the histories, so they are read before the servers.
         self.targets = stores.iter().chain(&engines).copied().collect();
@@ -162,15 +177,18 @@
     pub fn read_finished(
         &mut self,
         cx: &Context<'_>,
-        addr: SocketAddr,
-        since: Option<u64>,
+        (addr, since): (SocketAddr, Option<u64>),
         delta: Result<StoreDelta, String>,
+        predecessor: Duration,
         out: &mut Effects,
     ) {
         let Some(read) = self.reads.get_mut(&addr) else {
             return;
         };
         read.pending = false;
+        if std::mem::take(&mut read.outdated) {
+            return;
+        }
         if self.targets_version.term != self.term {
             // Another process has been the leader since then, and has advertised newer inventories.
             return;
@@ -180,16 +198,20 @@
             let failing_since = *read.failing_since.get_or_insert(cx.now);
             if cx.now.since(failing_since) >= MAX_SILENCE && self.inventory.contains_store(addr) {
                 read.since = None;
-                self.publish(Holdings {
-                    store: addr,
-                    epoch: None,
-                    complete: true,
-                    segments: Vec::new(),
-                });
+                self.withdraw(addr);
             }
             return;
         };
         read.failing_since = None;
+        if read.store {
+            self.fence.observe(cx.now, addr, delta.clock_ms, (read.began, predecessor));
+            if self.is_closed(cx.now, addr, &delta) {
+                return;
+            }
+        }
+        let Some(read) = self.reads.get_mut(&addr) else {
+            return;
+        };
         let full = is_full(read.store, since);
         let discontinuous = delta.epoch != read.epoch || delta.gap;
         if discontinuous && !full {
@@ -197,12 +219,7 @@
             read.since = None;
             read.next = cx.now;
             if delta.epoch != read.epoch {
-                self.publish(Holdings {
-                    store: addr,
-                    epoch: None,
-                    complete: true,
-                    segments: Vec::new(),
-                });
+                self.withdraw(addr);
             }
             return;
         }
@@ -233,49 +250,132 @@
         self.publish(Holdings { store: addr, epoch: Some(delta.epoch), complete: full, segments });
     }
 
-    /// As the leader: frees segments that were computed with a weight version that no server holds any
-    /// more, so that there is space for segments of new versions. Nothing fetches stale ones: a server
-    /// rejects a request that expects another version, and completes its runs before it changes.
+    /// Whether a store that responded has restarted and is not offered yet.
+    fn is_closed(&mut self, now: Time, addr: SocketAddr, delta: &StoreDelta) -> bool {
+        let restarted = self.epochs.get(&addr).is_some_and(|epoch| *epoch != delta.epoch);
+        if !restarted {
+            return false;
+        }
+        let last_lease_end_ms = self.fence.last_lease_end_ms();
+        let clock_ms = self.fence.store_clock_ms(addr);
+        let Some(read) = self.reads.get_mut(&addr) else {
+            return false;
+        };
+        let is_new = read.closed.is_none_or(|closed| closed.epoch != delta.epoch);
+        if is_new {
+            read.closed = Some(Closed { epoch: delta.epoch, until_ms: last_lease_end_ms });
+        }
+        let until_ms = read.closed.and_then(|closed| closed.until_ms).or(last_lease_end_ms);
+        read.next = now + READ_INTERVAL;
+        // Only events are certain to name the clock.
+        read.since = Some(delta.next_event);
+        read.next_full = now + FULL_READ_INTERVAL;
+        if until_ms.zip(clock_ms).is_some_and(|(until_ms, clock_ms)| clock_ms > until_ms) {
+            read.closed = None;
+            read.since = None;
+            self.epochs.insert(addr, delta.epoch);
+        }
+        if is_new {
+            self.withdraw(addr);
+        }
+        true
+    }
+
+    /// As the leader: issues the leases that are due. The inventories of stores that it has not read in its term are
+    /// withdrawn first: an earlier leader may have freed segments that a lease allows to save again.
+    pub fn renew_leases(&mut self, cx: &Context<'_>, servers: &Servers, out: &mut Effects) {
+        let renewal = self.fence.renew(cx, servers);
+        if renewal.leases.is_empty() {
+            return;
+        }
+        if renewal.is_first {
+            let is_unread = |addr: &SocketAddr| {
+                self.reads.get(addr).is_none_or(|read| read.epoch == 0 && read.since.is_none())
+            };
+            let unread: Vec<SocketAddr> =
+                stores(cx).map(|store| store.addr).filter(is_unread).collect();
+            for addr in unread {
+                self.withdraw(addr);
+            }
+        }
+        for (model, versions) in renewal.changed {
+            let term = cx.term.unwrap_or_default();
+            let (versions, clock_ms) = (versions.into_iter().collect(), renewal.clock_ms);
+            let leased = Decision::VersionsLeased { model, versions, term, clock_ms };
+            out.push(Effect::Decision(Box::new(leased)));
+        }
+        self.leases = renewal.leases;
+    }
+
+    /// As the leader: frees segments that were computed with a weight version that no server on the list holds any
+    /// more, so that there is space for segments of new versions.
     pub fn free_stale(&mut self, cx: &Context<'_>, servers: &Servers, out: &mut Effects) {
         if cx.term.is_none() || cx.now < self.next_free {
             return;
         }
         self.next_free = cx.now + FREE_INTERVAL;
-        let mut oldest: HashMap<Name, u64> = HashMap::new();
-        for (_, server) in servers.iter() {
-            for (model, _) in &server.listed.models {
-                let min_version = oldest.entry(model.clone()).or_insert(u64::MAX);
-                *min_version = (*min_version).min(server.version);
+        let list_age = servers.read_at().map_or(Duration::MAX, |at| cx.now.since(at));
+        for (model, floor) in floors(cx, servers) {
+            let mut freed = false;
+            for store in stores(cx) {
+                if let Some((free, call)) = self.stale_segments(store.addr, &model, &floor) {
+                    let decision = Decision::Freed(Free { list_age, ..free });
+                    out.push(Effect::Decision(Box::new(decision)));
+                    out.push(Effect::Call(call));
+                    freed = true;
+                }
             }
-        }
-        for (model, version) in oldest {
-            let oldest = self.oldest.entry(model).or_insert((version, cx.now));
-            if oldest.0 != version {
-                *oldest = (version, cx.now);
+            if freed {
+                self.fence.freed(&model, floor.version);
             }
         }
-        let is_stale = |salt: u64| {
-            let (model, version) = model_and_version(self.salts.get(&salt)?)?;
-            let (oldest, since) = self.oldest.get(model)?;
-            (version < *oldest && cx.now.since(*since) >= FREE_DELAY).then_some(())
-        };
-        for store in stores(cx) {
-            let addr = store.addr;
-            let Some((epoch, locations)) = self.inventory.holdings(addr) else { continue };
-            let stale = locations.filter(|location| is_stale(location.salt).is_some());
-            let segments: Vec<(Name, u64)> = stale
-                .filter_map(|location| Some((self.salts.get(&location.salt)?.clone(), location.id)))
-                .take(MAX_FREED)
-                .collect();
-            if !segments.is_empty() {
-                out.push(Effect::Call(ControlCall::FreeSegments {
-                    addr,
-                    epoch,
-                    until_ms: None,
-                    segments,
-                }));
+    }
+
+    /// The call that frees the stale segments of a model on a store, if there are any.
+    fn stale_segments(
+        &self,
+        addr: SocketAddr,
+        model: &Name,
+        floor: &Floor,
+    ) -> Option<(Free, ControlCall)> {
+        let (epoch, locations) = self.inventory.holdings(addr)?;
+        let mut versions = BTreeSet::new();
+        let mut release = None;
+        let mut stale = |salt: u64| {
+            let salt = self.salts.get(&salt)?;
+            let (of, version) = model_and_version(salt)?;
+            if of != &**model || version >= floor.version {
+                return None;
             }
-        }
+            release = Some(self.fence.release(addr, of, version)?);
+            versions.insert(version);
+            Some(salt.clone())
+        };
+        let segments: Vec<(Name, u64)> = locations
+            .filter_map(|location| Some((stale(location.salt)?, location.id)))
+            .take(MAX_FREED)
+            .collect();
+        let release = release?;
+        let lease_end = |version: &u64| self.fence.issued_until_ms(model, *version);
+        let free = Free {
+            store: addr,
+            model: model.clone(),
+            last_lease_ms: versions.iter().map(lease_end).max().unwrap_or(0),
+            versions: versions.into_iter().collect(),
+            segments: segments.len(),
+            floor: floor.version,
+            held_by: floor.holder.clone(),
+            holders: floor.holders,
+            clock_ms: release.clock_ms,
+            list_age: Duration::ZERO,
+        };
+        let until_ms = Some(release.until_ms);
+        Some((free, ControlCall::FreeSegments { addr, epoch, until_ms, segments }))
+    }
+
+    /// Removes a store or server from all inventories.
+    fn withdraw(&mut self, store: SocketAddr) {
+        self.publish(Holdings { store, epoch: None, complete: true, segments: Vec::new() });
     }
 
     fn publish(&mut self, holdings: Holdings) {
--- a/crates/node/src/forward/stores.rs
+++ b/crates/node/src/forward/stores.rs
@@ -17,6 +17,7 @@
 use record::{Engine, Store};
 use wire::{Holdings, StoredSegment};
 
+use super::fence::{Fence, Lease};
 use super::reader::{ReadState, TargetsVersion};
 use super::{Context, Forward};
 
@@ -75,8 +76,11 @@
     /// As the leader: texts of the salts that were read.
     pub(super) salts: HashMap<u64, Name>,
     pub(super) next_free: Time,
-    /// As the leader: the oldest weight version that any server of a model holds, and since when.
-    pub(super) oldest: HashMap<Name, (u64, Time)>,
+    pub(super) fence: Fence,
+    /// As the leader: leases to advertise to the entries.
+    pub(super) leases: Vec<wire::FetchLease>,
+    /// Last known incarnation of each store and server, also of those that are unreachable.
+    pub(super) epochs: HashMap<SocketAddr, u64>,
 }
 
 /// A store or server that a segment can be fetched from.
@@ -88,12 +92,16 @@
     latency_ms: f64,
     /// Expected fraction of its reported segments that it has evicted by the time of a fetch.
     evicted: f64,
+    /// For a store: when fetches from it must have ended.
+    ends: Option<Time>,
 }
 
 /// The shared segments of a prompt, each with its sources.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Sources {
     salt: u64,
+    /// The lease for fetches from stores and for saves.
+    lease: Option<Lease>,
     segments: Vec<(Segment, Vec<Source>)>,
 }
 
@@ -117,6 +125,17 @@
     pub fn salt(&self) -> u64 {
         self.salt
     }
+
+    /// When an unfinished fetch is discarded, if any of its sources is a store.
+    pub fn fetch_until_ms(&self, fetch: &[Option<SocketAddr>]) -> Option<u64> {
+        let lease = self.lease?;
+        let mut pairs = self.segments.iter().zip(fetch);
+        let from_store = pairs.any(|((_, sources), from)| {
+            let is_store = |source: &Source| Some(source.addr) == *from && source.ends.is_some();
+            sources.iter().any(is_store)
+        });
+        from_store.then_some(lease.until_ms)
+    }
 }
 
 impl Stores {
@@ -139,7 +158,15 @@
             complete: true,
             segments: segments.into_iter().map(stored).collect(),
         });
-        wire::Inventory { term: self.term, holdings: holdings.collect() }
+        // The entry may still have inventories that were withdrawn meanwhile.
+        let withdrawn = self.targets.iter().filter(|addr| !self.inventory.contains_store(**addr));
+        let withdrawn = withdrawn.map(|addr| Holdings {
+            store: *addr,
+            epoch: None,
+            complete: true,
+            segments: Vec::new(),
+        });
+        wire::Inventory { term: self.term, holdings: holdings.chain(withdrawn).collect() }
     }
 
     /// Applies an inventory that a leader advertised; false if it is of an earlier term than the last one.
@@ -159,6 +186,7 @@
             self.inventory.remove_store(holdings.store);
             return;
         };
+        self.epochs.insert(holdings.store, epoch);
         let location = |segment: &StoredSegment| Location { salt: segment.salt, id: segment.id };
         let present = holdings.segments.iter().filter(|segment| segment.tokens > 0);
         let added: Vec<(Location, u32)> =
@@ -183,10 +211,12 @@
         self.inventory.contains_store(server)
     }
 
-    /// Whether the inventory of any store is available; true if there are no stores.
-    pub fn has_store_holdings(&self, cx: &Context<'_>) -> bool {
+    /// Whether segments can be fetched from any store; true if there are no stores.
+    pub fn has_store_holdings(&self, cx: &Context<'_>, sources: &Sources) -> bool {
         let mut stores = stores(cx).peekable();
-        stores.peek().is_none() || stores.any(|store| self.inventory.contains_store(store.addr))
+        stores.peek().is_none()
+            || sources.lease.is_some()
+                && stores.any(|store| self.inventory.contains_store(store.addr))
     }
 
     /// The sources of the shared segments of a prompt.
@@ -195,12 +225,13 @@
         cx: &Context<'_>,
         servers: &Servers,
         engine: &Engine,
-        salt: u64,
+        (salt, lease): (u64, Option<Lease>),
         prompt: &[Segment],
     ) -> Sources {
         let shared = prompt.len().saturating_sub(1);
         let source = |addr: SocketAddr| {
             if let Some(store) = store_at(cx, addr) {
+                let ends = Some(lease?.ends);
                 let latency_ms = store.latency.as_secs_f64() * 1_000.0;
                 let zone = store.zone.clone();
                 return Some(Source {
@@ -209,18 +240,19 @@
                     rate: store.link_bits_per_s,
                     latency_ms,
                     evicted: 0.0,
+                    ends,
                 });
             }
             let server = servers.by_addr(addr).filter(|server| server.is_usable(cx.now))?;
             let zone = server.listed.zone.clone();
             let (rate, latency_ms) = (engine.link_bits_per_s, SERVER_LATENCY_MS);
-            Some(Source { addr, zone, rate, latency_ms, evicted: SERVER_EVICTED })
+            Some(Source { addr, zone, rate, latency_ms, evicted: SERVER_EVICTED, ends: None })
         };
         let segments = prompt.iter().take(shared).map(|segment| {
             let holders = self.inventory.holders(Location { salt, id: segment.id }, segment.tokens);
             (*segment, holders.filter_map(source).collect())
         });
-        Sources { salt, segments: segments.collect() }
+        Sources { salt, lease, segments: segments.collect() }
     }
 
     /// The tokens that the server at an address would hold and fetch. The first
@@ -243,8 +275,12 @@
             let best = sources
                 .iter()
                 .filter(|source| source.addr != addr)
-                .map(|source| {
-                    let millis = self.fetch_ms(now, source, engine, zone, segment.tokens);
+                .map(|source| (source, self.fetch_ms(now, source, engine, zone, segment.tokens)))
+                .filter(|(source, millis)| {
+                    let time = Duration::from_secs_f64((transfer.fetch_ms + millis) / 1_000.0);
+                    source.ends.is_none_or(|ends| now + time < ends)
+                })
+                .map(|(source, millis)| {
                     // Segments that a server has evicted are prefilled; a store evicts none.
                     let refill_ms = f64::from(segment.tokens) / tokens_per_ms * source.evicted;
                     (source.addr, millis + refill_ms)
@@ -326,6 +362,9 @@
         let now = cx.now;
         self.pending_saves.retain(|_, at| now.since(*at) < SAVE_EXPIRY);
         let mut save = vec![None; sources.segments.len()];
+        if sources.lease.is_none() {
+            return save;
+        }
         for (index, (segment, holders)) in sources.segments.iter().enumerate() {
             let location = Location { salt: sources.salt, id: segment.id };
             let stored = holders.iter().any(|source| store_at(cx, source.addr).is_some());
@@ -378,11 +417,13 @@
 
     /// As the leader: leases for fetches from stores to advertise to the entries.
     pub fn take_fetch_leases(&mut self) -> Vec<wire::FetchLease> {
-        Vec::new()
+        std::mem::take(&mut self.stores.leases)
     }
 
     /// Applies leases for fetches from stores that the leader advertised.
-    pub fn fetch_leases_advertised(&mut self, _now: Time, _leases: &[wire::FetchLease]) {}
+    pub fn fetch_leases_advertised(&mut self, now: Time, leases: &[wire::FetchLease]) {
+        self.stores.fence.apply(now, leases);
+    }
 
     /// The complete inventory, for an entry that has connected.
     pub fn inventory(&self) -> wire::Inventory {
--- a/crates/node/tests/fence.rs
+++ b/crates/node/tests/fence.rs
@@ -184,6 +184,68 @@
     assert!(frees.is_empty(), "{frees:?}");
 }
 
+// Guards against incident MIXED: a new leader took what an earlier read had seen for the state since it leads.
+#[test]
+fn a_response_to_a_read_of_an_earlier_term_is_discarded() {
+    let mut harness = leader(1);
+    harness.tick();
+    let reads = |harness: &mut Harness| {
+        let reads =
+            std::mem::take(&mut harness.out).into_iter().filter_map(|effect| match effect {
+                Effect::Call(ControlCall::ReadStore { addr, since }) if addr == store() => {
+                    Some(since)
+                }
+                _ => None,
+            });
+        reads.collect::<Vec<_>>()
+    };
+    assert_eq!(reads(&mut harness), [None]);
+    harness.term = Some(3);
+    harness.wait(TICK_MS);
+    assert_eq!(reads(&mut harness), [], "one read at a time");
+    harness.store_read(store(), "*/m/1", &[(1, 2_500)]);
+    assert_eq!(harness.forward.inventory().holdings.iter().find(|of| of.segments.len() == 1), None);
+    harness.wait(1_000);
+    assert_eq!(reads(&mut harness), [None], "the complete inventory is read again");
+}
+
+// Guards against incident MIXED: an entry with the inventory from before a restart of a store fetched a segment that
+// another entry was saving there again.
+#[test]
+fn a_restarted_store_is_offered_only_after_the_leases_from_before_have_ended() {
+    let mut harness = leader(1);
+    let (_, leases) = pass(&mut harness, 20_000, true);
+    let holds = |harness: &Harness| {
+        let inventory = harness.forward.inventory();
+        inventory.holdings.iter().any(|held| held.store == store() && held.epoch.is_some())
+    };
+    assert!(holds(&harness));
+    let mut last_ms = leases.iter().map(|lease| lease.until_ms).max().expect("a lease");
+    let mut is_withdrawn = false;
+    for _ in 0..400 {
+        harness.wait(TICK_MS);
+        for effect in std::mem::take(&mut harness.out) {
+            let Effect::Call(ControlCall::ReadStore { addr, since }) = effect else { continue };
+            let clock_ms = Some(harness.servers_clock_ms());
+            let (epoch, next_event) = if addr == store() { (2, 0) } else { (1, 9) };
+            let segments = Vec::new();
+            let delta = StoreDelta { epoch, next_event, gap: false, clock_ms, segments };
+            harness.event(Event::StoreRead { addr, since, delta: Ok(delta) });
+        }
+        let leases = harness.forward.take_fetch_leases();
+        let issued_ms = leases.iter().map(|lease| lease.until_ms).max().unwrap_or(0);
+        if !is_withdrawn {
+            last_ms = last_ms.max(issued_ms);
+            is_withdrawn = !holds(&harness);
+        } else if holds(&harness) {
+            let offered_ms = harness.servers_clock_ms();
+            assert!(offered_ms > last_ms, "offered at {offered_ms}, leased until {last_ms}");
+            return;
+        }
+    }
+    panic!("not offered again; withdrawn: {is_withdrawn}");
+}
+
 /// A part on the simulated store.
 #[derive(Clone, Copy, Debug)]
 struct Part {
@@ -301,17 +363,17 @@
                 let due = entry.remove();
                 self.happen(due);
             }
-            if self.now % TICK_MS == 0 {
+            if self.now.is_multiple_of(TICK_MS) {
                 for entry in 0..self.entries.len() {
                     self.step(entry, None);
                 }
                 let entry = self.rng.random_range(0..self.entries.len());
                 self.request(entry);
             }
-            if self.now % 8_000 == 0 {
+            if self.now.is_multiple_of(8_000) {
                 self.name_weights();
             }
-            if self.now % 3_000 == 0 {
+            if self.now.is_multiple_of(3_000) {
                 self.disturb(restarts);
             }
             let now = self.now;
@@ -569,14 +631,16 @@
 #[test_case(20..40, true; "frees and restarts of the store")]
 fn no_fetch_uses_a_part_that_is_freed_or_incomplete(seeds: std::ops::Range<u64>, restarts: bool) {
     let (mut freed, mut fetched) = (0, 0);
+    let mut violations = Vec::new();
     for seed in seeds {
         let mut world = World::new(seed);
         world.run(120_000, restarts);
-        assert!(world.violations.is_empty(), "seed {seed}: {:#?}", world.violations);
+        violations.extend(world.violations.iter().map(|found| format!("seed {seed}, {found}")));
         freed += world.freed;
         fetched += world.fetched;
     }
-    println!("{freed} parts freed, {fetched} fetched");
+    println!("{freed} parts freed, {fetched} fetched, {} violations", violations.len());
+    assert!(violations.is_empty(), "{violations:#?}");
     assert!(freed > 100, "only {freed} parts were freed");
     assert!(fetched > 1_000, "only {fetched} parts were fetched");
 }
--- a/crates/node/tests/forward.rs
+++ b/crates/node/tests/forward.rs
@@ -396,6 +396,7 @@
     harness.term = Some(1);
     harness.tick();
     harness.store_read(store, "", &[]);
+    harness.lease(1);
     harness.prompt(1, "/stream/x", "key", &PROMPT);
     let first = harness.sent(1);
     assert_eq!(first.salt.as_deref(), Some("*/m/1"));
@@ -588,6 +589,7 @@
     harness.tick();
     let store: SocketAddr = STORE.parse().expect("an address");
     harness.store_read(store, "*/m/1", &[(1, 2_500), (2, 5_000)]);
+    harness.lease(1);
     let failed = |harness: &mut Harness| {
         let delta = Err("no answer in time".to_owned());
         harness.event(Event::StoreRead { addr: store, since: Some(9), delta });
@@ -617,6 +619,8 @@
     harness.term = Some(1);
     harness.tick();
     harness.store_read(store, "*/m/1", &[(1, 2_500), (2, 5_000)]);
+    harness.lease(1);
+    harness.lease(2);
     harness.prompt(1, "/stream/x", "own", &PROMPT);
     let isolated = harness.sent(1);
     assert_eq!((isolated.salt.as_deref(), isolated.fetch), (Some("wall/m/1"), vec![None; 3]));
@@ -648,6 +652,7 @@
     harness.term = Some(1);
     harness.tick();
     harness.store_read(store, "*/m/1", &[(1, 2_500), (2, 5_000)]);
+    harness.lease(1);
     let load = wire::ServerLoad { transfer_ms: 900, ..no_load(store) };
     let now = harness.now;
     harness.forward.apply_load_totals(now, &[load]);
@@ -870,12 +875,21 @@
             .drain(..)
             .any(|effect| matches!(effect, Effect::Call(ControlCall::FreeSegments { .. })))
     };
-    harness.wait(4_000);
+    harness.wait(2_000);
+    harness.store_read(store, "*/m/1", &[(1, 2_500)]);
+    harness.wait(20_000);
+    harness.store_read(store, "*/m/1", &[(1, 2_500)]);
+    harness.wait(1_000);
     assert!(!freed(&mut harness), "a server still holds those weights");
     harness.report("i-1", 2, 1);
     harness.wait(1_000);
+    assert!(!freed(&mut harness), "the list still names them");
+    let changed = Listed { models: vec![(Name::new("m"), 2)], ..listed(1) };
+    harness.event(Event::Listed { list: Ok(vec![changed]) });
     harness.wait(1_000);
-    assert!(!freed(&mut harness), "the delay is not over yet");
+    assert!(!freed(&mut harness), "the last lease has not ended yet");
+    harness.wait(4_000);
+    harness.store_read(store, "*/m/1", &[(1, 2_500)]);
     harness.wait(1_000);
     assert!(freed(&mut harness));
 }
@@ -959,6 +973,7 @@
     harness.term = Some(1);
     harness.tick();
     if known {
+        harness.lease(1);
         harness.store_read(STORE.parse().expect("an address"), "s", &[]);
         harness.store_read(addr(1), "s", &[]);
     }
