The inventory that goes with the first lease of a term is read after all earlier frees have expired

A free of an earlier leader could be carried out after a new leader had read the store, and the event that reports it may be lost. An entry could then have an inventory with the freed segment and a lease for its version. With the first lease of its term, the leader withdraws the inventories of all stores and reads them again; a response to the read before is discarded.

Found by reading; no test fails without this change alone.

--- a/crates/node/src/forward/reader.rs
+++ b/crates/node/src/forward/reader.rs
@@ -69,7 +69,7 @@
     next_full: Time,
     /// Whether the target is a store; otherwise it is a server.
     store: bool,
-    /// Whether the pending read began in an earlier term.
+    /// Whether the response to the pending read is to be discarded.
     outdated: bool,
     /// Set while the store has restarted and is not offered yet.
     closed: Option<Closed>,
@@ -281,21 +281,21 @@
         true
     }
 
-    /// As the leader: issues the leases that are due. The inventories of stores that it has not read in its term are
-    /// withdrawn first: an earlier leader may have freed segments that a lease allows to save again.
+    /// As the leader: issues the leases that are due. Before the first ones in a term, the inventories of all stores are
+    /// withdrawn and read again: until then, a free of an earlier leader may have been carried out.
     pub fn renew_leases(&mut self, cx: &Context<'_>, servers: &Servers, out: &mut Effects) {
         let renewal = self.fence.renew(cx, servers);
         if renewal.leases.is_empty() {
             return;
         }
         if renewal.is_first {
-            let is_unread = |addr: &SocketAddr| {
-                self.reads.get(addr).is_none_or(|read| read.epoch == 0 && read.since.is_none())
-            };
-            let unread: Vec<SocketAddr> =
-                stores(cx).map(|store| store.addr).filter(is_unread).collect();
-            for addr in unread {
+            let all: Vec<SocketAddr> = stores(cx).map(|store| store.addr).collect();
+            for addr in all {
                 self.withdraw(addr);
+                if let Some(read) = self.reads.get_mut(&addr).filter(|read| read.closed.is_none()) {
+                    read.outdated = read.pending;
+                    (read.since, read.next) = (None, cx.now);
+                }
             }
         }
         for (model, versions) in renewal.changed {
--- a/crates/node/tests/forward.rs
+++ b/crates/node/tests/forward.rs
@@ -881,6 +881,10 @@
     harness.store_read(store, "*/m/1", &[(1, 2_500)]);
     harness.wait(1_000);
     assert!(!freed(&mut harness), "a server still holds those weights");
+    // With the first lease, the store is read again; the response to the read before is discarded.
+    harness.store_read(store, "*/m/1", &[(1, 2_500)]);
+    harness.wait(10);
+    harness.store_read(store, "*/m/1", &[(1, 2_500)]);
     harness.report("i-1", 2, 1);
     harness.wait(1_000);
     assert!(!freed(&mut harness), "the list still names them");
