--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -283,6 +283,10 @@
         let (parts, body) = response.into_parts();
         let response = self.shared.protocol.parse_response_head(&self.id, &parts);
         let (matches_request, not_run) = (response.matches_request, response.not_run);
+        if !matches_request {
+            let status = u64::from(response.status);
+            log::warn!(request:% = self.id, server:% = to.id, status; "response to another request");
+        }
         self.shared.notify(Event::ResponseReceived { call: self.call, response });
         match self.next_action(actions).await {
             Some(Action::Deliver) => {
