A server's 408, 429 or 503 alone is no promise to the caller

What callers saw, in a test: a server answered an unsafe request with 503 (429, 408) and without the header that says that it has not run. The status went to the caller unchanged, for whom it promises "not run, try again" (REFUSED). For servers the header is the promise and the status is none; for callers the status is. Such an answer to a request or stream that may not be repeated now leaves the outcome unknown: 502, or another server where a stream may be resumed.

--- a/crates/node/src/forward/follow.rs
+++ b/crates/node/src/forward/follow.rs
@@ -12,6 +12,8 @@
 
 /// Status of a server that is not the one that the request names, or does not hold the expected version.
 pub const MISDIRECTED: u16 = 421;
+/// Statuses that promise a client that its request has not run. A server gives that promise by a header.
+const PROMISES: [u16; 3] = [408, 429, 503];
 /// Maximum number of attempts of a request that servers reject without running it.
 const MAX_REJECTED_ATTEMPTS: u32 = 3;
 
@@ -52,6 +54,11 @@
             self.rejected(cx, call, response.status, out);
             return;
         }
+        if PROMISES.contains(&response.status) && run.retry_policy != RetryPolicy::Always {
+            // Delivered, it would promise what the server has not.
+            self.attempt_failed(cx, call, Failure::NoResponse, out);
+            return;
+        }
         if let Some(server) =
             run.placement.and_then(|placement| self.servers.get_mut(placement.server))
         {
