Only the next events of an event stream continue a stream

What callers saw, in tests with servers that write any bytes: a stream broke off, and whatever a second server sent with status 200 was appended to it: a plain body, events without a signature or with an encoding, a stream from its beginning, the last event again, or an error without an ID; it then ended as complete (ORDER, MIXED). And where the first answer was no stream (an error or a plain body on a route of resumable streams) and broke off, a whole stream of a second server followed inside it, framed by the first one's length: an answer with status 500 ended as complete with events in it.

Cause: the reducer looked at the status alone, and at the route alone to decide whether an answer may be continued; the edge did not look at the IDs of the events. Now an answer is continued only if it is a server's event stream (200, content type, signature, no encoding), only by another one, and the first event of that has to have an ID after the last one delivered. All else cuts the stream.

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -24,7 +24,7 @@
 use tokio::time::timeout;
 use tokio_stream::wrappers::ReceiverStream;
 
-use crate::events::EVENT_STREAM;
+use crate::events::is_event_stream;
 use crate::meter::{Counted, Meter, Socket};
 use crate::pool::{Failure, Lease, Pool};
 use crate::{EventSplitter, Input, Inputs, Protocol, accept, start};
@@ -290,6 +290,9 @@
         self.shared.notify(Event::ResponseReceived { call: self.call, response });
         match self.next_action(actions).await {
             Some(Action::Deliver) => {
+                if let Some(events) = &mut self.events {
+                    events.resume();
+                }
                 self.begin(&parts);
                 self.relay(body, lease, actions).await
             }
@@ -337,15 +340,15 @@
         if !matches!(self.caller, Caller::AwaitsHead(_)) {
             return;
         }
-        let kind = parts.headers.get(header::CONTENT_TYPE).and_then(|value| value.to_str().ok());
-        if kind.is_some_and(|kind| kind.starts_with(EVENT_STREAM)) {
+        let headers = end_to_end(&parts.headers);
+        if is_event_stream(&parts.headers) {
             self.events = Some(EventSplitter::default());
         }
         let (frames, queue) = channel(MAX_QUEUED_FRAMES);
         let body = StreamBody::new(ReceiverStream::new(queue));
         let mut response = Response::new(Either::Right(body));
         *response.status_mut() = parts.status;
-        *response.headers_mut() = end_to_end(&parts.headers);
+        *response.headers_mut() = headers;
         self.send_head(response, Caller::ReadsBody(frames));
     }
 
@@ -385,6 +388,10 @@
                     if self.events.as_ref().is_some_and(EventSplitter::is_too_large) {
                         return self.handle_abort(lease, "an event is too large", actions).await;
                     }
+                    if self.events.as_ref().is_some_and(EventSplitter::is_out_of_order) {
+                        let why = "the continuation repeats events";
+                        return self.handle_abort(lease, why, actions).await;
+                    }
                     if !self.send_to_caller(bytes).await {
                         return self.caller_disconnected();
                     }
@@ -421,10 +428,6 @@
     ) -> Option<Action> {
         log::info!(request:% = self.id, why; "response aborted");
         drop(lease);
-        if let Some(events) = &mut self.events {
-            // Another server sends the interrupted event again.
-            events.take_partial();
-        }
         self.shared.notify(Event::Failed { call: self.call, failure: forward::Failure::Aborted });
         self.next_action(actions).await
     }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -31,7 +31,7 @@
 mod transfer;
 
 pub use clock::{Clock, incarnation, unix_ms};
-pub use events::EventSplitter;
+pub use events::{EventSplitter, is_event_stream};
 pub use host::{Exit, Input, Inputs};
 pub use key::key_hash;
 pub use logging::{limit_log, log_to_stderr, log_to_stdout};
--- a/crates/node/src/forward/admit.rs
+++ b/crates/node/src/forward/admit.rs
@@ -130,6 +130,7 @@
             recorded: Recorded::default(),
             origin_source: None,
             delivery_started: false,
+            is_event_stream: false,
             status: 0,
             first_bytes_at: None,
             sent_at: arrived_at,
--- a/crates/node/src/forward/event.rs
+++ b/crates/node/src/forward/event.rs
@@ -101,6 +101,8 @@
     pub matches_request: bool,
     /// Whether the server states that it has not run the request.
     pub not_run: bool,
+    /// Whether it is a server's event stream, which can continue another one.
+    pub is_event_stream: bool,
     /// Load of the server.
     pub load: Option<Load>,
     /// Weight version that the server holds.
--- a/crates/node/src/forward/follow.rs
+++ b/crates/node/src/forward/follow.rs
@@ -66,7 +66,7 @@
         }
         if run.delivery_started {
             // This response continues a stream, so its head is not delivered again.
-            if response.status != 200 {
+            if !response.is_event_stream {
                 self.attempt_failed(cx, call, Failure::Aborted, out);
                 return;
             }
@@ -82,6 +82,7 @@
         };
         if !run.delivery_started {
             run.status = response.status;
+            run.is_event_stream = response.is_event_stream;
         }
         if run.recorded.is_unacknowledged() {
             run.recorded.hold();
@@ -185,7 +186,7 @@
         let may_retry = match run.retry_policy {
             RetryPolicy::Never => false,
             RetryPolicy::Always => !delivery_started,
-            RetryPolicy::Resume => true,
+            RetryPolicy::Resume => !delivery_started || run.is_event_stream,
         };
         if may_retry && self.take_retry(cx, call) {
             self.retry(cx, call, failure.as_str().to_owned(), out);
--- a/crates/node/src/forward/mod.rs
+++ b/crates/node/src/forward/mod.rs
@@ -197,6 +197,8 @@
     origin_source: Option<Name>,
     /// Whether delivery of a response to the caller has begun.
     delivery_started: bool,
+    /// Whether that response is an event stream, which another server can continue.
+    is_event_stream: bool,
     status: u16,
     first_bytes_at: Option<Time>,
     /// When the current attempt was sent.
--- a/crates/node/tests/cluster/mod.rs
+++ b/crates/node/tests/cluster/mod.rs
@@ -295,6 +295,7 @@
                     status,
                     matches_request: true,
                     not_run,
+                    is_event_stream: !not_run,
                     notice,
                     ..ResponseHead::default()
                 };
--- a/crates/node/tests/fleet/mod.rs
+++ b/crates/node/tests/fleet/mod.rs
@@ -733,6 +733,7 @@
                 let response = node::forward::ResponseHead {
                     status: 200,
                     matches_request: true,
+                    is_event_stream: true,
                     ..node::forward::ResponseHead::default()
                 };
                 self.forward(&run, Forwarded::ResponseReceived { call, response });
--- a/crates/node/tests/forwarder/mod.rs
+++ b/crates/node/tests/forwarder/mod.rs
@@ -118,8 +118,13 @@
     }
 
     pub fn respond(&mut self, call: u64, status: u16, not_run: bool) {
-        let response =
-            ResponseHead { status, matches_request: true, not_run, ..ResponseHead::default() };
+        let response = ResponseHead {
+            status,
+            matches_request: true,
+            not_run,
+            is_event_stream: status == 200,
+            ..ResponseHead::default()
+        };
         self.event(Event::ResponseReceived { call, response });
     }
 
