The length that its first server declared does not cut a continued stream

What callers saw, in a test: a stream with a length broke off and went on at a second server whose events are longer (one names a change of weights); hyper cut it at the first server's length, and it ended as complete without its last events (ORDER). The length of an event stream is no longer forwarded, so the stream goes in chunks and ends when its last server says so.

Measured: on the code before, a_continuation_may_have_another_length failed (the stream ended inside its fifth event); it passes now.

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -340,9 +340,11 @@
         if !matches!(self.caller, Caller::AwaitsHead(_)) {
             return;
         }
-        let headers = end_to_end(&parts.headers);
+        let mut headers = end_to_end(&parts.headers);
         if is_event_stream(&parts.headers) {
             self.events = Some(EventSplitter::default());
+            // The events of another server may have another length.
+            headers.remove(header::CONTENT_LENGTH);
         }
         let (frames, queue) = channel(MAX_QUEUED_FRAMES);
         let body = StreamBody::new(ReceiverStream::new(queue));
