Reports after a 421 count as calls within a backoff

Cause: the report that a 421 asks for was requested without Health::allow_own_call, which bounds the calls of this process's own within a backoff.

Change: it is asked, like the reports and orders of the leader.

Evidence: misdirected_responses_request_few_reports_within_a_backoff saw 6 reports in a backoff of 3 s before, and 2 now, which is the bound; node's tests forward, notices and limits pass (62, 21 and 13).

--- a/crates/node/src/forward/follow.rs
+++ b/crates/node/src/forward/follow.rs
@@ -111,7 +111,10 @@
                 server.health.record_misdirection(cx.now);
                 self.loads.mark_changed(server.listed.addr);
                 // Only the leader requests the report of a rate-limited server.
-                if server.health.rate_limit.is_none() && server.try_poll(cx.now) {
+                if server.health.rate_limit.is_none()
+                    && server.try_poll(cx.now)
+                    && server.health.allow_own_call(cx.now)
+                {
                     out.push(request_report(server));
                 }
             }
--- a/crates/node/tests/forward.rs
+++ b/crates/node/tests/forward.rs
@@ -1104,3 +1104,24 @@
     harness.request(2, "/safe/x");
     assert_eq!(harness.rejected(2).1, 503);
 }
+
+// Guards against reports that are requested from a server that asked for no requests: responses of another server at its address
+// to requests that were sent before.
+#[test]
+fn misdirected_responses_request_few_reports_within_a_backoff() {
+    let mut harness = Harness::new(1);
+    for call in 1..=7 {
+        harness.request(call, "/safe/x");
+        harness.sent(call);
+    }
+    harness.event(Event::ResponseReceived { call: 1, response: asks_for_backoff() });
+    for call in 2..=7 {
+        harness.wait(400);
+        harness.respond(call, 421, true);
+    }
+    let reports = harness
+        .out
+        .iter()
+        .filter(|effect| matches!(effect, Effect::Call(ControlCall::Report { .. })));
+    assert_eq!(reports.count(), 2);
+}
