disk: a retried batch repeats nothing that is on the disk

What callers saw: nothing yet.

Change: Store::write_from counts the writes that are on the disk, and a retry begins after them.

All 13 tests of disk pass, and the 24 of platform's path.

Open: failures of single syncs are not played; a gap in the indexes is not refused at load.

--- a/crates/disk/src/store.rs
+++ b/crates/disk/src/store.rs
@@ -126,27 +126,41 @@
     /// Performs all writes in order, with a single sync for consecutive writes without a snapshot.
     ///
     /// # Errors
-    /// Returns an error if the disk is full, after which the same writes may be retried, or if it fails,
-    /// after which nothing more may be written or acknowledged.
+    /// Returns an error if the disk is full or fails, after which nothing more may be written or acknowledged.
     pub fn write(&mut self, writes: &[Write]) -> Result<(), Error> {
+        self.write_from(&mut 0, writes)
+    }
+
+    /// Performs the writes after the first `done` ones, and counts in `done` those that are on the disk. These must not be
+    /// repeated: a snapshot may have replaced them.
+    ///
+    /// # Errors
+    /// Returns an error if the disk is full, after which the same writes may be retried with the same `done`, or if it
+    /// fails, after which nothing more may be written or acknowledged.
+    pub fn write_from(&mut self, done: &mut usize, writes: &[Write]) -> Result<(), Error> {
         let mut buffer = Vec::new();
-        for write in writes {
-            if let Some(hard_state) = &write.hard_state {
-                self.hard_state = hard_state.clone();
-            }
+        for (index, write) in writes.iter().enumerate().skip(*done) {
             if let Some(snapshot) = &write.snapshot {
                 self.flush(&mut buffer)?;
+                *done = index;
+                if let Some(hard_state) = &write.hard_state {
+                    self.hard_state = hard_state.clone();
+                }
                 self.write_snapshot(snapshot, &write.entries)?;
+                *done = index + 1;
                 continue;
             }
-            if write.hard_state.is_some() {
-                segment::append(&mut buffer, &Record::HardState(self.hard_state.clone()));
+            if let Some(hard_state) = &write.hard_state {
+                self.hard_state = hard_state.clone();
+                segment::append(&mut buffer, &Record::HardState(hard_state.clone()));
             }
             for entry in &write.entries {
                 segment::append(&mut buffer, &Record::Entry(entry.clone()));
             }
         }
-        self.flush(&mut buffer)
+        self.flush(&mut buffer)?;
+        *done = writes.len();
+        Ok(())
     }
 
     /// Replaces the stored addresses of other processes. They only serve to find these processes and are not needed for
--- a/crates/disk/tests/recovery.rs
+++ b/crates/disk/tests/recovery.rs
@@ -1,12 +1,13 @@
 //! Recovery after a crash, corruption or a full disk.
 
 use std::fs;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
 use disk::{Error, Store};
 use proptest::prelude::*;
 use quorum::{Body, Config, Entry, HardState, Snapshot, Write};
+use test_case::test_case;
 
 fn folder(name: &str) -> PathBuf {
     let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
@@ -88,6 +89,65 @@
     assert!(matches!(Store::open(&folder, 1), Err(Error::Corrupt { .. })));
 }
 
+/// Term and vote, index of the snapshot, and index and term of each entry, as read from a folder.
+fn recovered(folder: &Path) -> (HardState, Option<u64>, Vec<(u64, u64)>) {
+    let saved = Store::open(folder, 9).expect("opens").saved;
+    let entries = saved.entries.iter().map(|entry| (entry.index, entry.term)).collect();
+    (saved.hard_state, saved.snapshot.map(|snapshot| snapshot.index), entries)
+}
+
+// Guards against a log that is shifted without an error: writes of which a part is on the disk, with a snapshot that replaces
+// them, are retried from the first one, and the process ends before the last one.
+#[test_case(0; "before the first snapshot")]
+#[test_case(1; "before the second snapshot")]
+#[test_case(2; "before the third snapshot")]
+fn a_retry_repeats_nothing_that_is_on_the_disk(snapshots: u64) {
+    let term = |term| Some(HardState { term, vote: None });
+    let writes = [
+        Write { hard_state: term(2), ..entries((5..=8).map(|i| entry(i, 1))) },
+        Write { snapshot: Some(snapshot(7)), ..entries([entry(8, 1)]) },
+        Write { hard_state: term(3), ..entries([entry(9, 2), entry(10, 2)]) },
+        Write { hard_state: term(4), snapshot: Some(snapshot(9)), ..entries([entry(10, 2)]) },
+        entries([entry(11, 3)]),
+        Write { snapshot: Some(snapshot(10)), ..entries([entry(11, 3)]) },
+        entries([entry(12, 4)]),
+    ];
+    let begin = |name: &str| {
+        let folder = folder(&format!("{name}-{snapshots}"));
+        let mut store = Store::open(&folder, 9).expect("opens").store;
+        store.write(&[entries((1..=4).map(|i| entry(i, 1)))]).expect("writes");
+        (folder, store)
+    };
+    let (whole, mut store) = begin("whole");
+    store.write(&writes).expect("writes");
+    drop(store);
+    let written = |count: usize| {
+        let (folder, mut store) = begin("part");
+        store.write(&writes[..count]).expect("writes");
+        drop(store);
+        recovered(&folder)
+    };
+    for ends in [false, true] {
+        let (folder, mut store) = begin("retried");
+        // No log can be created there.
+        let obstacle = folder.join(format!("log-{}", snapshots + 1));
+        fs::create_dir(&obstacle).expect("a folder");
+        let mut done = 0;
+        for _ in 0..3 {
+            store.write_from(&mut done, &writes).expect_err("it is in the way");
+        }
+        fs::remove_dir(&obstacle).expect("removes");
+        if ends {
+            drop(store);
+            assert_eq!(recovered(&folder), written(snapshots as usize * 2 + 1));
+        } else {
+            store.write_from(&mut done, &writes).expect("writes");
+            drop(store);
+            assert_eq!((done, recovered(&folder)), (writes.len(), recovered(&whole)));
+        }
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 150,
--- a/crates/edge/src/files.rs
+++ b/crates/edge/src/files.rs
@@ -208,8 +208,9 @@
 /// Writes, and waits while the disk is full; nothing is acknowledged meanwhile.
 fn write(store: &mut Store, writes: &[Write]) -> Result<(), disk::Error> {
     let mut logged = false;
+    let mut done = 0;
     loop {
-        match store.write(writes) {
+        match store.write_from(&mut done, writes) {
             Err(error) if error.is_full() => {
                 if !logged {
                     log::warn!("disk full: {error}");
