--- a/bin/tamarack/src/args.rs
+++ b/bin/tamarack/src/args.rs
@@ -220,21 +220,21 @@
     pub request: String,
 }
 
-/// Show the prompt segments that crash servers and are rejected; connect to an entry that forwards requests.
+/// Show the prompt segments and requests that crash servers and are rejected; connect to an entry that forwards requests.
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "quarantine")]
 pub struct Quarantine {}
 
-/// Release a prompt segment from quarantine, at all entries.
+/// Release a prompt segment or a request from quarantine, at all entries.
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "release")]
 pub struct Release {
-    /// model
+    /// model of the segment, or service of the request
     #[argh(positional)]
-    pub model: String,
-    /// ID of the segment, as `quarantine` shows it
+    pub scope: String,
+    /// ID of the segment, or digest of the request, as `quarantine` shows it
     #[argh(positional)]
-    pub segment: String,
+    pub id: String,
 }
 
 /// Generate a seeded trace that resembles a deployment, and print it.
--- a/bin/tamarack/src/orders.rs
+++ b/bin/tamarack/src/orders.rs
@@ -135,21 +135,30 @@
     Ok(())
 }
 
-/// Shows the quarantined prompt segments.
+/// Shows the quarantined prompt segments and requests.
 pub fn quarantine(client: &Client) -> Result<(), Error> {
     let value = client.get("/v1/quarantine")?;
     if client.json {
         println!("{value}");
         return Ok(());
     }
-    let keys = ["model", "segments", "servers", "last_crash_ms", "trials", "last_trial_at"];
+    let keys = [
+        "model",
+        "segments",
+        "service",
+        "request",
+        "servers",
+        "last_crash_ms",
+        "trials",
+        "last_trial_at",
+    ];
     table::print(&keys, &table::rows(&value["quarantine"], &keys));
     Ok(())
 }
 
-/// Releases a prompt segment from quarantine.
+/// Releases a prompt segment or a request from quarantine.
 pub fn release(client: &Client, release: &args::Release) -> Result<(), Error> {
-    let path = format!("/v1/quarantine/{}/{}", release.model, release.segment);
+    let path = format!("/v1/quarantine/{}/{}", release.scope, release.id);
     let value = client.send("DELETE", &path, "", &request_id())?;
     println!("released {}", table::cell(&value["released"]));
     Ok(())
--- a/crates/base/src/code.rs
+++ b/crates/base/src/code.rs
@@ -92,8 +92,8 @@
     NoClaim = 2007, "claim not agreed", 503, NotRun;
     /// The client disconnected before the start.
     Cancelled = 2008, "cancelled before the start", 499, NotRun;
-    /// Servers crashed as they began to answer prompts with the same segment.
-    Quarantined = 2009, "prompt segment crashes servers", 503, NotRun;
+    /// Servers crashed as they ran this request, or began to answer prompts with the same segment.
+    Quarantined = 2009, "crashes servers", 503, NotRun;
     /// It is not known which service and software version began the stream that the client resumes.
     StreamUnknown = 2010, "origin of the stream unknown", 503, NotRun;
     /// No server of the software version that began the stream is left.
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -120,7 +120,7 @@
     request: Request<Counted>,
 ) -> Result<CallerResponse, Infallible> {
     let (parts, body) = request.into_parts();
-    let head = match shared.protocol.parse_request(&parts) {
+    let mut head = match shared.protocol.parse_request(&parts) {
         Ok(head) => head,
         Err(text) => return Ok(shared.reject("", Code::BadHeader, &text)),
     };
@@ -137,6 +137,7 @@
                 return Ok(shared.reject(&head.id, Code::SlowCaller, "the body came too slowly"));
             }
         };
+    head.digest = Some(digest(&parts, &body));
     let call = start::call_number();
     let (actions_in, actions) = unbounded_channel();
     let (response_in, response) = oneshot::channel();
@@ -166,6 +167,18 @@
     Ok(response)
 }
 
+/// Digest of what a caller repeats as it sends a request again: no headers, as its ID and its time limit change.
+fn digest(parts: &request::Parts, body: &[u8]) -> u128 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(parts.method.as_str().as_bytes()).update(b" ");
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    // Neither of them contains a line end, which a body may.
+    hasher.update(path.as_bytes()).update(b"\n").update(body);
+    let mut bytes = [0; size_of::<u128>()];
+    hasher.finalize_xof().fill(&mut bytes);
+    u128::from_le_bytes(bytes)
+}
+
 impl Shared {
     /// Rejects a request that was not passed to the reducer.
     fn reject(&self, id: &str, code: Code, text: &str) -> CallerResponse {
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -129,17 +129,17 @@
             crashes: IntCounterVec::new(
                 Opts::new(
                     "tamarack_server_crashes_total",
-                    "Crashes of servers without an agent: all of them as unknown, then those that prompt segments explain",
+                    "Crashes of servers without an agent: all of them as unknown, then those that prompt segments or requests explain",
                 ),
                 &["cause"],
             )?,
             held_back: IntCounter::new(
                 "tamarack_quarantined_requests_total",
-                "Requests rejected because a segment of their prompt crashes servers",
+                "Requests rejected because they or a segment of their prompt crash servers",
             )?,
             trials: IntCounter::new(
                 "tamarack_quarantine_trials_total",
-                "Permitted trials of quarantined prompt segments",
+                "Permitted trials of quarantined prompt segments and requests",
             )?,
             gauges: Mutex::new(HashMap::new()),
         };
@@ -236,12 +236,12 @@
         self.crashes.with_label_values(&[cause]).inc();
     }
 
-    /// Counts a request that was rejected because of quarantined prompt segments.
+    /// Counts a request that was rejected because it or a segment of its prompt is quarantined.
     pub fn record_held_back(&self) {
         self.held_back.inc();
     }
 
-    /// Counts a permitted trial of a quarantined prompt segment.
+    /// Counts a permitted trial of a quarantined prompt segment or request.
     pub fn record_trial(&self) {
         self.trials.inc();
     }
--- a/crates/edge/src/notes.rs
+++ b/crates/edge/src/notes.rs
@@ -2,7 +2,7 @@
 
 use node::decision::{Decision, Source};
 use node::forward::Progress;
-use quarantine::Hold;
+use quarantine::{Cause, Hold};
 use resume::Refusal;
 
 use crate::metrics::{GOES_ON, Metrics};
@@ -130,41 +130,73 @@
             let candidates = crash.candidates();
             let requests: Vec<&str> = candidates.iter().map(|found| &*found.request).collect();
             let segments: Vec<String> =
-                candidates.iter().map(|found| hex_list(&found.segments)).collect();
+                candidates.iter().map(|found| hex_list(&found.content.segments)).collect();
+            let digests: Vec<String> = candidates
+                .iter()
+                .map(|found| {
+                    found.content.digest.map(|digest| format!("{digest:x}")).unwrap_or_default()
+                })
+                .collect();
             let entries: Vec<&str> = crash.losses().map(|loss| &*loss.entry).collect();
             log::warn!(
                 server:% = crash.server.id, lost = u64::from(crash.lost()), entries = entries.join(","),
-                candidates = requests.join(","), segments = segments.join(" "), age_ms = millis(*age);
+                candidates = requests.join(","), segments = segments.join(" "), digests = digests.join(","),
+                age_ms = millis(*age);
                 "server crash observed"
             );
         }
         Decision::CrashExplained { server, hold } => {
-            metrics.record_crash("segment");
-            log::warn!(server:% = server.id, segments = segments(hold); "server crash explained by prompt segments");
+            if hold.is_request() {
+                metrics.record_crash("request");
+                log::warn!(server:% = server.id, digest = causes(hold); "server crash explained by a request");
+            } else {
+                metrics.record_crash("segment");
+                log::warn!(server:% = server.id, segments = causes(hold); "server crash explained by prompt segments");
+            }
         }
         Decision::Quarantined { held, hold, age } => {
-            let (segments, servers, age_ms) =
-                (segments(hold), hold.servers().join(","), millis(*age));
-            if *held {
-                log::warn!(segments, servers, age_ms; "prompt segments quarantined");
-            } else {
-                log::warn!(segments, servers, age_ms; "prompt segments released from quarantine");
+            let (causes, servers, age_ms) = (causes(hold), hold.servers().join(","), millis(*age));
+            match (hold.is_request(), *held) {
+                (false, true) => {
+                    log::warn!(segments = causes, servers, age_ms; "prompt segments quarantined")
+                }
+                (false, false) => {
+                    log::warn!(segments = causes, servers, age_ms; "prompt segments released from quarantine");
+                }
+                (true, true) => log::warn!(digest = causes, servers, age_ms; "request quarantined"),
+                (true, false) => {
+                    log::warn!(digest = causes, servers, age_ms; "request released from quarantine");
+                }
             }
         }
         Decision::HeldBack { request, hold, last_crash, trials, retry_after } => {
             metrics.record_held_back();
-            log::info!(
-                request:% = request, segments = segments(hold), servers = hold.servers().join(","),
-                age_ms = millis(*last_crash), trials = u64::from(*trials), back_ms = millis(*retry_after);
-                "request with quarantined prompt segments rejected"
-            );
+            let (causes, servers) = (causes(hold), hold.servers().join(","));
+            let (age_ms, trials, back_ms) =
+                (millis(*last_crash), u64::from(*trials), millis(*retry_after));
+            if hold.is_request() {
+                log::info!(
+                    request:% = request, digest = causes, servers, age_ms, trials, back_ms;
+                    "quarantined request rejected"
+                );
+            } else {
+                log::info!(
+                    request:% = request, segments = causes, servers, age_ms, trials, back_ms;
+                    "request with quarantined prompt segments rejected"
+                );
+            }
         }
         Decision::TrialPermitted(trial) => {
             metrics.record_trial();
-            log::info!(
-                segments = format!("{:x}", trial.segment.id), entry:% = trial.entry, number = u64::from(trial.number);
-                "trial of a quarantined prompt segment permitted"
-            );
+            let (cause, number) = (hex(&trial.cause), u64::from(trial.number));
+            if trial.cause.is_request() {
+                log::info!(digest = cause, entry:% = trial.entry, number; "trial of a quarantined request permitted");
+            } else {
+                log::info!(
+                    segments = cause, entry:% = trial.entry, number;
+                    "trial of a quarantined prompt segment permitted"
+                );
+            }
         }
         Decision::Listed { servers, leaving } => {
             log::info!(servers, leaving; "server list changed");
@@ -252,10 +284,16 @@
     }
 }
 
-/// IDs of quarantined prompt segments.
-fn segments(hold: &Hold) -> String {
-    let ids: Vec<u64> = hold.segments.iter().map(|segment| segment.id).collect();
-    hex_list(&ids)
+/// IDs of quarantined prompt segments, or the digest of a quarantined request.
+fn causes(hold: &Hold) -> String {
+    hold.causes.iter().map(hex).collect::<Vec<_>>().join(",")
+}
+
+fn hex(cause: &Cause) -> String {
+    match cause {
+        Cause::Segment { id, .. } => format!("{id:x}"),
+        Cause::Request { digest, .. } => format!("{digest:x}"),
+    }
 }
 
 fn decimal_list(numbers: &[u64]) -> String {
--- a/crates/node/src/admin.rs
+++ b/crates/node/src/admin.rs
@@ -10,8 +10,8 @@
 //! | `GET /v1/history` | all changes and their authors, in log order; on a keeper |
 //! | `GET /v1/servers` | the processes and their status, on a keeper; servers without an agent, stores, weights |
 //! | `GET /v1/force/EPOCH.INDEX` | how many processes have applied a revision, and which lag behind; on a keeper |
-//! | `GET /v1/quarantine` | the quarantined prompt segments; on an entry that forwards requests |
-//! | `DELETE /v1/quarantine/MODEL/SEGMENT` | releases a segment at all entries; on any of them |
+//! | `GET /v1/quarantine` | the quarantined prompt segments and requests; on an entry that forwards requests |
+//! | `DELETE /v1/quarantine/MODEL/SEGMENT` or `SERVICE/REQUEST` | releases a segment or a request at all entries; on any of them |
 //! | `GET /v1/explain/REQUEST` | how a backend server was chosen; on the entry that served the request |
 
 use base::{Code, Name, Revision};
@@ -47,14 +47,14 @@
     Force(Revision),
     /// How a backend server was chosen.
     Explain(String),
-    /// The quarantined prompt segments.
+    /// The quarantined prompt segments and requests.
     Quarantine,
-    /// Release a segment from quarantine.
+    /// Release a segment or a request from quarantine.
     Release {
-        /// Model.
-        model: Name,
-        /// ID of the segment.
-        segment: u64,
+        /// Model of the segment, or service of the request.
+        scope: Name,
+        /// ID of the segment, or digest of the request.
+        id: u128,
     },
     /// Put a complete configuration.
     PutConfig(PutConfig),
@@ -107,9 +107,9 @@
             .map(Admin::Force)
             .ok_or_else(|| bad("a revision is EPOCH.INDEX")),
         ("GET", ["v1", "quarantine"]) => Ok(Admin::Quarantine),
-        ("DELETE", ["v1", "quarantine", model, segment]) => u64::from_str_radix(segment, 16)
-            .map(|segment| Admin::Release { model: Name::new(model), segment })
-            .map_err(|_| bad("a segment is a hexadecimal number")),
+        ("DELETE", ["v1", "quarantine", scope, id]) => u128::from_str_radix(id, 16)
+            .map(|id| Admin::Release { scope: Name::new(scope), id })
+            .map_err(|_| bad("a segment or a request is a hexadecimal number")),
         ("GET", ["v1", "explain", id]) => Ok(Admin::Explain((*id).to_owned())),
         _ => Err((Code::NoSuchPath, format!("{} {}", request.method, path))),
     }
--- a/crates/node/src/decision.rs
+++ b/crates/node/src/decision.rs
@@ -259,27 +259,27 @@
         /// Time since the first run was lost.
         age: Duration,
     },
-    /// Quarantined prompt segments explain the crash of a server.
+    /// Quarantined prompt segments, or a quarantined request, explain the crash of a server.
     CrashExplained {
         /// The server.
         server: quarantine::Server,
-        /// The segments.
+        /// The causes.
         hold: Hold,
     },
-    /// Prompts with these segments are rejected from now on, or are not any more.
+    /// Requests with these causes are rejected from now on, or are not any more.
     Quarantined {
         /// Whether they are.
         held: bool,
-        /// The segments and the crashes that they explain.
+        /// The causes and the crashes that they explain.
         hold: Hold,
         /// Time since the last of these crashes.
         age: Duration,
     },
-    /// A request was rejected because of quarantined segments.
+    /// A request was rejected because of quarantined causes.
     HeldBack {
         /// The caller's ID of the request.
         request: Name,
-        /// The segments and the crashes that they explain.
+        /// The causes and the crashes that they explain.
         hold: Hold,
         /// Time since the last of these crashes.
         last_crash: Duration,
@@ -288,7 +288,7 @@
         /// Retry-After for the caller.
         retry_after: Duration,
     },
-    /// An entry may send one request with a quarantined segment.
+    /// An entry may send one request with a quarantined cause.
     TrialPermitted(Trial),
     /// The server list has changed.
     Listed {
--- a/crates/node/src/forward/admit.rs
+++ b/crates/node/src/forward/admit.rs
@@ -114,6 +114,7 @@
             retry_policy: route.retry_policy,
             service: backend.service.clone(),
             workspace: workspace.map(|workspace| workspace.name.clone()),
+            digest: head.digest.map(|digest| caller_digest(digest, workspace)),
             isolated: workspace.is_some_and(|workspace| workspace.isolated),
             rank: workspace_rank.unwrap_or(route.rank),
             max_attempts: route.attempts,
@@ -194,3 +195,15 @@
         Rejection { code, status: code.status(), text, retry_after }
     }
 }
+
+/// Digest of a request and its caller, so that no caller gets the request of another one quarantined.
+fn caller_digest(request: u128, workspace: Option<&Workspace>) -> u128 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&request.to_le_bytes());
+    if let Some(workspace) = workspace {
+        hasher.update(workspace.name.as_bytes());
+    }
+    let mut bytes = [0; size_of::<u128>()];
+    hasher.finalize_xof().fill(&mut bytes);
+    u128::from_le_bytes(bytes)
+}
--- a/crates/node/src/forward/event.rs
+++ b/crates/node/src/forward/event.rs
@@ -50,6 +50,8 @@
     pub timeout: Option<Duration>,
     /// The prompt, for requests that name one.
     pub prompt: Option<Prompt>,
+    /// Digest of its method, path, query and body: equal in all requests by which a caller sends it again. None if unknown.
+    pub digest: Option<u128>,
     /// The stream to go on with, if it names the last event that the client has.
     pub resumption: Option<Resumption>,
 }
--- a/crates/node/src/forward/evidence.rs
+++ b/crates/node/src/forward/evidence.rs
@@ -5,7 +5,9 @@
 //! that a new leader learns them too.
 
 use base::prelude::*;
-use quarantine::{Candidate, Loss, Observation, Segment, Server, Stage, Survival, Table, Trial};
+use quarantine::{
+    Candidate, Cause, Content, Loss, Observation, Server, Stage, Survival, Table, Trial,
+};
 use wire::quarantine as border;
 
 use super::quarantine::{table_now, to_border};
@@ -26,7 +28,7 @@
     ) {
         // What the sender has, to find what it lacks.
         let mut sent = evidence.complete.then(Table::default);
-        let mut segments = Vec::new();
+        let mut causes = Vec::new();
         for observation in &evidence.observations {
             let observation = from_border(cx.now, observation);
             if let Some(sent) = &mut sent {
@@ -35,7 +37,7 @@
             if !self.quarantine.table.merge(&observation) {
                 continue;
             }
-            segments.extend(candidate_segments(&observation));
+            causes.extend(candidate_causes(&observation));
             self.contradict(cx, &observation);
             if let Observation::Trial(trial) = &observation {
                 out.push(Effect::Decision(Box::new(Decision::TrialPermitted(trial.clone()))));
@@ -45,7 +47,7 @@
                 self.quarantine.outbox.push(observation);
             }
         }
-        self.send_own_survivals(cx.now, segments);
+        self.send_own_survivals(cx.now, causes);
         if let Some(mut sent) = sent.filter(|_| cx.term.is_none()) {
             let own = self.quarantine.table.observations();
             self.quarantine.outbox.extend(own.into_iter().filter(|found| sent.merge(found)));
@@ -75,6 +77,7 @@
             lost: 0,
             remaining,
             refused: false,
+            answered: false,
             candidates: Vec::new(),
             ..loss.clone()
         }));
@@ -120,16 +123,12 @@
     }
 }
 
-/// The segments of the candidates of a loss.
-pub(super) fn candidate_segments(observation: &Observation) -> Vec<Segment> {
+/// What the candidates of a loss carry.
+pub(super) fn candidate_causes(observation: &Observation) -> Vec<Cause> {
     let Observation::Loss(loss) = observation else {
         return Vec::new();
     };
-    let segments = |candidate: &Candidate| -> Vec<Segment> {
-        let segment = |id: &u64| Segment { model: candidate.model.clone(), id: *id };
-        candidate.segments.iter().map(segment).collect()
-    };
-    loss.candidates.iter().flat_map(segments).collect()
+    loss.candidates.iter().flat_map(|candidate| candidate.content.causes()).collect()
 }
 
 fn to_wire(now: Time, observation: &Observation) -> border::Observation {
@@ -145,23 +144,26 @@
             lost: loss.lost,
             remaining: loss.remaining,
             refused: loss.refused,
+            answered: loss.answered,
             candidates: loss
                 .candidates
                 .iter()
                 .map(|candidate| border::Candidate {
                     request: candidate.request.clone(),
                     begun: candidate.stage == Stage::Begun,
-                    model: candidate.model.clone(),
-                    segments: candidate.segments.clone(),
+                    service: candidate.content.service.clone(),
+                    digest: candidate.content.digest,
+                    model: candidate.content.model.clone(),
+                    segments: candidate.content.segments.clone(),
                 })
                 .collect(),
         },
         Observation::Survival(survival) => border::Observation::Survival {
-            segment: to_border(&survival.segment),
+            cause: to_border(&survival.cause),
             ago_us: ago_us(survival.at),
         },
         Observation::Trial(trial) => border::Observation::Trial {
-            segment: to_border(&trial.segment),
+            cause: to_border(&trial.cause),
             entry: trial.entry.clone(),
             number: trial.number,
             ago_us: ago_us(trial.at),
@@ -171,7 +173,6 @@
 
 fn from_border(now: Time, observation: &border::Observation) -> Observation {
     let at = |ago_us: u64| table_now(now) - Duration::from_micros(ago_us);
-    let segment = |found: &border::Segment| Segment { model: found.model.clone(), id: found.id };
     match observation {
         border::Observation::Loss {
             server,
@@ -180,6 +181,7 @@
             lost,
             remaining,
             refused,
+            answered,
             candidates,
         } => Observation::Loss(Loss {
             server: Server { id: server.id.clone(), born: server.born },
@@ -188,26 +190,38 @@
             lost: *lost,
             remaining: *remaining,
             refused: *refused,
+            answered: *answered,
             candidates: candidates
                 .iter()
                 .map(|candidate| Candidate {
                     request: candidate.request.clone(),
                     stage: if candidate.begun { Stage::Begun } else { Stage::Sent },
-                    model: candidate.model.clone(),
-                    segments: candidate.segments.clone(),
+                    content: Content {
+                        service: candidate.service.clone(),
+                        digest: candidate.digest,
+                        model: candidate.model.clone(),
+                        segments: candidate.segments.clone(),
+                    },
                 })
                 .collect(),
         }),
-        border::Observation::Survival { segment: found, ago_us } => {
-            Observation::Survival(Survival { segment: segment(found), at: at(*ago_us) })
+        border::Observation::Survival { cause, ago_us } => {
+            Observation::Survival(Survival { cause: from_border_cause(cause), at: at(*ago_us) })
         }
-        border::Observation::Trial { segment: found, entry, number, ago_us } => {
-            Observation::Trial(Trial {
-                segment: segment(found),
-                entry: entry.clone(),
-                number: *number,
-                at: at(*ago_us),
-            })
+        border::Observation::Trial { cause, entry, number, ago_us } => Observation::Trial(Trial {
+            cause: from_border_cause(cause),
+            entry: entry.clone(),
+            number: *number,
+            at: at(*ago_us),
+        }),
+    }
+}
+
+fn from_border_cause(cause: &border::Cause) -> Cause {
+    match cause {
+        border::Cause::Segment { model, id } => Cause::Segment { model: model.clone(), id: *id },
+        border::Cause::Request { service, digest } => {
+            Cause::Request { service: service.clone(), digest: *digest }
         }
     }
 }
--- a/crates/node/src/forward/follow.rs
+++ b/crates/node/src/forward/follow.rs
@@ -32,6 +32,9 @@
         if let Some(placement) = run.placement {
             let request = (&run.head.id.clone(), run.sent_at);
             self.server_responded(cx, placement.server, request, response, out);
+            if response.matches_request && response.status != MISDIRECTED {
+                self.run_answered(cx, call);
+            }
         }
         let Some(run) = self.runs.get_mut(&call) else {
             return;
@@ -275,6 +278,7 @@
 
     pub(super) fn client_disconnected(&mut self, cx: &Context<'_>, call: u64, out: &mut Effects) {
         self.awaiting_config.retain(|(_, held, _)| *held != call);
+        self.run_abandoned(cx.now, call);
         self.end(cx, call, Code::Cancelled, Some(0), out);
     }
 
@@ -283,6 +287,7 @@
             return;
         };
         let code = if run.possible_executions > 0 { Code::DeadlineRunning } else { Code::Late };
+        self.run_abandoned(cx.now, call);
         self.reject(cx, call, code, "the time for it has passed", out);
     }
 
--- a/crates/node/src/forward/mod.rs
+++ b/crates/node/src/forward/mod.rs
@@ -14,7 +14,7 @@
 //! | `notices` | leaving and backoff notices of servers |
 //! | `limits` | rate limits of servers, their advertisement and the issuer of permits |
 //! | `permits` | permits for calls to rate-limited servers |
-//! | `quarantine` | crashes of servers, and prompt segments that cause them |
+//! | `quarantine` | crashes of servers, and the requests and prompt segments that cause them |
 //! | `evidence` | exchanges observations of crashes |
 //! | `streams` | streams that go on after they broke off, and the records of their origins |
 //! | `list` | reads and advertises the list of servers |
@@ -175,6 +175,8 @@
     retry_policy: RetryPolicy,
     service: Name,
     workspace: Option<Name>,
+    /// Digest of the request and its caller.
+    digest: Option<u128>,
     isolated: bool,
     rank: u8,
     max_attempts: u32,
@@ -207,7 +209,7 @@
     pending_permit: Option<PendingPermit>,
     /// Number of permit requests so far.
     permit_requests: u32,
-    /// Whether it is the permitted trial of a quarantined prompt segment.
+    /// Whether it is the permitted trial of a quarantined cause.
     is_trial: bool,
     /// Whether a server ended as it was about to answer it.
     is_suspect: bool,
--- a/crates/node/src/forward/quarantine.rs
+++ b/crates/node/src/forward/quarantine.rs
@@ -1,17 +1,19 @@
-//! Observes crashes of servers, and rejects prompts with segments that cause them.
+//! Observes crashes of servers, and rejects requests that cause them, by themselves or by a segment of their prompt.
 //!
-//! Each process decides by itself which segments are quarantined ([`quarantine::Table`]), on the same observations
+//! Each process decides by itself which causes are quarantined ([`quarantine::Table`]), on the same observations
 //! (`evidence`). The leader among the keepers also permits trials. Keepers save the observations on their disks.
 
 use std::collections::{HashMap, VecDeque};
 
 use base::prelude::*;
 use fleet::Key;
-use quarantine::{Candidate, Hold, Loss, Observation, Segment, Server, Stage, Survival, Table};
+use quarantine::{
+    Candidate, Cause, Content, Hold, Loss, Observation, Server, Stage, Survival, Table,
+};
 use serde_json::{Value, json};
 use wire::quarantine as border;
 
-use super::evidence::candidate_segments;
+use super::evidence::candidate_causes;
 use super::{Context, Failure, Forward, Progress, Run};
 use crate::decision::Decision;
 use crate::{Effect, Effects};
@@ -22,17 +24,24 @@
 const LOSS_WINDOW: Duration = Duration::from_millis(500);
 /// Time after its first bytes for which a response counts as just begun: the crash may follow them.
 const BEGIN_TIME: Duration = Duration::from_millis(100);
-/// Segments whose last survival is kept, and for how long.
+/// Segments and requests whose last survival is kept, each, and for how long.
 const MAX_SURVIVALS: usize = 8_192;
 const SURVIVAL_RETENTION: Duration = Duration::from_secs(60);
-/// Minimum time between two messages that the same segment survived.
+/// Minimum time between two messages that the same cause survived.
 const SURVIVAL_INTERVAL: Duration = Duration::from_millis(200);
 /// Minimum time between two messages that requests were rejected, which the leader answers with a trial.
 const HELD_BACK_INTERVAL: Duration = Duration::from_millis(250);
-/// Minimum Retry-After of a prompt with a quarantined segment.
+/// Minimum Retry-After of a request with a quarantined cause.
 const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Retry-After if no further trial is due.
 const RETRY_AFTER_TRIALS: Duration = Duration::from_secs(60);
+/// Time after a loss from which a request that is sent, and answered, shows that the server has not crashed, and until when:
+/// a server may start again under its identity.
+const ANSWER_FROM: Duration = Duration::from_millis(50);
+const ANSWER_UNTIL: Duration = Duration::from_secs(1);
+/// Time in which a request that its caller gave up may still crash its server, and how many are kept.
+const ABANDONED_TIME: Duration = Duration::from_secs(3);
+const MAX_ABANDONED: usize = 256;
 /// Offset of the times in the table: a process's clock starts at zero, and observations may be older than the process.
 const CLOCK_OFFSET: Duration = Duration::from_secs(7_200);
 
@@ -53,15 +62,19 @@
     pub(super) losses: HashMap<Key, PendingLoss>,
     /// Responses that have just begun: when each counts as a survival, the exchange and its attempt.
     begun: VecDeque<(Time, u64, u32)>,
-    /// Last survival of each segment at this entry.
-    survivals: HashMap<Segment, Time>,
-    /// When the survival of a segment was last sent.
-    sent_survivals: HashMap<Segment, Time>,
-    /// Number of the last trial of each segment that this entry has used.
-    used_trials: HashMap<Segment, u32>,
+    /// Last survival of each segment, and of each whole request, at this entry. No two prompts may be alike, so requests
+    /// don't take the room of segments.
+    survivals: HashMap<Cause, Time>,
+    request_survivals: HashMap<Cause, Time>,
+    /// When the survival of a cause was last sent.
+    sent_survivals: HashMap<Cause, Time>,
+    /// Number of the last trial of each cause that this entry has used.
+    used_trials: HashMap<Cause, u32>,
+    /// Requests that ended here before their server answered: when, and where.
+    abandoned: VecDeque<(Time, Key, Candidate)>,
     /// Observations to send.
     pub(super) outbox: Vec<Observation>,
-    held_back: Vec<border::Segment>,
+    held_back: Vec<border::Cause>,
     next_held_back: Time,
     pub(super) next_complete: Time,
     /// Term of the last message with all observations.
@@ -71,10 +84,26 @@
 }
 
 impl Quarantine {
-    /// The quarantined segments.
+    /// The quarantined causes.
     pub fn holds(&self) -> &[Hold] {
         self.table.holds()
     }
+
+    /// The last survivals at this entry of causes of this kind.
+    fn survivals(&mut self, cause: &Cause) -> &mut HashMap<Cause, Time> {
+        if cause.is_request() { &mut self.request_survivals } else { &mut self.survivals }
+    }
+
+    fn remember_survival(&mut self, now: Time, cause: Cause, begun: Time) {
+        let survivals = self.survivals(&cause);
+        if survivals.len() > MAX_SURVIVALS {
+            survivals.retain(|_, at| now.since(*at) < SURVIVAL_RETENTION);
+        }
+        if survivals.len() > MAX_SURVIVALS {
+            survivals.clear();
+        }
+        survivals.insert(cause, begun);
+    }
 }
 
 /// The current time on the clock of the table.
@@ -82,11 +111,29 @@
     now + CLOCK_OFFSET
 }
 
-/// IDs of the segments of a run's prompt, without the last one.
-fn shared_segments(run: &Run) -> Vec<u64> {
+/// What a run carries that may crash its server.
+fn content(run: &Run) -> Content {
     let segments = run.segments();
     let shared = &segments[..segments.len().saturating_sub(1)];
-    shared.iter().map(|segment| segment.id).collect()
+    Content {
+        service: run.service.clone(),
+        digest: run.digest,
+        model: run.head.prompt.as_ref().map(|prompt| prompt.model.clone()).unwrap_or_default(),
+        segments: shared.iter().map(|segment| segment.id).collect(),
+    }
+}
+
+/// A run that may crash its server, unless the server has long been answering it.
+fn candidate(now: Time, run: &Run) -> Option<Candidate> {
+    let begun = match run.placement?.progress(now) {
+        Progress::Sent => false,
+        Progress::Head => true,
+        Progress::Body(time) if time < BEGIN_TIME => true,
+        Progress::Body(_) => return None,
+    };
+    // The head of a response without a prompt says nothing: most servers send it when the run is complete.
+    let stage = if begun && run.head.prompt.is_some() { Stage::Begun } else { Stage::Sent };
+    Some(Candidate { request: run.head.id.clone(), stage, content: content(run) })
 }
 
 impl Forward {
@@ -95,7 +142,7 @@
         let Some(run) = self.runs.get(&call) else {
             return;
         };
-        let Some((placement, prompt)) = run.placement.zip(run.head.prompt.as_ref()) else {
+        let Some(placement) = run.placement else {
             return;
         };
         let Some(server) = self.servers.get(placement.server) else {
@@ -107,17 +154,13 @@
             return;
         }
         let now = table_now(cx.now);
-        let stage = match placement.progress(cx.now) {
-            Progress::Sent => Some(Stage::Sent),
-            Progress::Head => Some(Stage::Begun),
-            Progress::Body(time) => (time < BEGIN_TIME).then_some(Stage::Begun),
-        };
-        let candidate = stage.map(|stage| Candidate {
-            request: run.head.id.clone(),
-            stage,
-            model: prompt.model.clone(),
-            segments: shared_segments(run),
-        });
+        let candidate = candidate(cx.now, run);
+        let abandoned =
+            self.quarantine.abandoned.iter().filter(|(at, key, _)| {
+                *key == placement.server && cx.now.since(*at) < ABANDONED_TIME
+            });
+        let abandoned: Vec<Candidate> = abandoned.map(|(.., found)| found.clone()).collect();
+        self.quarantine.abandoned.retain(|(_, key, _)| *key != placement.server);
         let losses = &mut self.quarantine.losses;
         losses.retain(|_, loss| now.since(loss.at) < LOSS_WINDOW);
         let loss = losses.entry(placement.server).or_insert(PendingLoss {
@@ -129,12 +172,13 @@
         });
         loss.lost += 1;
         loss.candidates.extend(candidate);
+        loss.candidates.extend(abandoned);
         loss.due.get_or_insert(cx.now + LOSS_DELAY);
     }
 
     fn connection_refused(&mut self, cx: &Context<'_>, server: Server) {
         let now = table_now(cx.now);
-        if self.quarantine.table.is_unconfirmed(now, &server, cx.entries) {
+        if self.quarantine.table.unconfirmed(now, &server, cx.entries).is_some() {
             let loss = Loss {
                 server,
                 entry: cx.process.clone(),
@@ -142,12 +186,65 @@
                 lost: 0,
                 remaining: 0,
                 refused: true,
+                answered: false,
                 candidates: Vec::new(),
             };
             self.observe(Observation::Loss(loss));
         }
     }
 
+    /// A server has answered a run: if it was sent after others were lost there, the server has not crashed.
+    pub(super) fn run_answered(&mut self, cx: &Context<'_>, call: u64) {
+        let Some((run, placement)) =
+            self.runs.get(&call).and_then(|run| run.placement.map(|placement| (run, placement)))
+        else {
+            return;
+        };
+        if self.quarantine.table.is_empty() {
+            return;
+        }
+        let Some(server) = self.servers.get(placement.server) else {
+            return;
+        };
+        let sent_at = table_now(run.sent_at);
+        let server = Server { id: server.listed.id.clone(), born: server.listed.born };
+        let lost_at = self.quarantine.table.unconfirmed(table_now(cx.now), &server, cx.entries);
+        let Some(at) = lost_at else {
+            return;
+        };
+        if sent_at > at + ANSWER_FROM && sent_at < at + ANSWER_UNTIL {
+            self.observe(Observation::Loss(Loss {
+                server,
+                entry: cx.process.clone(),
+                at,
+                lost: 0,
+                remaining: 0,
+                refused: false,
+                answered: true,
+                candidates: Vec::new(),
+            }));
+        }
+    }
+
+    /// A request without a prompt ended here before its server answered: its caller left, or its time is over. The server
+    /// may still run it.
+    pub(super) fn run_abandoned(&mut self, now: Time, call: u64) {
+        let Some(run) = self.runs.get(&call) else {
+            return;
+        };
+        let Some((placement, candidate)) = run.placement.zip(candidate(now, run)) else {
+            return;
+        };
+        if candidate.content.has_prompt() {
+            return;
+        }
+        let abandoned = &mut self.quarantine.abandoned;
+        if abandoned.len() >= MAX_ABANDONED {
+            abandoned.pop_front();
+        }
+        abandoned.push_back((now, placement.server, candidate));
+    }
+
     /// Number of runs of this entry that a server has begun to answer.
     pub(super) fn answered_runs(&self, key: Key) -> u32 {
         let answered = |run: &&Run| {
@@ -173,40 +270,31 @@
         }
     }
 
-    /// A response has ended or continued for a while: the server survived its segments.
+    /// A response has ended or continued for a while: the server survived what it carries.
     pub(super) fn response_survived(&mut self, now: Time, call: u64) {
         let Some(run) = self.runs.get(&call) else {
             return;
         };
-        let begun = run.placement.and_then(|placement| placement.body_at);
-        let Some((begun, prompt)) = begun.zip(run.head.prompt.as_ref()) else {
+        // A response without a prompt says at its end that the server survived, whatever its status, and without a body too.
+        let has_prompt = run.head.prompt.is_some();
+        let begun = run
+            .placement
+            .and_then(|placement| placement.body_at.or(placement.head_at.filter(|_| !has_prompt)));
+        let Some(begun) = begun.filter(|_| run.status < 300 || !has_prompt) else {
             return;
         };
-        if run.status >= 300 {
-            return;
-        }
-        let model = prompt.model.clone();
-        let segments = shared_segments(run);
-        let quarantine = &mut self.quarantine;
-        if quarantine.survivals.len() > MAX_SURVIVALS {
-            quarantine.survivals.retain(|_, at| now.since(*at) < SURVIVAL_RETENTION);
-        }
-        if quarantine.survivals.len() > MAX_SURVIVALS {
-            quarantine.survivals.clear();
-        }
-        for id in segments {
-            let segment = Segment { model: model.clone(), id };
-            let watched = self.quarantine.table.is_watched(&segment);
-            self.quarantine.survivals.insert(segment.clone(), begun);
+        for cause in content(run).causes() {
+            let watched = self.quarantine.table.is_watched(&cause);
+            self.quarantine.remember_survival(now, cause.clone(), begun);
             if watched {
-                self.send_survival(now, segment, begun);
+                self.send_survival(now, cause, begun);
             }
         }
     }
 
-    /// Sends the survival of a segment unless it was sent a moment ago.
-    fn send_survival(&mut self, now: Time, segment: Segment, begun: Time) {
-        let sent = self.quarantine.sent_survivals.get(&segment);
+    /// Sends the survival of a cause unless it was sent a moment ago.
+    fn send_survival(&mut self, now: Time, cause: Cause, begun: Time) {
+        let sent = self.quarantine.sent_survivals.get(&cause);
         if sent.is_some_and(|at| now.since(*at) < SURVIVAL_INTERVAL) {
             return;
         }
@@ -214,21 +302,20 @@
         if self.quarantine.sent_survivals.len() > MAX_SURVIVALS {
             self.quarantine.sent_survivals.clear();
         }
-        self.quarantine.sent_survivals.insert(segment.clone(), now);
-        self.observe(Observation::Survival(Survival { segment, at }));
+        self.quarantine.sent_survivals.insert(cause.clone(), now);
+        self.observe(Observation::Survival(Survival { cause, at }));
     }
 
-    /// The quarantined segments of a request's prompt, unless this entry may try it; marks the trial as used.
+    /// The quarantined causes that a request carries, unless this entry may try it; marks the trial as used.
     pub(super) fn quarantined(&mut self, cx: &Context<'_>, call: u64) -> Option<Hold> {
         if self.quarantine.holds().is_empty() {
             return None;
         }
         let run = self.runs.get(&call)?;
-        let model = &run.head.prompt.as_ref()?.model;
-        let hold = self.quarantine.table.find(model, &shared_segments(run))?.clone();
+        let hold = self.quarantine.table.find(&content(run))?.clone();
         let now = table_now(cx.now);
         let trial = self.quarantine.table.trial(&hold).filter(|trial| {
-            let used = self.quarantine.used_trials.get(&trial.segment).copied().unwrap_or(0);
+            let used = self.quarantine.used_trials.get(&trial.cause).copied().unwrap_or(0);
             trial.entry == *cx.process
                 && trial.at >= table_now(Time::ZERO)
                 && now.since(trial.at) < quarantine::TRIAL_VALIDITY
@@ -241,8 +328,8 @@
         let Some(number) = trial.map(|trial| trial.number).filter(|_| first) else {
             return Some(hold);
         };
-        for segment in &hold.segments {
-            self.quarantine.used_trials.insert(segment.clone(), number);
+        for cause in &hold.causes {
+            self.quarantine.used_trials.insert(cause.clone(), number);
         }
         if let Some(run) = self.runs.get_mut(&call) {
             run.is_trial = true;
@@ -250,7 +337,7 @@
         None
     }
 
-    /// Rejects a request whose prompt has quarantined segments.
+    /// Rejects a request that carries quarantined causes.
     pub(super) fn hold_back(
         &mut self,
         cx: &Context<'_>,
@@ -259,13 +346,13 @@
         out: &mut Effects,
     ) {
         let now = table_now(cx.now);
-        let changed_at = self.weights_changed_at(cx.now, &hold.segments[0].model);
+        let changed_at = hold.model().and_then(|model| self.weights_changed_at(cx.now, model));
         let due = self.quarantine.table.next_trial(hold, changed_at);
         let retry_after = due.map_or(RETRY_AFTER_TRIALS, |due| due.since(now)).max(MIN_RETRY_AFTER);
         let retry_after = super::jitter(&mut self.rng, retry_after);
-        for segment in hold.segments.iter().map(to_border) {
-            if !self.quarantine.held_back.contains(&segment) {
-                self.quarantine.held_back.push(segment);
+        for cause in hold.causes.iter().map(to_border) {
+            if !self.quarantine.held_back.contains(&cause) {
+                self.quarantine.held_back.push(cause);
             }
         }
         if let Some(run) = self.runs.get(&call) {
@@ -277,7 +364,12 @@
                 retry_after,
             })));
         }
-        let rejection = (Code::Quarantined, "a segment of its prompt crashes backend servers");
+        let text = if hold.is_request() {
+            "it crashes backend servers"
+        } else {
+            "a segment of its prompt crashes backend servers"
+        };
+        let rejection = (Code::Quarantined, text);
         self.reject_with_retry_after(cx, call, rejection, Some(retry_after), out);
     }
 
@@ -290,7 +382,7 @@
         several.then(|| table_now(now) - age)
     }
 
-    /// Sends what is due, and decides again which segments are quarantined.
+    /// Sends what is due, and decides again which causes are quarantined.
     pub(super) fn tick_quarantine(&mut self, cx: &Context<'_>, out: &mut Effects) {
         while let Some((_, call, attempt)) =
             self.quarantine.begun.front().copied().filter(|(due, ..)| *due <= cx.now)
@@ -326,18 +418,19 @@
             lost: loss.lost,
             remaining,
             refused: false,
+            answered: false,
             candidates: loss.candidates.clone(),
         });
-        let segments = candidate_segments(&observation);
+        let causes = candidate_causes(&observation);
         self.observe(observation);
-        self.send_own_survivals(cx.now, segments);
+        self.send_own_survivals(cx.now, causes);
     }
 
-    /// Sends the last survivals at this entry of segments that may have caused a crash.
-    pub(super) fn send_own_survivals(&mut self, now: Time, segments: Vec<Segment>) {
-        for segment in segments {
-            if let Some(begun) = self.quarantine.survivals.get(&segment).copied() {
-                self.send_survival(now, segment, begun);
+    /// Sends the last survivals at this entry of what may have caused a crash.
+    pub(super) fn send_own_survivals(&mut self, now: Time, causes: Vec<Cause>) {
+        for cause in causes {
+            if let Some(begun) = self.quarantine.survivals(&cause).get(&cause).copied() {
+                self.send_survival(now, cause, begun);
             }
         }
     }
@@ -367,9 +460,9 @@
             return;
         }
         let holds = self.quarantine.table.holds();
-        let is_held = |segment: &Segment| holds.iter().any(|hold| hold.segments.contains(segment));
-        // Trials are numbered anew if a segment is quarantined again.
-        self.quarantine.used_trials.retain(|segment, _| is_held(segment));
+        let is_held = |cause: &Cause| holds.iter().any(|hold| hold.causes.contains(cause));
+        // Trials are numbered anew if a cause is quarantined again.
+        self.quarantine.used_trials.retain(|cause, _| is_held(cause));
         // Those that no server has begun to answer would crash more servers.
         let waiting: Vec<u64> = self
             .runs
@@ -386,22 +479,22 @@
         }
     }
 
-    /// As the leader: permits the next trial of quarantined segments to an entry that has rejected such a request.
+    /// As the leader: permits the next trial of quarantined causes to an entry that has rejected such a request.
     pub fn held_back(
         &mut self,
         cx: &Context<'_>,
         entry: &Name,
-        segments: &[border::Segment],
+        causes: &[border::Cause],
         out: &mut Effects,
     ) {
         if cx.term.is_none() {
             return;
         }
         let named =
-            |hold: &&Hold| hold.segments.iter().all(|found| segments.contains(&to_border(found)));
+            |hold: &&Hold| hold.causes.iter().all(|found| causes.contains(&to_border(found)));
         let holds: Vec<Hold> = self.quarantine.holds().iter().filter(named).cloned().collect();
         for hold in holds {
-            let changed_at = self.weights_changed_at(cx.now, &hold.segments[0].model);
+            let changed_at = hold.model().and_then(|model| self.weights_changed_at(cx.now, model));
             let now = table_now(cx.now);
             for trial in self.quarantine.table.permit_trial(now, &hold, entry, changed_at) {
                 out.push(Effect::Decision(Box::new(Decision::TrialPermitted(trial.clone()))));
@@ -411,38 +504,56 @@
         }
     }
 
-    /// Ends the quarantine of a segment by hand; returns whether it was quarantined.
-    pub fn release_segment(
+    /// Ends the quarantine of a segment of a model, or of a request of a service, by hand; returns whether it was quarantined.
+    pub fn release_cause(
         &mut self,
         cx: &Context<'_>,
-        model: &Name,
-        id: u64,
+        scope: &Name,
+        id: u128,
         out: &mut Effects,
     ) -> bool {
-        let segment = Segment { model: model.clone(), id };
-        let held = self.quarantine.holds().iter().any(|hold| hold.segments.contains(&segment));
-        if held {
+        let segment = u64::try_from(id).ok().map(|id| Cause::Segment { model: scope.clone(), id });
+        let request = Cause::Request { service: scope.clone(), digest: id };
+        let is_held =
+            |cause: &Cause| self.quarantine.holds().iter().any(|hold| hold.causes.contains(cause));
+        let found: Vec<Cause> = segment.into_iter().chain([request]).filter(is_held).collect();
+        let held = !found.is_empty();
+        for cause in found {
             let at = table_now(cx.now);
-            self.observe(Observation::Survival(Survival { segment, at }));
+            self.observe(Observation::Survival(Survival { cause, at }));
+        }
+        if held {
             self.update_quarantine(cx, out);
         }
         held
     }
 
-    /// Number of groups of segments that are quarantined together.
+    /// Number of requests and of groups of segments that are quarantined.
     pub fn quarantined_groups(&self) -> usize {
         self.quarantine.holds().len()
     }
 
-    /// The quarantined segments, for operators.
+    /// The quarantined causes, for operators.
     pub fn dump_quarantine(&self, now: Time) -> Vec<Value> {
         let now = table_now(now);
         let shown = |hold: &Hold| {
             let trial = self.quarantine.table.trial(hold);
-            let segments = hold.segments.iter().map(|found| format!("{:x}", found.id));
+            let mut segments = Vec::new();
+            let (mut service, mut request) = (Name::default(), String::new());
+            for cause in &hold.causes {
+                match cause {
+                    Cause::Segment { id, .. } => segments.push(format!("{id:x}")),
+                    Cause::Request { service: found, digest } => {
+                        service = found.clone();
+                        request = format!("{digest:x}");
+                    }
+                }
+            }
             json!({
-                "model": &*hold.segments[0].model,
-                "segments": segments.collect::<Vec<_>>().join(","),
+                "model": hold.model().map_or("", |model| model),
+                "segments": segments.join(","),
+                "service": &*service,
+                "request": request,
                 "servers": hold.servers().join(","),
                 "last_crash_ms": now.since(hold.last_crash()).as_millis() as u64,
                 "trials": trial.map_or(0, |trial| trial.number),
@@ -452,8 +563,8 @@
         self.quarantine.holds().iter().map(shown).collect()
     }
 
-    /// The quarantined segments of requests that this entry has rejected, if they are to be sent.
-    pub fn take_held_back(&mut self, now: Time) -> Vec<border::Segment> {
+    /// The quarantined causes of requests that this entry has rejected, if they are to be sent.
+    pub fn take_held_back(&mut self, now: Time) -> Vec<border::Cause> {
         if now < self.quarantine.next_held_back || self.quarantine.held_back.is_empty() {
             return Vec::new();
         }
@@ -462,6 +573,11 @@
     }
 }
 
-pub(super) fn to_border(segment: &Segment) -> border::Segment {
-    border::Segment { model: segment.model.clone(), id: segment.id }
+pub(super) fn to_border(cause: &Cause) -> border::Cause {
+    match cause {
+        Cause::Segment { model, id } => border::Cause::Segment { model: model.clone(), id: *id },
+        Cause::Request { service, digest } => {
+            border::Cause::Request { service: service.clone(), digest: *digest }
+        }
+    }
 }
--- a/crates/node/src/process/advertise.rs
+++ b/crates/node/src/process/advertise.rs
@@ -88,7 +88,7 @@
             Frame::PermitRequest(request) => reply = forward.permit_requested(cx, &request),
             Frame::Permit(reply) => forward.permit_answered(cx, &reply, out),
             Frame::Evidence(evidence) => forward.evidence_received(cx, &evidence, out),
-            Frame::HeldBack(segments) => forward.held_back(cx, peer, &segments, out),
+            Frame::HeldBack(causes) => forward.held_back(cx, peer, &causes, out),
             _ => {}
         });
         if let Some(reply) = reply {
--- a/crates/node/src/process/dump.rs
+++ b/crates/node/src/process/dump.rs
@@ -66,22 +66,22 @@
         }
     }
 
-    /// Releases a prompt segment from quarantine, for an operator.
-    pub(super) fn release_segment(
+    /// Releases a prompt segment or a request from quarantine, for an operator.
+    pub(super) fn release_cause(
         &mut self,
         now: Time,
-        model: &Name,
-        segment: u64,
+        scope: &Name,
+        id: u128,
         out: &mut Effects,
     ) -> (u16, Value) {
         let mut released = false;
         self.with_forward(now, |forward, cx| {
-            released = forward.release_segment(cx, model, segment, out);
+            released = forward.release_cause(cx, scope, id, out);
         });
         if released {
-            return (200, json!({ "released": format!("{segment:x}") }));
+            return (200, json!({ "released": format!("{id:x}") }));
         }
-        error(Code::NoSuchRecord, "that segment is not quarantined here")
+        error(Code::NoSuchRecord, "that is not quarantined here")
     }
 
     /// The processes that a keeper tracks, and the servers for forwarded requests.
--- a/crates/node/src/process/mod.rs
+++ b/crates/node/src/process/mod.rs
@@ -625,8 +625,8 @@
             self.keepers.send(now, purpose, request, now + OPERATOR_READ_TIMEOUT, out);
             return;
         }
-        if let Admin::Release { model, segment } = admin {
-            let (status, body) = self.release_segment(now, model, *segment, out);
+        if let Admin::Release { scope, id } = admin {
+            let (status, body) = self.release_cause(now, scope, *id, out);
             respond(call, status, &body, out);
             return;
         }
--- a/crates/node/tests/cluster/mod.rs
+++ b/crates/node/tests/cluster/mod.rs
@@ -233,6 +233,7 @@
                     key: Some("key".to_owned()),
                     timeout: None,
                     prompt: None,
+                    digest: None,
                     resumption: None,
                 };
                 self.event(entry, Event::Arrived { call, head: Box::new(head) });
--- a/crates/node/tests/deadly_part.rs
+++ b/crates/node/tests/deadly_part.rs
@@ -84,7 +84,7 @@
     let until = plan.deadly[0].until;
     let world = World::simulate(plan);
     check(&world, DEADLY, 0, until);
-    assert_eq!(world.wrongly_held(), [] as [u64; 0]);
+    assert_eq!(world.wrongly_held(), [] as [u128; 0]);
 }
 
 // Guards against a quarantine that forgets a segment once its requests pause.
--- a/crates/node/tests/fleet/mod.rs
+++ b/crates/node/tests/fleet/mod.rs
@@ -1,5 +1,6 @@
 //! Simulates entries, keepers and backend servers without a network: whole processes exchange frames, callers retry, and
-//! servers crash, by themselves or when they begin a response to a prompt with a deadly segment.
+//! servers crash, by themselves, when they begin a response to a prompt with a deadly segment, or when they run a deadly
+//! request without a prompt.
 #![allow(dead_code, reason = "each test file uses a part of the simulation")]
 
 #[path = "../../../quorum/tests/cluster/disk.rs"]
@@ -19,6 +20,7 @@
     Action, ControlCall, Event as Forwarded, Failure, Prompt, RequestHead, Resumption as Resumes,
 };
 use node::{Config, Effect, Effects, Event, Keeper, LocalProcess, Node};
+use quarantine::Cause;
 use quorum::{Bootstrap, Member, Replica, Timing};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -42,6 +44,8 @@
 pub const STABLE_MS: u64 = 3_000;
 /// Crashes that are allowed before a segment must be known.
 pub const FREE_CRASHES: usize = 5;
+/// Crashes that are allowed before a request must be known.
+pub const FREE_REQUEST_CRASHES: usize = 3;
 /// How long a caller waits for the whole response; milliseconds.
 const CALLER_TIMEOUT_MS: u64 = 6_000;
 /// Segment that all prompts of a kind begin with, that of a workspace, and the deadly ones.
@@ -95,6 +99,9 @@
     pub faults: Vec<(u64, Fault)>,
     /// Number of retries of a client whose stream broke off. It resumes the stream if it has an event.
     pub stream_retries: u32,
+    /// Whether the requests have no prompt. Those of the first kind may run once, those of the second may be repeated, and a
+    /// deadly one is always the same.
+    pub plain: bool,
     pub end: u64,
     pub seed: u64,
 }
@@ -109,6 +116,7 @@
             deadly: Vec::new(),
             faults: Vec::new(),
             stream_retries: 0,
+            plain: false,
             end: 38_000,
             seed,
         }
@@ -183,7 +191,9 @@
     pub kind: u64,
     pub workspace: u64,
     segments: Vec<Segment>,
-    /// The deadly segment that it has.
+    /// What tells it from other requests.
+    digest: u128,
+    /// The deadly segment that it has, or the deadly request that it is.
     pub deadly: Option<u64>,
     retried: bool,
     /// When a server began its first attempt, and the number of attempts at servers.
@@ -426,7 +436,8 @@
     fn break_off(&mut self, id: u64) {
         if let Some(run) = self.runs.remove(&id) {
             let after = self.rng.random_range(1..=HOP_MS + 4);
-            let failed = Forwarded::Failed { call: run.call, failure: Failure::Aborted };
+            let failure = if self.plan.plain { Failure::NoResponse } else { Failure::Aborted };
+            let failed = Forwarded::Failed { call: run.call, failure };
             self.schedule(
                 after,
                 Due::Event(run.host, run.incarnation, Box::new(Event::Forward(failed))),
@@ -543,11 +554,13 @@
             segments.push(segment(DOCUMENTS + self.rng.random_range(0..200), 500));
         }
         segments.push(segment(1_000_000 + self.number, 200));
+        let own = u128::from(self.number) << 64;
         Request {
             at: now,
             kind,
             workspace,
-            segments,
+            digest: chosen.filter(|_| self.plan.plain).map_or(own, |deadly| deadly.segment.into()),
+            segments: if self.plan.plain { Vec::new() } else { segments },
             deadly: chosen.map(|deadly| deadly.segment),
             retried: false,
             begun: None,
@@ -578,19 +591,25 @@
         let resumption = self.resumption(number);
         let request = &self.requests[number];
         let tokens = request.segments.iter().map(|segment| segment.tokens).sum();
+        let path = match (self.plan.plain, request.kind) {
+            (false, _) => "/stream/x",
+            (true, 0) => "/once/x",
+            (true, _) => "/safe/x",
+        };
         let left = (request.at + CALLER_TIMEOUT_MS).saturating_sub(self.now);
         let head = RequestHead {
             id: attempt_id(call),
             host: "shop".to_owned(),
-            path: "/stream/x".to_owned(),
+            path: path.to_owned(),
             key: Some("key".to_owned()),
             timeout: Some(Duration::from_millis(left)),
-            prompt: Some(Prompt {
+            prompt: (!self.plan.plain).then(|| Prompt {
                 model: Name::new("m"),
                 segments: request.segments.clone(),
                 tokens,
                 max_tokens: 40,
             }),
+            digest: Some(request.digest),
             resumption,
         };
         let arrived = Forwarded::Arrived { call, head: Box::new(head) };
@@ -628,6 +647,16 @@
         self.schedule(HOP_MS, Due::Event(run.host, run.incarnation, event));
     }
 
+    fn respond(&mut self, run: &Run) {
+        let response = node::forward::ResponseHead {
+            status: 200,
+            matches_request: true,
+            is_event_stream: true,
+            ..node::forward::ResponseHead::default()
+        };
+        self.forward(run, Forwarded::ResponseReceived { call: run.call, response });
+    }
+
     fn deadly_now(&self, request: usize) -> Option<u64> {
         let segment = self.requests[request].deadly?;
         let deadly = self.plan.deadly.iter().find(|deadly| deadly.segment == segment)?;
@@ -650,8 +679,11 @@
         if request.attempts == 1 {
             request.begun.get_or_insert(self.now);
         }
+        if self.plan.plain {
+            self.respond(&run);
+        }
         self.forward(&run, Forwarded::BodyStarted { call: run.call });
-        let writing = self.rng.random_range(60..1_500);
+        let writing = if self.plan.plain { 1 } else { self.rng.random_range(60..1_500) };
         self.schedule(writing, Due::Finish(id));
     }
 
@@ -730,13 +762,9 @@
                     self.arrivals.push(Arrival { at: self.now, segment });
                 }
                 self.runs.insert(id, run.clone());
-                let response = node::forward::ResponseHead {
-                    status: 200,
-                    matches_request: true,
-                    is_event_stream: true,
-                    ..node::forward::ResponseHead::default()
-                };
-                self.forward(&run, Forwarded::ResponseReceived { call, response });
+                if !self.plan.plain {
+                    self.respond(&run);
+                }
                 let prefill = self.rng.random_range(20..180);
                 self.schedule(prefill, Due::Begin(id));
             }
@@ -792,26 +820,35 @@
         crashes.map(|crash| crash.at).collect()
     }
 
-    /// Requests with a segment that reached servers later than the stable time after its fifth crash.
+    /// Requests with a segment, or deadly requests, that reached servers later than the stable time after its fifth, or their
+    /// third, crash.
     pub fn late_arrivals(&self, segment: u64) -> usize {
-        let Some(fifth) = self.crash_times(segment).get(FREE_CRASHES - 1).copied() else {
+        let free = if self.plan.plain { FREE_REQUEST_CRASHES } else { FREE_CRASHES };
+        let Some(last) = self.crash_times(segment).get(free - 1).copied() else {
             return 0;
         };
-        let from = fifth + STABLE_MS;
+        let from = last + STABLE_MS;
         let late = |arrival: &&Arrival| arrival.segment == segment && arrival.at > from;
         self.arrivals.iter().filter(late).count()
     }
 
-    /// Segments of sound requests that some process took for the cause of crashes.
-    pub fn wrongly_held(&self) -> Vec<u64> {
+    /// Segments of sound requests, and sound requests, that some process took for the cause of crashes.
+    pub fn wrongly_held(&self) -> Vec<u128> {
         let mut found = Vec::new();
         for (_, _, decision) in &self.decisions {
             let Decision::Quarantined { held: true, hold, .. } = decision else {
                 continue;
             };
-            let segments = hold.segments.iter().map(|segment| segment.id);
-            if !segments.clone().any(|id| (DEADLY..DOCUMENTS).contains(&id)) {
-                found.extend(segments);
+            let causes = hold.causes.iter().map(|cause| match cause {
+                Cause::Segment { id, .. } => u128::from(*id),
+                Cause::Request { digest, .. } => *digest,
+            });
+            let is_deadly = |id: u128| {
+                (DEADLY..DOCUMENTS)
+                    .any(|found| id == found.into() || id == held_digest(found.into()))
+            };
+            if !causes.clone().any(is_deadly) {
+                found.extend(causes);
             }
         }
         found.sort_unstable();
@@ -867,3 +904,10 @@
 fn server_id(server: usize, born: u64) -> Name {
     Name::from(format!("i-{server}-{born}"))
 }
+
+/// Digest of a request and its caller.
+fn held_digest(request: u128) -> u128 {
+    let mut hasher = blake3::Hasher::new();
+    let hash = hasher.update(&request.to_le_bytes()).update(b"shop").finalize();
+    u128::from_le_bytes(hash.as_bytes()[..16].try_into().expect("16 bytes"))
+}
--- a/crates/node/tests/forwarder/mod.rs
+++ b/crates/node/tests/forwarder/mod.rs
@@ -112,11 +112,25 @@
             key: Some(key.to_owned()),
             timeout: None,
             prompt: (!segments.is_empty()).then_some(prompt),
+            digest: None,
             resumption: None,
         };
         self.event(Event::Arrived { call, head: Box::new(head) });
     }
 
+    /// A request without a prompt that is told from others by this number.
+    pub fn plain(&mut self, call: u64, path: &str, key: &str, digest: u128) {
+        let head = RequestHead {
+            id: Name::from(format!("r{call}")),
+            host: "shop".to_owned(),
+            path: path.to_owned(),
+            key: Some(key.to_owned()),
+            digest: Some(digest),
+            ..RequestHead::default()
+        };
+        self.event(Event::Arrived { call, head: Box::new(head) });
+    }
+
     pub fn respond(&mut self, call: u64, status: u16, not_run: bool) {
         let response = ResponseHead {
             status,
--- a/crates/node/tests/streams.rs
+++ b/crates/node/tests/streams.rs
@@ -36,6 +36,7 @@
         host: "shop".to_owned(),
         path: path.to_owned(),
         key: Some("key".to_owned()),
+        digest: None,
         resumption,
         ..RequestHead::default()
     };
--- a/crates/quarantine/src/crash.rs
+++ b/crates/quarantine/src/crash.rs
@@ -10,9 +10,11 @@
 const SETTLE_TIME: Duration = Duration::from_millis(30);
 /// Time between the losses of two entries at the same crash: one may have been frozen.
 const MAX_DELAY: Duration = Duration::from_secs(5);
-/// Candidates kept of one entry's loss; those that the server had begun go first.
-const MAX_CANDIDATES: usize = 8;
-/// Segments kept of one candidate. Longer prompts are cut, and their other segments are never blamed.
+/// Candidates with a prompt that are kept of one entry's loss; those that the server had begun go first.
+const MAX_PROMPTS: usize = 8;
+/// Candidates without a prompt that are kept: the runs and the queue of a server, as far as one entry sent them.
+const MAX_PLAIN: usize = 16;
+/// Segments kept of one candidate. Longer prompts are cut; of their other segments only the whole request is blamed.
 const MAX_SEGMENTS: usize = 256;
 /// Lost runs from which a loss may be a crash. One response that breaks off is common.
 const MIN_LOST: u32 = 2;
@@ -55,19 +57,24 @@
         let Some(known) = self.losses.get_mut(&loss.entry) else {
             let mut loss = loss.clone();
             loss.candidates.sort_by_key(|candidate| candidate.stage == Stage::Sent);
-            loss.candidates.truncate(MAX_CANDIDATES);
+            let mut room = [MAX_PLAIN, MAX_PROMPTS];
+            loss.candidates.retain(|candidate| {
+                let room = &mut room[usize::from(candidate.content.has_prompt())];
+                std::mem::replace(room, room.saturating_sub(1)) > 0
+            });
             for candidate in &mut loss.candidates {
-                candidate.segments.truncate(MAX_SEGMENTS);
+                candidate.content.segments.truncate(MAX_SEGMENTS);
             }
             self.losses.insert(loss.entry.clone(), loss);
             return true;
         };
-        let refused = loss.refused && !known.refused;
+        let noticed = (loss.refused && !known.refused) || (loss.answered && !known.answered);
         known.refused |= loss.refused;
+        known.answered |= loss.answered;
         if loss.lost > known.lost {
-            let refused = known.refused;
+            let (refused, answered) = (known.refused, known.answered);
             self.losses.remove(&loss.entry);
-            self.merge(&Loss { refused, ..loss.clone() });
+            self.merge(&Loss { refused, answered, ..loss.clone() });
             return true;
         }
         // Of two reports on the same losses, the later one has fewer runs left.
@@ -75,7 +82,7 @@
         if fewer {
             known.remaining = loss.remaining;
         }
-        refused || fewer
+        noticed || fewer
     }
 
     /// The losses, one of each entry.
@@ -91,7 +98,7 @@
     /// Whether the server ended, rather than single responses, or the connections of single entries. `entries` is the
     /// number of entries.
     pub fn is_confirmed(&self, now: Time, entries: usize) -> bool {
-        if now < self.at + SETTLE_TIME {
+        if now < self.at + SETTLE_TIME || self.is_answered() {
             return false;
         }
         if self.losses().any(|loss| loss.refused) {
@@ -100,11 +107,32 @@
         self.is_likely(entries)
     }
 
+    /// Whether the server is known to have gone on.
+    fn is_alive(&self) -> bool {
+        self.is_answered() || self.losses().any(|loss| loss.remaining > 0)
+    }
+
+    /// Whether the server answered a request that was sent after the losses; it may crash later.
+    pub(crate) fn is_answered(&self) -> bool {
+        self.losses().any(|loss| loss.answered)
+    }
+
+    /// Whether it may be one although nothing confirms it, as where the server had a single run.
+    pub(crate) fn is_possible(&self, now: Time) -> bool {
+        now >= self.at + SETTLE_TIME && !self.is_alive()
+    }
+
+    /// Whether all requests that may have caused it are without a prompt.
+    pub(crate) fn is_plain(&self) -> bool {
+        self.losses()
+            .flat_map(|loss| &loss.candidates)
+            .all(|candidate| !candidate.content.has_prompt())
+    }
+
     /// Whether nothing known speaks against a crash; an entry whose runs there go on has to report it.
     pub(crate) fn is_likely(&self, entries: usize) -> bool {
-        let alive = self.losses().any(|loss| loss.remaining > 0);
         let losers = self.losses().filter(|loss| loss.lost > 0).count();
-        !alive && self.lost() >= MIN_LOST && (losers > 1 || entries <= 1)
+        !self.is_alive() && self.lost() >= MIN_LOST && (losers > 1 || entries <= 1)
     }
 
     /// The requests that may have caused it: the ones that the server had begun, or all if it had begun none.
--- a/crates/quarantine/src/observation.rs
+++ b/crates/quarantine/src/observation.rs
@@ -2,13 +2,75 @@
 
 use base::prelude::*;
 
-/// A segment of prompts for one model.
+/// What may make servers crash.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Segment {
-    /// Model: a segment may be harmless to another one.
+pub enum Cause {
+    /// A segment of prompts.
+    Segment {
+        /// Model: a segment may be harmless to another one.
+        model: Name,
+        /// ID of the segment.
+        id: u64,
+    },
+    /// A whole request, whose caller sends it again under other IDs.
+    Request {
+        /// Service that runs it.
+        service: Name,
+        /// Digest of its caller, method, path and body.
+        digest: u128,
+    },
+}
+
+impl Cause {
+    /// Whether it is a whole request.
+    pub const fn is_request(&self) -> bool {
+        matches!(self, Self::Request { .. })
+    }
+
+    /// The model that it is for, if it is a segment.
+    pub const fn model(&self) -> Option<&Name> {
+        match self {
+            Self::Segment { model, .. } => Some(model),
+            Self::Request { .. } => None,
+        }
+    }
+}
+
+/// The possible causes that a request carries.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Content {
+    /// Service that runs it.
+    pub service: Name,
+    /// Digest of its caller, method, path and body; none if it can't be recognised.
+    pub digest: Option<u128>,
+    /// Model of its prompt.
     pub model: Name,
-    /// ID of the segment.
-    pub id: u64,
+    /// IDs of the segments of its prompt, without the last one, which no other request has. Empty without a prompt.
+    pub segments: Vec<u64>,
+}
+
+impl Content {
+    /// The possible causes.
+    pub fn causes(&self) -> impl Iterator<Item = Cause> {
+        let segment = |id: &u64| Cause::Segment { model: self.model.clone(), id: *id };
+        let request = |digest| Cause::Request { service: self.service.clone(), digest };
+        self.segments.iter().map(segment).chain(self.digest.map(request))
+    }
+
+    /// Whether it has a prompt.
+    pub fn has_prompt(&self) -> bool {
+        !self.model.is_empty()
+    }
+
+    /// Whether it carries this cause.
+    pub fn has(&self, cause: &Cause) -> bool {
+        match cause {
+            Cause::Segment { model, id } => self.model == *model && self.segments.contains(id),
+            Cause::Request { service, digest } => {
+                self.digest == Some(*digest) && self.service == *service
+            }
+        }
+    }
 }
 
 /// One incarnation of a server.
@@ -36,10 +98,8 @@
     pub request: Name,
     /// How far the server had come with it.
     pub stage: Stage,
-    /// Model.
-    pub model: Name,
-    /// IDs of the segments of its prompt, without the last one, which no other request has.
-    pub segments: Vec<u64>,
+    /// What may have caused the crash.
+    pub content: Content,
 }
 
 /// The runs that one entry lost at one server.
@@ -57,24 +117,26 @@
     pub remaining: u32,
     /// Whether the server refused a connection afterwards.
     pub refused: bool,
+    /// Whether the server answered a request that was sent afterwards.
+    pub answered: bool,
     /// The lost requests that the server had not begun to answer.
     pub candidates: Vec<Candidate>,
 }
 
-/// A server began a response to a prompt with this segment and continued.
+/// A server began a response to a request with this possible cause and continued.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Survival {
-    /// The segment.
-    pub segment: Segment,
+    /// The possible cause.
+    pub cause: Cause,
     /// When the response began.
     pub at: Time,
 }
 
-/// A permit for one request with a quarantined segment.
+/// A permit for one request with a quarantined cause.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Trial {
-    /// The segment.
-    pub segment: Segment,
+    /// The cause.
+    pub cause: Cause,
     /// The entry that may send the request.
     pub entry: Name,
     /// Number of the trial, from 1.
@@ -88,7 +150,7 @@
 pub enum Observation {
     /// Lost runs.
     Loss(Loss),
-    /// A segment that a server survived.
+    /// A possible cause that a server survived.
     Survival(Survival),
     /// A permitted trial.
     Trial(Trial),
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -1,21 +1,23 @@
-//! The merged observations, and the segments that are quarantined.
+//! The merged observations, and the causes that are quarantined.
 
 use std::collections::HashMap;
 
 use base::prelude::*;
 
 use crate::verdict::{self, Hold};
-use crate::{Crash, Loss, Observation, Segment, Server, Survival, Trial};
+use crate::{Cause, Content, Crash, Loss, Observation, Server, Survival, Trial};
 
-/// How long losses that are no confirmed crash are kept: until the next attempt at the server is refused.
-const UNCONFIRMED_RETENTION: Duration = Duration::from_secs(5);
-/// How long a crash that no quarantined segment explains is kept.
+/// How long losses that are no confirmed crash are kept: the same request may be lost at other servers.
+const UNCONFIRMED_RETENTION: Duration = Duration::from_secs(30);
+/// How long after a loss a refused connection or an answer of the server says whether it crashed.
+const CONFIRMATION_WINDOW: Duration = Duration::from_secs(5);
+/// How long a crash that no quarantined cause explains is kept.
 const CRASH_RETENTION: Duration = Duration::from_secs(600);
-/// How long a segment stays quarantined after its last crash.
+/// How long a cause stays quarantined after its last crash.
 const HOLD_RETENTION: Duration = Duration::from_secs(3_600);
 /// Crashes that are kept.
 const MAX_CRASHES: usize = 128;
-/// Trials of a quarantined segment. The users allow three requests after the fifth crash.
+/// Trials of a quarantined cause. The users allow three requests after the third crash.
 pub const MAX_TRIALS: u32 = 3;
 /// Time from the last crash or trial to the next trial; doubles with each trial.
 const TRIAL_INTERVAL: Duration = Duration::from_secs(30);
@@ -29,9 +31,9 @@
 pub struct Table {
     /// Possible crashes, by time.
     crashes: Vec<Crash>,
-    /// The last survival of each segment of a possible crash.
-    survived: HashMap<Segment, Time>,
-    trials: HashMap<Segment, Trial>,
+    /// The last survival of each cause of a possible crash.
+    survived: HashMap<Cause, Time>,
+    trials: HashMap<Cause, Trial>,
     holds: Vec<Hold>,
     /// Whether the holds may be out of date.
     changed: bool,
@@ -42,11 +44,11 @@
 pub struct Changes {
     /// Crashes that were confirmed.
     pub crashes: Vec<Crash>,
-    /// Crashes that quarantined segments explain.
+    /// Crashes that quarantined causes explain.
     pub explained: Vec<(Server, Hold)>,
-    /// Segments that are quarantined now.
+    /// Causes that are quarantined now.
     pub held: Vec<Hold>,
-    /// Segments that are not quarantined any more.
+    /// Causes that are not quarantined any more.
     pub released: Vec<Hold>,
 }
 
@@ -74,19 +76,19 @@
     }
 
     fn merge_survival(&mut self, survival: &Survival) -> bool {
-        let known = self.survived.get(&survival.segment);
+        let known = self.survived.get(&survival.cause);
         let newer = known.is_none_or(|at| survival.at > *at + TOLERANCE);
         if newer {
-            self.survived.insert(survival.segment.clone(), survival.at);
+            self.survived.insert(survival.cause.clone(), survival.at);
         }
         newer
     }
 
     fn merge_trial(&mut self, trial: &Trial) -> bool {
-        let known = self.trials.get(&trial.segment);
+        let known = self.trials.get(&trial.cause);
         let newer = known.is_none_or(|known| trial.number > known.number);
         if newer {
-            self.trials.insert(trial.segment.clone(), trial.clone());
+            self.trials.insert(trial.cause.clone(), trial.clone());
         }
         newer
     }
@@ -96,13 +98,11 @@
         self.crashes.is_empty()
     }
 
-    /// Whether a segment is in a possible crash, so that its survivals matter.
-    pub fn is_watched(&self, segment: &Segment) -> bool {
-        self.crashes.iter().any(|crash| {
-            crash.candidates().iter().any(|candidate| {
-                candidate.model == segment.model && candidate.segments.contains(&segment.id)
-            })
-        })
+    /// Whether a cause is in a possible crash, so that its survivals matter.
+    pub fn is_watched(&self, cause: &Cause) -> bool {
+        self.crashes
+            .iter()
+            .any(|crash| crash.candidates().iter().any(|candidate| candidate.content.has(cause)))
     }
 
     /// Whether a server seems to have crashed, so that an entry whose runs there go on has to report it.
@@ -111,13 +111,16 @@
         found.is_some_and(|crash| crash.is_likely(entries))
     }
 
-    /// Whether a server has lost runs recently without being a confirmed crash, so that a refused connection matters.
-    pub fn is_unconfirmed(&self, now: Time, server: &Server, entries: usize) -> bool {
-        let found = self.crashes.iter().rfind(|crash| crash.server == *server);
-        found.is_some_and(|crash| !crash.is_confirmed(now, entries))
+    /// When a server has lost runs recently without being a confirmed crash, so that a refused connection matters, and an
+    /// answer too, unless one came.
+    pub fn unconfirmed(&self, now: Time, server: &Server, entries: usize) -> Option<Time> {
+        let found = self.crashes.iter().rfind(|crash| crash.server == *server)?;
+        let recent = now.since(found.at) < CONFIRMATION_WINDOW;
+        let open = recent && !found.is_answered() && !found.is_confirmed(now, entries);
+        open.then_some(found.at)
     }
 
-    /// Decides again which segments are quarantined, if anything has changed, and removes old observations. `entries` is the
+    /// Decides again which causes are quarantined, if anything has changed, and removes old observations. `entries` is the
     /// number of entries.
     pub fn update(&mut self, now: Time, entries: usize) -> Changes {
         let mut changes = Changes::default();
@@ -133,12 +136,12 @@
             return changes;
         }
         let before = self.holds.clone();
-        // First with what this process has only just learned: a crash that is old by itself may be one that a segment explains.
+        // First with what this process has only just learned: a crash that is old by itself may be one that a cause explains.
         self.decide(now, entries);
         self.expire(now, entries);
         self.decide(now, entries);
         self.changed = false;
-        let same = |one: &Hold, other: &Hold| one.segments == other.segments;
+        let same = |one: &Hold, other: &Hold| one.causes == other.causes;
         let new = |hold: &&Hold| !before.iter().any(|other| same(hold, other));
         changes.held = self.holds.iter().filter(new).cloned().collect();
         let gone = |hold: &Hold| !self.holds.iter().any(|other| same(hold, other));
@@ -150,11 +153,11 @@
                 changes.explained.push((crash.server.clone(), hold.clone()));
             }
         }
-        // The next quarantine of a segment has trials of its own.
+        // The next quarantine of a cause has trials of its own.
         for hold in &changes.released {
-            for segment in &hold.segments {
-                if !self.holds.iter().any(|other| other.segments.contains(segment)) {
-                    self.trials.remove(segment);
+            for cause in &hold.causes {
+                if !self.holds.iter().any(|other| other.causes.contains(cause)) {
+                    self.trials.remove(cause);
                 }
             }
         }
@@ -165,6 +168,10 @@
         let confirmed: Vec<&Crash> =
             self.crashes.iter().filter(|crash| crash.is_confirmed(now, entries)).collect();
         self.holds = verdict::holds(&confirmed, &self.survived);
+        let possible: Vec<&Crash> =
+            self.crashes.iter().filter(|crash| crash.is_possible(now)).collect();
+        let holds = verdict::unconfirmed(&possible, &self.survived, &self.holds);
+        self.holds.extend(holds);
     }
 
     /// Whether an observation is old enough to be removed.
@@ -187,36 +194,39 @@
             crashes.into_iter().partition(|crash| self.is_old(crash, now, entries));
         let surplus = kept.len().saturating_sub(MAX_CRASHES);
         for _ in 0..surplus {
-            let holds = &self.holds;
-            let unexplained =
-                kept.iter().position(|crash| !holds.iter().any(|hold| hold.explains(crash)));
-            kept.remove(unexplained.unwrap_or(0));
+            let unexplained = |crash: &&Crash| !self.holds.iter().any(|hold| hold.explains(crash));
+            let oldest = |kept: &[Crash], also: &dyn Fn(&Crash) -> bool| {
+                kept.iter().position(|crash| unexplained(&crash) && also(crash))
+            };
+            let unconfirmed = oldest(&kept, &|crash| !crash.confirmed);
+            let found = unconfirmed.or_else(|| oldest(&kept, &|_| true));
+            kept.remove(found.unwrap_or(0));
         }
         self.crashes = kept;
         if !old.is_empty() || surplus > 0 {
             let survived = std::mem::take(&mut self.survived);
             self.survived =
-                survived.into_iter().filter(|(segment, _)| self.is_watched(segment)).collect();
+                survived.into_iter().filter(|(cause, _)| self.is_watched(cause)).collect();
         }
     }
 
-    /// The quarantined segments.
+    /// The quarantined causes.
     pub fn holds(&self) -> &[Hold] {
         &self.holds
     }
 
-    /// The quarantined segments that a prompt has, if any.
-    pub fn find(&self, model: &Name, segments: &[u64]) -> Option<&Hold> {
-        self.holds.iter().find(|hold| hold.matches(model, segments))
+    /// The quarantined causes that a request has, if any.
+    pub fn find(&self, content: &Content) -> Option<&Hold> {
+        self.holds.iter().find(|hold| hold.matches(content))
     }
 
-    /// The last trial of quarantined segments.
+    /// The last trial of quarantined causes.
     pub fn trial(&self, hold: &Hold) -> Option<&Trial> {
-        let trials = hold.segments.iter().filter_map(|segment| self.trials.get(segment));
+        let trials = hold.causes.iter().filter_map(|cause| self.trials.get(cause));
         trials.max_by_key(|trial| trial.number)
     }
 
-    /// When the next trial of quarantined segments is due; none if there are no more. `changed_at` is when the weights of
+    /// When the next trial of quarantined causes is due; none if there are no more. `changed_at` is when the weights of
     /// the model last changed: a segment may be harmless to the new ones.
     pub fn next_trial(&self, hold: &Hold, changed_at: Option<Time>) -> Option<Time> {
         let trial = self.trial(hold);
@@ -233,7 +243,7 @@
         })
     }
 
-    /// As the leader: permits an entry the next trial of quarantined segments, if it is due.
+    /// As the leader: permits an entry the next trial of quarantined causes, if it is due.
     pub fn permit_trial(
         &mut self,
         now: Time,
@@ -245,13 +255,9 @@
             return Vec::new();
         }
         let number = self.trial(hold).map_or(0, |trial| trial.number) + 1;
-        let trial = |segment: &Segment| Trial {
-            segment: segment.clone(),
-            entry: entry.clone(),
-            number,
-            at: now,
-        };
-        let trials: Vec<Trial> = hold.segments.iter().map(trial).collect();
+        let trial =
+            |cause: &Cause| Trial { cause: cause.clone(), entry: entry.clone(), number, at: now };
+        let trials: Vec<Trial> = hold.causes.iter().map(trial).collect();
         for trial in &trials {
             self.merge_trial(trial);
         }
@@ -261,9 +267,10 @@
     /// All observations.
     pub fn observations(&self) -> Vec<Observation> {
         let losses = self.crashes.iter().flat_map(Crash::losses).cloned().map(Observation::Loss);
-        let survived = self.survived.iter().map(|(segment, at)| {
-            Observation::Survival(Survival { segment: segment.clone(), at: *at })
-        });
+        let survived = self
+            .survived
+            .iter()
+            .map(|(cause, at)| Observation::Survival(Survival { cause: cause.clone(), at: *at }));
         let trials = self.trials.values().cloned().map(Observation::Trial);
         losses.chain(survived).chain(trials).collect()
     }
--- a/crates/quarantine/tests/table.rs
+++ b/crates/quarantine/tests/table.rs
@@ -2,7 +2,7 @@
 
 use base::prelude::*;
 use quarantine::{
-    Candidate, Hold, Loss, MAX_TRIALS, Observation, Segment, Server, Stage, Survival,
+    Candidate, Cause, Content, Hold, Loss, MAX_TRIALS, Observation, Server, Stage, Survival,
     TRIAL_VALIDITY, Table,
 };
 use rand::seq::SliceRandom;
@@ -18,16 +18,19 @@
 /// After this time, a crash has settled.
 const SETTLED_MS: u64 = 50;
 
-fn segment(id: u64) -> Segment {
-    Segment { model: Name::new("m"), id }
+fn segment(id: u64) -> Cause {
+    Cause::Segment { model: Name::new("m"), id }
+}
+
+fn prompt(model: &str, segments: &[u64]) -> Content {
+    Content { model: Name::new(model), segments: segments.to_vec(), ..Content::default() }
 }
 
 fn loss(server: &str, entry: &str, at: u64, candidates: &[(Stage, &[u64])]) -> Loss {
     let candidate = |(stage, segments): &(Stage, &[u64])| Candidate {
         request: Name::from(format!("{server} {entry}")),
         stage: *stage,
-        model: Name::new("m"),
-        segments: segments.to_vec(),
+        content: prompt("m", segments),
     };
     Loss {
         server: Server { id: Name::new(server), born: Some(1) },
@@ -36,6 +39,7 @@
         lost: 4,
         remaining: 0,
         refused: false,
+        answered: false,
         candidates: candidates.iter().map(candidate).collect(),
     }
 }
@@ -49,12 +53,16 @@
 
 fn survives(table: &mut Table, at: u64, id: u64) {
     let at = Time::from_millis(at);
-    table.merge(&Observation::Survival(Survival { segment: segment(id), at }));
+    table.merge(&Observation::Survival(Survival { cause: segment(id), at }));
 }
 
 fn held(table: &mut Table, now: u64) -> Vec<Vec<u64>> {
     table.update(Time::from_millis(now), ENTRIES);
-    let ids = |hold: &Hold| hold.segments.iter().map(|segment| segment.id).collect();
+    let id = |cause: &Cause| match cause {
+        Cause::Segment { id, .. } => *id,
+        Cause::Request { digest, .. } => panic!("request {digest}"),
+    };
+    let ids = |hold: &Hold| hold.causes.iter().map(id).collect();
     table.holds().iter().map(ids).collect()
 }
 
@@ -103,10 +111,9 @@
         crash(&mut table, &format!("i-{number}"), at, &[WORKSPACE, DEADLY]);
     }
     assert_eq!(held(&mut table, 1_600), [[WORKSPACE, DEADLY]]);
-    let model = Name::new("m");
-    assert!(table.find(&model, &[KIND, WORKSPACE, DEADLY]).is_some());
-    assert!(table.find(&model, &[KIND, WORKSPACE]).is_none());
-    assert!(table.find(&Name::new("other"), &[WORKSPACE, DEADLY]).is_none(), "another model");
+    assert!(table.find(&prompt("m", &[KIND, WORKSPACE, DEADLY])).is_some());
+    assert!(table.find(&prompt("m", &[KIND, WORKSPACE])).is_none());
+    assert!(table.find(&prompt("other", &[WORKSPACE, DEADLY])).is_none(), "another model");
     survives(&mut table, 1_700, WORKSPACE);
     assert_eq!(held(&mut table, 1_800), [[DEADLY]]);
 }
@@ -184,7 +191,7 @@
         let mut only = loss(&server, "e1", at, &[(Stage::Begun, &[DEADLY])]);
         only.lost = 1;
         table.merge(&Observation::Loss(only.clone()));
-        assert!(table.is_unconfirmed(Time::from_millis(at + 100), &only.server, ENTRIES));
+        assert!(table.unconfirmed(Time::from_millis(at + 100), &only.server, ENTRIES).is_some());
         let refused = Loss { refused: true, candidates: Vec::new(), lost: 0, ..only };
         table.merge(&Observation::Loss(refused));
     }
@@ -232,7 +239,7 @@
     }
     for (id, at) in [(KIND, 4_000), (WORKSPACE, 3_500)] {
         let at = Time::from_millis(at);
-        observations.push(Observation::Survival(Survival { segment: segment(id), at }));
+        observations.push(Observation::Survival(Survival { cause: segment(id), at }));
     }
     let mut rng = Pcg64Mcg::seed_from_u64(1);
     for _ in 0..200 {
@@ -332,7 +339,9 @@
     assert!(held(&mut table, 8_000).contains(&vec![DEADLY]));
     let observations = table.observations();
     let segments = |found: &Observation| match found {
-        Observation::Loss(loss) => loss.candidates.iter().map(|found| found.segments.len()).sum(),
+        Observation::Loss(loss) => {
+            loss.candidates.iter().map(|found| found.content.segments.len()).sum()
+        }
         Observation::Survival(_) | Observation::Trial(_) => 1,
     };
     let all: usize = observations.iter().map(segments).sum();
@@ -362,3 +371,229 @@
     assert!(held(&mut table, 3_700_000).is_empty());
     assert!(table.observations().is_empty());
 }
+
+/// The loss of plain requests with these digests, as one entry observed it.
+fn plain_loss(server: &str, entry: &str, at: u64, digests: &[u128]) -> Loss {
+    let content = |digest: &u128| Content {
+        service: Name::new("desk"),
+        digest: Some(*digest),
+        ..Content::default()
+    };
+    let candidate = |digest: &u128| Candidate {
+        request: Name::from(format!("{server} {entry} {digest}")),
+        stage: Stage::Sent,
+        content: content(digest),
+    };
+    Loss {
+        lost: digests.len() as u32,
+        candidates: digests.iter().map(candidate).collect(),
+        ..loss(server, entry, at, &[])
+    }
+}
+
+/// The crash of a server that ran plain requests with these digests, confirmed by a refused connection.
+fn plain_crash(table: &mut Table, server: &str, at: u64, digests: &[u128]) {
+    let loss = Loss { refused: true, ..plain_loss(server, "e1", at, digests) };
+    table.merge(&Observation::Loss(loss));
+}
+
+fn request(digest: u128) -> Cause {
+    Cause::Request { service: Name::new("desk"), digest }
+}
+
+fn request_survives(table: &mut Table, at: u64, digest: u128) {
+    let at = Time::from_millis(at);
+    table.merge(&Observation::Survival(Survival { cause: request(digest), at }));
+}
+
+fn held_requests(table: &mut Table, now: u64) -> Vec<u128> {
+    table.update(Time::from_millis(now), ENTRIES);
+    let digest = |cause: &Cause| match cause {
+        Cause::Request { digest, .. } => *digest,
+        Cause::Segment { id, .. } => panic!("segment {id}"),
+    };
+    table.holds().iter().flat_map(|hold| &hold.causes).map(digest).collect()
+}
+
+// Guards against a plain request that crashes each server which runs it, beside others that run there by chance.
+#[test]
+fn a_request_in_two_crashes_is_held() {
+    let mut table = Table::default();
+    plain_crash(&mut table, "i-1", 1_000, &[9, 21, 22]);
+    assert!(held_requests(&mut table, 1_100).is_empty(), "one crash may have any cause");
+    plain_crash(&mut table, "i-2", 1_500, &[9]);
+    assert_eq!(held_requests(&mut table, 1_600), [9]);
+    let content = Content { service: Name::new("other"), digest: Some(9), ..Content::default() };
+    assert!(table.find(&content).is_none(), "at another service");
+}
+
+// Guards against blaming a victim that was tried again, and lost again at a server that crashed by itself.
+#[test]
+fn a_request_that_never_ran_alone_is_held_after_a_third_crash() {
+    let mut table = Table::default();
+    plain_crash(&mut table, "i-1", 1_000, &[9, 21, 22]);
+    plain_crash(&mut table, "i-2", 1_500, &[23, 9]);
+    assert!(held_requests(&mut table, 1_600).is_empty());
+    plain_crash(&mut table, "i-3", 2_000, &[9, 24]);
+    assert_eq!(held_requests(&mut table, 2_100), [9]);
+}
+
+// Guards against more than three crashes by one request, whatever speaks for it.
+#[test]
+fn a_third_crash_is_always_enough() {
+    let mut table = Table::default();
+    request_survives(&mut table, 500, 9);
+    plain_crash(&mut table, "i-0", 900, &[70]);
+    for number in 1..4 {
+        assert!(held_requests(&mut table, 900 + 500 * number).is_empty());
+        plain_crash(&mut table, &format!("i-{number}"), 1_000 + 500 * number, &[9, 20]);
+        request_survives(&mut table, 1_050 + 500 * number, 20);
+    }
+    assert_eq!(held_requests(&mut table, 2_700), [9]);
+}
+
+// Guards against blaming the victim that was tried again beside the cause.
+#[test]
+fn requests_that_crashed_the_same_servers_are_told_apart_or_held_after_a_third_crash() {
+    for (third, expected) in [(&[9][..], &[9][..]), (&[8, 9], &[8, 9])] {
+        let mut table = Table::default();
+        plain_crash(&mut table, "i-1", 1_000, &[8, 9]);
+        plain_crash(&mut table, "i-2", 1_200, &[8, 9]);
+        assert!(held_requests(&mut table, 1_300).is_empty());
+        plain_crash(&mut table, "i-3", 1_500, third);
+        let mut held = held_requests(&mut table, 1_600);
+        held.sort_unstable();
+        assert_eq!(held, expected);
+    }
+}
+
+// Guards against rejecting a frequent request because it runs everywhere, also where servers crash.
+#[test]
+fn a_request_that_survives_between_crashes_is_not_held() {
+    let mut table = Table::default();
+    for number in 0..6 {
+        let at = 1_000 + 500 * number;
+        plain_crash(&mut table, &format!("i-{number}"), at, &[7, 100 + u128::from(number)]);
+        request_survives(&mut table, at + 250, 7);
+        assert!(held_requests(&mut table, at + 300).is_empty());
+    }
+}
+
+// Guards against a request that turns deadly, as when what it reads has changed.
+#[test]
+fn a_request_that_survived_before_is_held_after_a_third_crash() {
+    let mut table = Table::default();
+    request_survives(&mut table, 900, 9);
+    plain_crash(&mut table, "i-1", 1_000, &[9]);
+    plain_crash(&mut table, "i-2", 1_500, &[9]);
+    assert!(held_requests(&mut table, 1_600).is_empty());
+    plain_crash(&mut table, "i-3", 2_000, &[9]);
+    assert_eq!(held_requests(&mut table, 2_100), [9]);
+}
+
+// Guards against several such requests that hide each other.
+#[test]
+fn two_deadly_requests_are_both_held() {
+    let mut table = Table::default();
+    for number in 0..6 {
+        plain_crash(
+            &mut table,
+            &format!("i-{number}"),
+            1_000 + 400 * number,
+            &[8 + u128::from(number % 2)],
+        );
+    }
+    let mut held = held_requests(&mut table, 4_000);
+    held.sort_unstable();
+    assert_eq!(held, [8, 9]);
+}
+
+// Guards against a request that runs alone, so that each crash is a single lost run that nothing confirms.
+#[test]
+fn a_request_that_is_lost_at_three_servers_is_held() {
+    let mut table = Table::default();
+    for (number, entry) in [(1, "e1"), (2, "e2"), (3, "e1")] {
+        assert!(held_requests(&mut table, 5_000 * number - 100).is_empty());
+        let loss = plain_loss(&format!("i-{number}"), entry, 5_000 * number, &[9]);
+        table.merge(&Observation::Loss(loss));
+    }
+    assert_eq!(held_requests(&mut table, 15_100), [9]);
+}
+
+// Guards against rejecting a sound request for servers that reset connections, for an entry that lost its own, and for
+// losses at a server that goes on.
+#[test_case(|_, loss| loss.answered = true; "servers that answer later requests")]
+#[test_case(|_, loss| loss.remaining = 1; "servers that go on")]
+#[test_case(|_, loss| loss.entry = Name::new("e1"); "one entry")]
+#[test_case(|_, loss| loss.server = Server { id: Name::new("i-1"), born: Some(1) }; "one server")]
+#[test_case(|number, loss| loss.at = Time::from_millis(1_000 + number); "one moment")]
+fn a_request_that_is_lost_without_a_crash_is_not_held(change: fn(u64, &mut Loss)) {
+    let mut table = Table::default();
+    for number in 0..4 {
+        let entry = format!("e{number}");
+        let mut loss = plain_loss(&format!("i-{number}"), &entry, 1_000 + 400 * number, &[9]);
+        change(number, &mut loss);
+        table.merge(&Observation::Loss(loss));
+        let now = 1_000 + 400 * number + SETTLED_MS;
+        assert!(held_requests(&mut table, now).is_empty(), "after {number}");
+    }
+}
+
+// Guards against a broken response that a later crash of its server, seen by a refused connection, turns into one.
+#[test]
+fn a_server_that_answered_before_it_refused_has_not_crashed_at_the_loss() {
+    let mut table = Table::default();
+    for (number, at) in [(1, 1_000), (2, 3_000)] {
+        let lost = plain_loss(&format!("i-{number}"), "e1", at, &[9]);
+        table.merge(&Observation::Loss(Loss { answered: true, ..lost.clone() }));
+        let refused = Loss { entry: Name::new("e2"), lost: 0, refused: true, ..lost };
+        table.merge(&Observation::Loss(Loss { candidates: Vec::new(), ..refused }));
+    }
+    assert!(held_requests(&mut table, 4_000).is_empty());
+}
+
+// Guards against single losses without end that displace the crashes of a quarantined request.
+#[test]
+fn lost_responses_without_end_keep_the_quarantine() {
+    let mut table = Table::default();
+    plain_crash(&mut table, "i-1", 1_000, &[9]);
+    plain_crash(&mut table, "i-2", 1_500, &[9]);
+    for number in 0..1_000_u64 {
+        let digests: Vec<u128> = (0..40).map(|id| u128::from(1_000 + 40 * number) + id).collect();
+        let at = 2_000 + 10 * number;
+        let loss = plain_loss(&format!("flood-{number}"), "e2", at, &digests);
+        table.merge(&Observation::Loss(loss));
+        table.update(Time::from_millis(at + SETTLED_MS), ENTRIES);
+    }
+    assert_eq!(held_requests(&mut table, 12_100), [9]);
+    let count = |found: &Observation| match found {
+        Observation::Loss(loss) => loss.candidates.len(),
+        Observation::Survival(_) | Observation::Trial(_) => 1,
+    };
+    let all: usize = table.observations().iter().map(count).sum();
+    assert!(all <= 130 * 16, "{all}");
+}
+
+// Guards against holding each of the requests that have a deadly segment instead of the segment, and against prompts whose
+// segments are all sound, or too many, that crash servers as a whole.
+#[test]
+fn a_segment_explains_crashes_before_a_whole_request_does() {
+    let crash_with = |table: &mut Table, number: u64, digest: u128| {
+        for entry in ["e1", "e2"] {
+            let at = 1_000 + 500 * number;
+            let mut loss =
+                loss(&format!("i-{number}"), entry, at, &[(Stage::Begun, &[WORKSPACE, DEADLY])]);
+            loss.candidates[0].content.digest = Some(digest);
+            table.merge(&Observation::Loss(loss));
+        }
+        survives(table, 1_100 + 500 * number, WORKSPACE);
+    };
+    let mut table = Table::default();
+    (0..3).for_each(|number| crash_with(&mut table, number, 7));
+    assert_eq!(held(&mut table, 3_000), [[DEADLY]]);
+    // Another request with the segment shows that it is sound.
+    survives(&mut table, 3_100, DEADLY);
+    table.update(Time::from_millis(3_200), ENTRIES);
+    let causes: Vec<&Cause> = table.holds().iter().flat_map(|hold| &hold.causes).collect();
+    assert_eq!(causes, [&Cause::Request { service: Name::default(), digest: 7 }]);
+}
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -283,8 +283,8 @@
     Permit(limit::PermitReply),
     /// Entry to keeper and keeper to entry: observations of crashed servers.
     Evidence(quarantine::Evidence),
-    /// Entry to keeper: a request with these quarantined segments was rejected.
-    HeldBack(Vec<quarantine::Segment>),
+    /// Entry to keeper: a request with these quarantined causes was rejected.
+    HeldBack(Vec<quarantine::Cause>),
     /// Entry to keeper: origins of streams.
     StreamRecords(stream::Records),
     /// Keeper to entry: records with this number are on the disk.
--- a/crates/wire/src/quarantine.rs
+++ b/crates/wire/src/quarantine.rs
@@ -1,4 +1,4 @@
-//! Observations of crashed servers and of the prompt segments that may have caused them.
+//! Observations of crashed servers and of the requests and prompt segments that may have caused them.
 
 use base::Name;
 use serde::{Deserialize, Serialize};
@@ -12,19 +12,33 @@
     pub request: Name,
     /// Whether the server had begun to answer it.
     pub begun: bool,
-    /// Model.
+    /// Service that runs it.
+    pub service: Name,
+    /// Digest of its caller, method, path and body.
+    pub digest: Option<u128>,
+    /// Model of its prompt; empty without one.
     pub model: Name,
     /// IDs of the segments of its prompt, without the last one.
     pub segments: Vec<u64>,
 }
 
-/// A segment of prompts for a model.
+/// What may make servers crash.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Segment {
-    /// Model.
-    pub model: Name,
-    /// ID of the segment.
-    pub id: u64,
+pub enum Cause {
+    /// A segment of prompts.
+    Segment {
+        /// Model.
+        model: Name,
+        /// ID of the segment.
+        id: u64,
+    },
+    /// A whole request.
+    Request {
+        /// Service that runs it.
+        service: Name,
+        /// Digest of its caller, method, path and body.
+        digest: u128,
+    },
 }
 
 /// An observation; ages are in microseconds.
@@ -44,23 +58,25 @@
         remaining: u32,
         /// Whether the server refused a connection afterwards.
         refused: bool,
+        /// Whether the server answered a request that was sent afterwards.
+        answered: bool,
         /// The lost requests that the server had not begun to answer.
         candidates: Vec<Candidate>,
     },
-    /// A server began a response to a prompt with this segment and continued.
+    /// A server began a response to a request with this possible cause and continued.
     Survival {
-        /// The segment.
-        segment: Segment,
+        /// The possible cause.
+        cause: Cause,
         /// Time since the response began.
         ago_us: u64,
     },
-    /// The leader permitted a request with a quarantined segment.
+    /// The leader permitted a request with a quarantined cause.
     Trial {
-        /// The segment.
-        segment: Segment,
+        /// The cause.
+        cause: Cause,
         /// The entry that may send it.
         entry: Name,
-        /// Number of the trial of this segment.
+        /// Number of the trial of this cause.
         number: u32,
         /// Time since it was permitted.
         ago_us: u64,
--- a/crates/wire/tests/frames.rs
+++ b/crates/wire/tests/frames.rs
@@ -26,7 +26,7 @@
         Frame::Evidence(wire::quarantine::Evidence {
             complete: true,
             observations: vec![wire::quarantine::Observation::Survival {
-                segment: wire::quarantine::Segment { model: Name::new("m"), id: 7 },
+                cause: wire::quarantine::Cause::Segment { model: Name::new("m"), id: 7 },
                 ago_us: 9,
             }],
         }),
