--- a/crates/node/src/forward/reader.rs
+++ b/crates/node/src/forward/reader.rs
@@ -339,7 +339,6 @@
         floor: &Floor,
     ) -> Option<(Free, ControlCall)> {
         let (epoch, locations) = self.inventory.holdings(addr)?;
-        let mut versions = BTreeSet::new();
         let mut release = None;
         let mut stale = |salt: u64| {
             let salt = self.salts.get(&salt)?;
@@ -348,14 +347,16 @@
                 return None;
             }
             release = Some(self.fence.release(addr, of, version)?);
-            versions.insert(version);
-            Some(salt.clone())
+            Some((version, salt.clone()))
         };
-        let segments: Vec<(Name, u64)> = locations
-            .filter_map(|location| Some((stale(location.salt)?, location.id)))
-            .take(MAX_FREED)
-            .collect();
+        let mut found: Vec<((u64, Name), u64)> =
+            locations.filter_map(|location| Some((stale(location.salt)?, location.id))).collect();
+        found.sort_unstable();
+        found.truncate(MAX_FREED);
         let release = release?;
+        let versions: BTreeSet<u64> = found.iter().map(|((version, _), _)| *version).collect();
+        let segments: Vec<(Name, u64)> =
+            found.into_iter().map(|((_, salt), id)| (salt, id)).collect();
         let lease_end = |version: &u64| self.fence.issued_until_ms(model, *version);
         let free = Free {
             store: addr,
