Agents' blocks: what protects a late read of a deleted block

`cache::store_index` claimed that no reader can use a block once its pin has expired. The comments say so now; no behaviour changes.

--- a/crates/cache/src/store_index.rs
+++ b/crates/cache/src/store_index.rs
@@ -1,8 +1,12 @@
 //! The blocks that one agent has saved to the stores, and when each may be deleted.
 //!
-//! A block is advertised to readers only while it is published, and a read ends within the time of a pin. A block that is to
-//! be deleted is first tombstoned, which prevents new reads, and is deleted only once the last possible pin has
-//! expired, clock drift included.
+//! A block is advertised to readers only while it is published. A block that is to be deleted is first tombstoned, which
+//! ends its advertisement, and is deleted only after the time of a pin, clock drift included, so that reads that
+//! began in time find it.
+//!
+//! A read may still come later: an entry without contact to the agent names the block in the start of a run, an agent that
+//! was suspended begins its fetch late, and another agent may delete a block that it saved under the same key. Such a
+//! read is a miss: a reader imports a block only if [`decode_block`](crate::decode_block) finds it complete and intact.
 
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
@@ -143,7 +147,7 @@
         keys
     }
 
-    /// Removes and returns the tombstoned blocks that no reader can use any more.
+    /// Removes and returns the tombstoned blocks whose pins have expired.
     pub fn take_expired(&mut self, now: Time) -> Vec<FreedBlock> {
         let expired = |block: &Block| matches!(block.phase, Phase::Tombstoned(at) if now >= at);
         let freed: Vec<FreedBlock> = self
