--- a/crates/node/tests/fence.rs
+++ b/crates/node/tests/fence.rs
@@ -246,6 +246,137 @@
     panic!("not offered again; withdrawn: {is_withdrawn}");
 }
 
+/// Passes time at a leader whose store is in this incarnation and responds at once, its clock ahead by this much.
+/// Returns the frees and leases.
+fn pass_at(
+    harness: &mut Harness,
+    millis: u64,
+    epoch: u64,
+    clock_ms: impl Fn(u64) -> u64,
+) -> (Vec<Free>, Vec<FetchLease>) {
+    let (mut frees, mut leases) = (Vec::new(), Vec::new());
+    for _ in 0..millis / TICK_MS {
+        harness.wait(TICK_MS);
+        leases.extend(harness.forward.take_fetch_leases());
+        for effect in std::mem::take(&mut harness.out) {
+            match effect {
+                Effect::Call(ControlCall::ReadStore { addr, since }) => {
+                    let clock_ms = Some(clock_ms(harness.servers_clock_ms()));
+                    let epoch = if addr == store() { epoch } else { 1 };
+                    let segments = Vec::new();
+                    let delta = StoreDelta { epoch, next_event: 9, gap: false, clock_ms, segments };
+                    harness.event(Event::StoreRead { addr, since, delta: Ok(delta) });
+                }
+                Effect::Call(ControlCall::FreeSegments { until_ms, segments, .. }) => {
+                    let at_ms = harness.servers_clock_ms();
+                    frees.push(Free { at_ms, until_ms, segments });
+                }
+                _ => {}
+            }
+        }
+    }
+    (frees, leases)
+}
+
+// Guards against a store that stays out of use until the next change of leader: it had restarted while the leader
+// changed, before the new leader had observed any clock, and each renewed lease postponed its return.
+#[test]
+fn a_store_that_restarted_during_a_change_of_leader_is_offered_again() {
+    let mut harness = leader(1);
+    pass_at(&mut harness, 20_000, 1, |clock| clock);
+    harness.term = None;
+    harness.wait(TICK_MS);
+    harness.term = Some(2);
+    pass_at(&mut harness, 60_000, 2, |clock| clock);
+    let inventory = harness.forward.inventory();
+    let offered = |held: &wire::Holdings| held.store == store() && held.epoch == Some(2);
+    assert!(inventory.holdings.iter().any(offered), "{inventory:?}");
+}
+
+// Guards against a leader that ends when a store responds with an absurd clock.
+#[test]
+fn a_clock_at_the_end_of_its_range_is_tolerated() {
+    let mut harness = leader(1);
+    pass_at(&mut harness, 20_000, 1, |clock| clock);
+    pass_at(&mut harness, 5_000, 1, |_| u64::MAX);
+}
+
+// Guards against a model that is never fetched or saved again in a term: it was rolled back to a version that had been
+// freed.
+#[test]
+fn a_model_rolled_back_to_a_freed_version_is_leased_again_once_the_frees_have_expired() {
+    let mut harness = leader(1);
+    replace_server(&mut harness);
+    let (frees, _) = pass(&mut harness, 30_000, true);
+    assert!(!frees.is_empty());
+    harness.view = view(1);
+    harness.event(Event::Listed { list: Ok(vec![server(3, 1)]) });
+    harness.report("i-3", 1, 1);
+    let (_, leases) = pass(&mut harness, 60_000, true);
+    assert!(leases.iter().any(|lease| lease.version == 1), "no lease for the newest version");
+}
+
+// Guards against a fetch by an inventory older than one that the entry has applied: two links between the same
+// processes deliver in no common order.
+#[test]
+fn an_inventory_change_that_is_overtaken_does_not_bring_back_a_withdrawn_store() {
+    let mut entry = Harness::with_list(vec![server(1, 1)]);
+    entry.lease(1);
+    let segments =
+        vec![wire::StoredSegment { salt: cache::salt_number("*/m/1"), id: 1, tokens: 2_500 }];
+    let change = |epoch, complete, segments| wire::Inventory {
+        term: 1,
+        holdings: vec![wire::Holdings { store: store(), epoch, complete, segments }],
+    };
+    let earlier = change(Some(1), false, segments);
+    let withdrawal = change(None, true, Vec::new());
+    entry.forward.inventory_advertised(&withdrawal);
+    entry.forward.inventory_advertised(&earlier);
+    let attempt = fetches(&mut entry, 1);
+    assert_eq!(attempt.fetch[0], None, "the store has restarted since");
+}
+
+// Guards against a new leader that takes the clock of one store, which is behind, for the servers' clock: neither
+// fetches nor frees then wait for those of its predecessor.
+#[test]
+fn a_store_whose_clock_is_behind_does_not_shorten_the_wait_of_a_new_leader() {
+    let mut harness = leader(4);
+    replace_server(&mut harness);
+    let began_ms = harness.servers_clock_ms();
+    let mut behind = true;
+    let mut frees = Vec::new();
+    for _ in 0..600 {
+        harness.wait(TICK_MS);
+        for effect in std::mem::take(&mut harness.out) {
+            match effect {
+                Effect::Call(ControlCall::ReadStore { addr, since }) => {
+                    let held = StoredSegment { salt: "*/m/1".to_owned(), id: 1, tokens: 2_500 };
+                    let segments =
+                        if addr == store() && since.is_none() { vec![held] } else { Vec::new() };
+                    let is_wrong = behind && addr == store();
+                    let late = harness.servers_clock_ms() >= began_ms + 1_500;
+                    behind &= !(addr == store() && late);
+                    let offset = if is_wrong { 600_000 } else { 0 };
+                    let clock_ms = Some(harness.servers_clock_ms() - offset);
+                    let delta =
+                        StoreDelta { epoch: 1, next_event: 9, gap: false, clock_ms, segments };
+                    harness.event(Event::StoreRead { addr, since, delta: Ok(delta) });
+                }
+                Effect::Call(ControlCall::FreeSegments { .. }) => {
+                    frees.push(harness.servers_clock_ms());
+                }
+                _ => {}
+            }
+        }
+    }
+    let first = frees.first().expect("stale segments are freed in the end");
+    assert!(
+        *first > began_ms + LONGEST_LEASE_MS + REPORT_AGE_MS,
+        "freed {} ms after the leader began",
+        first - began_ms
+    );
+}
+
 /// A part on the simulated store.
 #[derive(Clone, Copy, Debug)]
 struct Part {
