A store that restarted during a change of leader is offered again

Cause: a store whose restart a new leader saw in its first reads, before it had observed a clock since its predecessor's end, was closed without a time; the time was then taken anew from the last lease in each read, and each renewal moved it on. Callers saw slow prompts: nothing was fetched from that store or saved to it until the next change of leader. Change: the time is fixed once it is first known. Every lease that was issued by an earlier leader has ended by then, and entries that get later ones have been told before. Evidence: a_store_that_restarted_during_a_change_of_leader_is_offered_again failed before (withdrawn after 60 s).

--- a/crates/node/src/forward/reader.rs
+++ b/crates/node/src/forward/reader.rs
@@ -265,7 +265,12 @@
         if is_new {
             read.closed = Some(Closed { epoch: delta.epoch, until_ms: last_lease_end_ms });
         }
-        let until_ms = read.closed.and_then(|closed| closed.until_ms).or(last_lease_end_ms);
+        let closed = read.closed.as_mut();
+        let until_ms = closed.and_then(|closed| {
+            // A new leader learns it after its first reads; leases issued later don't count.
+            closed.until_ms = closed.until_ms.or(last_lease_end_ms);
+            closed.until_ms
+        });
         read.next = now + READ_INTERVAL;
         // Only events are certain to name the clock.
         read.since = Some(delta.next_event);
