A leader tolerates any clock of a store

Cause: times on the servers' clock were added without regard to overflow, and the clock is read from a store's response. With overflow checks, the leader panicked; without them, the wait of a new leader and the ends of leases wrapped to small times. Change: saturating additions. Evidence: a_clock_at_the_end_of_its_range_is_tolerated failed before (panic in Fence::clock_ms).

--- a/crates/node/src/forward/fence.rs
+++ b/crates/node/src/forward/fence.rs
@@ -122,7 +122,7 @@
     /// Lower bound of the servers' clock.
     fn clock_ms(&self, now: Time) -> Option<u64> {
         let recent = self.clocks.values().filter(|(_, at)| now.since(*at) < MAX_CLOCK_AGE);
-        recent.map(|(clock_ms, at)| clock_ms + millis(now.since(*at))).max()
+        recent.map(|(clock_ms, at)| clock_ms.saturating_add(millis(now.since(*at)))).max()
     }
 
     /// Clock of a store when it last responded with one.
@@ -132,13 +132,14 @@
 
     /// Whether all frees of earlier leaders have expired.
     fn earlier_frees_expired(&self, clock_ms: u64) -> bool {
-        self.first_clock_ms
-            .is_some_and(|first| clock_ms > first + millis(FREE_EXPIRY + CLOCK_MARGIN))
+        self.first_clock_ms.is_some_and(|first| {
+            clock_ms > first.saturating_add(millis(FREE_EXPIRY + CLOCK_MARGIN))
+        })
     }
 
     /// When all leases of earlier leaders have expired, on the servers' clock.
     fn earlier_leases_end_ms(&self) -> Option<u64> {
-        Some(self.first_clock_ms? + millis(NEWEST_LEASE + CLOCK_MARGIN))
+        Some(self.first_clock_ms?.saturating_add(millis(NEWEST_LEASE + CLOCK_MARGIN)))
     }
 
     /// When all leases have expired that any leader has issued so far, on the servers' clock.
@@ -180,7 +181,7 @@
             for version in versions {
                 let is_newest = newest.get(model) == Some(version);
                 let left = if is_newest { NEWEST_LEASE } else { OLDER_LEASE };
-                let until_ms = clock_ms + millis(left);
+                let until_ms = clock_ms.saturating_add(millis(left));
                 let issued = self.issued.entry(model.clone()).or_default();
                 let issued = issued.entry(*version).or_default();
                 *issued = until_ms.max(*issued);
@@ -236,7 +237,7 @@
         let clock_ms = self.store_clock_ms(store)?;
         let last_lease_end_ms =
             self.earlier_leases_end_ms()?.max(self.issued_until_ms(model, version));
-        let until_ms = clock_ms + millis(FREE_EXPIRY);
+        let until_ms = clock_ms.saturating_add(millis(FREE_EXPIRY));
         (clock_ms > last_lease_end_ms).then_some(Release { clock_ms, until_ms })
     }
 
