A model that is rolled back to a freed version gets leases for it again

Cause: a freed version was never leased again in a term, so that a late free can't hit it. Change: the end of the last free is kept; once the servers' clock has passed it, a model whose newest version lies below gets leases again, and the inventories of the stores are withdrawn and read anew before, as with the first leases of a term.

--- a/crates/node/src/forward/fence.rs
+++ b/crates/node/src/forward/fence.rs
@@ -65,6 +65,15 @@
     pub until_ms: u64,
 }
 
+/// Versions of a model whose segments were freed.
+#[derive(Clone, Copy, Debug, Default)]
+struct Freed {
+    /// All versions below this one.
+    below: u64,
+    /// When the last of the frees expires, on the servers' clock, milliseconds.
+    until_ms: u64,
+}
+
 /// The leases of this process, and as the leader, what it needs to issue leases and to free segments.
 #[derive(Debug, Default)]
 pub(super) struct Fence {
@@ -79,8 +88,8 @@
     first_clock_ms: Option<u64>,
     /// End of the last lease that was issued for each version.
     issued: HashMap<Name, BTreeMap<u64, u64>>,
-    /// For each model, the version below which segments were freed.
-    freed_below: HashMap<Name, u64>,
+    /// What was freed of each model.
+    freed: HashMap<Name, Freed>,
     next_renewal: Time,
     /// Revision of the configuration at the last renewal.
     revision: Revision,
@@ -172,8 +181,15 @@
         for (model, version) in &newest {
             in_use.entry(model.clone()).or_default().insert(*version);
         }
+        let freed_before = self.freed.len();
+        // A model that is rolled back to a freed version gets leases for it once no free can be carried out any more.
+        self.freed.retain(|model, freed| {
+            let rolled_back = newest.get(model).is_some_and(|newest| *newest < freed.below);
+            !(rolled_back && clock_ms > freed.until_ms)
+        });
+        let rolled_back = self.freed.len() < freed_before;
         for (model, versions) in &mut in_use {
-            let freed_below = self.freed_below.get(model).copied().unwrap_or(0);
+            let freed_below = self.freed.get(model).map_or(0, |freed| freed.below);
             versions.retain(|version| *version >= freed_below);
         }
         let mut leases = Vec::new();
@@ -203,7 +219,7 @@
             self.leased.get(*model).is_none_or(|leased| leased != *versions)
         });
         let changed = changed.map(|(model, found)| (model.clone(), found.clone())).collect();
-        let is_first = self.leased.is_empty();
+        let is_first = self.leased.is_empty() || rolled_back;
         self.leased = in_use;
         Renewal { leases, changed, clock_ms, is_first }
     }
@@ -256,7 +272,7 @@
     pub changed: Vec<(Name, BTreeSet<u64>)>,
     /// Estimate of the servers' clock.
     pub clock_ms: u64,
-    /// Whether they are the first in this term.
+    /// Whether they are the first in this term, or the first after a model was rolled back to a freed version.
     pub is_first: bool,
 }
 
--- a/crates/node/src/forward/reader.rs
+++ b/crates/node/src/forward/reader.rs
@@ -321,28 +321,31 @@
         self.next_free = cx.now + FREE_INTERVAL;
         let list_age = servers.read_at().map_or(Duration::MAX, |at| cx.now.since(at));
         for (model, floor) in floors(cx, servers) {
-            let mut freed = false;
+            let mut freed_until_ms = None;
             for store in stores(cx) {
-                if let Some((free, call)) = self.stale_segments(store.addr, &model, &floor) {
+                if let Some((free, until_ms, call)) =
+                    self.stale_segments(store.addr, &model, &floor)
+                {
                     let decision = Decision::Freed(Free { list_age, ..free });
                     out.push(Effect::Decision(Box::new(decision)));
                     out.push(Effect::Call(call));
-                    freed = true;
+                    freed_until_ms = freed_until_ms.max(Some(until_ms));
                 }
             }
-            if freed {
-                self.fence.freed(&model, floor.version);
+            if let Some(until_ms) = freed_until_ms {
+                self.fence.freed(&model, floor.version, until_ms);
             }
         }
     }
 
-    /// The call that frees the stale segments of a model on a store, if there are any.
+    /// The call that frees the stale segments of a model on a store, if there are any, and when it expires on the clock of
+    /// the store, milliseconds.
     fn stale_segments(
         &self,
         addr: SocketAddr,
         model: &Name,
         floor: &Floor,
-    ) -> Option<(Free, ControlCall)> {
+    ) -> Option<(Free, u64, ControlCall)> {
         let (epoch, locations) = self.inventory.holdings(addr)?;
         let mut release = None;
         let mut stale = |salt: u64| {
@@ -376,7 +379,8 @@
             list_age: Duration::ZERO,
         };
         let until_ms = Some(release.until_ms);
-        Some((free, ControlCall::FreeSegments { addr, epoch, until_ms, segments }))
+        let call = ControlCall::FreeSegments { addr, epoch, until_ms, segments };
+        Some((free, release.until_ms, call))
     }
 
     /// Removes a store or server from all inventories.
