A new leader also waits by its own clock for the leases and frees of earlier ones

Cause: the wait rested on one clock of one store. Change: the time has to pass on the servers' clock and on that of the process. The second is only ever an addition: it can't shorten the wait.

--- a/crates/node/src/forward/fence.rs
+++ b/crates/node/src/forward/fence.rs
@@ -84,8 +84,8 @@
     since: Time,
     /// Last observed clock of each store, and when it was received.
     clocks: HashMap<SocketAddr, (u64, Time)>,
-    /// First clock that was observed after the predecessor's leadership had ended.
-    first_clock_ms: Option<u64>,
+    /// First clock that was observed after the predecessor's leadership had ended, and when.
+    first_clock: Option<(u64, Time)>,
     /// End of the last lease that was issued for each version.
     issued: HashMap<Name, BTreeMap<u64, u64>>,
     /// What was freed of each model.
@@ -119,7 +119,7 @@
         let Some(clock_ms) = clock_ms else { return };
         self.clocks.insert(store, (clock_ms, now));
         if began >= self.since + predecessor {
-            self.first_clock_ms.get_or_insert(clock_ms);
+            self.first_clock.get_or_insert((clock_ms, now));
         }
     }
 
@@ -139,16 +139,22 @@
         self.clocks.get(&store).map(|(clock_ms, _)| *clock_ms)
     }
 
-    /// Whether all frees of earlier leaders have expired.
-    fn earlier_frees_expired(&self, clock_ms: u64) -> bool {
-        self.first_clock_ms.is_some_and(|first| {
-            clock_ms > first.saturating_add(millis(FREE_EXPIRY + CLOCK_MARGIN))
+    /// Whether this time has passed since the leadership of earlier leaders ended, on the servers' clock and on that of
+    /// this process: the clock of one store may be wrong in a response.
+    fn has_led_for(&self, now: Time, clock_ms: u64, time: Duration) -> bool {
+        self.first_clock.is_some_and(|(first_ms, observed_at)| {
+            clock_ms > first_ms.saturating_add(millis(time)) && now.since(observed_at) >= time
         })
     }
 
+    /// Whether all frees of earlier leaders have expired.
+    fn earlier_frees_expired(&self, now: Time, clock_ms: u64) -> bool {
+        self.has_led_for(now, clock_ms, FREE_EXPIRY + CLOCK_MARGIN)
+    }
+
     /// When all leases of earlier leaders have expired, on the servers' clock.
     fn earlier_leases_end_ms(&self) -> Option<u64> {
-        Some(self.first_clock_ms?.saturating_add(millis(NEWEST_LEASE + CLOCK_MARGIN)))
+        Some(self.first_clock?.0.saturating_add(millis(NEWEST_LEASE + CLOCK_MARGIN)))
     }
 
     /// When all leases have expired that any leader has issued so far, on the servers' clock.
@@ -169,7 +175,8 @@
         if cx.term != Some(self.term) || !due {
             return Renewal::default();
         }
-        let clock_ms = self.clock_ms(cx.now).filter(|clock| self.earlier_frees_expired(*clock));
+        let clock_ms =
+            self.clock_ms(cx.now).filter(|clock| self.earlier_frees_expired(cx.now, *clock));
         let Some(clock_ms) = clock_ms else {
             self.next_renewal = cx.now + RETRY_INTERVAL;
             return Renewal::default();
@@ -249,18 +256,26 @@
 
     /// As the leader: whether segments of a version may be freed on a store now. The version must be below the
     /// floor of its model.
-    pub fn release(&self, store: SocketAddr, model: &str, version: u64) -> Option<Release> {
+    pub fn release(
+        &self,
+        now: Time,
+        store: SocketAddr,
+        model: &str,
+        version: u64,
+    ) -> Option<Release> {
         let clock_ms = self.store_clock_ms(store)?;
-        let last_lease_end_ms =
-            self.earlier_leases_end_ms()?.max(self.issued_until_ms(model, version));
+        let earlier_leases_expired = self.has_led_for(now, clock_ms, NEWEST_LEASE + CLOCK_MARGIN);
+        let last_lease_end_ms = self.issued_until_ms(model, version);
         let until_ms = clock_ms.saturating_add(millis(FREE_EXPIRY));
-        (clock_ms > last_lease_end_ms).then_some(Release { clock_ms, until_ms })
+        let is_free = earlier_leases_expired && clock_ms > last_lease_end_ms;
+        is_free.then_some(Release { clock_ms, until_ms })
     }
 
-    /// As the leader: segments of the versions below this one were freed, so none of them is leased any more.
-    pub fn freed(&mut self, model: &Name, below: u64) {
-        let freed_below = self.freed_below.entry(model.clone()).or_default();
-        *freed_below = below.max(*freed_below);
+    /// As the leader: segments of the versions below this one were freed, so none of them is leased any more. The frees
+    /// expire at `until_ms` on the servers' clock.
+    pub fn freed(&mut self, model: &Name, below: u64, until_ms: u64) {
+        let freed = self.freed.entry(model.clone()).or_default();
+        *freed = Freed { below: below.max(freed.below), until_ms: until_ms.max(freed.until_ms) };
     }
 }
 
--- a/crates/node/src/forward/reader.rs
+++ b/crates/node/src/forward/reader.rs
@@ -324,7 +324,7 @@
             let mut freed_until_ms = None;
             for store in stores(cx) {
                 if let Some((free, until_ms, call)) =
-                    self.stale_segments(store.addr, &model, &floor)
+                    self.stale_segments(cx.now, store.addr, &model, &floor)
                 {
                     let decision = Decision::Freed(Free { list_age, ..free });
                     out.push(Effect::Decision(Box::new(decision)));
@@ -342,6 +342,7 @@
     /// the store, milliseconds.
     fn stale_segments(
         &self,
+        now: Time,
         addr: SocketAddr,
         model: &Name,
         floor: &Floor,
@@ -354,7 +355,7 @@
             if of != &**model || version >= floor.version {
                 return None;
             }
-            release = Some(self.fence.release(addr, of, version)?);
+            release = Some(self.fence.release(now, addr, of, version)?);
             Some((version, salt.clone()))
         };
         let mut found: Vec<((u64, Name), u64)> =
