Tests of the log of fetches and frees; the source of a fetch that a server may not need

A free has one line with its reason, and the leased versions have one when they change, not at each renewal. The end of a request names the lease of its fetch. The new test failed first: `fetch_from` was empty where the server was expected to hold all segments, although the request named a store for the case that it does not; it names the first source then.

--- a/crates/node/src/decision.rs
+++ b/crates/node/src/decision.rs
@@ -31,7 +31,7 @@
     pub allowed: Allowed,
     /// Its rate limit, if it had one: a permit was needed.
     pub limit: Option<Limit>,
-    /// Source of the largest segment that is fetched.
+    /// Source of the largest segment that is fetched; the first source if the server should hold them all.
     pub fetch_from: Option<SocketAddr>,
     /// When an unfinished fetch is discarded, on the servers' clock; none if no store is a source.
     pub fetch_until_ms: Option<u64>,
--- a/crates/node/src/forward/place.rs
+++ b/crates/node/src/forward/place.rs
@@ -216,7 +216,8 @@
         }
         let addr = server.listed.addr;
         let fetch_until_ms = sources.fetch_until_ms(&transfer.fetch);
-        run.inputs.fetch_from = transfer.main_source.map(|(source, _)| source);
+        let first_source = transfer.fetch.iter().copied().flatten().next();
+        run.inputs.fetch_from = transfer.main_source.map(|(source, _)| source).or(first_source);
         run.inputs.fetch_until_ms = fetch_until_ms;
         let attempt = Attempt {
             id: server.listed.id.clone(),
--- a/crates/node/tests/fence.rs
+++ b/crates/node/tests/fence.rs
@@ -8,6 +8,7 @@
 use base::prelude::*;
 use fleet::{Listed, Notice, Report, StoreDelta, StoredSegment};
 use node::Effect;
+use node::decision::{self, Decision};
 use node::forward::{Action, Attempt, ControlCall, Event};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -31,6 +32,8 @@
     at_ms: u64,
     until_ms: Option<u64>,
     segments: Vec<(Name, u64)>,
+    /// The reason in the log.
+    reason: Option<decision::Free>,
 }
 
 fn store() -> SocketAddr {
@@ -52,6 +55,7 @@
 /// the frees and leases.
 fn pass(harness: &mut Harness, millis: u64, has_clock: bool) -> (Vec<Free>, Vec<FetchLease>) {
     let (mut frees, mut leases) = (Vec::new(), Vec::new());
+    let mut reason = None;
     for _ in 0..millis / TICK_MS {
         harness.wait(TICK_MS);
         leases.extend(harness.forward.take_fetch_leases());
@@ -68,7 +72,12 @@
                 }
                 Effect::Call(ControlCall::FreeSegments { until_ms, segments, .. }) => {
                     let at_ms = harness.servers_clock_ms();
-                    frees.push(Free { at_ms, until_ms, segments });
+                    frees.push(Free { at_ms, until_ms, segments, reason: reason.take() });
+                }
+                Effect::Decision(decision) => {
+                    if let Decision::Freed(free) = *decision {
+                        reason = Some(free);
+                    }
                 }
                 _ => {}
             }
@@ -100,9 +109,49 @@
     let (frees, _) = pass(&mut harness, 30_000, true);
     let first = frees.first().expect("stale segments are freed in the end");
     assert_eq!(first.segments, [(Name::new("*/m/1"), 1)]);
+    let reason = first.reason.as_ref().expect("a line in the log");
+    assert_eq!((&*reason.model, reason.versions.as_slice(), reason.segments), ("m", &[1][..], 1));
+    assert_eq!((reason.floor, &*reason.held_by, reason.holders), (2, "i-2", 1));
+    assert!(until_ms <= reason.last_lease_ms && reason.last_lease_ms < reason.clock_ms);
     assert!(first.at_ms > until_ms, "freed at {}, fetched until {until_ms}", first.at_ms);
 }
 
+// Guards against a log in which a fetch can't be compared with a free, or in which each renewal of a lease has a line.
+#[test]
+fn the_log_names_the_lease_of_a_fetch_and_changes_of_the_leased_versions() {
+    let mut harness = leader(1);
+    let mut leased = Vec::new();
+    for millis in (0..20_000).step_by(TICK_MS as usize) {
+        harness.wait(TICK_MS);
+        if millis == 16_000 {
+            harness.view = view(2);
+        }
+        for effect in std::mem::take(&mut harness.out) {
+            match effect {
+                Effect::Call(ControlCall::ReadStore { addr, .. }) => {
+                    harness.store_read(addr, "*/m/1", &[(1, 2_500)]);
+                }
+                Effect::Decision(decision) => {
+                    if let Decision::VersionsLeased { versions, term, .. } = *decision {
+                        leased.push((versions, term));
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+    assert_eq!(leased, [(vec![1], 1), (vec![1, 2], 1)]);
+    let attempt = fetches(&mut harness, 1);
+    harness.respond(1, 200, false);
+    harness.event(Event::Completed { call: 1 });
+    let ended = harness.decisions().find_map(|decision| match decision {
+        Decision::Ended { inputs, .. } => Some((inputs.fetch_from, inputs.fetch_until_ms)),
+        _ => None,
+    });
+    assert!(attempt.fetch_until_ms.is_some());
+    assert_eq!(ended, Some((Some(store()), attempt.fetch_until_ms)));
+}
+
 // Guards against incident MIXED: the timer of a free ran in a process that had not led before.
 #[test]
 fn a_new_leader_frees_nothing_before_earlier_leases_have_ended() {
