--- a/crates/node/tests/fence.rs
+++ b/crates/node/tests/fence.rs
@@ -426,6 +426,50 @@
     );
 }
 
+// Guards against a new leader that counts from clocks read while its predecessor could still issue leases.
+#[test]
+fn a_new_leader_counts_from_the_end_of_its_predecessors_leadership() {
+    let mut harness = leader(4);
+    replace_server(&mut harness);
+    let lease_ms = forwarder::fixture::config().lease.as_millis() as u64;
+    let ended_ms = harness.servers_clock_ms() + lease_ms;
+    let (frees, leases) = pass(&mut harness, 30_000, true);
+    let first = leases.first().expect("a lease");
+    let issued_ms = first.until_ms - u64::from(first.left_ms);
+    assert!(issued_ms > ended_ms + FREE_MS + REPORT_AGE_MS, "leased at {issued_ms}");
+    let first = frees.first().expect("stale segments are freed in the end");
+    assert!(first.at_ms > ended_ms + LONGEST_LEASE_MS + REPORT_AGE_MS, "{first:?}");
+}
+
+// Guards against a lease for a segment that a predecessor's late free removed after the new leader had read the store,
+// while the event that reports the removal was lost.
+#[test]
+fn no_segment_read_before_the_first_lease_is_offered_with_it() {
+    let mut harness = leader(2);
+    let freed_ms = harness.servers_clock_ms() + 1_500;
+    for _ in 0..200 {
+        harness.wait(TICK_MS);
+        let leases = harness.forward.take_fetch_leases();
+        if !leases.is_empty() {
+            let inventory = harness.forward.inventory();
+            let offered = inventory.holdings.iter().find(|held| !held.segments.is_empty());
+            assert_eq!(offered, None, "freed at {freed_ms}");
+            return;
+        }
+        for effect in std::mem::take(&mut harness.out) {
+            let Effect::Call(ControlCall::ReadStore { addr, since }) = effect else { continue };
+            let held = StoredSegment { salt: "*/m/1".to_owned(), id: 1, tokens: 2_500 };
+            let is_held =
+                addr == store() && since.is_none() && harness.servers_clock_ms() < freed_ms;
+            let segments = if is_held { vec![held] } else { Vec::new() };
+            let clock_ms = Some(harness.servers_clock_ms());
+            let delta = StoreDelta { epoch: 1, next_event: 9, gap: false, clock_ms, segments };
+            harness.event(Event::StoreRead { addr, since, delta: Ok(delta) });
+        }
+    }
+    panic!("no lease");
+}
+
 /// A part on the simulated store.
 #[derive(Clone, Copy, Debug)]
 struct Part {
