A change of protocol is no answer to a request

What callers saw, in a test: a server answered 101, which no request asks for, and its whole head went to the caller as the final answer, without a body. hyper skips the other interim statuses and returns this one. Such a request now ends as one that was sent and not answered.

Measured: on the code before, the four cases of a_head_that_breaks_off_is_no_answer failed (status 101 at the caller); they pass now.

--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -95,6 +95,8 @@
                 None => (connect(addr).await.map_err(|_| Failure::NotSent)?, false),
             };
             match conn.sender.try_send_request(request).await {
+                // No request asks for another protocol (101); other interim responses are skipped.
+                Ok(response) if response.status().is_informational() => return Err(Failure::Lost),
                 Ok(response) => {
                     let reuse_time = reuse_time(&response);
                     let meter = conn.meter.clone();
