Each run has its own connection to an agent's server

What callers saw, in a test with a faulty server behind an agent: a refusal that it wrote once more on a kept connection was taken for the answer to the next request, which the server then ran. The caller got "503, full", and so did each resend, since the agent stores the answer (REFUSED). Servers of agents echo no ID, so a copy can't be told from an answer. An agent now keeps no connection to its server; it runs on the same machine, and a new connection there costs little. The client of stores and of cache blocks is as before.

Answers that break off inside their heads, before their lengths or inside their chunks were not stored before either; they are cases of the new tests.

Measured: on the code before, a_repeated_refusal_is_not_stored_for_another_request failed (503, "full"); it passes now. The cost of the new connections was not measured.

--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -74,7 +74,8 @@
         let config = Agent::config_builder()
             .timeout_connect(Some(CONNECT_TIMEOUT))
             .http_status_as_error(false)
-            .max_idle_connections_per_host(64)
+            // A server may write an answer once more; on a connection of its own, no run finds another's.
+            .max_idle_connections(0)
             .build();
         let base = format!("http://{addr}");
         let transfer = Transfer::new(base.clone(), stores);
