--- a/crates/edge/src/notes.rs
+++ b/crates/edge/src/notes.rs
@@ -158,12 +158,14 @@
             let (causes, servers, age_ms) = (causes(hold), hold.servers().join(","), millis(*age));
             match (hold.is_request(), *held) {
                 (false, true) => {
-                    log::warn!(segments = causes, servers, age_ms; "prompt segments quarantined")
+                    log::warn!(segments = causes, servers, age_ms; "prompt segments quarantined");
                 }
                 (false, false) => {
                     log::warn!(segments = causes, servers, age_ms; "prompt segments released from quarantine");
                 }
-                (true, true) => log::warn!(digest = causes, servers, age_ms; "request quarantined"),
+                (true, true) => {
+                    log::warn!(digest = causes, servers, age_ms; "request quarantined");
+                }
                 (true, false) => {
                     log::warn!(digest = causes, servers, age_ms; "request released from quarantine");
                 }
