--- a/crates/disk/src/error.rs
+++ b/crates/disk/src/error.rs
@@ -21,6 +21,15 @@
         /// Offset of the first invalid byte.
         offset: usize,
     },
+    /// An entry of the log does not follow the one before it, or the snapshot.
+    Misplaced {
+        /// The file.
+        path: PathBuf,
+        /// Index that follows.
+        expected: u64,
+        /// Index of the entry.
+        found: u64,
+    },
     /// Another process has locked the directory.
     InUse(PathBuf),
 }
@@ -45,6 +54,9 @@
             Self::Corrupt { path, offset } => {
                 write!(f, "{}: synced data is corrupt at offset {offset}", path.display())
             }
+            Self::Misplaced { path, expected, found } => {
+                write!(f, "{}: entry {found} where {expected} follows", path.display())
+            }
             Self::InUse(path) => write!(f, "{}: locked by another process", path.display()),
         }
     }
--- a/crates/disk/src/store.rs
+++ b/crates/disk/src/store.rs
@@ -73,7 +73,7 @@
     ///
     /// # Errors
     /// Returns an error if the directory cannot be used, another process has locked it, or synced data
-    /// is corrupt.
+    /// is corrupt or misplaced.
     pub fn open(directory: &Path, identity: u64) -> Result<Opened, Error> {
         fs::create_dir_all(directory).map_err(Error::io(directory))?;
         let lock = lock(directory)?;
@@ -94,6 +94,12 @@
                 Record::Entry(entry) => replay_entry(&mut saved.entries, entry),
             }
         }
+        let base = saved.snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
+        for (expected, entry) in (base + 1..).zip(&saved.entries) {
+            if entry.index != expected {
+                return Err(Error::Misplaced { path, expected, found: entry.index });
+            }
+        }
         let log = open_log(&path)?;
         let torn = bytes.len() - read.end;
         if torn > 0 {
--- a/crates/disk/tests/recovery.rs
+++ b/crates/disk/tests/recovery.rs
@@ -148,6 +148,35 @@
     }
 }
 
+// Guards against a log that is used although entries are missing in it, or are not those after the snapshot.
+#[test_case(None, &[2, 3], Some((1, 2)); "without the first one")]
+#[test_case(None, &[1, 2, 4], Some((3, 4)); "with a gap")]
+#[test_case(Some(7), &[5, 6, 7, 8], Some((8, 5)); "from before the snapshot")]
+#[test_case(Some(7), &[9], Some((8, 9)); "a gap after the snapshot")]
+#[test_case(Some(7), &[8, 9, 9, 10, 8, 9], None; "written again")]
+fn misplaced_entries_are_refused(
+    base: Option<u64>,
+    indexes: &[u64],
+    misplaced: Option<(u64, u64)>,
+) {
+    let folder = folder(&format!("misplaced-{base:?}-{}", indexes.len()));
+    let mut store = Store::open(&folder, 9).expect("opens").store;
+    if let Some(index) = base {
+        let base = Write { snapshot: Some(snapshot(index)), ..Write::default() };
+        store.write(&[base]).expect("writes");
+    }
+    store.write(&[entries(indexes.iter().map(|index| entry(*index, 1)))]).expect("writes");
+    drop(store);
+    let found = match Store::open(&folder, 9) {
+        Err(Error::Misplaced { expected, found, .. }) => Some((expected, found)),
+        opened => {
+            opened.expect("opens");
+            None
+        }
+    };
+    assert_eq!(found, misplaced);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 150,
--- a/crates/quorum/tests/cluster/disk.rs
+++ b/crates/quorum/tests/cluster/disk.rs
@@ -22,5 +22,8 @@
             self.saved.entries.retain(|old| old.index < entry.index);
             self.saved.entries.push(entry);
         }
+        // A store refuses to open with other entries.
+        let base = self.saved.snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
+        assert!((base + 1..).zip(&self.saved.entries).all(|(index, entry)| entry.index == index));
     }
 }
