--- a/crates/node/tests/fence.rs
+++ b/crates/node/tests/fence.rs
@@ -318,7 +318,7 @@
                 }
                 Effect::Call(ControlCall::FreeSegments { until_ms, segments, .. }) => {
                     let at_ms = harness.servers_clock_ms();
-                    frees.push(Free { at_ms, until_ms, segments });
+                    frees.push(Free { at_ms, until_ms, segments, reason: None });
                 }
                 _ => {}
             }
