quarantine: a request that shares all its crashes is never alone in one

The check for another request with the same crashes said nothing that "never the only candidate" doesn't: without it the table's tests pass (28 named request or crash).

--- a/crates/quarantine/src/verdict.rs
+++ b/crates/quarantine/src/verdict.rs
@@ -102,10 +102,7 @@
                 let has_prompt = || !found.iter().all(|index| crashes[*index].is_plain());
                 let was_alone =
                     || found.iter().any(|index| crashes[*index].candidates().len() == 1);
-                let doubtful = needed > MIN_CRASHES
-                    || has_prompt()
-                    || !was_alone()
-                    || alike(cause, found).len() > 1;
+                let doubtful = needed > MIN_CRASHES || has_prompt() || !was_alone();
                 needed = MIN_CRASHES + MORE_CRASHES * usize::from(doubtful);
             }
             (count >= needed).then(|| (!survived, count, found.clone(), cause.clone()))
