An entry that connects while the leader's lease has lapsed is told the inventory

Cause: a process sends the complete inventory to an entry that connects only if it leads at that moment. A leader that was cut off for a while is connected to the entries again before a majority has answered it; it leads again in the same term, with its reads as they were. Such an entry missed what was advertised meanwhile, a withdrawal of a restarted store among it, but got leases. Callers could get a response from a part that was being saved there again. Change: the process keeps the entries that connected during a lapse in a term in which it has led, and informs them before the next leases. Evidence: an_entry_that_connects_while_the_lease_has_lapsed_is_told_the_inventory failed before (25 frames, no inventory, the same leader in the same term). A fetch that comes of it was not seen.

--- a/crates/node/src/forward/mod.rs
+++ b/crates/node/src/forward/mod.rs
@@ -285,6 +285,11 @@
         &self.config
     }
 
+    /// Whether this process has led in a term.
+    pub fn has_led_in(&self, term: u64) -> bool {
+        self.stores.targets_version.term == term
+    }
+
     /// Number of requests in progress.
     pub fn open(&self) -> usize {
         self.runs.len() + self.awaiting_config.len()
--- a/crates/node/src/forward/reader.rs
+++ b/crates/node/src/forward/reader.rs
@@ -42,7 +42,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) struct TargetsVersion {
     /// Term in which the reads began.
-    term: u64,
+    pub term: u64,
     revision: Revision,
     /// Generation of the list of servers.
     lists: u64,
--- a/crates/node/src/process/advertise.rs
+++ b/crates/node/src/process/advertise.rs
@@ -68,6 +68,39 @@
         }
     }
 
+    /// Sends what this process knows as the leader to an entry that has connected; if its lease has lapsed, once it leads
+    /// again in this term.
+    pub(super) fn inform_connected(&mut self, now: Time, entry: &Name, out: &mut Effects) {
+        self.uninformed.remove(entry);
+        let Some(forward) = &self.forward else {
+            return;
+        };
+        let Some(term) = self.leader_term(now) else {
+            let term = self.keeper.as_ref().map(|keeper| keeper.replica().term());
+            if let Some(term) = term.filter(|term| forward.has_led_in(*term)) {
+                self.uninformed.insert(entry.clone(), term);
+            }
+            return;
+        };
+        let limits = Frame::Limits(forward.limits_in_force(now, term));
+        let evidence = Frame::Evidence(forward.evidence(now));
+        for frame in [Frame::Inventory(forward.inventory()), limits, evidence] {
+            out.push(Effect::Send { to: entry.clone(), frame });
+        }
+    }
+
+    /// As the leader: informs the entries that connected while the lease had lapsed, before they get leases for fetches.
+    fn inform_uninformed(&mut self, now: Time, out: &mut Effects) {
+        let Some(leading) = self.leader_term(now) else {
+            return;
+        };
+        for (entry, term) in std::mem::take(&mut self.uninformed) {
+            if term == leading {
+                self.inform_connected(now, &entry, out);
+            }
+        }
+    }
+
     /// Handles a frame about servers without an agent: their state, or a permit for one.
     pub(super) fn handle_server_frame(
         &mut self,
@@ -180,6 +213,7 @@
     /// Sends the loads of this entry at the servers to the leader; as the leader, sends the load totals, limits,
     /// ages of weight versions and leases for fetches to all entries.
     pub(super) fn send_loads(&mut self, now: Time, out: &mut Effects) {
+        self.inform_uninformed(now, out);
         let me = self.local.hello.name.clone();
         let mut totals = Vec::new();
         let mut ages = Vec::new();
--- a/crates/node/src/process/mod.rs
+++ b/crates/node/src/process/mod.rs
@@ -66,6 +66,8 @@
     last_tick: Time,
     /// Term in which this process leads the keepers, as last logged.
     leading_term: Option<u64>,
+    /// The entries that connected while the lease had lapsed, each with the term then.
+    uninformed: BTreeMap<Name, u64>,
     /// Since when this keeper has no leader, and when that is logged next.
     leaderless: Option<(Time, Time)>,
     /// The configuration last logged as in force, and whether this process served with it.
@@ -116,6 +118,7 @@
             store_reader: None,
             last_tick: Time::ZERO,
             leading_term: None,
+            uninformed: BTreeMap::new(),
             leaderless: None,
             logged_config: (Revision::default(), false),
             peers: BTreeMap::new(),
@@ -282,13 +285,8 @@
         }
         let heartbeat = self.heartbeat(now, &hello.name);
         out.push(Effect::Send { to: hello.name.clone(), frame: Frame::Heartbeat(heartbeat) });
-        let term = self.leader_term(now).filter(|_| hello.entry);
-        if let Some((forward, term)) = self.forward.as_ref().zip(term) {
-            let limits = Frame::Limits(forward.limits_in_force(now, term));
-            let evidence = Frame::Evidence(forward.evidence(now));
-            for frame in [Frame::Inventory(forward.inventory()), limits, evidence] {
-                out.push(Effect::Send { to: hello.name.clone(), frame });
-            }
+        if hello.entry {
+            self.inform_connected(now, &hello.name, out);
         }
         self.with_entry(now, |entry, cx| entry.connected(cx, &hello, out));
         self.exchange_contacts(now, &hello, out);
@@ -297,6 +295,7 @@
 
     fn disconnected(&mut self, now: Time, peer: &Name, out: &mut Effects) {
         let lost = self.peers.remove(peer);
+        self.uninformed.remove(peer);
         if self.forward.is_some() && lost.is_some_and(|hello| hello.keeper) {
             let decision = Decision::Keeper { keeper: peer.clone(), up: false };
             out.push(Effect::Decision(Box::new(decision)));
