--- a/crates/node/tests/fence.rs
+++ b/crates/node/tests/fence.rs
@@ -861,7 +861,7 @@
 
 // Guards against incident MIXED: leaving servers, changes of leader, entries without contact and late frees.
 #[test_case(0..20, false; "frees")]
-#[test_case(100..120, true; "frees and restarts of the store")]
+#[test_case(20..420, true; "frees and restarts of the store")]
 fn no_fetch_uses_a_part_that_is_freed_or_incomplete(seeds: std::ops::Range<u64>, restarts: bool) {
     let (mut freed, mut fetched) = (0, 0);
     let mut violations = Vec::new();
