Failing tests: the inventory of a new leader, and a clock that jumps ahead

An entry that connects to a new leader in its first moments gets inventories that this leader has not read, marked with its term. A lease that is derived from a store's clock an hour ahead ends an hour from now.

--- a/crates/node/tests/fence.rs
+++ b/crates/node/tests/fence.rs
@@ -470,6 +470,35 @@
     panic!("no lease");
 }
 
+// Guards against an entry that connects to a new leader and, with a lease of the predecessor, fetches by an inventory that
+// the new leader has not read itself: a store in it may have restarted meanwhile.
+#[test]
+fn a_new_leader_offers_no_store_that_it_has_not_read() {
+    let mut old = leader(1);
+    pass(&mut old, 8_000, true);
+    let mut next = Harness::with_list(vec![server(1, 1)]);
+    next.now = old.now;
+    next.forward.inventory_advertised(&old.forward.inventory());
+    next.term = Some(2);
+    next.tick();
+    let inventory = next.forward.inventory();
+    assert_eq!(inventory.term, 2);
+    let offered = inventory.holdings.iter().find(|held| !held.segments.is_empty());
+    assert_eq!(offered, None);
+}
+
+// Guards against one store's clock that jumps ahead: a lease would outlast the wait of the next leader, and no segment of its
+// version could be freed for as long.
+#[test]
+fn a_clock_that_jumps_ahead_does_not_prolong_a_lease() {
+    let mut harness = leader(1);
+    pass_at(&mut harness, 20_000, 1, |clock| clock);
+    let (_, leases) = pass_at(&mut harness, 2_000, 1, |clock| clock + 3_600_000);
+    let bound_ms = harness.servers_clock_ms() + LONGEST_LEASE_MS + REPORT_AGE_MS;
+    let until_ms = leases.iter().map(|lease| lease.until_ms).max().expect("a lease");
+    assert!(until_ms <= bound_ms, "leased until {until_ms}, now + 12 s is {bound_ms}");
+}
+
 /// A part on the simulated store.
 #[derive(Clone, Copy, Debug)]
 struct Part {
