A new leader tells entries that connect no inventory of a store that it has not read

Cause: the complete inventory for an entry that connects held what this process had learnt from earlier leaders, marked with the new term, before its own reads. If it had missed a withdrawal, an entry that knew of it, with a lease of the predecessor, took the older inventory. Callers could get a response from a part that was being saved again. Change: until this leader has read a store, the store is withdrawn in that inventory; an entry that connects before the reads of the term have begun is informed once they have. Evidence: a_new_leader_offers_no_store_that_it_has_not_read failed before.

--- a/crates/node/src/forward/reader.rs
+++ b/crates/node/src/forward/reader.rs
@@ -71,6 +71,8 @@
     store: bool,
     /// Whether the response to the pending read is to be discarded.
     outdated: bool,
+    /// Whether the complete inventory has been read in this term.
+    has_read: bool,
     /// Set while the store has restarted and is not offered yet.
     closed: Option<Closed>,
     /// When the last read began.
@@ -84,6 +86,11 @@
     fn is_full(&self) -> bool {
         is_full(self.store, self.since)
     }
+
+    /// Whether the target is a store whose inventory is known only from an earlier leader.
+    pub(super) fn is_unread_store(&self) -> bool {
+        self.store && !self.has_read
+    }
 }
 
 /// Whether a read returns the complete inventory: a store lists it, a server returns its events from the
@@ -223,6 +230,7 @@
             }
             return;
         }
+        read.has_read |= full;
         read.since = Some(delta.next_event);
         read.epoch = delta.epoch;
         read.next = cx.now + READ_INTERVAL;
--- a/crates/node/src/forward/stores.rs
+++ b/crates/node/src/forward/stores.rs
@@ -152,14 +152,20 @@
             id: location.id,
             tokens,
         };
-        let holdings = self.inventory.all_holdings().map(|(store, epoch, segments)| Holdings {
+        // A store that this leader has not read may have restarted.
+        let is_offered = |store: SocketAddr| {
+            self.inventory.contains_store(store)
+                && !self.reads.get(&store).is_some_and(ReadState::is_unread_store)
+        };
+        let offered = self.inventory.all_holdings().filter(|(store, ..)| is_offered(*store));
+        let holdings = offered.map(|(store, epoch, segments)| Holdings {
             store,
             epoch: Some(epoch),
             complete: true,
             segments: segments.into_iter().map(stored).collect(),
         });
         // The entry may still have inventories that were withdrawn meanwhile.
-        let withdrawn = self.targets.iter().filter(|addr| !self.inventory.contains_store(**addr));
+        let withdrawn = self.targets.iter().filter(|addr| !is_offered(**addr));
         let withdrawn = withdrawn.map(|addr| Holdings {
             store: *addr,
             epoch: None,
--- a/crates/node/src/process/advertise.rs
+++ b/crates/node/src/process/advertise.rs
@@ -68,16 +68,18 @@
         }
     }
 
-    /// Sends what this process knows as the leader to an entry that has connected; if its lease has lapsed, once it leads
-    /// again in this term.
+    /// Sends what this process knows as the leader to an entry that has connected; if its lease has lapsed or its reads
+    /// have not begun, once it leads in this term.
     pub(super) fn inform_connected(&mut self, now: Time, entry: &Name, out: &mut Effects) {
         self.uninformed.remove(entry);
         let Some(forward) = &self.forward else {
             return;
         };
-        let Some(term) = self.leader_term(now) else {
-            let term = self.keeper.as_ref().map(|keeper| keeper.replica().term());
-            if let Some(term) = term.filter(|term| forward.has_led_in(*term)) {
+        let leading = self.leader_term(now);
+        let term = self.keeper.as_ref().map(|keeper| keeper.replica().term());
+        let has_led = term.is_some_and(|term| forward.has_led_in(term));
+        let Some(term) = leading.filter(|_| has_led) else {
+            if let Some(term) = term.filter(|_| has_led || leading.is_some()) {
                 self.uninformed.insert(entry.clone(), term);
             }
             return;
