A change of a withdrawn store's inventory doesn't bring the store back

Cause: a change of a store that wasn't known created its inventory. Change: only a complete inventory does, and a change counts only for the incarnation that is known. A complete inventory that is overtaken is not excluded (open).

--- a/crates/node/src/forward/stores.rs
+++ b/crates/node/src/forward/stores.rs
@@ -192,6 +192,11 @@
             self.inventory.remove_store(holdings.store);
             return;
         };
+        // A change that is overtaken by a withdrawal doesn't bring the store back: only a complete inventory does.
+        let known = self.inventory.holdings(holdings.store).map(|(known, _)| known);
+        if !holdings.complete && known != Some(epoch) {
+            return;
+        }
         self.epochs.insert(holdings.store, epoch);
         let location = |segment: &StoredSegment| Location { salt: segment.salt, id: segment.id };
         let present = holdings.segments.iter().filter(|segment| segment.tokens > 0);
