--- a/crates/node/src/forward/fence.rs
+++ b/crates/node/src/forward/fence.rs
@@ -7,11 +7,12 @@
 //!
 //! The leader frees segments of a version only after the store's own clock has passed the end of the last lease
 //! for it. A free expires too, so that one that is carried out late can't hit a version that a later leader leases
-//! again; within a term, a freed version is never leased again. A new leader doesn't know the leases and frees of
-//! its predecessors, so it waits until all of them have expired.
+//! again; within a term, a freed version is leased again only if the model is rolled back to it, once all frees have
+//! expired. A new leader doesn't know the leases and frees of its predecessors, so it waits until all of them have
+//! expired.
 //!
-//! The rules rely on the servers' clock and on the terms of leaders, not on timers or on the list of servers. An
-//! observed clock is a lower bound of the current one.
+//! The rules rely on the servers' clock and on the terms of leaders, not on the list of servers. An observed clock is a
+//! lower bound of the current one. A new leader also waits by its own clock, since one store's may be wrong.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -23,7 +24,7 @@
 use super::Context;
 
 /// Duration of a lease for the newest weight version; it outlasts a change of leader.
-pub(super) const NEWEST_LEASE: Duration = Duration::from_secs(10);
+const NEWEST_LEASE: Duration = Duration::from_secs(10);
 /// Duration of a lease for an older version. No lease is longer than the one for the newest.
 const OLDER_LEASE: Duration = Duration::from_secs(3);
 /// How long a free may take to be carried out.
--- a/crates/node/src/forward/reader.rs
+++ b/crates/node/src/forward/reader.rs
@@ -394,7 +394,7 @@
 
     /// Removes a store or server from all inventories.
     fn withdraw(&mut self, store: SocketAddr) {
-        self.publish(Holdings { store, epoch: None, complete: true, segments: Vec::new() });
+        self.publish(Holdings::withdrawn(store));
     }
 
     fn publish(&mut self, holdings: Holdings) {
--- a/crates/node/src/forward/stores.rs
+++ b/crates/node/src/forward/stores.rs
@@ -166,12 +166,7 @@
         });
         // The entry may still have inventories that were withdrawn meanwhile.
         let withdrawn = self.targets.iter().filter(|addr| !is_offered(**addr));
-        let withdrawn = withdrawn.map(|addr| Holdings {
-            store: *addr,
-            epoch: None,
-            complete: true,
-            segments: Vec::new(),
-        });
+        let withdrawn = withdrawn.map(|addr| Holdings::withdrawn(*addr));
         wire::Inventory { term: self.term, holdings: holdings.chain(withdrawn).collect() }
     }
 
--- a/crates/wire/src/inventory.rs
+++ b/crates/wire/src/inventory.rs
@@ -21,7 +21,7 @@
 pub struct Holdings {
     /// Address of the store.
     pub store: SocketAddr,
-    /// Incarnation of the store; `None` while it is unreachable.
+    /// Incarnation of the store; `None` while it can't be fetched from.
     pub epoch: Option<u64>,
     /// Whether `segments` lists all segments that the store holds.
     pub complete: bool,
@@ -29,6 +29,13 @@
     pub segments: Vec<StoredSegment>,
 }
 
+impl Holdings {
+    /// The message that a store can't be fetched from.
+    pub const fn withdrawn(store: SocketAddr) -> Self {
+        Self { store, epoch: None, complete: true, segments: Vec::new() }
+    }
+}
+
 /// Changes of the stores' inventories, sent by the keeper that reads them.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Inventory {
