--- a/crates/node/tests/fence.rs
+++ b/crates/node/tests/fence.rs
@@ -51,9 +51,23 @@
     harness
 }
 
-/// Passes time at a leader; a store that holds the segment of `PROMPT` for version 1 answers its reads at once. Returns
-/// the frees and leases.
-fn pass(harness: &mut Harness, millis: u64, has_clock: bool) -> (Vec<Free>, Vec<FetchLease>) {
+/// What the store holds by this read: the segment of `PROMPT` for version 1, if it is a complete one.
+fn held(addr: SocketAddr, since: Option<u64>) -> Vec<StoredSegment> {
+    let segment = StoredSegment { salt: "*/m/1".to_owned(), id: 1, tokens: 2_500 };
+    if addr == store() && since.is_none() { vec![segment] } else { Vec::new() }
+}
+
+/// The response to a read.
+fn delta(epoch: u64, clock_ms: Option<u64>, segments: Vec<StoredSegment>) -> StoreDelta {
+    StoreDelta { epoch, next_event: 9, gap: false, clock_ms, segments }
+}
+
+/// Passes time at a leader whose reads are answered at once. Returns the frees and leases.
+fn pass_with(
+    harness: &mut Harness,
+    millis: u64,
+    mut respond: impl FnMut(&Harness, SocketAddr, Option<u64>) -> StoreDelta,
+) -> (Vec<Free>, Vec<FetchLease>) {
     let (mut frees, mut leases) = (Vec::new(), Vec::new());
     let mut reason = None;
     for _ in 0..millis / TICK_MS {
@@ -62,13 +76,8 @@
         for effect in std::mem::take(&mut harness.out) {
             match effect {
                 Effect::Call(ControlCall::ReadStore { addr, since }) => {
-                    let held = StoredSegment { salt: "*/m/1".to_owned(), id: 1, tokens: 2_500 };
-                    let segments =
-                        if addr == store() && since.is_none() { vec![held] } else { Vec::new() };
-                    let clock_ms = has_clock.then(|| harness.servers_clock_ms());
-                    let delta =
-                        StoreDelta { epoch: 1, next_event: 9, gap: false, clock_ms, segments };
-                    harness.event(Event::StoreRead { addr, since, delta: Ok(delta) });
+                    let delta = Ok(respond(harness, addr, since));
+                    harness.event(Event::StoreRead { addr, since, delta });
                 }
                 Effect::Call(ControlCall::FreeSegments { until_ms, segments, .. }) => {
                     let at_ms = harness.servers_clock_ms();
@@ -86,6 +95,14 @@
     (frees, leases)
 }
 
+/// The same; the store holds the segment of `PROMPT` for version 1.
+fn pass(harness: &mut Harness, millis: u64, has_clock: bool) -> (Vec<Free>, Vec<FetchLease>) {
+    pass_with(harness, millis, |harness, addr, since| {
+        let clock_ms = has_clock.then(|| harness.servers_clock_ms());
+        delta(1, clock_ms, held(addr, since))
+    })
+}
+
 fn fetches(harness: &mut Harness, call: u64) -> Attempt {
     harness.prompt(call, "/stream/x", "key", &PROMPT);
     harness.sent(call)
@@ -295,36 +312,17 @@
     panic!("not offered again; withdrawn: {is_withdrawn}");
 }
 
-/// Passes time at a leader whose store is in this incarnation and responds at once, its clock ahead by this much.
-/// Returns the frees and leases.
+/// The same; the store is empty, in this incarnation, and reports this clock for the servers' clock.
 fn pass_at(
     harness: &mut Harness,
     millis: u64,
     epoch: u64,
     clock_ms: impl Fn(u64) -> u64,
 ) -> (Vec<Free>, Vec<FetchLease>) {
-    let (mut frees, mut leases) = (Vec::new(), Vec::new());
-    for _ in 0..millis / TICK_MS {
-        harness.wait(TICK_MS);
-        leases.extend(harness.forward.take_fetch_leases());
-        for effect in std::mem::take(&mut harness.out) {
-            match effect {
-                Effect::Call(ControlCall::ReadStore { addr, since }) => {
-                    let clock_ms = Some(clock_ms(harness.servers_clock_ms()));
-                    let epoch = if addr == store() { epoch } else { 1 };
-                    let segments = Vec::new();
-                    let delta = StoreDelta { epoch, next_event: 9, gap: false, clock_ms, segments };
-                    harness.event(Event::StoreRead { addr, since, delta: Ok(delta) });
-                }
-                Effect::Call(ControlCall::FreeSegments { until_ms, segments, .. }) => {
-                    let at_ms = harness.servers_clock_ms();
-                    frees.push(Free { at_ms, until_ms, segments, reason: None });
-                }
-                _ => {}
-            }
-        }
-    }
-    (frees, leases)
+    pass_with(harness, millis, |harness, addr, _| {
+        let epoch = if addr == store() { epoch } else { 1 };
+        delta(epoch, Some(clock_ms(harness.servers_clock_ms())), Vec::new())
+    })
 }
 
 // Guards against a store that stays out of use until the next change of leader: it had restarted while the leader
@@ -393,36 +391,18 @@
     replace_server(&mut harness);
     let began_ms = harness.servers_clock_ms();
     let mut behind = true;
-    let mut frees = Vec::new();
-    for _ in 0..600 {
-        harness.wait(TICK_MS);
-        for effect in std::mem::take(&mut harness.out) {
-            match effect {
-                Effect::Call(ControlCall::ReadStore { addr, since }) => {
-                    let held = StoredSegment { salt: "*/m/1".to_owned(), id: 1, tokens: 2_500 };
-                    let segments =
-                        if addr == store() && since.is_none() { vec![held] } else { Vec::new() };
-                    let is_wrong = behind && addr == store();
-                    let late = harness.servers_clock_ms() >= began_ms + 1_500;
-                    behind &= !(addr == store() && late);
-                    let offset = if is_wrong { 600_000 } else { 0 };
-                    let clock_ms = Some(harness.servers_clock_ms() - offset);
-                    let delta =
-                        StoreDelta { epoch: 1, next_event: 9, gap: false, clock_ms, segments };
-                    harness.event(Event::StoreRead { addr, since, delta: Ok(delta) });
-                }
-                Effect::Call(ControlCall::FreeSegments { .. }) => {
-                    frees.push(harness.servers_clock_ms());
-                }
-                _ => {}
-            }
-        }
-    }
+    let (frees, _) = pass_with(&mut harness, 30_000, |harness, addr, since| {
+        let is_wrong = behind && addr == store();
+        let late = harness.servers_clock_ms() >= began_ms + 1_500;
+        behind &= !(addr == store() && late);
+        let offset = if is_wrong { 600_000 } else { 0 };
+        delta(1, Some(harness.servers_clock_ms() - offset), held(addr, since))
+    });
     let first = frees.first().expect("stale segments are freed in the end");
     assert!(
-        *first > began_ms + LONGEST_LEASE_MS + REPORT_AGE_MS,
+        first.at_ms > began_ms + LONGEST_LEASE_MS + REPORT_AGE_MS,
         "freed {} ms after the leader began",
-        first - began_ms
+        first.at_ms - began_ms
     );
 }
 
@@ -458,13 +438,10 @@
         }
         for effect in std::mem::take(&mut harness.out) {
             let Effect::Call(ControlCall::ReadStore { addr, since }) = effect else { continue };
-            let held = StoredSegment { salt: "*/m/1".to_owned(), id: 1, tokens: 2_500 };
-            let is_held =
-                addr == store() && since.is_none() && harness.servers_clock_ms() < freed_ms;
-            let segments = if is_held { vec![held] } else { Vec::new() };
-            let clock_ms = Some(harness.servers_clock_ms());
-            let delta = StoreDelta { epoch: 1, next_event: 9, gap: false, clock_ms, segments };
-            harness.event(Event::StoreRead { addr, since, delta: Ok(delta) });
+            let clock_ms = harness.servers_clock_ms();
+            let segments = if clock_ms < freed_ms { held(addr, since) } else { Vec::new() };
+            let delta = Ok(delta(1, Some(clock_ms), segments));
+            harness.event(Event::StoreRead { addr, since, delta });
         }
     }
     panic!("no lease");
