--- /dev/null
+++ b/review/stand/src/lib.rs
@@ -0,0 +1,27 @@
+//! Stand-ins of the review: a small deployment of the product's own processes on loopback addresses, the platform's list,
+//! servers, and clients. Everything that is sent, answered and run is written to a record.
+
+pub mod http;
+pub mod platform;
+pub mod record;
+pub mod replica;
+pub mod system;
+
+/// How a case ended.
+pub enum Verdict {
+    /// The rule held.
+    Held,
+    /// The rule was broken.
+    Broken,
+    /// The case could not run.
+    NotRun(String),
+}
+
+/// Whether the disruption is to happen.
+pub fn trouble() -> bool {
+    std::env::var("TROUBLE").as_deref() != Ok("0")
+}
+
+pub fn sleep_ms(millis: u64) {
+    std::thread::sleep(std::time::Duration::from_millis(millis));
+}
