--- a/review/stand/src/cases/mod.rs
+++ b/review/stand/src/cases/mod.rs
@@ -5,6 +5,8 @@
 
 mod keys;
 mod list;
+mod models;
+mod seeds;
 
 pub type Case = fn(&Record) -> Result<Verdict, String>;
 
@@ -13,6 +15,9 @@
         "last-key" => Some(keys::last_key),
         "incomplete-entry" => Some(list::incomplete_entry),
         "unreadable-entry" => Some(list::unreadable_entry),
+        "seeds" => Some(seeds::seeds),
+        "isolated" => Some(models::isolated),
+        "two-models" => Some(models::two_models),
         _ => None,
     }
 }
--- a/review/stand/src/lib.rs
+++ b/review/stand/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins of the review: a small deployment of the product's own processes on loopback addresses, the platform's list,
 //! servers, and clients. Everything that is sent, answered and run is written to a record.
 
+pub mod engine;
 pub mod http;
 pub mod platform;
 pub mod record;
--- a/review/stand/src/system.rs
+++ b/review/stand/src/system.rs
@@ -32,6 +32,8 @@
     pub name: String,
     pub ip: IpAddr,
     pub zone: String,
+    /// Whether it has a disk.
+    pub disk: bool,
     folder: PathBuf,
     /// Its process.
     pub process: u32,
@@ -59,6 +61,7 @@
 pub struct System {
     pub machines: Vec<Machine>,
     folder: PathBuf,
+    list: SocketAddr,
     record: Record,
 }
 
@@ -74,42 +77,54 @@
 impl System {
     /// Starts three machines with a disk, of which one may be lost.
     pub fn start(list: SocketAddr, record: &Record) -> std::io::Result<Self> {
+        Self::start_with(0, list, record)
+    }
+
+    /// Starts three machines with a disk, of which one may be lost, and others without one.
+    pub fn start_with(
+        others: usize,
+        list: SocketAddr,
+        record: &Record,
+    ) -> std::io::Result<Self> {
         let id = std::process::id();
         let folder = std::env::temp_dir().join(format!("tamarackbank-review-{id}"));
         fs::create_dir_all(&folder)?;
-        let ips = addresses(3)?;
+        let ips = addresses(3 + others)?;
         let machines = ips.iter().enumerate().map(|(number, ip)| Machine {
             name: format!("front-{number}"),
             ip: *ip,
-            zone: format!("z{number}"),
+            zone: format!("z{}", number % 3),
+            disk: number < 3,
             folder: folder.join(format!("front-{number}")),
             process: 0,
         });
         let mut system =
-            Self { machines: machines.collect(), folder: folder.clone(), record: record.clone() };
+            Self { machines: machines.collect(), folder: folder.clone(), list, record: record.clone() };
         for number in 0..system.machines.len() {
-            system.start_machine(number, list, true)?;
+            system.write_settings(number, &[0, 1, 2], true)?;
+            system.start_machine(number)?;
         }
         Ok(system)
     }
 
-    fn start_machine(
-        &mut self,
+    /// Writes the settings file of a machine; `seeds` are the numbers of machines.
+    pub fn write_settings(
+        &self,
         number: usize,
-        list: SocketAddr,
+        seeds: &[usize],
         first: bool,
     ) -> std::io::Result<()> {
+        let list = self.list;
         let seeds: Vec<String> =
-            self.machines.iter().map(|machine| machine.control().to_string()).collect();
-        let zones: Vec<String> =
-            self.machines.iter().map(|machine| format!("zones.{}=r", machine.zone)).collect();
-        let machine = &mut self.machines[number];
+            seeds.iter().map(|seed| self.machines[*seed].control().to_string()).collect();
+        let zones: Vec<String> = (0..3).map(|zone| format!("zones.z{zone}=r")).collect();
+        let machine = &self.machines[number];
         fs::create_dir_all(&machine.folder)?;
         let text = format!(
             "node={}\nrole=entry\nmachineClass=front\nserves=front,control\nip={}\nzone={}\nregion=r\n{}\n\
              listen.front={}\nlisten.ready={}\nlisten.control={}\ninternalPorts={},{}\nseeds={}\n\
-             bootstrap={first}\ninFaultSet=true\nlimits.cpuShare=0.45\nlimits.cores=1\nlimits.memoryMb=110\n\
-             limits.maxFds=4100\nlimits.linkMbps=1000.0\nlimits.diskMb=64\ndataDir={}\ndiscovery=cloud\n\
+             bootstrap={first}\ninFaultSet={}\nlimits.cpuShare=0.45\nlimits.cores=1\nlimits.memoryMb=110\n\
+             limits.maxFds=4100\nlimits.linkMbps=1000.0\nlimits.diskMb=64\n{}discovery=cloud\n\
              entry=vip\nheartbeatMs=1200\n\
              contracts=base,drain,config,cost,retry,recover,kvcache,stream,engine,tenants\n\
              faultTolerance.machines=1\nfaultTolerance.zones=0\nfaultTolerance.regions=0\n\
@@ -131,10 +146,19 @@
             PORT + 3,
             PORT + 18,
             seeds.join(","),
-            machine.folder.join("data").display(),
+            machine.disk,
+            if machine.disk {
+                format!("dataDir={}\n", machine.folder.join("data").display())
+            } else {
+                String::new()
+            },
         );
+        fs::write(machine.folder.join("local.conf"), text)
+    }
+
+    fn start_machine(&mut self, number: usize) -> std::io::Result<()> {
+        let machine = &mut self.machines[number];
         let boot = machine.folder.join("local.conf");
-        fs::write(&boot, text)?;
         let log = fs::File::options().create(true).append(true).open(machine.folder.join("log"))?;
         let errors = log.try_clone()?;
         let child = Command::new(Path::new(PROGRAM))
