--- a/review/stand/src/cases/list.rs
+++ b/review/stand/src/cases/list.rs
@@ -42,7 +42,8 @@
     sleep_ms(5_000);
     for machine in 0..3 {
         for path in ["/water/now", "/bill/now"] {
-            let status = request(&system, machine, path, &format!("before-{machine}{}", &path[..2]));
+            let status =
+                request(&system, machine, path, &format!("before-{machine}{}", &path[..2]));
             if status != 200 {
                 return Err(format!("a proper request was answered {status}"));
             }
--- a/review/stand/src/cases/mod.rs
+++ b/review/stand/src/cases/mod.rs
@@ -3,10 +3,12 @@
 use stand::Verdict;
 use stand::record::Record;
 
+mod answers;
 mod keys;
 mod list;
 mod models;
 mod seeds;
+mod start;
 
 pub type Case = fn(&Record) -> Result<Verdict, String>;
 
@@ -18,6 +20,8 @@
         "seeds" => Some(seeds::seeds),
         "isolated" => Some(models::isolated),
         "two-models" => Some(models::two_models),
+        "late-answer" => Some(answers::late_answer),
+        "first-start" => Some(start::first_start),
         _ => None,
     }
 }
@@ -39,7 +43,9 @@
 /// A configuration with these routes, services and tenants.
 fn document(version: u64, routes: &[String], services: &[&str], tenants: &str) -> String {
     let service = |name: &&str| {
-        format!("{{\"name\":\"{name}\",\"healthPath\":\"/healthz\",\"maxConns\":110,\"protocol\":\"h1\",\"tls\":false}}")
+        format!(
+            "{{\"name\":\"{name}\",\"healthPath\":\"/healthz\",\"maxConns\":110,\"protocol\":\"h1\",\"tls\":false}}"
+        )
     };
     let services: Vec<String> = services.iter().map(service).collect();
     format!(
--- a/review/stand/src/cases/models.rs
+++ b/review/stand/src/cases/models.rs
@@ -13,7 +13,8 @@
 const SHOP: &str = "yj8pjbvk9m68k7b2ex5w";
 
 fn config(version: u64, models: &[&str], clinic_isolated: bool) -> String {
-    let models: Vec<String> = models.iter().map(|name| format!("{{\"name\":\"{name}\"}}")).collect();
+    let models: Vec<String> =
+        models.iter().map(|name| format!("{{\"name\":\"{name}\"}}")).collect();
     format!(
         "{{\"version\":{version},\"routes\":[{{\"name\":\"r\",\"host\":\"shop.example\",\"pathPrefix\":\"/ask/\",\
          \"routeType\":\"streaming\",\"timeoutMs\":4000,\"targetLatencyMs\":600,\"priority\":1,\"service\":\"llm\",\
@@ -119,10 +120,14 @@
             for (index, model) in models.iter().enumerate() {
                 let parts = format!("5c1e07a2:800,e{number:07x}:50");
                 let id = format!("{round}-{model}-{number}");
-                served[index] += u32::from(ask(&system, number % 3, &id, SHOP, model, &parts).status == 200);
+                served[index] +=
+                    u32::from(ask(&system, number % 3, &id, SHOP, model, &parts).status == 200);
             }
         }
-        record.line(&format!("{round}: of 12 requests each, {} on m0 and {} on m1 were served", served[0], served[1]));
+        record.line(&format!(
+            "{round}: of 12 requests each, {} on m0 and {} on m1 were served",
+            served[0], served[1]
+        ));
         served
     };
     if ask_both("before") != [12, 12] {
@@ -150,6 +155,7 @@
         ask_both(&format!("after {model} version 2"));
     }
     let older = engines.iter().filter(|engine| engine.version("m0") < 2).count();
-    record.line(&format!("{older} of 4 servers hold an older version of m0 than the one named last"));
+    record
+        .line(&format!("{older} of 4 servers hold an older version of m0 than the one named last"));
     Ok(if trouble() && older > 1 { Verdict::Broken } else { Verdict::Held })
 }
--- a/review/stand/src/cases/seeds.rs
+++ b/review/stand/src/cases/seeds.rs
@@ -57,7 +57,9 @@
             system.write_settings(machine, &seeds, false).map_err(text)?;
             system.signal(machine, "HUP")?;
         }
-        record.line(&format!("the settings of all machines name the seeds {seeds:?}, and they were told"));
+        record.line(&format!(
+            "the settings of all machines name the seeds {seeds:?}, and they were told"
+        ));
         sleep_ms(8_000);
     }
     let keys = tenant(&format!("\"{KEPT}\""));
--- a/review/stand/src/engine.rs
+++ b/review/stand/src/engine.rs
@@ -169,7 +169,8 @@
             202
         };
         state.fence = state.fence.max(token);
-        self.record.line(&format!("server {} is ordered {model} version {version}: {status}", self.id));
+        self.record
+            .line(&format!("server {} is ordered {model} version {version}: {status}", self.id));
         if status == 202 {
             state.seq += 1;
             state.busy = true;
@@ -214,15 +215,16 @@
         }
         let parts = header("x-tamarackbank-prefix-hash");
         let parts = parts.split(',').filter_map(|part| Some(part.trim().split_once(':')?.0));
-        let keys: Vec<_> = parts
-            .map(|part| (shared_under.clone(), model.clone(), part.to_owned()))
-            .collect();
-        let kept = keys.iter().map_while(|key| state.parts.get(key).map(|by| (key.2.clone(), by.clone())));
+        let keys: Vec<_> =
+            parts.map(|part| (shared_under.clone(), model.clone(), part.to_owned())).collect();
+        let kept =
+            keys.iter().map_while(|key| state.parts.get(key).map(|by| (key.2.clone(), by.clone())));
         let used: Vec<(String, String)> = kept.collect();
         for key in keys {
             state.parts.entry(key).or_insert_with(|| tenant.clone());
         }
-        let from: Vec<String> = used.iter().map(|(part, by)| format!("{part} made by {by}")).collect();
+        let from: Vec<String> =
+            used.iter().map(|(part, by)| format!("{part} made by {by}")).collect();
         self.record.line(&format!(
             "server {} runs {id} of tenant {tenant} on {model} version {version}, shared under {shared_under:?}, \
              uses [{}]",
@@ -232,7 +234,8 @@
         let at_ms = self.record.now_ms();
         state.runs.push(EngineRun { at_ms, id: id.clone(), tenant, model, version, used });
         drop(state);
-        let events: String = (1..=3).map(|event| format!("id: {event}\ndata: piece {event}\n\n")).collect();
+        let events: String =
+            (1..=3).map(|event| format!("id: {event}\ndata: piece {event}\n\n")).collect();
         format!(
             "HTTP/1.1 200 OK\r\nX-Tamarackbank-Request-Id: {id}\r\nContent-Type: text/event-stream\r\n\
              X-Tamarackbank-Server-Signature: signed.{}\r\nX-Tamarackbank-Weight-Versions: {version}\r\n\
--- a/review/stand/src/http.rs
+++ b/review/stand/src/http.rs
@@ -105,7 +105,8 @@
     answer.headers = headers;
     if answer.header("transfer-encoding").is_some_and(|value| value.contains("chunked")) {
         answer.complete = read_chunks(reader, &mut answer.body);
-    } else if let Some(length) = answer.header("content-length").and_then(|text| text.parse().ok()) {
+    } else if let Some(length) = answer.header("content-length").and_then(|text| text.parse().ok())
+    {
         let mut body = vec![0; length];
         answer.complete = reader.read_exact(&mut body).is_ok();
         answer.body = body;
--- a/review/stand/src/system.rs
+++ b/review/stand/src/system.rs
@@ -81,11 +81,7 @@
     }
 
     /// Starts three machines with a disk, of which one may be lost, and others without one.
-    pub fn start_with(
-        others: usize,
-        list: SocketAddr,
-        record: &Record,
-    ) -> std::io::Result<Self> {
+    pub fn start_with(others: usize, list: SocketAddr, record: &Record) -> std::io::Result<Self> {
         let id = std::process::id();
         let folder = std::env::temp_dir().join(format!("tamarackbank-review-{id}"));
         fs::create_dir_all(&folder)?;
@@ -98,8 +94,12 @@
             folder: folder.join(format!("front-{number}")),
             process: 0,
         });
-        let mut system =
-            Self { machines: machines.collect(), folder: folder.clone(), list, record: record.clone() };
+        let mut system = Self {
+            machines: machines.collect(),
+            folder: folder.clone(),
+            list,
+            record: record.clone(),
+        };
         for number in 0..system.machines.len() {
             system.write_settings(number, &[0, 1, 2], true)?;
             system.start_machine(number)?;
@@ -164,7 +164,11 @@
         let child = Command::new(Path::new(PROGRAM))
             .arg("hosted")
             .env_clear()
-            .envs(["PATH", "HOME", "LANG"].iter().filter_map(|name| Some((name, std::env::var_os(name)?))))
+            .envs(
+                ["PATH", "HOME", "LANG"]
+                    .iter()
+                    .filter_map(|name| Some((name, std::env::var_os(name)?))),
+            )
             .env("TAMARACKBANK_BOOT", &boot)
             .stdin(Stdio::null())
             .stdout(log)
@@ -176,10 +180,41 @@
         Ok(())
     }
 
+    /// Kills the process of a machine.
+    pub fn kill(&mut self, machine: usize) {
+        let id = self.machines[machine].process;
+        let mut children = CHILDREN.lock().expect("the processes");
+        if let Some(at) = children.iter().position(|(found, _)| *found == id) {
+            let (_, mut child) = children.swap_remove(at);
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        drop(children);
+        self.record.line(&format!("machine {} gets SIGKILL", self.machines[machine].name));
+    }
+
+    /// Kills the process of a machine, which the platform then starts again.
+    pub fn kill_and_restart(&mut self, machine: usize) -> Result<(), String> {
+        self.kill(machine);
+        sleep_ms(200);
+        self.write_settings(machine, &[0, 1, 2], false).map_err(|error| error.to_string())?;
+        self.start_machine(machine).map_err(|error| error.to_string())
+    }
+
+    /// The machine whose process leads the core, as it says of itself.
+    pub fn leader(&self) -> Option<usize> {
+        (0..self.machines.len()).filter(|number| self.machines[*number].disk).find(|number| {
+            let own = SocketAddr::new(self.machines[*number].ip, PORT + 4);
+            let answer = call(own, "GET", "/dump", &[], &[], Duration::from_secs(1));
+            answer.text().replace(' ', "").contains("\"role\":\"Leader\"")
+        })
+    }
+
     /// Sends a signal to the process of a machine.
     pub fn signal(&self, machine: usize, name: &str) -> Result<(), String> {
         let machine = &self.machines[machine];
-        let status = Command::new("kill").args([&format!("-{name}"), &machine.process.to_string()]).status();
+        let status =
+            Command::new("kill").args([&format!("-{name}"), &machine.process.to_string()]).status();
         self.record.line(&format!("machine {} gets SIG{name}", machine.name));
         match status {
             Ok(status) if status.success() => Ok(()),
@@ -187,19 +222,19 @@
         }
     }
 
+    /// Sends a configuration to a machine once, and waits a second for the answer; 0 if there is none.
+    pub fn put_once(&self, machine: usize, document: &str) -> u16 {
+        let control = self.machines[machine].control();
+        put_once(control, &self.machines[machine].name, document, &self.record)
+    }
+
     /// Sends a configuration as the operator does, until it is acknowledged or refused.
     pub fn put(&self, document: &str) -> Result<u16, String> {
         let end = Instant::now() + Duration::from_secs(20);
         for number in (0..self.machines.len()).cycle() {
-            let machine = &self.machines[number];
-            let headers = [("Content-Type", "application/json")];
-            let wait = Duration::from_secs(1);
-            let answer =
-                call(machine.control(), "POST", "/v1/config/put", &headers, document.as_bytes(), wait);
-            let text = format!("operator puts a configuration at {}: {}", machine.name, answer.status);
-            self.record.line(&text);
-            if answer.status == 200 || (400..500).contains(&answer.status) {
-                return Ok(answer.status);
+            let status = self.put_once(number, document);
+            if status == 200 || (400..500).contains(&status) {
+                return Ok(status);
             }
             if Instant::now() > end {
                 break;
@@ -253,6 +288,16 @@
     }
 }
 
+/// Sends a configuration to an address once, and waits a second for the answer; 0 if there is none.
+pub fn put_once(control: SocketAddr, name: &str, document: &str, record: &Record) -> u16 {
+    let version = document.split([':', ',']).nth(1).unwrap_or_default().to_owned();
+    let headers = [("Content-Type", "application/json")];
+    let wait = Duration::from_secs(1);
+    let answer = call(control, "POST", "/v1/config/put", &headers, document.as_bytes(), wait);
+    record.line(&format!("operator puts configuration {version} at {name}: {}", answer.status));
+    answer.status
+}
+
 /// What a client sends.
 pub struct Client<'a> {
     pub method: &'a str,
@@ -270,7 +315,12 @@
     let mut found = Vec::new();
     for number in 0..200_u32 {
         let seed = id.wrapping_mul(7).wrapping_add(number);
-        let ip = IpAddr::from([127, 20 + (seed / 60_000 % 100) as u8, (seed / 240 % 250) as u8, (seed % 240) as u8 + 2]);
+        let ip = IpAddr::from([
+            127,
+            20 + (seed / 60_000 % 100) as u8,
+            (seed / 240 % 250) as u8,
+            (seed % 240) as u8 + 2,
+        ]);
         let free = |port| TcpListener::bind(SocketAddr::new(ip, port)).is_ok();
         if (PORT..PORT + 6).all(free) {
             found.push(ip);
