--- a/review/stand/src/engine.rs
+++ b/review/stand/src/engine.rs
@@ -46,6 +46,8 @@
     pub service: String,
     pub zone: String,
     pub addr: SocketAddr,
+    /// Unix millisecond of its start.
+    born: u64,
     state: Arc<Mutex<State>>,
     record: Record,
 }
@@ -65,6 +67,7 @@
             service: service.to_owned(),
             zone: zone.to_owned(),
             addr: listener.local_addr()?,
+            born: crate::unix_ms(),
             state: Arc::new(Mutex::new(State { models, ..State::default() })),
             record: record.clone(),
         };
@@ -82,12 +85,13 @@
     pub fn entry(&self) -> Vec<u8> {
         format!(
             "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":64,\
-             \"state\":\"ready\",\"coldLeftMs\":0,\"stage\":\"colocated\",\"models\":{},\"id\":\"{}\"}}",
+             \"state\":\"ready\",\"coldLeftMs\":0,\"stage\":\"colocated\",\"models\":{},\"id\":\"{}\",\"born\":{}}}",
             self.service,
             self.addr,
             self.zone,
             self.models(),
-            self.id
+            self.id,
+            self.born
         )
         .into_bytes()
     }
@@ -125,9 +129,18 @@
                 "/v1/kv-events" => {
                     let wait = request.header("wait-ms").and_then(|text| text.parse().ok());
                     std::thread::sleep(Duration::from_millis(wait.unwrap_or(0).min(1_000)));
-                    json(200, "{\"bootEpoch\":7,\"next\":0,\"lost\":false,\"events\":[]}")
+                    json(
+                        200,
+                        &format!(
+                            "{{\"bootEpoch\":7,\"next\":0,\"lost\":false,\"events\":[],\"born\":{}}}",
+                            self.born
+                        ),
+                    )
                 }
-                "/v1/kv-list" => json(200, "{\"bootEpoch\":7,\"next\":0,\"held\":[]}"),
+                "/v1/kv-list" => json(
+                    200,
+                    &format!("{{\"bootEpoch\":7,\"next\":0,\"held\":[],\"born\":{}}}", self.born),
+                ),
                 _ => self.run(&request),
             };
             if writer.write_all(answer.as_bytes()).is_err() {
@@ -141,8 +154,8 @@
         let state = self.state.lock().expect("the state");
         format!(
             "{{\"stage\":\"colocated\",\"models\":{models},\"busy\":{},\"seq\":{},\"queued\":0,\"running\":0,\
-             \"kvUsed\":0,\"kvTotal\":43407,\"handles\":0,\"bootEpoch\":7}}",
-            state.busy, state.seq
+             \"kvUsed\":0,\"kvTotal\":43407,\"handles\":0,\"bootEpoch\":7,\"born\":{}}}",
+            state.busy, state.seq, self.born
         )
     }
 
--- a/review/stand/src/lib.rs
+++ b/review/stand/src/lib.rs
@@ -26,3 +26,9 @@
 pub fn sleep_ms(millis: u64) {
     std::thread::sleep(std::time::Duration::from_millis(millis));
 }
+
+/// The current Unix millisecond.
+pub fn unix_ms() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
--- a/review/stand/src/replica.rs
+++ b/review/stand/src/replica.rs
@@ -28,6 +28,8 @@
     pub service: String,
     pub addr: SocketAddr,
     pub zone: String,
+    /// Unix millisecond of its start.
+    born: u64,
     leaving: Arc<AtomicBool>,
     ended: Arc<AtomicBool>,
     /// Time of a run.
@@ -56,6 +58,7 @@
             service: service.to_owned(),
             addr: listener.local_addr()?,
             zone: zone.to_owned(),
+            born: crate::unix_ms(),
             leaving: Arc::default(),
             ended: Arc::default(),
             work: Duration::from_millis(work_ms),
@@ -82,8 +85,8 @@
         let state = if self.is_leaving() { "draining" } else { "ready" };
         format!(
             "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":8,\
-             \"state\":\"{state}\",\"coldLeftMs\":0,\"id\":\"{}\"}}",
-            self.service, self.addr, self.zone, self.id
+             \"state\":\"{state}\",\"coldLeftMs\":0,\"id\":\"{}\",\"born\":{}}}",
+            self.service, self.addr, self.zone, self.id, self.born
         )
         .into_bytes()
     }
