--- a/review/stand/src/cases/mod.rs
+++ b/review/stand/src/cases/mod.rs
@@ -9,6 +9,7 @@
 mod models;
 mod seeds;
 mod start;
+mod stores;
 
 pub type Case = fn(&Record) -> Result<Verdict, String>;
 
@@ -22,6 +23,7 @@
         "two-models" => Some(models::two_models),
         "late-answer" => Some(answers::late_answer),
         "first-start" => Some(start::first_start),
+        "restarted-store" => Some(stores::restarted_store),
         _ => None,
     }
 }
--- a/review/stand/src/lib.rs
+++ b/review/stand/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod engine;
 pub mod http;
+pub mod kv;
 pub mod platform;
 pub mod record;
 pub mod replica;
