--- a/review/stand/src/kv.rs
+++ b/review/stand/src/kv.rs
@@ -24,6 +24,8 @@
 #[derive(Default)]
 struct Events {
     epoch: u64,
+    /// Unix millisecond of the start.
+    born: u64,
     /// Each with its sign, key and tokens.
     events: Vec<(char, Key, u32)>,
     parts: BTreeMap<Key, Part>,
@@ -53,7 +55,7 @@
 
 impl Log {
     fn new() -> Self {
-        let state = Events { epoch: unix_ms(), ..Events::default() };
+        let state = Events { epoch: unix_ms(), born: unix_ms(), ..Events::default() };
         Self { state: Arc::new((Mutex::new(state), Condvar::new())), sockets: Arc::default() }
     }
 
@@ -104,10 +106,11 @@
                 let events = state.events.iter().enumerate().skip(since).map(text);
                 let events = events.collect::<Vec<_>>().join(",");
                 Some(json(&format!(
-                    "{{\"bootEpoch\":{},\"next\":{},\"lost\":false,\"clock_ms\":{},\"events\":[{events}]}}",
+                    "{{\"bootEpoch\":{},\"next\":{},\"lost\":false,\"clock_ms\":{},\"born\":{},\"events\":[{events}]}}",
                     state.epoch,
                     state.events.len(),
-                    unix_ms()
+                    unix_ms(),
+                    state.born
                 )))
             }
             "/v1/kv-list" => {
@@ -116,18 +119,44 @@
                     format!("[\"{salt}\",\"{id}\",{},\"m0\"]", part.tokens)
                 };
                 let held = whole.map(text).collect::<Vec<_>>().join(",");
+                let written = state.parts.iter().filter(|(_, part)| !part.complete);
+                let text = |((salt, id), part): (&Key, &Part)| {
+                    format!("[\"{salt}\",\"{id}\",0,{}]", part.tokens)
+                };
+                let partial = written.map(text).collect::<Vec<_>>().join(",");
                 Some(json(&format!(
-                    "{{\"bootEpoch\":{},\"next\":{},\"clock_ms\":{clock},\"held\":[{held}]}}",
+                    "{{\"bootEpoch\":{},\"next\":{},\"clock_ms\":{clock},\"born\":{},\"held\":[{held}],\"partial\":[{partial}]}}",
                     state.epoch,
-                    state.events.len()
+                    state.events.len(),
+                    state.born
                 )))
             }
-            "/v1/kv-free" => Some(json("{}")),
+            "/v1/kv-free" => {
+                // A part is freed if the call names its text and ID, the incarnation and no time that has passed.
+                let body = String::from_utf8_lossy(&request.body).into_owned();
+                let number = |name: &str| {
+                    let (_, rest) = body.split_once(&format!("\"{name}\":"))?;
+                    rest.split([',', '}']).next()?.trim().parse::<u64>().ok()
+                };
+                let stale = number("bootEpoch").is_some_and(|epoch| epoch != state.epoch)
+                    || number("until_ms").is_some_and(|until| until < clock);
+                if stale {
+                    return Some(json("{}").replacen("200 OK", "409 Conflict", 1));
+                }
+                let named = |(salt, id): &&Key| body.contains(&format!("[\"{salt}\",\"{id}\"]"));
+                let freed: Vec<Key> = state.parts.keys().filter(named).cloned().collect();
+                for key in freed {
+                    state.parts.remove(&key);
+                    state.events.push(('-', key, 0));
+                }
+                changed.notify_all();
+                Some(json("{}"))
+            }
             "/v1/report" => Some(json(&format!(
                 "{{\"stage\":\"colocated\",\"models\":[{{\"name\":\"m0\",\"version\":1,\"adapters\":[]}}],\
                  \"busy\":false,\"seq\":0,\"queued\":0,\"running\":0,\"kvUsed\":0,\"kvTotal\":43407,\"handles\":0,\
-                 \"bootEpoch\":{},\"clock_ms\":{clock}}}",
-                state.epoch
+                 \"bootEpoch\":{},\"clock_ms\":{clock},\"born\":{}}}",
+                state.epoch, state.born
             ))),
             _ => None,
         }
@@ -203,6 +232,7 @@
             state.parts.clear();
             state.events.clear();
             state.epoch += 1;
+            state.born = unix_ms();
         }
         for socket in self.log.sockets.lock().expect("the sockets").drain(..) {
             let _ = socket.shutdown(Shutdown::Both);
