--- a/crates/base/src/id.rs
+++ b/crates/base/src/id.rs
@@ -4,12 +4,24 @@
 
 use serde::{Deserialize, Serialize};
 
-/// Number of one run of a process from start to exit; greater than that of every earlier one.
+/// Number of one run of a process from start to exit: its start time in microseconds since 1970, greater than that of
+/// every earlier one.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
 pub struct Incarnation(pub u64);
 
+/// Numbers reserved for each microsecond between two starts, as a power of two.
+const NUMBER_BITS: u32 = 12;
+
+impl Incarnation {
+    /// First number of the requests that this incarnation sends to other processes. Earlier incarnations have only
+    /// used lower ones, so a late reply to one of them matches no request of this one.
+    pub const fn first_number(self) -> u64 {
+        self.0 << NUMBER_BITS
+    }
+}
+
 /// A position in the log, such as that of the latest accepted configuration change. A restore from a
 /// backup increases the epoch.
 #[derive(
--- a/crates/edge/src/notes.rs
+++ b/crates/edge/src/notes.rs
@@ -272,6 +272,9 @@
                 .collect();
             log::warn!(silent_ms = millis(*time), term, voters = voters.join(", "); "no leader known");
         }
+        Decision::LateReply { from, number, first_number } => {
+            log::warn!(from:% = from, number, first_number; "reply to an earlier incarnation dropped");
+        }
         Decision::Keeper { keeper, up } => {
             log::info!(keeper:% = keeper, up; "keeper connection changed");
         }
--- a/crates/node/src/decision.rs
+++ b/crates/node/src/decision.rs
@@ -404,6 +404,15 @@
         /// The other voters, each with whether it is connected; empty if the disk is empty.
         voters: Vec<(Name, bool)>,
     },
+    /// A reply to a request of an earlier incarnation of this process was dropped.
+    LateReply {
+        /// The process that sent it.
+        from: Name,
+        /// Number of the request.
+        number: u64,
+        /// First number that this incarnation used.
+        first_number: u64,
+    },
     /// A keeper was connected or disconnected.
     Keeper {
         /// The keeper.
--- a/crates/node/src/forward/mod.rs
+++ b/crates/node/src/forward/mod.rs
@@ -253,7 +253,8 @@
 
 impl Forward {
     /// Creates a reducer that has no servers yet.
-    pub fn new(config: Config, zone: Name, seed: u64) -> Self {
+    pub fn new(config: Config, zone: Name, incarnation: Incarnation, seed: u64) -> Self {
+        let first_number = incarnation.first_number();
         Self {
             config,
             zone,
@@ -261,9 +262,9 @@
             rollout: Rollout::default(),
             stores: Stores::default(),
             loads: LoadExchange::default(),
-            limits: Limits::default(),
+            limits: Limits::new(first_number),
             quarantine: Quarantine::default(),
-            streams: Streams::default(),
+            streams: Streams::new(first_number),
             awaiting_config: VecDeque::new(),
             runs: HashMap::new(),
             ended: VecDeque::new(),
--- a/crates/node/src/forward/permits.rs
+++ b/crates/node/src/forward/permits.rs
@@ -64,8 +64,7 @@
         }
         let incarnations =
             servers.iter().filter_map(|key| self.servers.get(*key)).map(incarnation).collect();
-        self.limits.number += 1;
-        let number = self.limits.number;
+        let number = self.limits.take_number();
         let Some(run) = self.runs.get_mut(&call) else {
             return true;
         };
--- a/crates/node/src/forward/streams.rs
+++ b/crates/node/src/forward/streams.rs
@@ -43,11 +43,13 @@
     lookups: BTreeMap<u64, PendingLookup>,
     /// Requests that wait for acknowledgements, by their number.
     moves: BTreeMap<u64, u64>,
-    next_ack: u64,
+    /// Number of the next lookup or acknowledgement.
+    next_number: u64,
 }
 
 #[derive(Debug)]
 struct PendingLookup {
+    number: u64,
     key: Key,
     began: Time,
     /// Keepers that have not answered.
@@ -86,6 +88,17 @@
 }
 
 impl Streams {
+    /// For an incarnation that numbers its requests to keepers from this on.
+    pub fn new(first_number: u64) -> Self {
+        Self { next_number: first_number, ..Self::default() }
+    }
+
+    fn take_number(&mut self) -> u64 {
+        let number = self.next_number;
+        self.next_number += 1;
+        number
+    }
+
     /// Whether a stream with these records may move to another origin: only if all of them can be replaced.
     pub fn can_move(&self, recorded: &Recorded) -> bool {
         recorded.keepers.iter().all(|keeper| self.keepers.contains(keeper))
@@ -112,9 +125,9 @@
             return;
         }
         self.streams.links_changed_at = now;
-        for (call, lookup) in &mut self.streams.lookups {
+        for lookup in self.streams.lookups.values_mut() {
             lookup.unanswered.insert(keeper.clone());
-            out.push(query(keeper, *call, lookup.key));
+            out.push(query(keeper, lookup.number, lookup.key));
         }
     }
 
@@ -248,8 +261,7 @@
             }
             let Some(run) = run else { continue };
             let keepers: BTreeSet<Name> = run.recorded.keepers.iter().cloned().collect();
-            self.streams.next_ack += 1;
-            let ack = self.streams.next_ack;
+            let ack = self.streams.take_number();
             for to in keepers.iter().cloned() {
                 let records = stream::Records { ack: Some(ack), records: vec![record.clone()] };
                 out.push(Effect::Send { to, frame: Frame::StreamRecords(records) });
@@ -326,8 +338,9 @@
             }
             Lookup::Unknown => {
                 let unanswered = self.streams.keepers.clone();
-                out.extend(unanswered.iter().map(|keeper| query(keeper, call, key)));
-                let lookup = PendingLookup { key, began: cx.now, unanswered };
+                let number = self.streams.take_number();
+                out.extend(unanswered.iter().map(|keeper| query(keeper, number, key)));
+                let lookup = PendingLookup { number, key, began: cx.now, unanswered };
                 self.streams.lookups.insert(call, lookup);
             }
         }
@@ -338,10 +351,11 @@
         &mut self,
         cx: &Context<'_>,
         keeper: &Name,
-        (call, found): (u64, stream::Lookup),
+        (number, found): (u64, stream::Lookup),
         out: &mut Effects,
     ) {
-        let Some(lookup) = self.streams.lookups.get_mut(&call) else {
+        let mut lookups = self.streams.lookups.iter_mut();
+        let Some((&call, lookup)) = lookups.find(|(_, lookup)| lookup.number == number) else {
             return;
         };
         match found {
@@ -477,6 +491,6 @@
     Key::new(run.workspace.as_deref(), run.head.resumed_attempt().unwrap_or(&run.head.id))
 }
 
-fn query(keeper: &Name, call: u64, key: Key) -> Effect {
-    Effect::Send { to: keeper.clone(), frame: Frame::StreamQuery { call, key: key.0 } }
+fn query(keeper: &Name, number: u64, key: Key) -> Effect {
+    Effect::Send { to: keeper.clone(), frame: Frame::StreamQuery { call: number, key: key.0 } }
 }
--- a/crates/node/src/keeper_client.rs
+++ b/crates/node/src/keeper_client.rs
@@ -2,6 +2,9 @@
 //!
 //! Every request is idempotent at the keepers, so that resending it is safe. The outcome of a request whose
 //! deadline has passed is unknown, and is reported as such.
+//!
+//! A keeper may answer long after the process that sent the request has restarted, since it addresses the answer to the
+//! process's name. The numbers of requests therefore differ between incarnations.
 
 use std::collections::BTreeMap;
 
@@ -56,7 +59,7 @@
 }
 
 /// Sends requests to the keepers and tracks those in flight.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct KeeperClient {
     keepers: Vec<Name>,
     leader: Option<Name>,
@@ -65,6 +68,16 @@
 }
 
 impl KeeperClient {
+    /// For this incarnation of the process.
+    pub fn new(incarnation: Incarnation) -> Self {
+        Self {
+            keepers: Vec::new(),
+            leader: None,
+            pending: BTreeMap::new(),
+            next_id: incarnation.first_number(),
+        }
+    }
+
     /// A keeper is connected.
     pub fn connected(&mut self, keeper: &Name) {
         if !self.keepers.contains(keeper) {
@@ -99,10 +112,11 @@
         deadline: Time,
         out: &mut Effects,
     ) {
+        let id = self.next_id;
         self.next_id += 1;
         let pending = Pending { purpose, request, deadline, next_send: now, sent_to: None };
-        self.pending.insert(self.next_id, pending);
-        self.transmit(now, self.next_id, out);
+        self.pending.insert(id, pending);
+        self.transmit(now, id, out);
     }
 
     /// Handles an answer; returns it with its purpose, or nothing if the request is still in flight.
--- a/crates/node/src/process/mod.rs
+++ b/crates/node/src/process/mod.rs
@@ -98,19 +98,19 @@
             .server
             .as_ref()
             .map(|server| Agent::new(&config, hello.incarnation, server, local.version.clone()));
-        let forward = config
-            .forward
-            .clone()
-            .map(|config| Forward::new(config, hello.zone.clone(), hello.seed()));
+        let forward = config.forward.clone().map(|config| {
+            Forward::new(config, hello.zone.clone(), hello.incarnation, hello.seed())
+        });
         let mut watch = Watch::default();
         watch.serve_unconfirmed = config.serve_unconfirmed;
         let contacts = Contacts::new(local.hello.clone());
+        let keepers = KeeperClient::new(local.hello.incarnation);
         Self {
             streams: keeper.as_ref().map(|_| StreamKeeper::default()),
             local,
             config,
             watch,
-            keepers: KeeperClient::default(),
+            keepers,
             entry,
             agent,
             keeper,
@@ -323,6 +323,12 @@
     }
 
     fn frame(&mut self, now: Time, peer: &Name, frame: Frame, out: &mut Effects) {
+        let first_number = self.local.hello.incarnation.first_number();
+        if let Some(number) = frame.reply_number().filter(|number| *number < first_number) {
+            let decision = Decision::LateReply { from: peer.clone(), number, first_number };
+            out.push(Effect::Decision(Box::new(decision)));
+            return;
+        }
         match frame {
             Frame::Heartbeat(heartbeat) => {
                 self.peer_clocks.insert(peer.clone(), heartbeat.sent);
--- a/crates/node/tests/cluster/mod.rs
+++ b/crates/node/tests/cluster/mod.rs
@@ -150,7 +150,7 @@
             pending: HashMap::new(),
             entries: (0..plan.entries)
                 .map(|number| Entry {
-                    forward: Forward::new(config(), Name::new("a"), number as u64),
+                    forward: Forward::new(config(), Name::new("a"), Incarnation(1), number as u64),
                     restarts: 0,
                     clock_offset: 1_000 + 777 * number as u64,
                     term: (number == 0).then_some(FIRST_TERM),
@@ -324,7 +324,9 @@
                 entry.restarts += 1;
                 entry.notice_received.clear();
                 entry.backoffs.clear();
-                entry.forward = Forward::new(config(), Name::new("a"), u64::from(entry.restarts));
+                let restarts = u64::from(entry.restarts);
+                let incarnation = Incarnation(1 + restarts);
+                entry.forward = Forward::new(config(), Name::new("a"), incarnation, restarts);
                 self.list(number);
                 // The leader sends the limits in force to an entry that has connected.
                 let leader = self.entries.iter().position(|entry| entry.term.is_some());
--- a/crates/node/tests/forwarder/mod.rs
+++ b/crates/node/tests/forwarder/mod.rs
@@ -42,7 +42,7 @@
 
     pub fn with_list(list: Vec<Listed>) -> Self {
         let mut harness = Self {
-            forward: Forward::new(config(), Name::new("a"), 7),
+            forward: Forward::new(config(), Name::new("a"), Incarnation(1), 7),
             view: view(1),
             now: Time::from_millis(1_000),
             ready: true,
--- a/crates/node/tests/streams.rs
+++ b/crates/node/tests/streams.rs
@@ -48,10 +48,15 @@
     request(entry, call, "/stream/x", Some(Resumption { first_attempt }));
 }
 
-/// A keeper answers a lookup.
-fn found(entry: &mut Harness, keeper: &str, call: u64, found: stream::Lookup) {
+/// A keeper answers the last lookup that was sent to it.
+fn found(entry: &mut Harness, keeper: &str, found: stream::Lookup) {
     let keeper = Name::new(keeper);
-    entry.step(|forward, cx, out| forward.stream_found(cx, &keeper, (call, found), out));
+    let number = entry.out.iter().rev().find_map(|effect| match effect {
+        Effect::Send { to, frame: Frame::StreamQuery { call, .. } } if *to == keeper => Some(*call),
+        _ => None,
+    });
+    let number = number.expect("a lookup");
+    entry.step(|forward, cx, out| forward.stream_found(cx, &keeper, (number, found), out));
 }
 
 /// Software version of the server that a request was sent to.
@@ -100,8 +105,8 @@
         let mut entry = entry(&["k1", "k2"], &["v1", "v2", "v2", "v2", "v2"]);
         resume(&mut entry, call, "first");
         assert_eq!(entry.actions(call), [], "it waits for the keepers");
-        found(&mut entry, "k2", call, stream::Lookup::Unknown);
-        found(&mut entry, "k1", call, known("v1"));
+        found(&mut entry, "k2", stream::Lookup::Unknown);
+        found(&mut entry, "k1", known("v1"));
         assert_eq!(&*software(&mut entry, call), "v1");
     }
 }
@@ -112,10 +117,10 @@
 fn an_entry_that_sees_one_version_refuses_a_stream_that_nobody_knows() {
     let mut entry = entry(&["k1", "k2"], &["v2", "v2"]);
     resume(&mut entry, 1, "first");
-    found(&mut entry, "k1", 1, stream::Lookup::Unknown);
+    found(&mut entry, "k1", stream::Lookup::Unknown);
     entry.wait(10);
     assert_eq!(entry.actions(1), [], "the other one may know");
-    found(&mut entry, "k2", 1, stream::Lookup::Unknown);
+    found(&mut entry, "k2", stream::Lookup::Unknown);
     entry.wait(10);
     assert_eq!(rejected(&mut entry, 1), (Code::StreamUnknown, 503, None));
 }
@@ -137,12 +142,12 @@
     let mut entry = entry(&["k1"], &["v1", "v2", "v2"]);
     entry.forward.keeper_linked(entry.now, &Name::new("k2"), &mut entry.out);
     resume(&mut entry, 1, "first");
-    found(&mut entry, "k1", 1, stream::Lookup::Unknown);
-    found(&mut entry, "k2", 1, stream::Lookup::Unknown);
+    found(&mut entry, "k1", stream::Lookup::Unknown);
+    found(&mut entry, "k2", stream::Lookup::Unknown);
     entry.wait(100);
     assert_eq!(entry.actions(1), [], "links still come up");
     entry.forward.keeper_linked(entry.now, &Name::new("k3"), &mut entry.out);
-    found(&mut entry, "k3", 1, known("v1"));
+    found(&mut entry, "k3", known("v1"));
     assert_eq!(&*software(&mut entry, 1), "v1");
 }
 
@@ -157,7 +162,7 @@
     entry.wait(300);
     assert_eq!(entry.actions(1), []);
     entry.forward.keeper_linked(entry.now, &Name::new("k2"), &mut entry.out);
-    found(&mut entry, "k2", 1, known("v1"));
+    found(&mut entry, "k2", known("v1"));
     assert_eq!(&*software(&mut entry, 1), "v1");
 }
 
@@ -176,7 +181,7 @@
 fn a_stream_with_two_origins_is_refused() {
     let mut entry = entry(&["k1"], &["v1", "v2"]);
     resume(&mut entry, 1, "first");
-    found(&mut entry, "k1", 1, stream::Lookup::Uncertain);
+    found(&mut entry, "k1", stream::Lookup::Uncertain);
     assert_eq!(rejected(&mut entry, 1).0, Code::StreamUnknown);
 }
 
@@ -186,7 +191,7 @@
     let mut entry = entry(&["k1"], &["v1", "v2"]);
     resume(&mut entry, 1, "first");
     let origin = stream::Origin { service: Name::new("old"), software: Name::new("v1") };
-    found(&mut entry, "k1", 1, stream::Lookup::Known(origin));
+    found(&mut entry, "k1", stream::Lookup::Known(origin));
     assert_eq!(rejected(&mut entry, 1).0, Code::StreamUnknown);
 }
 
@@ -195,10 +200,10 @@
 fn a_client_learns_whether_its_version_is_gone_or_down() {
     let mut entry = entry(&["k1"], &["v1", "v2", "v2"]);
     resume(&mut entry, 1, "first");
-    found(&mut entry, "k1", 1, known("v0"));
+    found(&mut entry, "k1", known("v0"));
     assert_eq!(rejected(&mut entry, 1), (Code::StreamGone, 503, None));
     resume(&mut entry, 2, "second");
-    found(&mut entry, "k1", 2, known("v1"));
+    found(&mut entry, "k1", known("v1"));
     assert_eq!(&*software(&mut entry, 2), "v1");
     entry.event(Event::Failed { call: 2, failure: Failure::NotSent });
     let (code, status, retry_after) = rejected(&mut entry, 2);
@@ -218,7 +223,7 @@
     request(&mut entry, 3, "/stream/x", None);
     entry.actions(3);
     resume(&mut entry, 4, "first");
-    found(&mut entry, "k1", 4, known("v1"));
+    found(&mut entry, "k1", known("v1"));
     assert_eq!(&*software(&mut entry, 4), "v1");
 }
 
@@ -340,7 +345,7 @@
 fn the_log_names_the_first_attempt_its_version_and_who_knew() {
     let mut entry = entry(&["k1"], &["v1", "v1", "v2"]);
     resume(&mut entry, 1, "first");
-    found(&mut entry, "k1", 1, known("v1"));
+    found(&mut entry, "k1", known("v1"));
     let found = entry.out.iter().find_map(|effect| match effect {
         Effect::Decision(decision) => match &**decision {
             Decision::Resumption(found) => Some(found.clone()),
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -215,7 +215,7 @@
     },
     /// To a keeper: a request about the replicated state.
     Request {
-        /// ID assigned by the sender.
+        /// ID assigned by the sender, which none of its earlier incarnations has used.
         id: u64,
         /// The request.
         request: Request,
@@ -294,14 +294,14 @@
     },
     /// Entry to keeper: a lookup of the origin of a stream.
     StreamQuery {
-        /// Number of the exchange.
+        /// Number of the lookup, which no earlier incarnation of the entry has used.
         call: u64,
         /// Key of the stream.
         key: [u8; 16],
     },
     /// Keeper to entry: the response to [`Frame::StreamQuery`].
     StreamFound {
-        /// Number of the exchange.
+        /// Number of the lookup.
         call: u64,
         /// What the keeper knows.
         found: stream::Lookup,
@@ -309,3 +309,16 @@
     /// Keeper to entry: leases for fetches from stores.
     FetchLeases(Vec<FetchLease>),
 }
+
+impl Frame {
+    /// Number of the request to which this frame is the reply.
+    pub fn reply_number(&self) -> Option<u64> {
+        match self {
+            Self::Answer { id, .. } => Some(*id),
+            Self::Permit(reply) => Some(reply.number),
+            Self::StreamsRecorded { ack } => Some(*ack),
+            Self::StreamFound { call, .. } => Some(*call),
+            _ => None,
+        }
+    }
+}
--- a/crates/wire/src/limit.rs
+++ b/crates/wire/src/limit.rs
@@ -51,7 +51,7 @@
 pub struct PermitRequest {
     /// Number of the exchange with the caller, assigned by the entry.
     pub call: u64,
-    /// Number of this permit request, assigned by the entry.
+    /// Number of this permit request, assigned by the entry; none of its earlier incarnations has used it.
     pub number: u64,
     /// Acceptable servers, in order of preference.
     pub servers: Vec<ServerIncarnation>,
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -35,7 +35,8 @@
 /// Records of streams.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Records {
-    /// The number that the keeper acknowledges once the records are on its disk; none if nobody waits for that.
+    /// The number that the keeper acknowledges once the records are on its disk; none if nobody waits for that. No earlier
+    /// incarnation of the entry has used it.
     pub ack: Option<u64>,
     /// The records.
     pub records: Vec<Record>,
