--- a/crates/edge/src/net.rs
+++ b/crates/edge/src/net.rs
@@ -2,6 +2,9 @@
 //!
 //! A link is one long stream in each direction. A link without a frame for [`SILENCE_TIMEOUT`] is dead even if TCP
 //! reports no error, so a frozen or disconnected peer is detected by its missing heartbeats.
+//!
+//! Two processes may have several links, since either side dials. Frames go out on the latest one that works. The end of a
+//! link is reported by [`LinkGuard`], however its task ends.
 
 use std::collections::HashMap;
 use std::future::poll_fn;
@@ -82,6 +85,21 @@
     frames: UnboundedSender<Frame>,
 }
 
+/// Reports the end of a link when it is dropped: the task may also be aborted or panic.
+struct LinkGuard {
+    link_events: UnboundedSender<LinkEvent>,
+    peer: Name,
+    number: u64,
+}
+
+impl Drop for LinkGuard {
+    fn drop(&mut self) {
+        // The send fails only when the process exits.
+        let _ =
+            self.link_events.send(LinkEvent::Down { peer: self.peer.clone(), number: self.number });
+    }
+}
+
 type Links = HashMap<Name, Vec<Link>>;
 /// Number of links to each address, whichever side dialed; each dialer watches its own address.
 type LinkCounts = HashMap<SocketAddr, watch::Sender<usize>>;
@@ -115,6 +133,7 @@
             Some(event) = link_events_in.recv() => match event {
                 LinkEvent::Up(link) => {
                     shared.metrics.record_link();
+                    close_replaced(&shared, &mut links, &mut link_counts, &link.hello);
                     let hello = link.hello.clone();
                     link_counts.entry(hello.addr).or_default().send_modify(|count| *count += 1);
                     links.entry(hello.name.clone()).or_default().push(link);
@@ -140,10 +159,43 @@
     }
 }
 
-fn send(links: &Links, to: &Name, frame: Frame) {
-    let link = links.get(to).and_then(|list| list.last());
-    if link.is_none_or(|link| link.frames.send(frame).is_err()) {
-        log::debug!(peer:% = to; "frame dropped: no link");
+fn send(links: &Links, to: &Name, mut frame: Frame) {
+    // A link that has just ended is still listed until its end is handled.
+    for link in links.get(to).into_iter().flatten().rev() {
+        match link.frames.send(frame) {
+            Ok(()) => return,
+            Err(unsent) => frame = unsent.0,
+        }
+    }
+    log::debug!(peer:% = to; "frame dropped: no link");
+}
+
+/// Closes the links to other incarnations of a process that has connected. Their ends may not be detected for
+/// [`SILENCE_TIMEOUT`], and the reducer must not take one for the end of a link to this incarnation.
+fn close_replaced(shared: &Shared, links: &mut Links, link_counts: &mut LinkCounts, hello: &Hello) {
+    let Some(list) = links.get_mut(&hello.name) else {
+        return;
+    };
+    // Dropping the queue of its frames ends a link.
+    let closed: Vec<Link> =
+        list.extract_if(.., |link| link.hello.incarnation != hello.incarnation).collect();
+    for link in &closed {
+        uncount(link_counts, link);
+    }
+    if !closed.is_empty() {
+        let event = Event::Disconnected { peer: hello.name.clone() };
+        let _ = shared.inputs.send(Input::Event(event));
+    }
+}
+
+fn uncount(link_counts: &mut LinkCounts, link: &Link) {
+    let Some(count) = link_counts.get(&link.hello.addr) else {
+        return;
+    };
+    count.send_modify(|count| *count -= 1);
+    // A waiting dialer still needs the count.
+    if *count.borrow() == 0 && count.receiver_count() == 0 {
+        link_counts.remove(&link.hello.addr);
     }
 }
 
@@ -159,14 +211,11 @@
     let Some(list) = links.get_mut(peer) else {
         return;
     };
-    for link in list.extract_if(.., |link| link.number == number) {
-        let Some(count) = link_counts.get(&link.hello.addr) else { continue };
-        count.send_modify(|count| *count -= 1);
-        // A waiting dialer still needs the count.
-        if *count.borrow() == 0 && count.receiver_count() == 0 {
-            link_counts.remove(&link.hello.addr);
-        }
-    }
+    let Some(index) = list.iter().position(|link| link.number == number) else {
+        // It was closed when another incarnation connected.
+        return;
+    };
+    uncount(link_counts, &list.remove(index));
     let event = Event::Disconnected { peer: peer.clone() };
     let _ = shared.inputs.send(Input::Event(event));
     match list.last() {
@@ -301,11 +350,11 @@
     if shared.link_events.send(LinkEvent::Up(Link { hello: peer, number, frames })).is_err() {
         return;
     }
+    let _guard = LinkGuard { link_events: shared.link_events.clone(), peer: name.clone(), number };
     tokio::select! {
         () = write_all(&shared, &mut sender, queue) => {}
         () = read_all(&shared, &name, &mut receiver, &mut decoder) => {}
     }
-    let _ = shared.link_events.send(LinkEvent::Down { peer: name, number });
     sender.send_reset(h2::Reason::CANCEL);
 }
 
