--- a/crates/disk/src/store.rs
+++ b/crates/disk/src/store.rs
@@ -129,6 +129,24 @@
         self.syncs
     }
 
+    /// Size of all files, bytes.
+    ///
+    /// # Errors
+    /// Returns an error if the directory cannot be read.
+    pub fn used_bytes(&self) -> Result<u64, Error> {
+        let mut bytes = 0;
+        for file in fs::read_dir(&self.directory).map_err(Error::io(&self.directory))? {
+            let metadata = file.and_then(|file| file.metadata());
+            bytes += metadata.map_err(Error::io(&self.directory))?.len();
+        }
+        Ok(bytes)
+    }
+
+    /// The directory.
+    pub fn directory(&self) -> &Path {
+        &self.directory
+    }
+
     /// Performs all writes in order, with a single sync for consecutive writes without a snapshot.
     ///
     /// # Errors
@@ -197,12 +215,11 @@
             return Ok(());
         }
         let path = log_path(&self.directory, self.number);
-        if let Err(error) = self.log.write_all(buffer) {
+        if let Err(error) = self.log.write_all(buffer).and_then(|()| self.log.sync_data()) {
             // The write may be incomplete: the next one must directly follow the synced data.
             self.log.set_len(self.length).map_err(Error::io(&path))?;
             return Err(Error::io(&path)(error));
         }
-        self.log.sync_data().map_err(Error::io(&path))?;
         self.syncs += 1;
         self.length += buffer.len() as u64;
         buffer.clear();
--- a/crates/edge/src/files.rs
+++ b/crates/edge/src/files.rs
@@ -3,7 +3,7 @@
 use std::path::Path;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use disk::{Opened, Recent, Store};
 use node::Event;
@@ -18,6 +18,11 @@
 /// Delay before a file that nobody waits for is written again.
 const FILE_RETRY: Duration = Duration::from_secs(1);
 
+/// Interval between checks of the free space.
+const SPACE_INTERVAL: Duration = Duration::from_secs(10);
+/// The disk has room for as many copies of the files: the log grows to twice the snapshot before another one is written.
+const SPARE_COPIES: u64 = 4;
+
 /// A request to write.
 #[derive(Debug)]
 pub enum Command {
@@ -111,6 +116,7 @@
 fn run(mut store: Store, mut recent: Recent, commands: &Receiver<Command>, inputs: &Inputs) {
     let mut contacts = None;
     let mut evidence = None;
+    let mut next_space_check = Instant::now();
     loop {
         // Files that could not be written are retried.
         let first = if contacts.is_some() || evidence.is_some() {
@@ -168,6 +174,10 @@
                 Err(error) => log::warn!("records of streams not written: {error}"),
             }
         }
+        if Instant::now() >= next_space_check {
+            next_space_check = Instant::now() + SPACE_INTERVAL;
+            check_space(&store);
+        }
         contacts = contacts.filter(|bytes| {
             is_unwritten(store.write_contacts(bytes), "peer address file not written")
         });
@@ -177,6 +187,21 @@
     }
 }
 
+/// Warns before the disk is full.
+fn check_space(store: &Store) {
+    let free = rustix::fs::statvfs(store.directory())
+        .map(|found| found.f_bavail * found.f_frsize)
+        .map_err(|error| error.to_string());
+    let used = store.used_bytes().map_err(|error| error.to_string());
+    match (used, free) {
+        (Ok(used), Ok(free)) if free < SPARE_COPIES * used => {
+            log::warn!(used_bytes = used, free_bytes = free; "disk space low");
+        }
+        (Ok(_), Ok(_)) => {}
+        (Err(error), _) | (_, Err(error)) => log::warn!("disk space unknown: {error}"),
+    }
+}
+
 /// Records of streams to write together.
 #[derive(Debug, Default)]
 struct Streams {
--- a/crates/node/src/process/dump.rs
+++ b/crates/node/src/process/dump.rs
@@ -180,6 +180,8 @@
             all.push(("tamarack_keeper_in_touch", flag(keeper.replica().has_recent_leader(now))));
             all.push(("tamarack_keeper_commit", keeper.replica().commit() as f64));
             all.push(("tamarack_keeper_claims", keeper.state().claim_count() as f64));
+            all.push(("tamarack_keeper_log_bytes", keeper.replica().log_bytes() as f64));
+            all.push(("tamarack_keeper_snapshot_bytes", keeper.replica().snapshot_bytes() as f64));
         }
         all
     }
--- a/crates/quorum/src/io.rs
+++ b/crates/quorum/src/io.rs
@@ -17,6 +17,9 @@
     pub drift_permille: u32,
     /// Number of applied entries after which a snapshot is requested.
     pub snapshot_after: u64,
+    /// Bytes of applied entries after which a snapshot is requested. A snapshot of more than half of that is replaced
+    /// only after twice its own size.
+    pub snapshot_after_bytes: usize,
     /// Time without a response after which a voter may be replaced by a member with a new disk.
     pub replace_after: Duration,
 }
@@ -28,6 +31,7 @@
             election: Duration::from_millis(450),
             drift_permille: 50,
             snapshot_after: 10_000,
+            snapshot_after_bytes: 4 << 20,
             replace_after: Duration::from_secs(3),
         }
     }
--- a/crates/quorum/src/log.rs
+++ b/crates/quorum/src/log.rs
@@ -71,11 +71,31 @@
     pub base_index: u64,
     pub base_term: u64,
     entries: VecDeque<Entry>,
+    /// Size of the entries.
+    bytes: usize,
+}
+
+/// Size of an entry on the disk without its command, bytes; a configuration takes somewhat more.
+const ENTRY_OVERHEAD: usize = 32;
+
+fn size(entry: &Entry) -> usize {
+    ENTRY_OVERHEAD + if let Body::Data(data) = &entry.body { data.len() } else { 0 }
 }
 
 impl Log {
     pub fn new(base_index: u64, base_term: u64, entries: Vec<Entry>) -> Self {
-        Self { base_index, base_term, entries: entries.into() }
+        let bytes = entries.iter().map(size).sum();
+        Self { base_index, base_term, entries: entries.into(), bytes }
+    }
+
+    /// Size of all entries, bytes.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Size of the entries up to an index, bytes.
+    pub fn bytes_up_to(&self, index: u64) -> usize {
+        self.entries.iter().take_while(|entry| entry.index <= index).map(size).sum()
     }
 
     pub fn last_index(&self) -> u64 {
@@ -100,12 +120,15 @@
 
     pub fn push(&mut self, entry: Entry) {
         debug_assert_eq!(entry.index, self.last_index() + 1);
+        self.bytes += size(&entry);
         self.entries.push_back(entry);
     }
 
     /// Removes the entries from this index on.
     pub fn truncate(&mut self, index: u64) {
         let length = index.saturating_sub(self.base_index + 1);
+        let removed = self.entries.iter().skip(length as usize).map(size).sum::<usize>();
+        self.bytes -= removed;
         self.entries.truncate(length as usize);
     }
 
@@ -116,9 +139,11 @@
             return;
         }
         if self.term(index) == Some(term) {
-            self.entries.drain(..(index - self.base_index) as usize);
+            let removed = self.entries.drain(..(index - self.base_index) as usize);
+            self.bytes -= removed.map(|entry| size(&entry)).sum::<usize>();
         } else {
             self.entries.clear();
+            self.bytes = 0;
         }
         self.base_index = index;
         self.base_term = term;
--- a/crates/quorum/src/replica.rs
+++ b/crates/quorum/src/replica.rs
@@ -416,13 +416,30 @@
             self.applied = entry.index;
             out.push(Output::Apply(entry.clone()));
         }
-        let since = self.applied - self.log.base_index;
-        if since >= self.timing.snapshot_after && !self.snapshot_pending {
+        if !self.snapshot_pending && self.is_snapshot_due() {
             self.snapshot_pending = true;
             out.push(Output::Snapshot { index: self.applied });
         }
     }
 
+    /// Whether a snapshot should replace the applied entries. Their bytes count too, since the log must leave room on the disk
+    /// for two snapshots.
+    fn is_snapshot_due(&self) -> bool {
+        let max_bytes = self.timing.snapshot_after_bytes.max(2 * self.snapshot_bytes());
+        self.applied - self.log.base_index >= self.timing.snapshot_after
+            || self.log.bytes() >= max_bytes && self.log.bytes_up_to(self.applied) >= max_bytes
+    }
+
+    /// Size of the log after the snapshot, bytes.
+    pub fn log_bytes(&self) -> usize {
+        self.log.bytes()
+    }
+
+    /// Size of the state in the latest snapshot, bytes.
+    pub fn snapshot_bytes(&self) -> usize {
+        self.snapshot.as_ref().map_or(0, |snapshot| snapshot.data.len())
+    }
+
     /// Sets the configuration to the last one in the log, whether committed or not.
     pub(crate) fn refresh_config(&mut self) {
         self.config = self.config_at(self.log.last_index());
--- a/crates/quorum/tests/cluster/mod.rs
+++ b/crates/quorum/tests/cluster/mod.rs
@@ -43,6 +43,8 @@
     disk: Disk,
     pending: Vec<(Time, u64, Output)>,
     frozen_until: Time,
+    /// Until when its disk is full, so that no write is synced.
+    full_until: Time,
     down_until: Time,
     applied: Vec<(u64, Arc<[u8]>)>,
     restored: u64,
@@ -121,6 +123,7 @@
                 disk,
                 pending: Vec::new(),
                 frozen_until: Time::ZERO,
+                full_until: Time::ZERO,
                 down_until: Time::ZERO,
                 applied: Vec::new(),
                 restored: 0,
@@ -179,6 +182,12 @@
         self.nodes.get_mut(name).expect("known").frozen_until = until;
     }
 
+    /// Fills a disk for this time. Writes that are under way wait too.
+    pub fn fill_disk(&mut self, name: &str, time: Duration) {
+        let until = self.now + time;
+        self.nodes.get_mut(name).expect("known").full_until = until;
+    }
+
     fn boot(&mut self, name: &Name) {
         let seed = self.rng.random();
         let names = self.initial_voters();
@@ -341,9 +350,13 @@
             let to = match &event {
                 Event::Deliver(to, _) | Event::Synced(to, _) => to.clone(),
             };
-            let frozen_until = self.nodes[&to].frozen_until;
-            if self.now < frozen_until {
-                self.schedule(frozen_until, event);
+            let node = &self.nodes[&to];
+            let waits_until = match &event {
+                Event::Deliver(..) => node.frozen_until,
+                Event::Synced(..) => node.frozen_until.max(node.full_until),
+            };
+            if self.now < waits_until {
+                self.schedule(waits_until, event);
                 continue;
             }
             match event {
--- a/crates/quorum/tests/schedule.rs
+++ b/crates/quorum/tests/schedule.rs
@@ -66,6 +66,62 @@
     assert!(acked as u64 > seeds() * ROUNDS / 4, "only {acked} commands were accepted");
 }
 
+/// Fills the disks of all members in turn, never two at once, while commands come; returns the cluster some time after the last
+/// one has room again. The first moment differs from seed to seed by a millisecond.
+fn disks_full_in_turn(seed: u64, names: &[&str], window: Duration, faults: Faults) -> Cluster {
+    let mut cluster = Cluster::new(seed, names, Faults::default(), Sabotage::None);
+    cluster.run(Duration::from_secs(2));
+    cluster.set_faults(faults);
+    let mut command = 0;
+    let mut propose = |cluster: &mut Cluster, time: Duration| {
+        let end = cluster.now + time;
+        while cluster.now < end {
+            for name in names {
+                command += 1;
+                cluster.propose(name, command);
+            }
+            cluster.run(Duration::from_millis(20));
+        }
+    };
+    propose(&mut cluster, Duration::from_millis(100 + seed));
+    for _ in 0..2 {
+        for name in names {
+            cluster.fill_disk(name, window);
+            propose(&mut cluster, window + Duration::from_millis(seed * 7 % 400));
+        }
+    }
+    cluster.heal();
+    propose(&mut cluster, Duration::from_secs(3));
+    cluster
+}
+
+// Guards against changes that are refused or unanswered for good after disks were full one after another.
+#[test_case(THREE, 1_000, Faults::default(); "three, shorter than a replacement")]
+#[test_case(THREE, 3_000, Faults::default(); "three")]
+#[test_case(SPARE, 1_000, Faults::default(); "beside a spare, shorter than a replacement")]
+#[test_case(SPARE, 3_000, Faults::default(); "beside a spare")]
+#[test_case(FIVE, 3_000, Faults::default(); "five")]
+#[test_case(SPARE, 3_000, Faults { freeze: 4, drop: 100, ..Faults::default() }; "beside a spare, with freezes and losses")]
+fn changes_are_accepted_after_disks_were_full_in_turn(
+    names: &[&str],
+    window_ms: u64,
+    faults: Faults,
+) {
+    for seed in 0..seeds() {
+        let mut cluster = disks_full_in_turn(seed, names, Duration::from_millis(window_ms), faults);
+        let before = cluster.acked.len();
+        let sent = cluster.now;
+        let leader = cluster.leader().unwrap_or_else(|| panic!("seed {seed}: no leader"));
+        cluster.propose(&leader, u64::MAX);
+        cluster.run(Duration::from_secs(1));
+        let acked = cluster.acked[before..].iter().any(|acked| acked.sent >= sent);
+        assert!(acked, "seed {seed}: a command was not accepted");
+        cluster.run(Duration::from_secs(4));
+        cluster.check();
+        assert!(cluster.converged(), "seed {seed}: members differ");
+    }
+}
+
 /// One member loses its disk, and another crashes while the first is being replaced or right after.
 fn second_loss(seed: u64, sabotage: Sabotage) {
     let mut cluster = Cluster::new(seed, THREE, Faults::default(), sabotage);
