--- a/crates/edge/src/net.rs
+++ b/crates/edge/src/net.rs
@@ -1,10 +1,10 @@
 //! Links to other processes: h2 streams on the tokio thread.
 //!
-//! A link is one long stream in each direction. A link without a frame for [`SILENCE_TIMEOUT`] is dead even if TCP
+//! A link is one long stream in each direction. A link without a frame for `SILENCE_TIMEOUT` is dead even if TCP
 //! reports no error, so a frozen or disconnected peer is detected by its missing heartbeats.
 //!
 //! Two processes may have several links, since either side dials. Frames go out on the latest one that works. The end of a
-//! link is reported by [`LinkGuard`], however its task ends.
+//! link is reported by `LinkGuard`, however its task ends.
 
 use std::collections::HashMap;
 use std::future::poll_fn;
