--- a/crates/node/tests/forwarder/mod.rs
+++ b/crates/node/tests/forwarder/mod.rs
@@ -25,6 +25,7 @@
 
 /// An entry that forwards requests, without a network.
 pub struct Harness {
+    pub name: Name,
     pub forward: Forward,
     pub view: View,
     pub now: Time,
@@ -42,6 +43,7 @@
 
     pub fn with_list(list: Vec<Listed>) -> Self {
         let mut harness = Self {
+            name: Name::new("e0"),
             forward: Forward::new(config(), Name::new("a"), Incarnation(1), 7),
             view: view(1),
             now: Time::from_millis(1_000),
@@ -75,7 +77,7 @@
             entries: 4,
             entry_index: 0,
             term: self.term,
-            process: &Name::new("e0"),
+            process: &self.name,
         };
         run(&mut self.forward, &cx, &mut self.out);
     }
