Requests that outlast the grace period are answered before the exit

Cause: the reducer rejects what is open and exits in one step; the process ended before the rejections were written. Evidence: platform path a_request_that_outlasts_the_grace_period_is_answered: both cases got a closed connection before. Ruled out: requests that come after the drain delay (rejected on arrival, by the reducer's own clock). Change: the exit waits 100 ms if requests were cut, in both kinds of process.

--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -83,6 +83,19 @@
     },
 }
 
+/// Time between the decision to exit and the exit if requests were cut: their answers are still to be written.
+const FLUSH_TIME: Duration = Duration::from_millis(100);
+
+impl Exit {
+    /// Time to wait before the exit.
+    pub(crate) fn delay(&self) -> Duration {
+        match self {
+            Self::Done { in_flight } if *in_flight > 0 => FLUSH_TIME,
+            Self::Done { .. } | Self::Failed { .. } => Duration::ZERO,
+        }
+    }
+}
+
 struct Host {
     node: Node,
     clock: Clock,
--- a/crates/edge/src/single.rs
+++ b/crates/edge/src/single.rs
@@ -119,7 +119,9 @@
     let sinks = Sinks { net: commands, server: None, files, direct: Some(calls), metrics, exit };
     spawn_local(host::run(Node::new(process, config, keeper), Clock::default(), sinks, inputs_out));
     spawn_local(forward::run(callers, shared));
-    Ok(exit_out.recv().await.unwrap_or(Exit::Done { in_flight: 0 }))
+    let exit = exit_out.recv().await.unwrap_or(Exit::Done { in_flight: 0 });
+    sleep(exit.delay()).await;
+    Ok(exit)
 }
 
 /// Applies changed seeds from the settings, immediately on SIGHUP. Other changes of the settings have no effect after
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -57,7 +57,9 @@
 
     /// Waits until the process may or must exit.
     pub fn wait(&mut self) -> Exit {
-        self.exit.blocking_recv().unwrap_or(Exit::Done { in_flight: 0 })
+        let exit = self.exit.blocking_recv().unwrap_or(Exit::Done { in_flight: 0 });
+        std::thread::sleep(exit.delay());
+        exit
     }
 }
 
