No keeper decides alone at which version a stream goes on

Cause: a lookup ended with the first keeper that knew an origin. The keeper of a machine that was cut off or stood still has missed that the record was replaced or is not certain any more, and it answers first. Ruled out: the list (a stale one lacks the new servers, so the stream is refused), the binding within one response. Change: an origin counts once two keepers agree, or once all linked ones have answered and are a majority of the known keepers; a contradiction refuses; without a majority the client comes back. Why it works: one machine out of step is one keeper; what it has missed is at two others.

--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -58,7 +58,7 @@
     /// Waits until the process may or must exit.
     pub fn wait(&mut self) -> Exit {
         let exit = self.exit.blocking_recv().unwrap_or(Exit::Done { in_flight: 0 });
-        std::thread::sleep(exit.delay());
+        thread::sleep(exit.delay());
         exit
     }
 }
--- a/crates/node/src/contacts.rs
+++ b/crates/node/src/contacts.rs
@@ -149,6 +149,11 @@
         addresses.collect()
     }
 
+    /// Number of tracked keepers.
+    pub fn keeper_count(&self) -> usize {
+        self.tracked.values().filter(|tracked| tracked.hello.keeper).count()
+    }
+
     /// The tracked keepers, to send to another process.
     pub fn keepers(&self, now: Time) -> Vec<Contact> {
         self.contacts(now, |hello| hello.keeper)
--- a/crates/node/src/forward/mod.rs
+++ b/crates/node/src/forward/mod.rs
@@ -136,6 +136,8 @@
     pub entries: usize,
     /// Index of this entry among them.
     pub entry_index: usize,
+    /// Number of keepers that this process knows, linked or not.
+    pub keepers: usize,
     /// Term in which this process leads the keepers, if it does.
     pub term: Option<u64>,
     /// Name of this process.
--- a/crates/node/src/forward/streams.rs
+++ b/crates/node/src/forward/streams.rs
@@ -54,6 +54,19 @@
     began: Time,
     /// Keepers that have not answered.
     unanswered: BTreeSet<Name>,
+    /// Number of keepers that have answered.
+    answers: usize,
+    /// The origin that a keeper knows, and which one does.
+    known: Option<(Origin, Name)>,
+}
+
+impl PendingLookup {
+    /// The origin that a keeper knows, if it can be relied on although that keeper may have missed an update: all linked
+    /// ones have answered, and they are a majority of `keepers`.
+    fn confirmed(&self, keepers: usize) -> Option<(Origin, Name)> {
+        let confirmed = self.unanswered.is_empty() && self.answers > keepers / 2;
+        self.known.clone().filter(|_| confirmed)
+    }
 }
 
 /// The records of a stream in progress.
@@ -222,19 +235,30 @@
         let (runs, streams) = (&self.runs, &mut self.streams);
         streams.moves.retain(|_, call| runs.contains_key(call));
         streams.lookups.retain(|call, _| runs.contains_key(call));
-        let expired = |lookup: &&PendingLookup| cx.now.since(lookup.began) >= LOOKUP_TIMEOUT;
+        let expired = |lookup: &PendingLookup| cx.now.since(lookup.began) >= LOOKUP_TIMEOUT;
         let settled = self.links_settled(cx.now);
-        let over: Vec<(u64, bool)> = self
-            .streams
-            .lookups
-            .iter()
-            .filter(|(_, lookup)| expired(lookup) || (settled && lookup.unanswered.is_empty()))
-            .map(|(call, lookup)| (*call, lookup.unanswered.is_empty()))
-            .collect();
-        for (call, answered) in over {
-            let any = answered && !self.streams.keepers.is_empty();
-            let refusal = if any { Refusal::UnknownOrigin } else { Refusal::NoAnswer };
-            self.lookup_ended(cx, call, Err(refusal), &Name::default(), out);
+        let keepers = cx.keepers.max(self.streams.keepers.len());
+        let mut over = Vec::new();
+        for (call, lookup) in &self.streams.lookups {
+            let is_over = expired(lookup) || (settled && lookup.unanswered.is_empty());
+            if !is_over {
+                continue;
+            }
+            let has_majority = lookup.answers > keepers / 2;
+            let answered = lookup.unanswered.is_empty() && !self.streams.keepers.is_empty();
+            let found = match &lookup.known {
+                // Those that did not answer in time are frozen or cut off, so that they can't know better.
+                Some(known) if has_majority => Ok(known.clone()),
+                None if answered => Err(Refusal::UnknownOrigin),
+                _ => Err(Refusal::NoAnswer),
+            };
+            over.push((*call, found));
+        }
+        for (call, found) in over {
+            match found {
+                Ok((origin, source)) => self.origin_found(cx, call, origin, &source, out),
+                Err(refusal) => self.lookup_ended(cx, call, Err(refusal), &Name::default(), out),
+            }
         }
     }
 
@@ -341,7 +365,9 @@
                 let unanswered = self.streams.keepers.clone();
                 let number = self.streams.take_number();
                 out.extend(unanswered.iter().map(|keeper| query(keeper, number, key)));
-                let lookup = PendingLookup { number, key, began: cx.now, unanswered };
+                let (answers, known) = (0, None);
+                let lookup =
+                    PendingLookup { number, key, began: cx.now, unanswered, answers, known };
                 self.streams.lookups.insert(call, lookup);
             }
         }
@@ -359,20 +385,51 @@
         let Some((&call, lookup)) = lookups.find(|(_, lookup)| lookup.number == number) else {
             return;
         };
-        match found {
-            stream::Lookup::Known(origin) => {
-                let (key, origin) = (lookup.key, origin_from_wire(origin));
-                self.streams.own.insert(cx.now, key, Write::First(origin.clone()));
-                self.lookup_ended(cx, call, Ok(origin), keeper, out);
-            }
+        if !lookup.unanswered.remove(keeper) {
+            return;
+        }
+        lookup.answers += 1;
+        let keepers = cx.keepers.max(self.streams.keepers.len());
+        let origin = match found {
+            stream::Lookup::Known(origin) => origin_from_wire(origin),
             stream::Lookup::Uncertain => {
                 self.lookup_ended(cx, call, Err(Refusal::UnknownOrigin), keeper, out);
+                return;
             }
             stream::Lookup::Unknown => {
-                lookup.unanswered.remove(keeper);
-                // The next tick ends the lookup.
+                if let Some((origin, source)) = lookup.confirmed(keepers) {
+                    self.origin_found(cx, call, origin, &source, out);
+                }
+                // Otherwise, the next tick ends the lookup.
+                return;
             }
+        };
+        match lookup.known.replace((origin.clone(), keeper.clone())) {
+            // One keeper may have missed an update of the record, but not two.
+            Some((other, _)) if other == origin => {
+                self.origin_found(cx, call, origin, keeper, out);
+            }
+            Some(_) => self.lookup_ended(cx, call, Err(Refusal::UnknownOrigin), keeper, out),
+            None => {
+                if let Some((origin, source)) = lookup.confirmed(keepers) {
+                    self.origin_found(cx, call, origin, &source, out);
+                }
+            }
+        }
+    }
+
+    fn origin_found(
+        &mut self,
+        cx: &Context<'_>,
+        call: u64,
+        origin: Origin,
+        source: &Name,
+        out: &mut Effects,
+    ) {
+        if let Some(lookup) = self.streams.lookups.get(&call) {
+            self.streams.own.insert(cx.now, lookup.key, Write::First(origin.clone()));
         }
+        self.lookup_ended(cx, call, Ok(origin), source, out);
     }
 
     fn lookup_ended(
--- a/crates/node/src/process/advertise.rs
+++ b/crates/node/src/process/advertise.rs
@@ -38,6 +38,7 @@
                     .is_some_and(|at| now.since(at) >= forward.config().drain_delay),
                 entries: self.entry.as_ref().map_or(1, Entry::entries),
                 entry_index: self.entry.as_ref().map_or(0, Entry::index),
+                keepers: self.known_keepers,
                 term,
                 process: &self.local.hello.name,
             };
--- a/crates/node/src/process/mod.rs
+++ b/crates/node/src/process/mod.rs
@@ -85,6 +85,8 @@
     stop_requests: u32,
     exited: bool,
     connected_to_itself: bool,
+    /// Number of keepers known at the last tick.
+    known_keepers: usize,
 }
 
 impl Node {
@@ -133,6 +135,7 @@
             stop_requests: 0,
             exited: false,
             connected_to_itself: false,
+            known_keepers: 0,
         }
     }
 
@@ -473,6 +476,7 @@
     }
 
     fn tick(&mut self, now: Time, out: &mut Effects) {
+        self.known_keepers = self.contacts.keeper_count() + usize::from(self.keeper.is_some());
         if let Some(keeper) = &mut self.keeper {
             keeper.tick(now, out);
         }
--- a/crates/node/tests/cluster/mod.rs
+++ b/crates/node/tests/cluster/mod.rs
@@ -376,6 +376,7 @@
             drain_delay_elapsed: false,
             entries: self.plan.entries,
             entry_index: number,
+            keepers: self.plan.entries,
             term: entry.term,
             process: &process,
         };
--- a/crates/node/tests/forwarder/mod.rs
+++ b/crates/node/tests/forwarder/mod.rs
@@ -32,6 +32,7 @@
     pub ready: bool,
     pub confirmed_ago: Option<Duration>,
     pub drain_delay_elapsed: bool,
+    pub keepers: usize,
     pub term: Option<u64>,
     pub out: Effects,
 }
@@ -50,6 +51,7 @@
             ready: true,
             confirmed_ago: Some(Duration::ZERO),
             drain_delay_elapsed: false,
+            keepers: 0,
             term: None,
             out: Vec::new(),
         };
@@ -76,6 +78,7 @@
             drain_delay_elapsed: self.drain_delay_elapsed,
             entries: 4,
             entry_index: 0,
+            keepers: self.keepers,
             term: self.term,
             process: &self.name,
         };
--- a/crates/node/tests/streams.rs
+++ b/crates/node/tests/streams.rs
@@ -111,6 +111,65 @@
     }
 }
 
+// Guards against a stream that goes on at another version, at an entry that was cut off or stood still during a release: its own
+// keeper has missed that the origin is not certain any more, or was replaced.
+#[test_case(&[("k1", Some("v1")), ("k2", None)], Err((Code::StreamUnknown, 503)); "another one knows that it is uncertain")]
+#[test_case(&[("k1", Some("v1")), ("k2", Some("v2"))], Err((Code::StreamUnknown, 503)); "another one knows another origin")]
+#[test_case(&[("k1", Some("v1"))], Err((Code::NotReady, 503)); "no other one answers")]
+#[test_case(&[("k1", Some("v1")), ("k2", Some("v1"))], Ok("v1"); "two agree")]
+fn a_keeper_does_not_decide_alone(
+    answers: &[(&str, Option<&str>)],
+    expected: Result<&str, (Code, u16)>,
+) {
+    let mut entry = entry(&["k1", "k2", "k3"], &["v1", "v2", "v2"]);
+    entry.keepers = 3;
+    resume(&mut entry, 1, "first");
+    for (keeper, origin) in answers {
+        assert_eq!(entry.actions(1), [], "one answer is not enough");
+        found(&mut entry, keeper, origin.map_or(stream::Lookup::Uncertain, known));
+    }
+    if answers.len() == 1 {
+        entry.wait(700);
+    }
+    match expected {
+        Ok(version) => assert_eq!(&*software(&mut entry, 1), version),
+        Err(expected) => {
+            let (code, status, _) = rejected(&mut entry, 1);
+            assert_eq!((code, status), expected);
+        }
+    }
+}
+
+// Guards against an entry without contact to the others whose own keeper, the only one linked, has missed an update.
+#[test_case(3, false; "one of three")]
+#[test_case(1, true; "the only one")]
+fn a_keeper_without_the_others_is_not_believed(keepers: usize, goes_on: bool) {
+    let mut entry = entry(&["k1"], &["v1", "v2"]);
+    entry.keepers = keepers;
+    resume(&mut entry, 1, "first");
+    found(&mut entry, "k1", known("v1"));
+    if goes_on {
+        assert_eq!(&*software(&mut entry, 1), "v1");
+        return;
+    }
+    entry.wait(700);
+    let (code, status, retry_after) = rejected(&mut entry, 1);
+    assert_eq!((code, status, retry_after.is_some()), (Code::NotReady, 503, true));
+}
+
+// Guards against streams that don't go on because the other keepers with their records have lost them.
+#[test]
+fn the_only_record_counts_once_all_have_answered() {
+    let mut entry = entry(&["k1", "k2", "k3"], &["v1", "v2", "v2"]);
+    entry.keepers = 3;
+    resume(&mut entry, 1, "first");
+    found(&mut entry, "k2", known("v1"));
+    found(&mut entry, "k1", stream::Lookup::Unknown);
+    assert_eq!(entry.actions(1), [], "the third one may know better");
+    found(&mut entry, "k3", stream::Lookup::Unknown);
+    assert_eq!(&*software(&mut entry, 1), "v1");
+}
+
 // Guards against an entry that takes the only version that it sees for the one that began a stream: it has just started, and no
 // keeper knows the stream.
 #[test]
