--- a/crates/quorum/src/install.rs
+++ b/crates/quorum/src/install.rs
@@ -40,11 +40,13 @@
             self.send_after_persist(from.clone(), message, out);
             return;
         }
-        let started = self.partial_snapshot.as_ref().is_some_and(|(found, _)| found.index == index);
+        // Two leaders may encode the same state differently.
+        let partial = self.partial_snapshot.as_ref();
+        let started = partial.is_some_and(|(found, sender, _)| (*found, *sender) == (index, term));
         if !started {
-            self.partial_snapshot = Some((chunk.clone(), Vec::new()));
+            self.partial_snapshot = Some((index, term, Vec::new()));
         }
-        let Some((_, bytes)) = &mut self.partial_snapshot else {
+        let Some((.., bytes)) = &mut self.partial_snapshot else {
             return;
         };
         if offset == bytes.len() as u64 {
--- a/crates/quorum/src/replica.rs
+++ b/crates/quorum/src/replica.rs
@@ -57,8 +57,8 @@
     pub(crate) awaiting_persist: Vec<(u64, Member, Message)>,
     /// Replicas that ask to be added, with the time of their last message.
     pub(crate) joiners: BTreeMap<Name, (Member, Time)>,
-    /// A snapshot being received, with the bytes received so far.
-    pub(crate) partial_snapshot: Option<(Snapshot, Vec<u8>)>,
+    /// A snapshot being received: its index, the term of the leader that sends it, and the bytes received so far.
+    pub(crate) partial_snapshot: Option<(u64, u64, Vec<u8>)>,
     /// Whether a requested snapshot has not been delivered yet.
     pub(crate) snapshot_pending: bool,
     pub(crate) started: bool,
--- a/crates/quorum/tests/rules.rs
+++ b/crates/quorum/tests/rules.rs
@@ -108,3 +108,33 @@
     feed(&mut replica, woken, "b", append(start));
     assert!(!replica.has_recent_leader(woken));
 }
+
+// Guards against a snapshot that is put together from the chunks of two leaders: both have one at the same index, but leaders need not
+// encode the same state to the same bytes.
+#[test]
+fn chunks_of_two_leaders_are_not_joined() {
+    let mut replica = restarted();
+    let now = Time::from_millis(1_000);
+    let voters = vec![member("a"), member("b"), member("c")];
+    let chunk = |term, data: [u8; 2], offset| Message::Install {
+        term,
+        chunk: Snapshot {
+            index: 9,
+            term: 2,
+            epoch: 1,
+            config: Config { voters: voters.clone(), learners: Vec::new() },
+            data: Arc::from(data),
+        },
+        offset,
+        total: 4,
+        sent: now,
+    };
+    feed(&mut replica, now, "b", chunk(2, [1, 1], 0));
+    feed(&mut replica, now, "c", chunk(3, [2, 2], 0));
+    let out = feed(&mut replica, now, "c", chunk(3, [2, 2], 2));
+    let restored = out.iter().find_map(|output| match output {
+        Output::Restore(snapshot) => Some(snapshot.data.to_vec()),
+        _ => None,
+    });
+    assert_eq!(restored, Some(vec![2, 2, 2, 2]));
+}
