--- a/crates/node/src/forward/admit.rs
+++ b/crates/node/src/forward/admit.rs
@@ -6,7 +6,6 @@
 use resume::Binding;
 
 use super::place::engine;
-use super::saves::Permits;
 use super::{Action, Context, Forward, Recorded, Rejection, RequestHead, Run, jitter};
 use crate::decision::{Decision, PlacementInputs};
 use crate::{Effect, Effects};
@@ -138,7 +137,6 @@
             sent_at: arrived_at,
             pending_permit: None,
             permit_requests: 0,
-            permits: Permits::default(),
             is_trial: false,
             is_suspect: false,
             head,
--- a/crates/node/src/forward/follow.rs
+++ b/crates/node/src/forward/follow.rs
@@ -49,7 +49,6 @@
         }
         if response.not_run {
             run.possible_executions = run.possible_executions.saturating_sub(1);
-            run.permits.reissue();
             if let Some(server) =
                 run.placement.and_then(|placement| self.servers.get_mut(placement.server))
             {
@@ -129,8 +128,7 @@
     }
 
     /// The first bytes of the body were delivered, so the prefill is complete.
-    pub(super) fn body_started(&mut self, cx: &Context<'_>, call: u64, out: &mut Effects) {
-        self.saves_begun(cx, call, out);
+    pub(super) fn body_started(&mut self, cx: &Context<'_>, call: u64) {
         let Some(run) = self.runs.get_mut(&call) else {
             return;
         };
@@ -187,7 +185,6 @@
         }
         if failure == Failure::NotSent {
             run.possible_executions = run.possible_executions.saturating_sub(1);
-            run.permits.reissue();
             self.rejected(cx, call, 0, out);
             return;
         }
@@ -338,11 +335,9 @@
         status: Option<u16>,
         out: &mut Effects,
     ) {
-        let Some(mut run) = self.runs.remove(&call) else {
+        let Some(run) = self.runs.remove(&call) else {
             return;
         };
-        let unused = run.use_permits(0, &[]);
-        self.return_saves(cx, unused, false, out);
         self.retain_attempt(cx.now, call, &run);
         self.release_placement(run.placement);
         self.deadlines.remove(&(run.deadline, call));
--- a/crates/node/src/forward/mod.rs
+++ b/crates/node/src/forward/mod.rs
@@ -10,7 +10,6 @@
 //! | `load` | exchanges the load of servers with the other entries |
 //! | `stores` | chooses where prompt segments are fetched from and saved to |
 //! | `reader` | reads the segment inventories of stores and servers, and frees stale segments |
-//! | `saves` | permits to save segments on stores, one at a time for each |
 //! | `fence` | leases for fetches from stores, which no free overlaps |
 //! | `notices` | leaving and backoff notices of servers |
 //! | `limits` | rate limits of servers, their advertisement and the issuer of permits |
@@ -42,7 +41,6 @@
 mod place;
 mod quarantine;
 mod reader;
-mod saves;
 mod stores;
 mod streams;
 mod weights;
@@ -51,7 +49,7 @@
 use std::net::SocketAddr;
 
 use base::prelude::*;
-use cache::{Location, Segment};
+use cache::Segment;
 use fleet::{Key, Servers, Versions, rollout::Rollout};
 use limit::{Allowance, SharedBudget};
 use rand::SeedableRng;
@@ -70,7 +68,6 @@
 use load::LoadExchange;
 use permits::PendingPermit;
 use quarantine::Quarantine;
-use saves::{Permits, Saves};
 use stores::Stores;
 use streams::{Recorded, Streams};
 
@@ -214,8 +211,6 @@
     pending_permit: Option<PendingPermit>,
     /// Number of permit requests so far.
     permit_requests: u32,
-    /// Its permits to save segments.
-    permits: Permits,
     /// Whether it is the permitted trial of a quarantined cause.
     is_trial: bool,
     /// Whether a server ended as it was about to answer it.
@@ -223,23 +218,6 @@
 }
 
 impl Run {
-    /// Marks the permits for these saves as used, and returns the others.
-    fn use_permits(&mut self, salt: u64, save: &[Option<SocketAddr>]) -> Vec<Location> {
-        let segments = self.head.prompt.iter().flat_map(|prompt| &prompt.segments);
-        let saved: Vec<Location> = segments
-            .zip(save)
-            .filter(|(_, store)| store.is_some())
-            .map(|(segment, _)| Location { salt, id: segment.id })
-            .collect();
-        let Permits::Issued(issued) = &mut self.permits else {
-            return Vec::new();
-        };
-        let mut unused = std::mem::take(issued);
-        unused.retain(|location| !saved.contains(location));
-        self.permits = Permits::Used(saved);
-        unused
-    }
-
     fn segments(&self) -> &[Segment] {
         self.head.prompt.as_ref().map_or(&[], |prompt| &prompt.segments)
     }
@@ -253,7 +231,6 @@
     servers: Servers,
     rollout: Rollout,
     stores: Stores,
-    saves: Saves,
     loads: LoadExchange,
     limits: Limits,
     quarantine: Quarantine,
@@ -286,7 +263,6 @@
             servers: Servers::default(),
             rollout: Rollout::default(),
             stores: Stores::default(),
-            saves: Saves::new(first_number),
             loads: LoadExchange::default(),
             limits: Limits::new(first_number),
             quarantine: Quarantine::default(),
@@ -324,13 +300,7 @@
 
     /// The state as JSON, without data of callers.
     pub fn dump(&self, now: Time) -> Value {
-        let (save_permits, issued_save_permits) = self.saves.counts();
-        let (withheld, former) = self.stores.withheld_counts();
         json!({
-            "save_permits": save_permits,
-            "save_permits_issued": issued_save_permits,
-            "segments_withheld": withheld,
-            "segments_of_earlier_incarnations": former,
             "open": self.runs.len(),
             "waiting": self.awaiting_config.len(),
             "list_age_ms": self.servers.read_at().map(|at| now.since(at).as_millis() as u64),
@@ -355,7 +325,7 @@
             Event::ResponseReceived { call, response } => {
                 self.response_received(cx, call, &response, out);
             }
-            Event::BodyStarted { call } => self.body_started(cx, call, out),
+            Event::BodyStarted { call } => self.body_started(cx, call),
             Event::Failed { call, failure } => self.attempt_failed(cx, call, failure, out),
             Event::Completed { call } => self.completed(cx, call, out),
             Event::ClientDisconnected { call } => self.client_disconnected(cx, call, out),
@@ -370,9 +340,7 @@
             Event::ReportFailed { id, notice } => self.notice_from_call(cx, &id, notice, out),
             Event::StoreRead { addr, since, delta } => {
                 let predecessor = self.config.lease;
-                self.saves.lead(cx);
-                let saves = &mut self.saves;
-                self.stores.read_finished(cx, (addr, since), delta, predecessor, saves, out);
+                self.stores.read_finished(cx, (addr, since), delta, predecessor, out);
             }
         }
         self.record_decisions(cx, out, from);
@@ -387,8 +355,6 @@
             self.deadline_passed(cx, call, out);
         }
         self.expire_permit_requests(cx, out);
-        self.expire_save_requests(cx, out);
-        self.stores.expire_former(cx);
         self.tick_streams(cx, out);
         self.tick_quarantine(cx, out);
         self.admit_waiting(cx, out);
--- a/crates/node/src/forward/place.rs
+++ b/crates/node/src/forward/place.rs
@@ -10,7 +10,6 @@
 use route::overload;
 
 use super::permits::MAX_PERMIT_REQUESTS;
-use super::saves;
 use super::stores::{Sources, Transfer};
 use super::{Action, Attempt, Context, Forward, Placement, Prompt, Run, jitter};
 use crate::decision::{Allowed, Decision, PlacementInputs};
@@ -43,10 +42,6 @@
             return;
         };
         let options = self.options(cx, run);
-        let waits = self.request_saves_of_best(cx, call, &options, out);
-        let Some(run) = self.runs.get(&call) else {
-            return;
-        };
         if run.permit_requests < MAX_PERMIT_REQUESTS
             && options.choices.iter().any(|choice| choice.limited)
         {
@@ -59,29 +54,7 @@
                 return;
             }
         }
-        if !waits {
-            self.place_among(cx, call, options, None, out);
-        }
-    }
-
-    /// Requests the permits to save segments of a prompt before its first attempt; returns whether it has to wait for them.
-    fn request_saves_of_best(
-        &mut self,
-        cx: &Context<'_>,
-        call: u64,
-        options: &Options,
-        out: &mut Effects,
-    ) -> bool {
-        let is_first = self.runs.get(&call).is_some_and(|run| run.attempts == 0);
-        let sources = options
-            .best(0.0)
-            .or_else(|| options.least_used_of_all())
-            .and_then(|index| options.sources_of(options.choices[index].version));
-        let Some(sources) = sources.filter(|_| is_first) else {
-            return false;
-        };
-        let wanted = self.stores.unsaved(cx, sources);
-        self.request_saves(cx, call, &wanted, out)
+        self.place_among(cx, call, options, None, out);
     }
 
     /// Sends a request to a server without a rate limit, or rejects it, with the given Retry-After if any.
@@ -239,14 +212,8 @@
         if let (Some(_), Some(engine)) = (&salt, engine) {
             let cache_tokens = (engine.tokens as f64 * CACHE_FRACTION) as u64;
             server.segment_cache.insert(cx.now, sources.salt(), run.segments(), cache_tokens);
-            save = self.stores.save(cx, &sources, &saves::permitted(&run.permits));
+            save = self.stores.save(cx, &sources);
         }
-        let unused = run.use_permits(sources.salt(), &save);
-        self.return_saves(cx, unused, false, out);
-        let (Some(run), Some(server)) = (self.runs.get_mut(&call), self.servers.get_mut(key))
-        else {
-            return;
-        };
         let addr = server.listed.addr;
         let fetch_until_ms = sources.fetch_until_ms(&transfer.fetch);
         let first_source = transfer.fetch.iter().copied().flatten().next();
@@ -442,11 +409,6 @@
         direct::choose(&unlimited, point).map(|index| indexes[index])
     }
 
-    /// The server that has the fewest runs, with a rate limit or not.
-    fn least_used_of_all(&self) -> Option<usize> {
-        (0..self.choices.len()).min_by_key(|index| self.candidates[*index].running)
-    }
-
     /// The server without a rate limit that has the fewest runs: a request that may crash it ends those too.
     fn least_used(&self) -> Option<usize> {
         let unlimited = (0..self.choices.len()).filter(|index| !self.choices[*index].limited);
--- a/crates/node/src/forward/reader.rs
+++ b/crates/node/src/forward/reader.rs
@@ -17,7 +17,6 @@
 
 use super::fence::{Floor, floors};
 use super::limits::Limits;
-use super::saves::Saves;
 use super::stores::{Stores, stores};
 use super::{Context, ControlCall};
 use crate::decision::{Decision, Free};
@@ -88,11 +87,6 @@
         is_full(self.store, self.since)
     }
 
-    /// Whether the target is a store.
-    pub(super) fn is_store(&self) -> bool {
-        self.store
-    }
-
     /// Whether the target is a store whose inventory is known only from an earlier leader.
     pub(super) fn is_unread_store(&self) -> bool {
         self.store && !self.has_read
@@ -193,7 +187,6 @@
         (addr, since): (SocketAddr, Option<u64>),
         delta: Result<StoreDelta, String>,
         predecessor: Duration,
-        saves: &mut Saves,
         out: &mut Effects,
     ) {
         let Some(read) = self.reads.get_mut(&addr) else {
@@ -253,7 +246,7 @@
             segments.insert((salt, segment.id), segment.tokens);
         }
         let stored = |((salt, id), tokens)| StoredSegment { salt, id, tokens };
-        let mut segments: Vec<StoredSegment> = segments.into_iter().map(stored).collect();
+        let segments: Vec<StoredSegment> = segments.into_iter().map(stored).collect();
         if full {
             let segments = segments.iter().filter(|segment| segment.tokens > 0).count();
             out.push(Effect::Decision(Box::new(Decision::InventoryRead {
@@ -262,9 +255,6 @@
                 took,
             })));
         }
-        if self.reads.get(&addr).is_some_and(ReadState::is_store) {
-            self.withhold(cx.now, (addr, delta.epoch), full, &mut segments, saves);
-        }
         self.publish(Holdings { store: addr, epoch: Some(delta.epoch), complete: full, segments });
     }
 
@@ -274,16 +264,6 @@
         if !restarted {
             return false;
         }
-        if self.reads.get(&addr).is_some_and(|read| read.has_read) {
-            // This leader has offered all that entries may still fetch there, and permits none of it to be saved
-            // until their leases have ended.
-            self.epochs.insert(addr, delta.epoch);
-            self.withdraw(addr);
-            if let Some(read) = self.reads.get_mut(&addr) {
-                (read.since, read.next) = (None, now);
-            }
-            return true;
-        }
         let last_lease_end_ms = self.fence.last_lease_end_ms();
         let clock_ms = self.fence.store_clock_ms(addr);
         let Some(read) = self.reads.get_mut(&addr) else {
@@ -417,7 +397,7 @@
         self.publish(Holdings::withdrawn(store));
     }
 
-    pub(super) fn publish(&mut self, holdings: Holdings) {
+    fn publish(&mut self, holdings: Holdings) {
         self.apply(&holdings);
         self.updates.push(holdings);
     }
--- a/crates/node/src/forward/stores.rs
+++ b/crates/node/src/forward/stores.rs
@@ -8,7 +8,7 @@
 //! Transfers from one source wait for each other. All entries exchange their transfers in progress, so a
 //! slow or busy link is not used while prefill is faster.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 
 use base::prelude::*;
@@ -17,11 +17,12 @@
 use record::{Engine, Store};
 use wire::{Holdings, StoredSegment};
 
-use super::fence::{Fence, Lease, MAX_LEASE_TIME};
+use super::fence::{Fence, Lease};
 use super::reader::{ReadState, TargetsVersion};
-use super::saves::Saves;
 use super::{Context, Forward};
 
+/// How long a save that this entry requested may take to appear in the inventory.
+const SAVE_EXPIRY: Duration = Duration::from_secs(2);
 /// Maximum fill level of a store, as a part of its capacity.
 const MAX_FILL: f64 = 0.97;
 /// Segments up to this length are saved to the stores with the lowest latency, tokens: for them latency
@@ -67,10 +68,8 @@
     pub(super) targets_version: TargetsVersion,
     /// The stores and servers to read, in this order.
     pub(super) targets: Vec<SocketAddr>,
-    /// Segments that were offered at a store before it restarted or was withdrawn, and when; none until the next tick.
-    former: HashMap<Location, (SocketAddr, Option<Time>)>,
-    /// As the leader: segments that a store holds, but of which another save can still begin; with the store's incarnation.
-    withheld: Vec<(SocketAddr, u64, StoredSegment)>,
+    /// Saves that this entry requested recently and that may not be in the inventory yet.
+    pending_saves: HashMap<Location, Time>,
     queues: HashMap<SocketAddr, TransferQueue>,
     pub(super) updates: Vec<Holdings>,
     pub(super) term: u64,
@@ -184,10 +183,6 @@
     }
 
     pub(super) fn apply(&mut self, holdings: &Holdings) {
-        let known = self.inventory.holdings(holdings.store);
-        if let Some((_, former)) = known.filter(|(epoch, _)| holdings.epoch != Some(*epoch)) {
-            self.former.extend(former.map(|location| (location, (holdings.store, None))));
-        }
         let Some(epoch) = holdings.epoch else {
             self.inventory.remove_store(holdings.store);
             return;
@@ -217,11 +212,6 @@
         self.inventory.stores().map(tokens).collect()
     }
 
-    /// Number of segments that are withheld, and of those of earlier incarnations that may still be fetched.
-    pub fn withheld_counts(&self) -> (usize, usize) {
-        (self.withheld.len(), self.former.len())
-    }
-
     /// Whether the inventory of a store or server is available.
     pub fn has_holdings_of(&self, server: SocketAddr) -> bool {
         self.inventory.contains_store(server)
@@ -373,95 +363,25 @@
         }
     }
 
-    /// The shared segments of a prompt that are not stored and could be saved.
-    pub fn unsaved(&self, cx: &Context<'_>, sources: &Sources) -> Vec<Location> {
+    /// Chooses a store for each shared segment of a prompt that is not stored on any.
+    pub fn save(&mut self, cx: &Context<'_>, sources: &Sources) -> Vec<Option<SocketAddr>> {
+        let now = cx.now;
+        self.pending_saves.retain(|_, at| now.since(*at) < SAVE_EXPIRY);
+        let mut save = vec![None; sources.segments.len()];
         if sources.lease.is_none() {
-            return Vec::new();
+            return save;
         }
-        let unsaved = sources.segments.iter().filter(|(segment, holders)| {
-            !holders.iter().any(|source| store_at(cx, source.addr).is_some())
-                && self.store_for(cx, segment).is_some()
-        });
-        unsaved.map(|(segment, _)| Location { salt: sources.salt, id: segment.id }).collect()
-    }
-
-    /// Chooses a store for each shared segment of a prompt that is permitted to be saved.
-    pub fn save(
-        &self,
-        cx: &Context<'_>,
-        sources: &Sources,
-        permitted: &HashSet<Location>,
-    ) -> Vec<Option<SocketAddr>> {
-        let store = |(segment, _): &(Segment, Vec<Source>)| {
+        for (index, (segment, holders)) in sources.segments.iter().enumerate() {
             let location = Location { salt: sources.salt, id: segment.id };
-            let is_permitted = sources.lease.is_some() && permitted.contains(&location);
-            self.store_for(cx, segment).filter(|_| is_permitted)
-        };
-        sources.segments.iter().map(store).collect()
-    }
-
-    /// Whether a store holds a segment, offered or not, or entries may still fetch it by an inventory from before a restart.
-    pub fn is_in_use(&self, location: Location) -> bool {
-        let is_store = |addr| self.reads.get(&addr).is_some_and(ReadState::is_store);
-        let is_withheld =
-            |segment: &StoredSegment| (segment.salt, segment.id) == (location.salt, location.id);
-        self.former.contains_key(&location)
-            || self.inventory.holders(location, 1).any(is_store)
-            || self.withheld.iter().any(|(_, _, segment)| is_withheld(segment))
-    }
-
-    /// Forgets segments that no entry can fetch any more by an earlier inventory, since its leases have ended.
-    pub fn expire_former(&mut self, cx: &Context<'_>) {
-        self.former.retain(|_, (store, withdrawn_at)| {
-            let withdrawn_at = *withdrawn_at.get_or_insert(cx.now);
-            store_at(cx, *store).is_some() && cx.now.since(withdrawn_at) < MAX_LEASE_TIME
-        });
-    }
-
-    /// As the leader: splits off the segments that a store has reported and of which a save can still begin.
-    pub(super) fn withhold(
-        &mut self,
-        now: Time,
-        (store, epoch): (SocketAddr, u64),
-        full: bool,
-        segments: &mut Vec<StoredSegment>,
-        saves: &mut Saves,
-    ) {
-        self.withheld.retain(|(held_store, held_epoch, segment)| {
-            *held_store != store
-                || (*held_epoch == epoch
-                    && !full
-                    && !segments.iter().any(|new| (new.salt, new.id) == (segment.salt, segment.id)))
-        });
-        segments.retain(|segment| {
-            let location = Location { salt: segment.salt, id: segment.id };
-            let offered = segment.tokens == 0 || saves.is_offerable(now, location);
-            if !offered {
-                self.withheld.push((store, epoch, *segment));
-            }
-            offered
-        });
-    }
-
-    /// As the leader: offers the segments that were withheld and of which no save can begin any more.
-    pub(super) fn offer_withheld(&mut self, now: Time, saves: &mut Saves) {
-        let mut offered = Vec::new();
-        self.withheld.retain(|found| {
-            let location = Location { salt: found.2.salt, id: found.2.id };
-            let is_offered = saves.is_offerable(now, location);
-            if is_offered {
-                offered.push(*found);
+            let stored = holders.iter().any(|source| store_at(cx, source.addr).is_some());
+            if stored || self.pending_saves.contains_key(&location) {
+                continue;
             }
-            !is_offered
-        });
-        for (store, epoch, segment) in offered {
-            self.publish(Holdings {
-                store,
-                epoch: Some(epoch),
-                complete: false,
-                segments: vec![segment],
-            });
+            let Some(addr) = self.store_for(cx, segment) else { continue };
+            save[index] = Some(addr);
+            self.pending_saves.insert(location, now);
         }
+        save
     }
 
     /// The store to save a segment to: short segments prefer the lowest latency, long ones the highest,
--- a/crates/node/src/process/advertise.rs
+++ b/crates/node/src/process/advertise.rs
@@ -123,13 +123,6 @@
             Frame::Limits(update) => forward.limits_advertised(cx, peer, &update, out),
             Frame::PermitRequest(request) => reply = forward.permit_requested(cx, &request),
             Frame::Permit(reply) => forward.permit_answered(cx, &reply, out),
-            Frame::SaveRequest(request) => {
-                let reply = forward.saves_requested(cx, peer, &request);
-                out.push(Effect::Send { to: peer.clone(), frame: Frame::SavePermit(reply) });
-            }
-            Frame::SavePermit(reply) => forward.saves_permitted(cx, &reply, out),
-            Frame::SavesEnded(ended) => forward.saves_ended(cx, peer, &ended),
-            Frame::SavesOutstanding(segments) => forward.saves_outstanding(cx, peer, &segments),
             Frame::Evidence(evidence) => forward.evidence_received(cx, &evidence, out),
             Frame::HeldBack(causes) => forward.held_back(cx, peer, &causes, out),
             _ => {}
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     Answer, CacheDelta, Contact, Digest, FetchLease, Inventory, List, Part, Piece, Priority,
-    Request, ServerLoad, VersionAges, Work, limit, quarantine, save, stream,
+    Request, ServerLoad, VersionAges, Work, limit, quarantine, stream,
 };
 
 /// The backend server of an agent.
@@ -308,14 +308,6 @@
     },
     /// Keeper to entry: leases for fetches from stores.
     FetchLeases(Vec<FetchLease>),
-    /// Entry to keeper: a request for permits to save segments on stores.
-    SaveRequest(save::Request),
-    /// Keeper to entry: the response to [`Frame::SaveRequest`].
-    SavePermit(save::Reply),
-    /// Entry to keeper: saves that can't begin any more.
-    SavesEnded(save::Ended),
-    /// Entry to keeper: segments whose saves may still begin, by permits of an earlier leader.
-    SavesOutstanding(Vec<save::Segment>),
 }
 
 impl Frame {
@@ -324,7 +316,6 @@
         match self {
             Self::Answer { id, .. } => Some(*id),
             Self::Permit(reply) => Some(reply.number),
-            Self::SavePermit(reply) => Some(reply.number),
             Self::StreamsRecorded { ack } => Some(*ack),
             Self::StreamFound { call, .. } => Some(*call),
             _ => None,
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -26,7 +26,6 @@
 mod part;
 pub mod quarantine;
 mod request;
-pub mod save;
 pub mod stream;
 mod version_ages;
 mod work;
