One counter for the numbers of requests to other processes

Change: base::Numbers, one for the forwarding reducer and one for the keeper client; PendingLookup::has_majority, Streams::known_keepers. No behaviour.

--- a/crates/base/src/id.rs
+++ b/crates/base/src/id.rs
@@ -22,6 +22,26 @@
     }
 }
 
+/// Numbers for the requests that one incarnation of a process sends to others.
+#[derive(Debug)]
+pub struct Numbers {
+    next: u64,
+}
+
+impl Numbers {
+    /// For this incarnation.
+    pub const fn new(incarnation: Incarnation) -> Self {
+        Self { next: incarnation.first_number() }
+    }
+
+    /// The next number.
+    pub const fn take(&mut self) -> u64 {
+        let number = self.next;
+        self.next += 1;
+        number
+    }
+}
+
 /// A position in the log, such as that of the latest accepted configuration change. A restore from a
 /// backup increases the epoch.
 #[derive(
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -18,6 +18,6 @@
 
 pub use code::{Code, Fate};
 pub use hex::{hex, unhex};
-pub use id::{Incarnation, Revision, RunId};
+pub use id::{Incarnation, Numbers, Revision, RunId};
 pub use name::Name;
 pub use time::Time;
--- a/crates/base/src/prelude.rs
+++ b/crates/base/src/prelude.rs
@@ -1,4 +1,4 @@
 //! Common types, for import with a single `use`.
 
-pub use crate::{Code, Fate, Incarnation, Name, Revision, RunId, Time};
+pub use crate::{Code, Fate, Incarnation, Name, Numbers, Revision, RunId, Time};
 pub use std::time::Duration;
--- a/crates/node/src/forward/limits.rs
+++ b/crates/node/src/forward/limits.rs
@@ -47,8 +47,6 @@
     pub(super) issuer: Option<Issuer>,
     /// When the leader became unreachable, if none is reachable now.
     pub(super) leaderless_since: Option<Time>,
-    /// Number of the next permit request.
-    next_number: u64,
     /// Pending permit requests: the end of the wait, the exchange and the number.
     pub(super) waiting: VecDeque<(Time, u64, u64)>,
     pub(super) next_observed: Time,
@@ -64,18 +62,6 @@
 }
 
 impl Limits {
-    /// For an incarnation that numbers its permit requests from this on.
-    pub fn new(first_number: u64) -> Self {
-        Self { next_number: first_number, ..Self::default() }
-    }
-
-    /// Number for a permit request.
-    pub fn take_number(&mut self) -> u64 {
-        let number = self.next_number;
-        self.next_number += 1;
-        number
-    }
-
     /// The issuer, if it is reachable.
     pub fn reachable(&self) -> Option<&Issuer> {
         self.issuer.as_ref().filter(|issuer| issuer.silent_since.is_none())
--- a/crates/node/src/forward/mod.rs
+++ b/crates/node/src/forward/mod.rs
@@ -233,6 +233,8 @@
     stores: Stores,
     loads: LoadExchange,
     limits: Limits,
+    /// Numbers of requests to keepers.
+    numbers: Numbers,
     quarantine: Quarantine,
     streams: Streams,
     /// Requests that wait for the configuration, each with the time of its arrival.
@@ -256,7 +258,6 @@
 impl Forward {
     /// Creates a reducer that has no servers yet.
     pub fn new(config: Config, zone: Name, incarnation: Incarnation, seed: u64) -> Self {
-        let first_number = incarnation.first_number();
         Self {
             config,
             zone,
@@ -264,9 +265,10 @@
             rollout: Rollout::default(),
             stores: Stores::default(),
             loads: LoadExchange::default(),
-            limits: Limits::new(first_number),
+            limits: Limits::default(),
+            numbers: Numbers::new(incarnation),
             quarantine: Quarantine::default(),
-            streams: Streams::new(first_number),
+            streams: Streams::default(),
             awaiting_config: VecDeque::new(),
             runs: HashMap::new(),
             ended: VecDeque::new(),
--- a/crates/node/src/forward/permits.rs
+++ b/crates/node/src/forward/permits.rs
@@ -64,7 +64,7 @@
         }
         let incarnations =
             servers.iter().filter_map(|key| self.servers.get(*key)).map(incarnation).collect();
-        let number = self.limits.take_number();
+        let number = self.numbers.take();
         let Some(run) = self.runs.get_mut(&call) else {
             return true;
         };
--- a/crates/node/src/forward/streams.rs
+++ b/crates/node/src/forward/streams.rs
@@ -43,8 +43,6 @@
     lookups: BTreeMap<u64, PendingLookup>,
     /// Requests that wait for acknowledgements, by their number.
     moves: BTreeMap<u64, u64>,
-    /// Number of the next lookup or acknowledgement.
-    next_number: u64,
 }
 
 #[derive(Debug)]
@@ -64,9 +62,13 @@
     /// The origin that a keeper knows, if it can be relied on although that keeper may have missed an update: all linked
     /// ones have answered, and they are a majority of `keepers`.
     fn confirmed(&self, keepers: usize) -> Option<(Origin, Name)> {
-        let confirmed = self.unanswered.is_empty() && self.answers > keepers / 2;
+        let confirmed = self.unanswered.is_empty() && self.has_majority(keepers);
         self.known.clone().filter(|_| confirmed)
     }
+
+    fn has_majority(&self, keepers: usize) -> bool {
+        self.answers > keepers / 2
+    }
 }
 
 /// The records of a stream in progress.
@@ -101,15 +103,9 @@
 }
 
 impl Streams {
-    /// For an incarnation that numbers its requests to keepers from this on.
-    pub fn new(first_number: u64) -> Self {
-        Self { next_number: first_number, ..Self::default() }
-    }
-
-    fn take_number(&mut self) -> u64 {
-        let number = self.next_number;
-        self.next_number += 1;
-        number
+    /// Number of keepers that this process knows or is linked to.
+    fn known_keepers(&self, cx: &Context<'_>) -> usize {
+        cx.keepers.max(self.keepers.len())
     }
 
     /// Whether a stream with these records may move to another origin: only if all of them can be replaced.
@@ -236,18 +232,17 @@
         streams.lookups.retain(|call, _| runs.contains_key(call));
         let expired = |lookup: &PendingLookup| cx.now.since(lookup.began) >= LOOKUP_TIMEOUT;
         let settled = self.links_settled(cx.now);
-        let keepers = cx.keepers.max(self.streams.keepers.len());
+        let keepers = self.streams.known_keepers(cx);
         let mut over = Vec::new();
         for (call, lookup) in &self.streams.lookups {
             let is_over = expired(lookup) || (settled && lookup.unanswered.is_empty());
             if !is_over {
                 continue;
             }
-            let has_majority = lookup.answers > keepers / 2;
             let answered = lookup.unanswered.is_empty() && !self.streams.keepers.is_empty();
             let found = match &lookup.known {
                 // Those that did not answer in time are frozen or cut off, so that they can't know better.
-                Some(known) if has_majority => Ok(known.clone()),
+                Some(known) if lookup.has_majority(keepers) => Ok(known.clone()),
                 None if answered => Err(Refusal::UnknownOrigin),
                 _ => Err(Refusal::NoAnswer),
             };
@@ -285,7 +280,7 @@
             }
             let Some(run) = run else { continue };
             let keepers: BTreeSet<Name> = run.recorded.keepers.iter().cloned().collect();
-            let ack = self.streams.take_number();
+            let ack = self.numbers.take();
             for to in keepers.iter().cloned() {
                 let records = stream::Records { ack: Some(ack), records: vec![record.clone()] };
                 out.push(Effect::Send { to, frame: Frame::StreamRecords(records) });
@@ -362,7 +357,7 @@
             }
             Lookup::Unknown => {
                 let unanswered = self.streams.keepers.clone();
-                let number = self.streams.take_number();
+                let number = self.numbers.take();
                 out.extend(unanswered.iter().map(|keeper| query(keeper, number, key)));
                 let (answers, known) = (0, None);
                 let lookup =
@@ -380,6 +375,7 @@
         (number, found): (u64, stream::Lookup),
         out: &mut Effects,
     ) {
+        let keepers = self.streams.known_keepers(cx);
         let mut lookups = self.streams.lookups.iter_mut();
         let Some((&call, lookup)) = lookups.find(|(_, lookup)| lookup.number == number) else {
             return;
@@ -388,7 +384,6 @@
             return;
         }
         lookup.answers += 1;
-        let keepers = cx.keepers.max(self.streams.keepers.len());
         let origin = match found {
             stream::Lookup::Known(origin) => origin_from_wire(origin),
             stream::Lookup::Uncertain => {
--- a/crates/node/src/keeper_client.rs
+++ b/crates/node/src/keeper_client.rs
@@ -64,7 +64,7 @@
     keepers: Vec<Name>,
     leader: Option<Name>,
     pending: BTreeMap<u64, Pending>,
-    next_id: u64,
+    numbers: Numbers,
 }
 
 impl KeeperClient {
@@ -74,7 +74,7 @@
             keepers: Vec::new(),
             leader: None,
             pending: BTreeMap::new(),
-            next_id: incarnation.first_number(),
+            numbers: Numbers::new(incarnation),
         }
     }
 
@@ -112,8 +112,7 @@
         deadline: Time,
         out: &mut Effects,
     ) {
-        let id = self.next_id;
-        self.next_id += 1;
+        let id = self.numbers.take();
         let pending = Pending { purpose, request, deadline, next_send: now, sent_to: None };
         self.pending.insert(id, pending);
         self.transmit(now, id, out);
