A keeper that is linked again doesn't agree with itself on the origin of a stream

Callers would see: a stream that goes on at another version (ORDER), if the link to the one keeper with an outdated record is lost and comes back during a lookup. Cause: answers were counted, not keepers, and two equal answers agreed whoever gave them; a keeper that is linked again is asked again. Change: the keepers that have answered are kept by name, and two answers agree only if two keepers gave them. Result: a_keeper_that_is_linked_again_does_not_agree_with_itself failed before (the stream was sent on), passes now; 27 tests of node streams pass.

--- a/crates/node/src/forward/streams.rs
+++ b/crates/node/src/forward/streams.rs
@@ -52,8 +52,8 @@
     began: Time,
     /// Keepers that have not answered.
     unanswered: BTreeSet<Name>,
-    /// Number of keepers that have answered.
-    answers: usize,
+    /// Keepers that have answered; one that was linked again may do so twice.
+    answered: BTreeSet<Name>,
     /// The origin that a keeper knows, and which one does.
     known: Option<(Origin, Name)>,
 }
@@ -67,7 +67,7 @@
     }
 
     fn has_majority(&self, keepers: usize) -> bool {
-        self.answers > keepers / 2
+        self.answered.len() > keepers / 2
     }
 }
 
@@ -359,9 +359,9 @@
                 let unanswered = self.streams.keepers.clone();
                 let number = self.numbers.take();
                 out.extend(unanswered.iter().map(|keeper| query(keeper, number, key)));
-                let (answers, known) = (0, None);
+                let (answered, known) = (BTreeSet::new(), None);
                 let lookup =
-                    PendingLookup { number, key, began: cx.now, unanswered, answers, known };
+                    PendingLookup { number, key, began: cx.now, unanswered, answered, known };
                 self.streams.lookups.insert(call, lookup);
             }
         }
@@ -383,7 +383,7 @@
         if !lookup.unanswered.remove(keeper) {
             return;
         }
-        lookup.answers += 1;
+        lookup.answered.insert(keeper.clone());
         let origin = match found {
             stream::Lookup::Known(origin) => origin_from_wire(origin),
             stream::Lookup::Uncertain => {
@@ -400,11 +400,14 @@
         };
         match lookup.known.replace((origin.clone(), keeper.clone())) {
             // One keeper may have missed an update of the record, but not two.
-            Some((other, _)) if other == origin => {
-                self.origin_found(cx, call, origin, keeper, out);
+            Some((other, source)) if source != *keeper => {
+                if other == origin {
+                    self.origin_found(cx, call, origin, keeper, out);
+                } else {
+                    self.lookup_ended(cx, call, Err(Refusal::UnknownOrigin), keeper, out);
+                }
             }
-            Some(_) => self.lookup_ended(cx, call, Err(Refusal::UnknownOrigin), keeper, out),
-            None => {
+            _ => {
                 if let Some((origin, source)) = lookup.confirmed(keepers) {
                     self.origin_found(cx, call, origin, &source, out);
                 }
--- a/crates/node/tests/streams.rs
+++ b/crates/node/tests/streams.rs
@@ -140,6 +140,21 @@
     }
 }
 
+// Guards against a keeper that counts as two that agree, because its link was lost and it was asked again.
+#[test]
+fn a_keeper_that_is_linked_again_does_not_agree_with_itself() {
+    let mut entry = entry(&["k1", "k2", "k3"], &["v1", "v2", "v2"]);
+    entry.keepers = 3;
+    resume(&mut entry, 1, "first");
+    found(&mut entry, "k1", known("v1"));
+    entry.forward.keeper_unlinked(entry.now, &Name::new("k1"));
+    entry.forward.keeper_linked(entry.now, &Name::new("k1"), &mut entry.out);
+    found(&mut entry, "k1", known("v1"));
+    assert_eq!(entry.actions(1), [], "the others have not answered");
+    found(&mut entry, "k2", stream::Lookup::Uncertain);
+    assert_eq!(rejected(&mut entry, 1).0, Code::StreamUnknown);
+}
+
 // Guards against an entry without contact to the others whose own keeper, the only one linked, has missed an update.
 #[test_case(3, false; "one of three")]
 #[test_case(1, true; "the only one")]
