--- a/crates/edge/tests/links.rs
+++ b/crates/edge/tests/links.rs
@@ -92,6 +92,16 @@
     tokio::task::LocalSet::new().block_on(&runtime.expect("a runtime"), test);
 }
 
+/// Processes "a" and "b"; "b" has dialed "a".
+async fn linked() -> (Process, Process) {
+    let mut a = Process::start("a", 1).await;
+    let mut b = Process::start("b", 1).await;
+    b.dial(&a);
+    a.connected(1).await;
+    b.connected(1).await;
+    (a, b)
+}
+
 fn frame(number: u64) -> Frame {
     Frame::StreamsRecorded { ack: number }
 }
@@ -100,11 +110,7 @@
 #[test]
 fn a_stopped_dialer_leaves_no_dead_link() {
     run(async {
-        let mut a = Process::start("a", 1).await;
-        let mut b = Process::start("b", 1).await;
-        b.dial(&a);
-        a.connected(1).await;
-        b.connected(1).await;
+        let (mut a, mut b) = linked().await;
         for round in 0..3 {
             a.dial(&b);
             a.connected(1).await;
@@ -128,11 +134,7 @@
 #[test]
 fn a_later_incarnation_replaces_the_links_of_an_earlier_one() {
     run(async {
-        let mut a = Process::start("a", 1).await;
-        let mut earlier = Process::start("b", 1).await;
-        earlier.dial(&a);
-        a.connected(1).await;
-        earlier.connected(1).await;
+        let (mut a, mut earlier) = linked().await;
         let mut later = Process::start("b", 2).await;
         later.dial(&a);
         a.disconnected().await;
