The connection of each attempt is logged

No line told on which connection an attempt went, what that connection had carried, or that a refusal was believed, so the record of a request that ran after its refusal could not decide between a copied refusal, an attempt falsely counted as not sent and a rejection of the entry itself.

Connections are numbered. "request ended" names the connection of the last response, how many requests it had carried and how many of these were refused; "attempt refused" and "response to another request" name those of every response that is not delivered, "attempt without response" those of a lost attempt, and whether nothing was sent. The lines are of kinds of their own, so they are not suppressed with the many ends of requests.

No line is added to a request that is answered at once.

--- a/crates/edge/src/direct.rs
+++ b/crates/edge/src/direct.rs
@@ -215,7 +215,7 @@
         let host = HeaderValue::from_str(&addr.to_string()).map_err(|error| error.to_string())?;
         request.headers_mut().insert(header::HOST, host);
         let sent = self.pool.send(addr, request).await;
-        let (response, lease) = sent.map_err(|failure| format!("{failure:?}"))?;
+        let (response, lease) = sent.map_err(|failed| format!("{:?}", failed.failure))?;
         let (parts, body) = response.into_parts();
         let body = Limited::new(body, max_bytes).collect().await;
         let body = body.map_err(|error| error.to_string())?.to_bytes();
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -16,7 +16,7 @@
 use http_body_util::{BodyExt, Either, Full};
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use node::forward::{self, Action, Attempt, Event, Rejection};
+use node::forward::{self, Action, Attempt, Event, Rejection, ResponseHead};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 use tokio::sync::{oneshot, watch};
@@ -28,7 +28,7 @@
 use crate::events::is_event_stream;
 use crate::meter::{Counted, Meter, Socket};
 use crate::metrics::Metrics;
-use crate::pool::{Failure, Lease, Pool};
+use crate::pool::{Failed, Failure, Lease, Pool};
 use crate::{EventSplitter, Input, Inputs, Protocol, queue, start};
 
 /// Longest time for which a caller may leave sent bytes unacknowledged.
@@ -228,7 +228,7 @@
 enum Next {
     Action(Option<Action>),
     Disconnected,
-    Sent(Result<(Response<Counted>, Lease), Failure>),
+    Sent(Result<(Response<Counted>, Lease), Failed>),
 }
 
 /// A request that is being forwarded.
@@ -298,8 +298,9 @@
                 return self.caller_disconnected();
             }
             Next::Sent(Ok(sent)) => sent,
-            Next::Sent(Err(failure)) => {
-                let failure = match failure {
+            Next::Sent(Err(failed)) => {
+                self.log_failed(to, failed);
+                let failure = match failed.failure {
                     Failure::NotSent => forward::Failure::NotSent,
                     Failure::Lost => forward::Failure::NoResponse,
                 };
@@ -308,12 +309,9 @@
             }
         };
         let (parts, body) = response.into_parts();
-        let response = self.shared.protocol.parse_response_head(&self.id, &parts);
+        let response = self.response_head(&parts, &lease);
         let (matches_request, not_run) = (response.matches_request, response.not_run);
-        if !matches_request {
-            let status = u64::from(response.status);
-            log::warn!(request:% = self.id, server:% = to.id, status; "response to another request");
-        }
+        self.log_response(to, &response);
         self.shared.notify(Event::ResponseReceived { call: self.call, response });
         match self.next_action(actions).await {
             Some(Action::Deliver) => {
@@ -325,18 +323,50 @@
             }
             other => {
                 if matches_request && not_run {
-                    lease.discard(Response::from_parts(parts, body));
+                    lease.discard_refusal(Response::from_parts(parts, body));
                 }
                 other
             }
         }
     }
 
+    fn response_head(&self, parts: &http::response::Parts, lease: &Lease) -> ResponseHead {
+        let head = self.shared.protocol.parse_response_head(&self.id, parts);
+        ResponseHead { connection: lease.connection(), ..head }
+    }
+
+    /// Logs a response that is not delivered, with the connection that it came on: a copy of an earlier refusal can only
+    /// come on the connection of that refusal.
+    fn log_response(&self, to: &Attempt, response: &ResponseHead) {
+        let status = u64::from(response.status);
+        let forward::Connection { number: connection, carried, refused } = response.connection;
+        if !response.matches_request {
+            log::warn!(
+                request:% = self.id, server:% = to.id, status, connection, carried, refused;
+                "response to another request"
+            );
+        } else if response.not_run {
+            log::info!(
+                request:% = self.id, server:% = to.id, status, connection, carried, refused;
+                "attempt refused"
+            );
+        }
+    }
+
+    fn log_failed(&self, to: &Attempt, failed: Failed) {
+        let on = failed.connection.unwrap_or_default();
+        log::info!(
+            request:% = self.id, server:% = to.id, why:? = failed.failure, connection = on.number,
+            carried = on.carried, refused = on.refused;
+            "attempt without response"
+        );
+    }
+
     /// Reports the response to an attempt that ends, if it has been received: the server may ask for no more requests.
     /// Does not wait for one, since the server works until the connection is closed.
     async fn report_received(
         &self,
-        sent: Pin<&mut impl Future<Output = Result<(Response<Counted>, Lease), Failure>>>,
+        sent: Pin<&mut impl Future<Output = Result<(Response<Counted>, Lease), Failed>>>,
     ) {
         // The task that reads the connection runs first.
         yield_now().await;
@@ -345,9 +375,9 @@
             sent = sent => sent,
             () = ready(()) => return,
         };
-        if let Ok((response, _)) = sent {
+        if let Ok((response, lease)) = sent {
             let (parts, _) = response.into_parts();
-            let response = self.shared.protocol.parse_response_head(&self.id, &parts);
+            let response = self.response_head(&parts, &lease);
             self.shared.notify(Event::ResponseReceived { call: self.call, response });
         }
     }
--- a/crates/edge/src/meter.rs
+++ b/crates/edge/src/meter.rs
@@ -25,14 +25,23 @@
 /// Framing bytes per body frame: a chunk size, a short extension and line ends.
 const FRAMING: u64 = 64;
 
-/// Number of bytes read from a connection that are not yet part of a message.
+/// Numbers of bytes of a connection.
+#[derive(Debug, Default)]
+struct Counts {
+    /// Read and not yet part of a message.
+    unparsed: AtomicU64,
+    /// Written in all.
+    written: AtomicU64,
+}
+
+/// Counts the bytes of a connection.
 #[derive(Clone, Debug, Default)]
-pub struct Meter(Arc<AtomicU64>);
+pub struct Meter(Arc<Counts>);
 
 impl Meter {
     /// Records a parsed head.
     pub fn record_head(&self) {
-        self.0.store(0, Ordering::Relaxed);
+        self.0.unparsed.store(0, Ordering::Relaxed);
     }
 
     /// Counts the body of a request whose head was parsed.
@@ -42,20 +51,32 @@
 
     /// Records a parsed body frame.
     fn record_frame(&self, bytes: usize) {
-        let remaining = self.0.load(Ordering::Relaxed).saturating_sub(bytes as u64 + FRAMING);
-        self.0.store(remaining, Ordering::Relaxed);
+        let unparsed = &self.0.unparsed;
+        let remaining = unparsed.load(Ordering::Relaxed).saturating_sub(bytes as u64 + FRAMING);
+        unparsed.store(remaining, Ordering::Relaxed);
     }
 
     fn record_read(&self, bytes: usize) -> Result<()> {
-        let before = self.0.fetch_add(bytes as u64, Ordering::Relaxed);
+        let before = self.0.unparsed.fetch_add(bytes as u64, Ordering::Relaxed);
         if before + bytes as u64 > MAX_UNPARSED {
             return Err(Error::new(ErrorKind::InvalidData, "too many unparsed bytes"));
         }
         Ok(())
     }
+
+    /// Number of bytes written to the connection.
+    pub fn written(&self) -> u64 {
+        self.0.written.load(Ordering::Relaxed)
+    }
+
+    fn record_write(&self, written: &Poll<Result<usize>>) {
+        if let Poll::Ready(Ok(bytes)) = written {
+            self.0.written.fetch_add(*bytes as u64, Ordering::Relaxed);
+        }
+    }
 }
 
-/// A connection whose received bytes are counted.
+/// A connection whose bytes are counted.
 #[derive(Debug)]
 pub struct Socket {
     stream: TcpStream,
@@ -63,7 +84,7 @@
 }
 
 impl Socket {
-    /// Counts the bytes received on a connection.
+    /// Counts the bytes of a connection.
     pub fn new(stream: TcpStream, meter: Meter) -> Self {
         Self { stream, meter }
     }
@@ -85,7 +106,10 @@
 
 impl AsyncWrite for Socket {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write(cx, bytes)
+        let this = self.get_mut();
+        let written = Pin::new(&mut this.stream).poll_write(cx, bytes);
+        this.meter.record_write(&written);
+        written
     }
 
     fn poll_write_vectored(
@@ -93,7 +117,10 @@
         cx: &mut Context<'_>,
         slices: &[std::io::IoSlice<'_>],
     ) -> Poll<Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write_vectored(cx, slices)
+        let this = self.get_mut();
+        let written = Pin::new(&mut this.stream).poll_write_vectored(cx, slices);
+        this.meter.record_write(&written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/edge/src/notes.rs
+++ b/crates/edge/src/notes.rs
@@ -43,7 +43,8 @@
                 fetch_until_ms = inputs.fetch_until_ms.unwrap_or(0), saves = inputs.saves,
                 save_permit = inputs.save_permit.as_str(),
                 excluded = inputs.exclusion.map_or("", Exclusion::as_str),
-                queued_ms = millis(inputs.queue_wait),
+                queued_ms = millis(inputs.queue_wait), connection = inputs.connection.number,
+                carried = u64::from(inputs.connection.carried), refused = u64::from(inputs.connection.refused),
                 code = code.number(), status = u64::from(*status), took_ms = millis(*took),
                 first_ms = first.map_or(0, millis);
                 "request ended"
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -4,7 +4,7 @@
 //! since a request that crosses the server's close is lost. Dropping a [`Lease`] closes the connection, which makes the
 //! server stop.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -14,6 +14,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
+use node::forward::Connection;
 use tokio::net::TcpStream;
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{Instant, timeout};
@@ -45,11 +46,33 @@
     Lost,
 }
 
+/// A request that has no response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Failed {
+    /// Why.
+    pub failure: Failure,
+    /// The connection that it was sent on; none if no connection was established.
+    pub connection: Option<Connection>,
+}
+
 #[derive(Debug)]
 struct Conn {
     sender: SendRequest<Sendable>,
     meter: Meter,
     driver: AbortHandle,
+    number: u64,
+    /// Number of requests that it has carried.
+    carried: u32,
+    /// Number of these that the server refused.
+    refused: u32,
+}
+
+impl Conn {
+    /// This connection, before the request that it carries now.
+    fn before_last(&self) -> Connection {
+        let carried = self.carried.saturating_sub(1);
+        Connection { number: self.number, carried, refused: self.refused }
+    }
 }
 
 impl Drop for Conn {
@@ -70,6 +93,8 @@
     connect_timeout: Duration,
     max_idle: usize,
     idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
+    /// Number of connections established so far.
+    established: Cell<u64>,
 }
 
 /// A connection with a response in flight, closed when dropped.
@@ -84,7 +109,8 @@
 impl Pool {
     /// Keeps at most `max_idle` idle connections and waits at most `connect_timeout` for a new one.
     pub fn new(max_idle: usize, connect_timeout: Duration) -> Self {
-        Self { connect_timeout, max_idle, idle: RefCell::default() }
+        let (idle, established) = (RefCell::default(), Cell::default());
+        Self { connect_timeout, max_idle, idle, established }
     }
 
     /// Sends a request and waits for the head of the response.
@@ -95,17 +121,23 @@
         self: &Rc<Self>,
         addr: SocketAddr,
         mut request: Request<Sendable>,
-    ) -> Result<(Response<Counted>, Lease), Failure> {
+    ) -> Result<(Response<Counted>, Lease), Failed> {
         loop {
             let (mut conn, reused) = if let Some(conn) = self.take(addr) {
                 (conn, true)
             } else {
-                let connected = connect(addr, self.connect_timeout).await;
-                (connected.map_err(|_| Failure::NotSent)?, false)
+                let connected = self.connect(addr).await;
+                let not_sent = Failed { failure: Failure::NotSent, connection: None };
+                (connected.map_err(|_| not_sent)?, false)
             };
+            conn.carried += 1;
+            let connection = Some(conn.before_last());
+            let failed = |failure| Failed { failure, connection };
             match conn.sender.try_send_request(request).await {
                 // No request asks for another protocol (101); other interim responses are skipped.
-                Ok(response) if response.status().is_informational() => return Err(Failure::Lost),
+                Ok(response) if response.status().is_informational() => {
+                    return Err(failed(Failure::Lost));
+                }
                 Ok(response) => {
                     let reuse_time = reuse_time(&response);
                     let meter = conn.meter.clone();
@@ -115,8 +147,8 @@
                 Err(mut error) => match error.take_message() {
                     // The server closed the connection while it was idle; nothing was sent.
                     Some(unsent) if reused => request = unsent,
-                    Some(_) => return Err(Failure::NotSent),
-                    None => return Err(Failure::Lost),
+                    Some(_) => return Err(failed(Failure::NotSent)),
+                    None => return Err(failed(Failure::Lost)),
                 },
             }
         }
@@ -135,6 +167,12 @@
         None
     }
 
+    async fn connect(&self, addr: SocketAddr) -> std::io::Result<Conn> {
+        let number = self.established.get() + 1;
+        self.established.set(number);
+        connect(addr, number, self.connect_timeout).await
+    }
+
     /// Closes connections that have been idle for too long.
     pub fn sweep(&self) {
         let now = Instant::now();
@@ -146,6 +184,11 @@
 }
 
 impl Lease {
+    /// The connection, before the request of this response.
+    pub fn connection(&self) -> Connection {
+        self.conn.before_last()
+    }
+
     /// Returns the connection to the pool after the response was read completely.
     pub async fn done(mut self) {
         let Some(reuse_time) = self.reuse_time else {
@@ -163,8 +206,9 @@
         }
     }
 
-    /// Reads a response that nobody needs, so that its connection can be reused.
-    pub fn discard(self, response: Response<Counted>) {
+    /// Reads a refusal, which nobody needs, so that its connection can be reused.
+    pub fn discard_refusal(mut self, response: Response<Counted>) {
+        self.conn.refused += 1;
         spawn_local(async move {
             let body = Limited::new(response.into_body(), MAX_DISCARDED).collect();
             if matches!(timeout(DISCARD_TIMEOUT, body).await, Ok(Ok(_))) {
@@ -174,7 +218,7 @@
     }
 }
 
-async fn connect(addr: SocketAddr, max_wait: Duration) -> std::io::Result<Conn> {
+async fn connect(addr: SocketAddr, number: u64, max_wait: Duration) -> std::io::Result<Conn> {
     let socket = timeout(max_wait, TcpStream::connect(addr)).await??;
     socket.set_nodelay(true)?;
     socket2::SockRef::from(&socket).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
@@ -189,7 +233,8 @@
             log::debug!("connection to {addr}: {error}");
         }
     });
-    Ok(Conn { sender, meter, driver: driver.abort_handle() })
+    let driver = driver.abort_handle();
+    Ok(Conn { sender, meter, driver, number, carried: 0, refused: 0 })
 }
 
 /// For how long the connection of a response may be reused; `None` if the server closes it.
--- a/crates/edge/src/protocol.rs
+++ b/crates/edge/src/protocol.rs
@@ -44,7 +44,7 @@
     /// caller received.
     fn upstream_headers(&self, headers: HeaderMap, to: &Attempt, after: Option<&str>) -> HeaderMap;
 
-    /// Parses the head of a server's response to the request with this ID.
+    /// Parses the head of a server's response to the request with this ID; its connection is left empty.
     fn parse_response_head(&self, id: &str, response: &response::Parts) -> ResponseHead;
 
     /// Parses the rate limit, leaving and backoff notices in the head of a server's response.
--- a/crates/node/src/decision.rs
+++ b/crates/node/src/decision.rs
@@ -43,6 +43,8 @@
     pub exclusion: Option<Exclusion>,
     /// Time that the request waited in the queue of this entry; set when it has ended.
     pub queue_wait: Duration,
+    /// The connection of its last response.
+    pub connection: forward::Connection,
 }
 
 /// Why the servers of an availability zone do not receive a request.
--- a/crates/node/src/forward/event.rs
+++ b/crates/node/src/forward/event.rs
@@ -94,6 +94,17 @@
     pub save: Vec<Option<SocketAddr>>,
 }
 
+/// The connection of an attempt, before it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Connection {
+    /// Number of the connection among those that this process has established.
+    pub number: u64,
+    /// Number of requests that it had carried; 0 for a new one.
+    pub carried: u32,
+    /// Number of these that the server refused.
+    pub refused: u32,
+}
+
 /// The head of a server's response.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ResponseHead {
@@ -111,6 +122,8 @@
     pub version: Option<u64>,
     /// Rate limit, leaving and backoff notices of the server.
     pub notice: Notice,
+    /// The connection that it came on.
+    pub connection: Connection,
 }
 
 /// How an attempt failed without a complete response.
--- a/crates/node/src/forward/follow.rs
+++ b/crates/node/src/forward/follow.rs
@@ -42,6 +42,7 @@
         if let Some(placement) = &mut run.placement {
             placement.head_at = Some(cx.now);
         }
+        run.inputs.connection = response.connection;
         if !response.matches_request {
             // The response belongs to another request, so the outcome of this one is unknown.
             self.attempt_failed(cx, call, Failure::NoResponse, out);
--- a/crates/node/src/forward/mod.rs
+++ b/crates/node/src/forward/mod.rs
@@ -80,8 +80,8 @@
 use waiting::{Queueing, Waiting};
 
 pub use event::{
-    Action, Attempt, Change, ControlCall, Event, Failure, Progress, Prompt, Rejection, RequestHead,
-    ResponseHead, Resumption,
+    Action, Attempt, Change, Connection, ControlCall, Event, Failure, Progress, Prompt, Rejection,
+    RequestHead, ResponseHead, Resumption,
 };
 pub use follow::MISDIRECTED;
 
