A connection carries no two requests with one ID

What callers saw: 503, a promise that nothing has run, for a request that a server ran (REFUSED). The server had refused an earlier attempt with the same ID, and wrote a copy of that refusal as the ID arrived again on the same connection.

Cause: what tells a response from an extra one is the ID alone, and nothing kept a request from the connection that had carried its ID. Placement leaves out the servers that refused a request, by their keys in the server table, but a server that is listed anew has a new key and its old connections; a client may use an ID twice; and the pool returned a connection whose request was refused and took the latest first.

The rule now holds in the pool, where every request passes: a connection remembers hashes of the IDs that it has carried and is passed over for them. After 1,024 requests it is closed, so that the memory is bounded. Equal hashes of two IDs only cost a connection. So no copy of an earlier response, of whatever status, whenever it arrives and in how many pieces, can bear the ID of the request that is under way. The process's own calls, which bear no ID, no longer share connections with requests.

Weighed and not taken: closing each refused connection, which holds only for refusals and costs a connection for each of them under overload; placement by address, which leaves out clients that repeat an ID.

--- a/crates/edge/src/direct.rs
+++ b/crates/edge/src/direct.rs
@@ -16,7 +16,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::body::Sendable;
-use crate::pool::Pool;
+use crate::pool::{Match, Pool};
 use crate::{Call, Input, Inputs, Protocol};
 
 /// Longest wait for a response; the list is read more often than a server may change unnoticed.
@@ -88,6 +88,7 @@
                     .call(
                         addr,
                         self.protocol.report_request(&id),
+                        Match::Content,
                         (RESPONSE_TIMEOUT, MAX_SMALL_RESPONSE),
                     )
                     .await;
@@ -111,7 +112,8 @@
             }
             forward::ControlCall::FreeSegments { addr, epoch, until_ms, segments } => {
                 let call = self.protocol.free_request(epoch, until_ms, &segments);
-                let result = self.call(addr, call, (RESPONSE_TIMEOUT, MAX_SMALL_RESPONSE)).await;
+                let limits = (RESPONSE_TIMEOUT, MAX_SMALL_RESPONSE);
+                let result = self.call(addr, call, Match::Content, limits).await;
                 let status = result.as_ref().map_or(0, |(status, ..)| *status);
                 let error = result.err().unwrap_or_default();
                 // The store's events show what was freed.
@@ -123,8 +125,8 @@
             }
             forward::ControlCall::Change(change) => {
                 let call = self.protocol.version_change_request(&change, &self.holder);
-                let result =
-                    self.call(change.addr, call, (ORDER_TIMEOUT, MAX_SMALL_RESPONSE)).await;
+                let limits = (ORDER_TIMEOUT, MAX_SMALL_RESPONSE);
+                let result = self.call(change.addr, call, Match::Content, limits).await;
                 let notice = self.notice(&result);
                 let status = match &result {
                     Ok((status, ..)) => *status,
@@ -162,6 +164,7 @@
                 .call(
                     addr,
                     self.protocol.list_request(from.as_deref()),
+                    Match::Content,
                     (RESPONSE_TIMEOUT, MAX_RESPONSE),
                 )
                 .await;
@@ -188,7 +191,8 @@
         wait: Duration,
     ) -> Result<StoreDelta, String> {
         let call = self.protocol.store_request(since, wait);
-        let result = self.call(addr, call, (wait + RESPONSE_TIMEOUT, MAX_RESPONSE)).await;
+        let result =
+            self.call(addr, call, Match::Content, (wait + RESPONSE_TIMEOUT, MAX_RESPONSE)).await;
         let delta = success_body(result)
             .and_then(|body| self.protocol.parse_store_delta(since.is_none(), &body));
         if let Err(error) = &delta {
@@ -202,19 +206,26 @@
         &self,
         addr: SocketAddr,
         call: Call,
+        matched: Match<'_>,
         (time, max_bytes): (Duration, usize),
     ) -> CallResult {
-        with_timeout(time, self.send(addr, call, max_bytes)).await
+        with_timeout(time, self.send(addr, call, matched, max_bytes)).await
     }
 
-    async fn send(&self, addr: SocketAddr, call: Call, max_bytes: usize) -> CallResult {
+    async fn send(
+        &self,
+        addr: SocketAddr,
+        call: Call,
+        matched: Match<'_>,
+        max_bytes: usize,
+    ) -> CallResult {
         let mut request = Request::new(Sendable::from(call.body));
         *request.method_mut() = call.method;
         *request.uri_mut() = call.path.parse().map_err(|error| format!("path: {error}"))?;
         *request.headers_mut() = call.headers;
         let host = HeaderValue::from_str(&addr.to_string()).map_err(|error| error.to_string())?;
         request.headers_mut().insert(header::HOST, host);
-        let sent = self.pool.send(addr, request).await;
+        let sent = self.pool.send(addr, matched, request).await;
         let (response, lease) = sent.map_err(|failed| format!("{:?}", failed.failure))?;
         let (parts, body) = response.into_parts();
         let body = Limited::new(body, max_bytes).collect().await;
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -28,7 +28,7 @@
 use crate::events::is_event_stream;
 use crate::meter::{Counted, Meter, Socket};
 use crate::metrics::Metrics;
-use crate::pool::{Failed, Failure, Lease, Pool};
+use crate::pool::{Failed, Failure, Lease, Match, Pool};
 use crate::{EventSplitter, Input, Inputs, Protocol, queue, start};
 
 /// Longest time for which a caller may leave sent bytes unacknowledged.
@@ -281,7 +281,8 @@
     ) -> Option<Action> {
         let request = self.request(to);
         let pool = self.shared.pool.clone();
-        let mut sent = pin!(pool.send(to.addr, request));
+        let id = self.id.clone();
+        let mut sent = pin!(pool.send(to.addr, Match::Id(&id), request));
         let next = tokio::select! {
             biased;
             sent = sent.as_mut() => Next::Sent(sent),
--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -3,9 +3,15 @@
 //! A connection serves one request at a time. An idle one is reused only for a part of the server's keep-alive time,
 //! since a request that crosses the server's close is lost. Dropping a [`Lease`] closes the connection, which makes the
 //! server stop.
+//!
+//! A server may write an extra copy of an earlier response, at any time, on the connection of that response. A connection
+//! is therefore only reused where something tells such a copy from the response to the next request ([`Match`]): the
+//! copy of a refusal would else be taken for the refusal of a request that runs. Attempts, clients and list entries may
+//! all repeat an ID, so the rule holds here, where every request passes.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::hash::{BuildHasher, RandomState};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -32,11 +38,24 @@
 const REUSE_FRACTION: f64 = 0.5;
 /// Maximum number of idle connections to one server.
 const MAX_IDLE: usize = 32;
+/// Maximum number of IDs that a connection remembers; it carries no more requests.
+const MAX_IDS: usize = 1_024;
 /// Largest body in bytes that is read only to reuse its connection.
 const MAX_DISCARDED: usize = 64 << 10;
 /// Longest wait for such a body.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// What tells the response to a request from copies of earlier responses on its connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Match<'a> {
+    /// This ID, which the response repeats. The connection has carried no request with the same ID.
+    Id(&'a str),
+    /// The content of the response. The connection carries no requests of other kinds.
+    Content,
+    /// Nothing. The connection carries no other request.
+    Connection,
+}
+
 /// Why a request has no response. The names of the variants appear in logged errors.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Failure {
@@ -63,6 +82,8 @@
     number: u64,
     /// Number of requests that it has carried.
     carried: u32,
+    /// Hashes of their IDs.
+    ids: Vec<u64>,
     /// Number of these that the server refused.
     refused: u32,
 }
@@ -87,30 +108,52 @@
     until: Instant,
 }
 
+impl Idle {
+    fn is_usable(&self, now: Instant) -> bool {
+        self.until > now && self.conn.sender.is_ready()
+    }
+}
+
+/// Idle connections that one request may choose from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Group {
+    addr: SocketAddr,
+    /// Whether they carry requests with IDs.
+    ids: bool,
+}
+
 /// The idle connections, by server.
 #[derive(Debug)]
 pub struct Pool {
     connect_timeout: Duration,
     max_idle: usize,
-    idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
+    idle: RefCell<HashMap<Group, Vec<Idle>>>,
     /// Number of connections established so far.
     established: Cell<u64>,
+    /// Keyed at random, so that clients can't choose IDs with equal hashes.
+    hasher: RandomState,
 }
 
 /// A connection with a response in flight, closed when dropped.
 #[derive(Debug)]
 pub struct Lease {
     pool: Rc<Pool>,
-    addr: SocketAddr,
+    group: Group,
     conn: Conn,
+    /// None if the connection is not reused.
     reuse_time: Option<Duration>,
 }
 
 impl Pool {
     /// Keeps at most `max_idle` idle connections and waits at most `connect_timeout` for a new one.
     pub fn new(max_idle: usize, connect_timeout: Duration) -> Self {
-        let (idle, established) = (RefCell::default(), Cell::default());
-        Self { connect_timeout, max_idle, idle, established }
+        Self {
+            connect_timeout,
+            max_idle,
+            idle: RefCell::default(),
+            established: Cell::default(),
+            hasher: RandomState::new(),
+        }
     }
 
     /// Sends a request and waits for the head of the response.
@@ -120,10 +163,15 @@
     pub async fn send(
         self: &Rc<Self>,
         addr: SocketAddr,
+        matched: Match<'_>,
         mut request: Request<Sendable>,
     ) -> Result<(Response<Counted>, Lease), Failed> {
+        let id = if let Match::Id(id) = matched { Some(self.hasher.hash_one(id)) } else { None };
+        let group = Group { addr, ids: id.is_some() };
+        let may_reuse = matched != Match::Connection;
         loop {
-            let (mut conn, reused) = if let Some(conn) = self.take(addr) {
+            let idle = if may_reuse { self.take(group, id) } else { None };
+            let (mut conn, reused) = if let Some(conn) = idle {
                 (conn, true)
             } else {
                 let connected = self.connect(addr).await;
@@ -131,6 +179,7 @@
                 (connected.map_err(|_| not_sent)?, false)
             };
             conn.carried += 1;
+            conn.ids.extend(id);
             let connection = Some(conn.before_last());
             let failed = |failure| Failed { failure, connection };
             match conn.sender.try_send_request(request).await {
@@ -139,32 +188,33 @@
                     return Err(failed(Failure::Lost));
                 }
                 Ok(response) => {
-                    let reuse_time = reuse_time(&response);
+                    let reuse_time = reuse_time(&response).filter(|_| may_reuse);
                     let meter = conn.meter.clone();
                     let response = response.map(|body| Counted::new(body, meter));
-                    return Ok((response, Lease { pool: self.clone(), addr, conn, reuse_time }));
+                    return Ok((response, Lease { pool: self.clone(), group, conn, reuse_time }));
+                }
+                Err(mut error) => {
+                    match error.take_message() {
+                        // The server closed the connection while it was idle.
+                        Some(unsent) if reused => request = unsent,
+                        Some(_) => return Err(failed(Failure::NotSent)),
+                        None => return Err(failed(Failure::Lost)),
+                    }
                 }
-                Err(mut error) => match error.take_message() {
-                    // The server closed the connection while it was idle; nothing was sent.
-                    Some(unsent) if reused => request = unsent,
-                    Some(_) => return Err(failed(Failure::NotSent)),
-                    None => return Err(failed(Failure::Lost)),
-                },
             }
         }
     }
 
-    fn take(&self, addr: SocketAddr) -> Option<Conn> {
+    /// The latest idle connection of a group that has carried no request with this ID.
+    fn take(&self, group: Group, id: Option<u64>) -> Option<Conn> {
         let now = Instant::now();
         let mut all = self.idle.borrow_mut();
-        let idle = all.get_mut(&addr)?;
-        while let Some(found) = idle.pop() {
-            if found.until > now && found.conn.sender.is_ready() {
-                return Some(found.conn);
-            }
-        }
-        all.remove(&addr);
-        None
+        let idle = all.get_mut(&group)?;
+        let fits = |found: &Idle| {
+            found.is_usable(now) && id.is_none_or(|id| !found.conn.ids.contains(&id))
+        };
+        let found = idle.iter().rposition(fits)?;
+        Some(idle.remove(found).conn)
     }
 
     async fn connect(&self, addr: SocketAddr) -> std::io::Result<Conn> {
@@ -194,13 +244,16 @@
         let Some(reuse_time) = self.reuse_time else {
             return;
         };
+        if self.conn.ids.len() >= MAX_IDS {
+            return;
+        }
         // The end of the body may be visible before the connection is free.
         if self.conn.sender.ready().await.is_err() {
             return;
         }
         let mut all = self.pool.idle.borrow_mut();
         let total: usize = all.values().map(Vec::len).sum();
-        let idle = all.entry(self.addr).or_default();
+        let idle = all.entry(self.group).or_default();
         if idle.len() < MAX_IDLE && total < self.pool.max_idle {
             idle.push(Idle { conn: self.conn, until: Instant::now() + reuse_time });
         }
@@ -234,7 +287,7 @@
         }
     });
     let driver = driver.abort_handle();
-    Ok(Conn { sender, meter, driver, number, carried: 0, refused: 0 })
+    Ok(Conn { sender, meter, driver, number, carried: 0, ids: Vec::new(), refused: 0 })
 }
 
 /// For how long the connection of a response may be reused; `None` if the server closes it.
