"Not sent" is only said if no byte was written

Whether a request was sent is taken from what the HTTP client returns: the request itself, if it did not begin to write it. The promise that nothing has run rests on it, so it is now checked against the bytes that the socket has written since.

--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -182,6 +182,7 @@
             conn.ids.extend(id);
             let connection = Some(conn.before_last());
             let failed = |failure| Failed { failure, connection };
+            let written = conn.meter.written();
             match conn.sender.try_send_request(request).await {
                 // No request asks for another protocol (101); other interim responses are skipped.
                 Ok(response) if response.status().is_informational() => {
@@ -194,7 +195,8 @@
                     return Ok((response, Lease { pool: self.clone(), group, conn, reuse_time }));
                 }
                 Err(mut error) => {
-                    match error.take_message() {
+                    let unsent = error.take_message().filter(|_| conn.meter.written() == written);
+                    match unsent {
                         // The server closed the connection while it was idle.
                         Some(unsent) if reused => request = unsent,
                         Some(_) => return Err(failed(Failure::NotSent)),
