A process's own calls are not answered by copies of other answers

They shared connections with requests and with each other, so a copy of an earlier answer could be taken for theirs: an old report for a fresh one, any 200 for an accepted order.

--- a/crates/edge/src/direct.rs
+++ b/crates/edge/src/direct.rs
@@ -88,7 +88,7 @@
                     .call(
                         addr,
                         self.protocol.report_request(&id),
-                        Match::Content,
+                        Match::Connection,
                         (RESPONSE_TIMEOUT, MAX_SMALL_RESPONSE),
                     )
                     .await;
@@ -113,7 +113,7 @@
             forward::ControlCall::FreeSegments { addr, epoch, until_ms, segments } => {
                 let call = self.protocol.free_request(epoch, until_ms, &segments);
                 let limits = (RESPONSE_TIMEOUT, MAX_SMALL_RESPONSE);
-                let result = self.call(addr, call, Match::Content, limits).await;
+                let result = self.call(addr, call, Match::Connection, limits).await;
                 let status = result.as_ref().map_or(0, |(status, ..)| *status);
                 let error = result.err().unwrap_or_default();
                 // The store's events show what was freed.
@@ -126,7 +126,7 @@
             forward::ControlCall::Change(change) => {
                 let call = self.protocol.version_change_request(&change, &self.holder);
                 let limits = (ORDER_TIMEOUT, MAX_SMALL_RESPONSE);
-                let result = self.call(change.addr, call, Match::Content, limits).await;
+                let result = self.call(change.addr, call, Match::Connection, limits).await;
                 let notice = self.notice(&result);
                 let status = match &result {
                     Ok((status, ..)) => *status,
@@ -164,7 +164,7 @@
                 .call(
                     addr,
                     self.protocol.list_request(from.as_deref()),
-                    Match::Content,
+                    Match::Connection,
                     (RESPONSE_TIMEOUT, MAX_RESPONSE),
                 )
                 .await;
@@ -191,8 +191,9 @@
         wait: Duration,
     ) -> Result<StoreDelta, String> {
         let call = self.protocol.store_request(since, wait);
-        let result =
-            self.call(addr, call, Match::Content, (wait + RESPONSE_TIMEOUT, MAX_RESPONSE)).await;
+        // Events are numbered, and `since` tells which of them are new.
+        let matched = if since.is_some() { Match::Content } else { Match::Connection };
+        let result = self.call(addr, call, matched, (wait + RESPONSE_TIMEOUT, MAX_RESPONSE)).await;
         let delta = success_body(result)
             .and_then(|body| self.protocol.parse_store_delta(since.is_none(), &body));
         if let Err(error) = &delta {
