--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -225,6 +225,7 @@
 }
 
 /// What happened first during an attempt.
+#[expect(clippy::large_enum_variant, reason = "one value at a time, which is taken apart at once")]
 enum Next {
     Action(Option<Action>),
     Disconnected,
