An agent's own calls to its server and to stores end at a limit

Operators reported a replica that sent bytes without end; the process that had called it ran out of memory, and the requests of others ended with it. An agent did the same: a load report without end, well framed or without a length, was read until the memory was gone; cache events, lists and blocks were read up to 1 GiB each, with up to 40 polls under way at once, and the answer to a write up to 10 MB.

Each answer now has a limit of its own: 16 KiB for the load, 4 MiB for cache events and the list of blocks, `piece_bytes` for a block, 16 KiB for the answer to a write. An answer over its limit ends the connection and is logged. Cache reports are parsed into their types, so that an answer of another shape can't take many times its size, and at most one is read at a time. Load reports and aborts end after 4 s, orders after 10 minutes; they had no time limit. The first unavailable load report is logged.

--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -23,6 +23,12 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Interval at which the server's load is read.
 const LOAD_INTERVAL: Duration = Duration::from_millis(100);
+/// Longest time for which the server's load is read, or a run aborted.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(4);
+/// Longest wait for the answer to an order; a server may load the weights before it answers.
+const ORDER_TIMEOUT: Duration = Duration::from_secs(600);
+/// Largest load report in bytes: it has a few numbers and a version.
+const MAX_LOAD_BYTES: u64 = 16 << 10;
 /// Stack size of a thread in bytes.
 const STACK_BYTES: usize = 256 << 10;
 /// Largest part of a plain response read at once, in bytes.
@@ -70,7 +76,12 @@
 
 impl Client {
     /// Creates a client of the server at this address.
-    pub fn new(addr: SocketAddr, stores: Vec<(Name, SocketAddr)>, inputs: Inputs) -> Self {
+    pub fn new(
+        addr: SocketAddr,
+        stores: Vec<(Name, SocketAddr)>,
+        piece_bytes: u64,
+        inputs: Inputs,
+    ) -> Self {
         let config = Agent::config_builder()
             .timeout_connect(Some(CONNECT_TIMEOUT))
             .http_status_as_error(false)
@@ -78,7 +89,7 @@
             .max_idle_connections(0)
             .build();
         let base = format!("http://{addr}");
-        let transfer = Transfer::new(base.clone(), stores);
+        let transfer = Transfer::new(base.clone(), stores, piece_bytes);
         Self { agent: config.into(), base, transfer, inputs }
     }
 
@@ -128,13 +139,15 @@
     fn abort(&self, run: RunId) {
         let url = format!("{}/v1/cancel", self.base);
         let body = json!({ "request_id": request_id(run) }).to_string();
-        let _ = self.agent.post(&url).send(&body);
+        let request = self.agent.post(&url).config().timeout_global(Some(REPORT_TIMEOUT)).build();
+        let _ = request.send(&body);
     }
 
     fn order(&self, token: Revision, load: &Name) {
         let url = format!("{}/orders", self.base);
         let body = json!({ "epoch": token.epoch, "index": token.index, "load": &**load });
-        let answer = self.agent.post(&url).send(body.to_string());
+        let request = self.agent.post(&url).config().timeout_global(Some(ORDER_TIMEOUT)).build();
+        let answer = request.send(body.to_string());
         let ok = answer.is_ok_and(|response| response.status().as_u16() == 200);
         self.send(ServerEvent::Ordered { token, ok });
     }
@@ -143,30 +156,30 @@
     pub fn watch_load(&self) {
         let client = self.clone();
         let _ = spawn(move || {
+            let mut is_available = true;
             loop {
-                if let Some(load) = client.load() {
-                    client.send(ServerEvent::Load(load));
+                let error = match client.load() {
+                    Ok(Some(load)) => {
+                        client.send(ServerEvent::Load(load));
+                        None
+                    }
+                    Ok(None) => Some("invalid report".to_owned()),
+                    Err(error) => Some(error.to_string()),
+                };
+                if let Some(error) = error.as_ref().filter(|_| is_available) {
+                    log::warn!(error:%; "load report unavailable");
                 }
+                is_available = error.is_none();
                 thread::sleep(LOAD_INTERVAL);
             }
         });
     }
 
-    fn load(&self) -> Option<Load> {
-        let mut response = self.agent.get(&format!("{}/load", self.base)).call().ok()?;
-        let value: Value = serde_json::from_reader(response.body_mut().as_reader()).ok()?;
-        let limit = &value["limit_per_second"];
-        let named = limit.as_f64().and_then(fleet::Limit::new);
-        if named.is_none() && !limit.is_null() {
-            log::warn!(limit:% = limit; "invalid rate limit in load report");
-        }
-        Some(Load {
-            limit: named.map(|limit| limit.0),
-            running: value["running"].as_u64()? as u32,
-            waiting: value["waiting"].as_u64()? as u32,
-            version: Name::new(value["version"].as_str()?),
-            ..Load::default()
-        })
+    fn load(&self) -> Result<Option<Load>, ureq::Error> {
+        let request = self.agent.get(format!("{}/load", self.base));
+        let mut response = request.config().timeout_global(Some(REPORT_TIMEOUT)).build().call()?;
+        let body = response.body_mut().with_config().limit(MAX_LOAD_BYTES).read_to_vec()?;
+        Ok(serde_json::from_slice(&body).ok().and_then(|value| parse_load(&value)))
     }
 
     fn send(&self, event: ServerEvent) {
@@ -273,6 +286,21 @@
     }
 }
 
+fn parse_load(value: &Value) -> Option<Load> {
+    let limit = &value["limit_per_second"];
+    let named = limit.as_f64().and_then(fleet::Limit::new);
+    if named.is_none() && !limit.is_null() {
+        log::warn!(limit:% = limit; "invalid rate limit in load report");
+    }
+    Some(Load {
+        limit: named.map(|limit| limit.0),
+        running: value["running"].as_u64()? as u32,
+        waiting: value["waiting"].as_u64()? as u32,
+        version: Name::new(value["version"].as_str()?),
+        ..Load::default()
+    })
+}
+
 /// Reads the next line; returns false at the end of the stream or if the line is not terminated.
 fn next_line(reader: &mut impl BufRead, line: &mut Vec<u8>) -> bool {
     line.clear();
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -106,7 +106,8 @@
     let server = settings.has_role(Role::Agent).then(|| {
         let stores = settings.stores.iter().map(|store| (store.name.clone(), store.addr));
         let stores = stores.collect();
-        let client = server::Client::new(settings.server_addr, stores, inputs.clone());
+        let client =
+            server::Client::new(settings.server_addr, stores, settings.piece_bytes, inputs.clone());
         if settings.server_kind == ServerKind::Engine {
             client.watch_load();
         }
--- a/crates/edge/src/transfer.rs
+++ b/crates/edge/src/transfer.rs
@@ -1,18 +1,23 @@
 //! Transfers of cache blocks between the engine and the stores, over HTTP.
 
+use std::borrow::Cow;
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, TryLockError};
 use std::time::Duration;
 
 use base::{Name, hex, unhex};
 use cache::{Key, decode_block, encode_block};
 use node::{CacheEvent, ServerEvent, TransferResult};
-use serde_json::Value;
+use serde::de::Error as _;
+use serde::{Deserialize, Deserializer};
 use ureq::Agent;
 
 /// Longest time for one request.
 const TIMEOUT: Duration = Duration::from_secs(4);
-/// Largest block in bytes.
-const MAX_BLOCK_BYTES: u64 = 1 << 30;
+/// Largest report of cache events or list of blocks in bytes, enough for 100,000 blocks.
+const MAX_REPORT_BYTES: u64 = 4 << 20;
+/// Largest body of the answer to a write in bytes; it is not used.
+const MAX_ANSWER_BYTES: u64 = 16 << 10;
 /// Status with which a full store rejects a block (507 Insufficient Storage).
 const FULL: u16 = 507;
 
@@ -22,17 +27,43 @@
     agent: Agent,
     engine: String,
     stores: Vec<(Name, SocketAddr)>,
+    /// Largest block in bytes, header included.
+    piece_bytes: u64,
+    /// Held while the engine's cache is read: a slow engine gets no second read.
+    reading: Arc<Mutex<()>>,
 }
 
+#[derive(Deserialize)]
+struct Events {
+    events: Vec<Change>,
+}
+
+#[derive(Deserialize)]
+struct Change {
+    seq: u64,
+    #[serde(deserialize_with = "deserialize_key")]
+    key: Key,
+    stored: bool,
+}
+
+#[derive(Deserialize)]
+struct Blocks {
+    next: u64,
+    keys: Vec<Block>,
+}
+
+#[derive(Deserialize)]
+struct Block(#[serde(deserialize_with = "deserialize_key")] Key);
+
 impl Transfer {
-    /// Creates a client of this engine and these stores.
-    pub fn new(engine: String, stores: Vec<(Name, SocketAddr)>) -> Self {
+    /// Creates a client of this engine and these stores, for blocks of at most this size.
+    pub fn new(engine: String, stores: Vec<(Name, SocketAddr)>, piece_bytes: u64) -> Self {
         let config = Agent::config_builder()
             .timeout_global(Some(TIMEOUT))
             .http_status_as_error(false)
             .max_idle_connections_per_host(16)
             .build();
-        Self { agent: config.into(), engine, stores }
+        Self { agent: config.into(), engine, stores, piece_bytes, reading: Arc::default() }
     }
 
     /// Fetches a block from a store, checks it and imports it into the engine.
@@ -45,7 +76,7 @@
         let Some(url) = self.store_block_url(store, key) else {
             return TransferResult::Failed;
         };
-        let Some((status, bytes)) = self.get(&url) else {
+        let Some((status, bytes)) = self.get(&url, self.piece_bytes) else {
             return TransferResult::Failed;
         };
         match status {
@@ -74,7 +105,7 @@
         let Some(url) = self.store_block_url(store, key) else {
             return TransferResult::Failed;
         };
-        let Some((200, body)) = self.get(&self.engine_block_url(key)) else {
+        let Some((200, body)) = self.get(&self.engine_block_url(key), self.piece_bytes) else {
             return TransferResult::Miss;
         };
         let bytes = encode_block(key, generation, &body);
@@ -94,28 +125,30 @@
 
     /// Reads the engine's cache events, starting with number `from`.
     pub fn events(&self, from: u64) -> Option<ServerEvent> {
-        let (_, bytes) = self.get(&format!("{}/cache/events?from={from}", self.engine))?;
-        let value: Value = serde_json::from_slice(&bytes).ok()?;
-        let event = |value: &Value| {
-            Some(CacheEvent {
-                seq: value["seq"].as_u64()?,
-                key: unhex(value["key"].as_str()?)?,
-                stored: value["stored"].as_bool()?,
-            })
-        };
-        let events = value["events"].as_array()?.iter().map(event).collect::<Option<_>>()?;
-        Some(ServerEvent::Cache { from, events })
+        let url = format!("{}/cache/events?from={from}", self.engine);
+        let Events { events } = self.report(&url)?;
+        let event = |Change { seq, key, stored }| CacheEvent { seq, key, stored };
+        Some(ServerEvent::Cache { from, events: events.into_iter().map(event).collect() })
     }
 
     /// Reads the complete list of blocks in the engine's cache.
     pub fn list(&self) -> Option<ServerEvent> {
-        let (_, bytes) = self.get(&format!("{}/cache/blocks", self.engine))?;
-        let value: Value = serde_json::from_slice(&bytes).ok()?;
-        let keys = value["keys"].as_array()?.iter().map(|key| unhex(key.as_str()?));
-        Some(ServerEvent::CacheList {
-            next: value["next"].as_u64()?,
-            keys: keys.collect::<Option<_>>()?,
-        })
+        let Blocks { next, keys } = self.report(&format!("{}/cache/blocks", self.engine))?;
+        let keys = keys.into_iter().map(|Block(key)| key).collect();
+        Some(ServerEvent::CacheList { next, keys })
+    }
+
+    /// Reads a report of the engine's cache, unless another one is being read; the reducer asks again.
+    fn report<T: for<'de> Deserialize<'de>>(&self, url: &str) -> Option<T> {
+        let _reading = match self.reading.try_lock() {
+            Ok(reading) => reading,
+            Err(TryLockError::Poisoned(error)) => error.into_inner(),
+            Err(TryLockError::WouldBlock) => return None,
+        };
+        let (_, bytes) = self.get(url, MAX_REPORT_BYTES)?;
+        serde_json::from_slice(&bytes)
+            .inspect_err(|error| log::warn!(url, error:%; "invalid cache report"))
+            .ok()
     }
 
     fn store_block_url(&self, store: &Name, key: &Key) -> Option<String> {
@@ -127,18 +160,37 @@
         format!("{}/cache/blocks/{}", self.engine, hex(key))
     }
 
-    fn get(&self, url: &str) -> Option<(u16, Vec<u8>)> {
-        let mut response = self.agent.get(url).call().ok()?;
-        let status = response.status().as_u16();
-        let bytes = response.body_mut().with_config().limit(MAX_BLOCK_BYTES).read_to_vec().ok()?;
-        Some((status, bytes))
+    /// Reads a response with a body of at most `limit` bytes.
+    fn get(&self, url: &str, limit: u64) -> Option<(u16, Vec<u8>)> {
+        let read = || -> Result<_, ureq::Error> {
+            let mut response = self.agent.get(url).call()?;
+            let status = response.status().as_u16();
+            Ok((status, response.body_mut().with_config().limit(limit).read_to_vec()?))
+        };
+        match read() {
+            Ok(response) => Some(response),
+            Err(error @ ureq::Error::BodyExceedsLimit(_)) => {
+                log::warn!(url, error:%; "response too large, connection closed");
+                None
+            }
+            Err(error) => {
+                log::debug!(url, error:%; "no response");
+                None
+            }
+        }
     }
 
+    /// Sends a body; returns the status.
     fn put(&self, url: &str, bytes: &[u8]) -> Option<u16> {
         let mut response = self.agent.put(url).send(bytes).ok()?;
         let status = response.status().as_u16();
         // The connection is reused only once the body is read.
-        let _ = response.body_mut().read_to_vec();
+        let _ = response.body_mut().with_config().limit(MAX_ANSWER_BYTES).read_to_vec();
         Some(status)
     }
 }
+
+fn deserialize_key<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Key, D::Error> {
+    let text = Cow::<str>::deserialize(deserializer)?;
+    unhex(&text).ok_or_else(|| D::Error::custom("invalid key"))
+}
