A run's response is read only as fast as its entry takes it, and to a limit

A server that sent a response without end made its agent, and the entry that the response went to, grow until the memory was gone, whether the caller read or not; requests of others on both ended with them. The thread that reads a response sent each part to the reducer through a channel without a bound, the reducer and the link kept what the entry had not acknowledged, an event that never ends was kept whole, and an entry collects the response to a plain request until it is complete.

A resumption acknowledges the parts before it, since acknowledgements may be lost with a link; a run that must execute at most once is read to its end also when its entry is gone, as its claim waits for the outcome. An aborted run ends its connection, also where the server goes on. Each such end is logged with its reason.

tests/endless.rs: growth of agents and entry at most 32 MB, others answered with 200 meanwhile, all such connections closed.

The sum over all incomplete responses of an entry has no bound of its own yet.

--- a/bin/tamarackbank/tests/endless.rs
+++ b/bin/tamarackbank/tests/endless.rs
@@ -321,6 +321,7 @@
                     let grown = memory_kb(*id).unwrap_or(0).saturating_sub(before[index]);
                     growth[index] = growth[index].max(grown);
                     if grown > KILL_GROWTH_KB {
+                        println!("process {id} is killed: growth {grown} KB");
                         let _ = std::process::Command::new("kill")
                             .args(["-KILL", &id.to_string()])
                             .status();
@@ -461,3 +462,91 @@
     watch.finish(&format!("{endless:?}"));
     system.server.await_closed();
 }
+
+// Guards against the same in the answer to a request, whether its caller reads it or not.
+#[test_case("/svc/probes/endless", "x", true; "bytes")]
+#[test_case("/svc/probes/endless", "x", false; "bytes that are not read")]
+#[test_case("/svc/probes/event", "x", true; "an event")]
+#[test_case("/svc/probes/events", "x", false; "events that are not read")]
+#[test_case("/v1/completions", "endless tokens", true; "tokens")]
+#[test_case("/v1/completions", "endless tokens", false; "tokens that are not read")]
+#[test_case("/v1/completions", "endless line", true; "a line of a stream")]
+#[test_case("/v1/completions", "endless comments", true; "comments of a stream")]
+fn an_endless_answer_to_a_request_is_closed_on(path: &str, what: &str, reads: bool) {
+    for stream in [false, true] {
+        if stream && path != "/v1/completions" {
+            continue;
+        }
+        let name = format!("{path}-{what}-{reads}-{stream}").replace(['/', ' '], "-");
+        let system = System::start(&name, true);
+        let body = match path {
+            "/v1/completions" => completion(what, 100, stream),
+            _ => what.to_owned(),
+        };
+        let watch = system.watch();
+        let mut callers = Vec::new();
+        until("an answer without end", || {
+            callers.push(send(&system.entry.callers, path, &body));
+            sleep(Duration::from_millis(50));
+            system.server.begun() > 0
+        });
+        let readers: Vec<_> = callers.into_iter().map(|caller| hold(caller, reads)).collect();
+        system.serve(DURATION);
+        for reader in readers {
+            reader.join().expect("a caller ends");
+        }
+        watch.finish(&name);
+        system.server.await_closed();
+    }
+}
+
+/// Keeps a caller's connection while the server sends without end, and reads from it or not.
+fn hold(mut caller: TcpStream, reads: bool) -> JoinHandle<()> {
+    spawn(move || {
+        let mut bytes = [0; 8 << 10];
+        let end = Instant::now() + DURATION + Duration::from_secs(1);
+        let _ = caller.set_read_timeout(Some(Duration::from_millis(200)));
+        while Instant::now() < end {
+            if !reads {
+                sleep(Duration::from_millis(100));
+            } else if matches!(caller.read(&mut bytes), Ok(0)) {
+                break;
+            }
+        }
+    })
+}
+
+/// Sends a request and returns its connection.
+fn send(callers: &str, path: &str, body: &str) -> TcpStream {
+    let mut socket = TcpStream::connect(callers).expect("a connection");
+    let head = format!(
+        "POST {path} HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer demo\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    );
+    socket.write_all(head.as_bytes()).expect("a head is sent");
+    socket.write_all(body.as_bytes()).expect("a body is sent");
+    socket
+}
+
+// Guards against parts that an agent keeps without limit for an entry that has stopped reading.
+#[test]
+fn parts_that_an_entry_does_not_read_are_not_kept_without_limit() {
+    let system = System::start("stopped-entry", false);
+    let watch = Watch::start(&[&system.plain, &system.engine]);
+    let callers: Vec<TcpStream> = (0..6)
+        .map(|number| {
+            if number % 2 == 0 {
+                return send(&system.entry.callers, "/svc/probes/endless", "x");
+            }
+            let body = completion("endless tokens", 30_000, true);
+            send(&system.entry.callers, "/v1/completions", &body)
+        })
+        .collect();
+    until("answers without end", || system.server.begun() >= 6);
+    system.entry.process.signal("STOP");
+    sleep(DURATION);
+    system.entry.process.signal("CONT");
+    watch.finish("stopped entry");
+    drop(callers);
+    system.server.await_closed();
+}
--- a/crates/edge/src/host.rs
+++ b/crates/edge/src/host.rs
@@ -234,6 +234,7 @@
             }
             Effect::Serve { .. }
             | Effect::Abort { .. }
+            | Effect::Acked { .. }
             | Effect::Fetch { .. }
             | Effect::Save { .. }
             | Effect::Free { .. }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod single;
 mod start;
 mod transfer;
+mod window;
 
 pub use clock::{Clock, incarnation, unix_ms};
 pub use events::{EventSplitter, is_event_stream};
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -2,8 +2,9 @@
 //!
 //! The agent admits no more runs than the server has slots, which also limits the number of threads.
 
-use std::io::{BufRead, BufReader, Read};
+use std::io::{self, BufRead, BufReader, Read};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
@@ -17,6 +18,7 @@
 
 use crate::events::EVENT_STREAM;
 use crate::transfer::Transfer;
+use crate::window::{Window, Windows};
 use crate::{EventSplitter, Input, Inputs};
 
 /// Longest wait for a connection.
@@ -27,14 +29,20 @@
 const REPORT_TIMEOUT: Duration = Duration::from_secs(4);
 /// Longest wait for the answer to an order; a server may load the weights before it answers.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(600);
+/// Time after its deadline at which the response to a run ends that its server was asked to abort.
+const ABORT_GRACE: Duration = Duration::from_secs(5);
 /// Largest load report in bytes: it has a few numbers and a version.
 const MAX_LOAD_BYTES: u64 = 16 << 10;
 /// Stack size of a thread in bytes.
 const STACK_BYTES: usize = 256 << 10;
 /// Largest part of a plain response read at once, in bytes.
-const CHUNK_BYTES: usize = 64 << 10;
+const CHUNK_BYTES: usize = 16 << 10;
 /// Longest line of an engine's stream in bytes.
 const MAX_LINE_BYTES: u64 = 256 << 10;
+/// Largest response to a run in bytes: a response to a plain request is complete before an entry sends it on.
+const MAX_RESPONSE_BYTES: usize = 16 << 20;
+/// Largest stream of an engine in bytes, framing and comments included.
+const MAX_STREAM_BYTES: u64 = 64 << 20;
 
 /// The client.
 #[derive(Clone, Debug)]
@@ -42,6 +50,7 @@
     agent: Agent,
     base: String,
     transfer: Transfer,
+    windows: Windows,
     inputs: Inputs,
 }
 
@@ -90,14 +99,19 @@
             .build();
         let base = format!("http://{addr}");
         let transfer = Transfer::new(base.clone(), stores, piece_bytes);
-        Self { agent: config.into(), base, transfer, inputs }
+        Self { agent: config.into(), base, transfer, windows: Windows::default(), inputs }
     }
 
     /// Executes an effect of the agent; results are sent as events.
     pub fn perform(&self, effect: Effect) {
         let client = self.clone();
         let failed = match &effect {
+            Effect::Acked { run, seq } => {
+                self.windows.ack(*run, *seq);
+                return;
+            }
             Effect::Serve { run, .. } => {
+                self.windows.open(*run);
                 Some(ServerEvent::Failed { run: *run, sent: false, code: Code::Overloaded })
             }
             Effect::Fetch { key, store } => Some(ServerEvent::Fetched {
@@ -110,13 +124,16 @@
         if spawn(move || client.perform_now(effect)).is_err()
             && let Some(failed) = failed
         {
+            if let ServerEvent::Failed { run, .. } = failed {
+                self.windows.remove(run);
+            }
             self.send(failed);
         }
     }
 
     fn perform_now(&self, effect: Effect) {
         match effect {
-            Effect::Serve { run, priority, work } => self.work(run, priority, &work),
+            Effect::Serve { run, priority, time, work } => self.work(run, priority, time, &work),
             Effect::Abort { run } => self.abort(run),
             Effect::Fetch { key, store } => self.send(self.transfer.fetch(key, store)),
             Effect::Save { key, store, generation } => {
@@ -136,11 +153,13 @@
         }
     }
 
+    /// Asks the server to abort a run, then ends the connection of one that goes on.
     fn abort(&self, run: RunId) {
         let url = format!("{}/v1/cancel", self.base);
         let body = json!({ "request_id": request_id(run) }).to_string();
         let request = self.agent.post(&url).config().timeout_global(Some(REPORT_TIMEOUT)).build();
         let _ = request.send(&body);
+        self.windows.close(run);
     }
 
     fn order(&self, token: Revision, load: &Name) {
@@ -186,11 +205,19 @@
         let _ = self.inputs.send(Input::Event(Event::Server(event)));
     }
 
-    fn work(&self, run: RunId, priority: u8, work: &Work) {
+    fn work(&self, run: RunId, priority: u8, time: Option<Duration>, work: &Work) {
+        let mut output = Output {
+            run,
+            window: self.windows.get(run).unwrap_or_default(),
+            bytes: 0,
+            client: self,
+        };
+        let time = time.map(|time| time + ABORT_GRACE);
         let result = match work {
-            Work::Prompt(prompt) => self.prompt(run, priority, prompt),
-            Work::Call(call) => self.call(run, call),
+            Work::Prompt(prompt) => self.prompt(&mut output, priority, time, prompt),
+            Work::Call(call) => self.call(&mut output, time, call),
         };
+        self.windows.remove(run);
         match result {
             Ok((computed, cached)) => self.send(ServerEvent::Done { run, computed, cached }),
             Err(Failure::NotSent) => {
@@ -200,7 +227,13 @@
         }
     }
 
-    fn prompt(&self, run: RunId, priority: u8, prompt: &Prompt) -> Result<(u32, u32), Failure> {
+    fn prompt(
+        &self,
+        output: &mut Output<'_>,
+        priority: u8,
+        time: Option<Duration>,
+        prompt: &Prompt,
+    ) -> Result<(u32, u32), Failure> {
         let keys: Vec<String> = prompt.keys.iter().map(|key| hex(key)).collect();
         let body = json!({
             "model": &*prompt.model,
@@ -209,53 +242,35 @@
             "max_tokens": prompt.max_tokens,
             "resume_from": prompt.resume_from,
             "cache_keys": keys,
-            "request_id": request_id(run),
+            "request_id": request_id(output.run),
             "priority": priority,
             "stream": true,
         });
         let url = format!("{}/v1/completions", self.base);
-        let response =
-            self.agent.post(&url).content_type("application/json").send(body.to_string());
+        let request = self.agent.post(&url).config().timeout_global(time).build();
+        let response = request.content_type("application/json").send(body.to_string());
         let mut response = response.map_err(|error| failure(&error))?;
         if response.status().as_u16() != 200 {
             return Err(Failure::Sent(Code::ServerError));
         }
-        self.tokens(run, response.body_mut().as_reader())
+        tokens(output, response.body_mut().with_config().limit(MAX_STREAM_BYTES).reader())
     }
 
-    fn tokens(&self, run: RunId, body: impl Read) -> Result<(u32, u32), Failure> {
-        let mut usage = (0, 0);
-        let mut body = BufReader::new(body);
-        let mut line = Vec::new();
-        while next_line(&mut body, &mut line) {
-            let Ok(line) = str::from_utf8(line.trim_ascii_end()) else { break };
-            let Some(data) = line.strip_prefix("data: ") else {
-                continue;
-            };
-            if data == "[DONE]" {
-                return Ok(usage);
-            }
-            let Ok(event) = serde_json::from_str::<Streamed>(data) else { break };
-            for choice in event.choices.into_iter().filter(|choice| !choice.text.is_empty()) {
-                let part = Part::Tokens { text: choice.text, count: choice.tokens.unwrap_or(1) };
-                self.send(ServerEvent::Part { run, part });
-            }
-            if let Some(seen) = event.usage {
-                usage = (seen.computed_tokens, seen.cached_tokens);
-            }
-        }
-        Err(Failure::Sent(Code::Cut))
-    }
-
-    fn call(&self, run: RunId, call: &Call) -> Result<(u32, u32), Failure> {
+    fn call(
+        &self,
+        output: &mut Output<'_>,
+        time: Option<Duration>,
+        call: &Call,
+    ) -> Result<(u32, u32), Failure> {
         let request = http::Request::builder()
             .method(call.method.as_str())
             .uri(format!("{}{}", self.base, call.path))
             .header("content-type", &call.content_type)
-            .header("x-request-id", request_id(run))
+            .header("x-request-id", request_id(output.run))
             .body(call.body.clone());
         // A request with an invalid method or path is not sent.
         let request = request.map_err(|_| Failure::NotSent)?;
+        let request = self.agent.configure_request(request).timeout_global(time).build();
         let mut response = self.agent.run(request).map_err(|error| failure(&error))?;
         let kind = response.headers().get("content-type").and_then(|kind| kind.to_str().ok());
         let head = Part::Head {
@@ -264,28 +279,93 @@
         };
         let is_stream = kind.is_some_and(|kind| kind.starts_with(EVENT_STREAM));
         let mut events = is_stream.then(EventSplitter::default);
-        self.send(ServerEvent::Part { run, part: head });
+        output.send(head)?;
         let mut reader = response.body_mut().as_reader();
         let mut chunk = vec![0; CHUNK_BYTES];
         loop {
             match reader.read(&mut chunk) {
                 Ok(0) if events.as_ref().is_some_and(EventSplitter::is_inside_event) => {
-                    return Err(Failure::Sent(Code::Cut));
+                    return Err(output.cut("the stream ended inside an event"));
                 }
                 Ok(0) => return Ok((0, 0)),
                 Ok(count) => {
                     if let Some(events) = &mut events {
                         events.push(&Bytes::copy_from_slice(&chunk[..count]));
+                        if events.is_too_large() {
+                            return Err(output.cut("an event is too large"));
+                        }
                     }
-                    let part = Part::Bytes(chunk[..count].to_vec());
-                    self.send(ServerEvent::Part { run, part });
+                    output.send(Part::Bytes(chunk[..count].to_vec()))?;
                 }
-                Err(_) => return Err(Failure::Sent(Code::Cut)),
+                Err(error) => return Err(output.cut(&error.to_string())),
             }
         }
     }
 }
 
+/// The parts of one run's response.
+struct Output<'a> {
+    run: RunId,
+    window: Arc<Window>,
+    /// Total size of the parts.
+    bytes: usize,
+    client: &'a Client,
+}
+
+impl Output<'_> {
+    /// Sends a part once the window has space; fails if the response ends here.
+    fn send(&mut self, part: Part) -> Result<(), Failure> {
+        self.bytes += match &part {
+            Part::Tokens { text, .. } => text.len(),
+            Part::Bytes(bytes) => bytes.len(),
+            Part::Head { .. } | Part::End { .. } => 0,
+        };
+        if self.bytes > MAX_RESPONSE_BYTES {
+            return Err(self.cut("the response is too large"));
+        }
+        if !self.window.reserve() {
+            return Err(self.cut("the run was aborted"));
+        }
+        self.client.send(ServerEvent::Part { run: self.run, part });
+        Ok(())
+    }
+
+    fn cut(&self, why: &str) -> Failure {
+        log::info!(run:% = self.run, why, bytes = self.bytes as u64; "response cut");
+        Failure::Sent(Code::Cut)
+    }
+}
+
+fn tokens(output: &mut Output<'_>, body: impl Read) -> Result<(u32, u32), Failure> {
+    let mut usage = (0, 0);
+    let mut body = BufReader::new(body);
+    let mut line = Vec::new();
+    loop {
+        next_line(&mut body, &mut line).map_err(|error| output.cut(&error.to_string()))?;
+        let Ok(line) = str::from_utf8(line.trim_ascii_end()) else {
+            return Err(output.cut("a line is not UTF-8"));
+        };
+        let Some(data) = line.strip_prefix("data: ") else {
+            if output.window.is_closed() {
+                return Err(output.cut("the run was aborted"));
+            }
+            continue;
+        };
+        if data == "[DONE]" {
+            return Ok(usage);
+        }
+        let event: Streamed =
+            serde_json::from_str(data).map_err(|error| output.cut(&error.to_string()))?;
+        for choice in event.choices.into_iter().filter(|choice| !choice.text.is_empty()) {
+            let count = choice.tokens.unwrap_or(1);
+            output.send(Part::Tokens { text: choice.text, count })?;
+        }
+        if let Some(seen) = event.usage {
+            usage = (seen.computed_tokens, seen.cached_tokens);
+        }
+    }
+}
+
 fn parse_load(value: &Value) -> Option<Load> {
     let limit = &value["limit_per_second"];
     let named = limit.as_f64().and_then(fleet::Limit::new);
@@ -301,11 +381,15 @@
     })
 }
 
-/// Reads the next line; returns false at the end of the stream or if the line is not terminated.
-fn next_line(reader: &mut impl BufRead, line: &mut Vec<u8>) -> bool {
+/// Reads the next line; fails if it is not terminated.
+fn next_line(reader: &mut impl BufRead, line: &mut Vec<u8>) -> io::Result<()> {
     line.clear();
-    let read = reader.take(MAX_LINE_BYTES).read_until(b'\n', line);
-    read.is_ok() && line.last() == Some(&b'\n')
+    let count = reader.take(MAX_LINE_BYTES).read_until(b'\n', line)?;
+    match line.last() {
+        Some(b'\n') => Ok(()),
+        _ if count as u64 == MAX_LINE_BYTES => Err(io::Error::other("a line is too large")),
+        _ => Err(io::ErrorKind::UnexpectedEof.into()),
+    }
 }
 
 fn failure(error: &ureq::Error) -> Failure {
@@ -313,7 +397,7 @@
         ureq::Error::ConnectionFailed
         | ureq::Error::HostNotFound
         | ureq::Error::Timeout(ureq::Timeout::Connect) => Failure::NotSent,
-        ureq::Error::Io(error) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
+        ureq::Error::Io(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
             Failure::NotSent
         }
         _ => Failure::Sent(Code::Cut),
@@ -324,6 +408,6 @@
     format!("{run}-{}", run.attempt)
 }
 
-fn spawn(work: impl FnOnce() + Send + 'static) -> std::io::Result<()> {
+fn spawn(work: impl FnOnce() + Send + 'static) -> io::Result<()> {
     thread::Builder::new().name("server".to_owned()).stack_size(STACK_BYTES).spawn(work).map(|_| ())
 }
--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -193,7 +193,7 @@
     pub fn frame(&mut self, cx: &mut Context<'_>, peer: &Name, frame: Frame, out: &mut Effects) {
         match frame {
             Frame::Start(start) => self.start(cx.now, peer, *start, out),
-            Frame::Ack { run, seq } => self.ack(run, seq),
+            Frame::Ack { run, seq } => self.ack(run, seq, out),
             Frame::Resume { run, seq } => self.resume(peer, run, seq, out),
             Frame::Cancel { run } => self.cancel(peer, run, out),
             Frame::Order { token, incarnation: to, version } => {
@@ -249,6 +249,10 @@
         let mut late = Vec::new();
         for (id, held) in &self.runs {
             let orphaned = held.orphaned_at.is_some_and(|at| now.since(at) >= ORPHAN_TIMEOUT);
+            if orphaned && !held.done && !held.start.idempotent {
+                // Its outcome is recorded although nobody acknowledges its parts.
+                out.push(Effect::Acked { run: *id, seq: u64::MAX });
+            }
             if orphaned && (held.start.idempotent || held.done) {
                 expired.push((*id, true));
             } else if now > held.deadline && !held.aborted && held.start.idempotent {
@@ -358,7 +362,8 @@
             class => class,
         };
         let priority = 2 * class as u8 + u8::from(!over_share);
-        out.push(Effect::Serve { run, priority, work: held.start.work.clone() });
+        let time = held.start.idempotent.then(|| held.deadline.since(now));
+        out.push(Effect::Serve { run, priority, time, work: held.start.work.clone() });
     }
 
     fn fetch_ended(&mut self, now: Time, key: &cache::Key, out: &mut Effects) {
--- a/crates/node/src/agent/output.rs
+++ b/crates/node/src/agent/output.rs
@@ -40,6 +40,13 @@
 }
 
 impl HeldRun {
+    /// Removes the parts before this number.
+    fn ack(&mut self, seq: u64) {
+        while self.unacked.front().is_some_and(|(part_seq, _)| *part_seq < seq) {
+            self.unacked.pop_front();
+        }
+    }
+
     fn store_response(&mut self, part: &Part) {
         // One byte past the limit marks the response as too large to store.
         let free = (MAX_STORED_RESPONSE_BYTES + 1).saturating_sub(self.response.len());
@@ -127,12 +134,13 @@
         cx.keepers.send(cx.now, Purpose::CompleteClaim, Request::Command(command), deadline, out);
     }
 
-    pub(super) fn ack(&mut self, run: RunId, seq: u64) {
+    pub(super) fn ack(&mut self, run: RunId, seq: u64, out: &mut Effects) {
         let Some(held) = self.runs.get_mut(&run) else {
             return;
         };
-        while held.unacked.front().is_some_and(|(part_seq, _)| *part_seq < seq) {
-            held.unacked.pop_front();
+        held.ack(seq);
+        if !held.done {
+            out.push(Effect::Acked { run, seq });
         }
         if held.done && held.unacked.is_empty() {
             self.runs.remove(&run);
@@ -147,7 +155,12 @@
         };
         held.orphaned_at = None;
         held.entry = peer.clone();
-        for (part_seq, part) in held.unacked.iter().filter(|(part_seq, _)| *part_seq >= seq) {
+        // Acknowledgements may have been lost with the link.
+        held.ack(seq);
+        if !held.done {
+            out.push(Effect::Acked { run, seq });
+        }
+        for (part_seq, part) in &held.unacked {
             let output = Output { run, seq: *part_seq, part: part.clone() };
             out.push(Effect::Send { to: peer.clone(), frame: Frame::Output(output) });
         }
--- a/crates/node/src/effect.rs
+++ b/crates/node/src/effect.rs
@@ -79,6 +79,8 @@
         run: RunId,
         /// Priority in the server's queue; higher values first.
         priority: u8,
+        /// Time until the deadline; none for a run that must execute at most once, whose outcome is wanted also later.
+        time: Option<Duration>,
         /// The work.
         work: Work,
     },
@@ -87,6 +89,13 @@
         /// The attempt.
         run: RunId,
     },
+    /// The parts of a run's response before a number have been received: further ones may be read from the server.
+    Acked {
+        /// The attempt.
+        run: RunId,
+        /// Number of the first part that has not been received.
+        seq: u64,
+    },
     /// Fetch a block from a store into the engine.
     Fetch {
         /// Key of the block.
--- a/crates/node/tests/agent.rs
+++ b/crates/node/tests/agent.rs
@@ -22,6 +22,14 @@
     })
 }
 
+/// Up to which part the response to a run may be read on.
+fn acked(out: &node::Effects) -> Option<u64> {
+    out.iter().find_map(|effect| match effect {
+        Effect::Acked { seq, .. } => Some(*seq),
+        _ => None,
+    })
+}
+
 fn orders(out: &node::Effects) -> Vec<String> {
     out.iter()
         .filter_map(|effect| match effect {
@@ -87,6 +95,38 @@
     assert!(out.iter().any(|e| matches!(e, Effect::Send { frame: Frame::UnknownRun { .. }, .. })));
 }
 
+// Guards against a response that is never read on, since the acknowledgement of its parts was lost with a link.
+#[test]
+fn a_resumption_acknowledges_the_parts_before_it() {
+    let mut harness = agent();
+    harness.frame("entry-1", Frame::Start(Box::new(start(run(1), 9, "v1"))));
+    for _ in 0..3 {
+        let part = Part::Tokens { text: "a".to_owned(), count: 1 };
+        harness.step(Event::Server(ServerEvent::Part { run: run(1), part }));
+    }
+    let out = harness.frame("entry-1", Frame::Ack { run: run(1), seq: 1 });
+    assert_eq!(acked(&out), Some(1));
+    let out = harness.frame("entry-1", Frame::Resume { run: run(1), seq: 3 });
+    assert_eq!(acked(&out), Some(3));
+    assert!(!out.iter().any(|e| matches!(e, Effect::Send { frame: Frame::Output(_), .. })));
+}
+
+// Guards against a claim that is never completed: the response of a run that must execute at most once is read to its
+// end also without an entry that acknowledges its parts.
+#[test]
+fn a_claimed_run_without_an_entry_is_read_to_its_end() {
+    for idempotent in [false, true] {
+        let mut harness = agent();
+        let start = wire::Start { idempotent, left_ms: 60_000, ..start(run(1), 9, "v1") };
+        harness.frame("entry-1", Frame::Start(Box::new(start)));
+        harness.step(Event::Disconnected { peer: Name::new("entry-1") });
+        let out = harness.advance(Duration::from_secs(11));
+        assert_eq!(acked(&out), (!idempotent).then_some(u64::MAX));
+        let aborted = out.iter().any(|effect| matches!(effect, Effect::Abort { .. }));
+        assert_eq!(aborted, idempotent);
+    }
+}
+
 #[test]
 fn a_stopping_agent_rejects_starts_and_exits_when_its_runs_have_ended() {
     let mut harness = agent();
--- a/crates/replay/src/world/mod.rs
+++ b/crates/replay/src/world/mod.rs
@@ -451,7 +451,7 @@
                 }
             }
             Effect::Finish { call, complete } => self.finished(call, complete),
-            Effect::Serve { run, priority, work } => self.serve(index, run, priority, work),
+            Effect::Serve { run, priority, work, .. } => self.serve(index, run, priority, work),
             Effect::Abort { run } => self.abort(index, run),
             Effect::Fetch { key, store } => self.fetch(index, key, store),
             Effect::Save { key, store, generation } => self.save(index, key, store, generation),
@@ -487,7 +487,8 @@
             Effect::Log { run, code, .. } => self.ended.push((run, code)),
             Effect::Usage { computed, .. } => self.out.computed_tokens += u64::from(computed),
             // Connections are always up here, and no process forwards to servers without an agent.
-            Effect::Dial { .. }
+            Effect::Acked { .. }
+            | Effect::Dial { .. }
             | Effect::StopDialing { .. }
             | Effect::SaveContacts(_)
             | Effect::SaveEvidence(_)
