Each transfer to a store has its own connection

A store that writes an answer once more was believed: on a kept connection the copy was taken for the answer to the next call. A write that the store had rejected counted as stored, its block was advertised to the entries, and runs were sent to fetch it; a block that was never exported was saved empty. The answers bear nothing that tells a copy from the true one.

Transfers no longer keep connections, as runs don't. The body of the answer to a write is not read any more: it was read to free the connection.

tests/endless.rs, a_repeated_answer_of_a_store: 12 writes accepted, then all rejected, by a store that repeats the first answer of a connection before each further one.

--- a/bin/tamarackbank/tests/endless.rs
+++ b/bin/tamarackbank/tests/endless.rs
@@ -13,7 +13,7 @@
 
 use test_case::test_case;
 
-use harness::{Member, agent, completion, folder, member, post, until, workspace};
+use harness::{Member, agent, completion, folder, get, member, post, until, workspace};
 
 /// Maximum growth of a process's memory while a server sends without end.
 const MAX_GROWTH_KB: u64 = 32 << 10;
@@ -21,7 +21,8 @@
 const KILL_GROWTH_KB: u64 = 400 << 10;
 /// Time for which a server sends without end.
 const DURATION: Duration = Duration::from_secs(3);
-/// Size of a block in the engine in bytes.
+/// Size of a stored piece, and of a block in the engine, in bytes.
+const PIECE_BYTES: u64 = 4_136;
 const BLOCK_BYTES: usize = 4_096;
 
 /// What a server sends without end, and in answer to what.
@@ -550,3 +551,25 @@
     drop(callers);
     system.server.await_closed();
 }
+
+// Guards against an answer that a store writes once more on a kept connection and that is taken for the answer to the next
+// write: the rejected block counts as stored, and entries send runs that fetch it.
+#[test]
+fn a_repeated_answer_of_a_store_is_not_taken_for_another_write() {
+    let system = System::start("repeats", false);
+    let state = &system.server.state;
+    state.repeats.store(true, Ordering::SeqCst);
+    for number in 0..4 {
+        assert_eq!(system.prompt(&long_prompt(number)), 200);
+    }
+    until("saved pieces", || state.stored.load(Ordering::SeqCst) >= 3);
+    state.is_full.store(true, Ordering::SeqCst);
+    for number in 4..8 {
+        assert_eq!(system.prompt(&long_prompt(number)), 200);
+        sleep(Duration::from_millis(100));
+    }
+    sleep(Duration::from_secs(1));
+    let dump = get(&system.engine.operators, "/dump");
+    let kept = dump["agent"]["transfers"]["kept_bytes"].as_u64();
+    assert_eq!(kept, Some(state.stored.load(Ordering::SeqCst) * PIECE_BYTES), "{dump}");
+}
--- a/crates/edge/src/transfer.rs
+++ b/crates/edge/src/transfer.rs
@@ -16,8 +16,6 @@
 const TIMEOUT: Duration = Duration::from_secs(4);
 /// Largest report of cache events or list of blocks in bytes, enough for 100,000 blocks.
 const MAX_REPORT_BYTES: u64 = 4 << 20;
-/// Largest body of the answer to a write in bytes; it is not used.
-const MAX_ANSWER_BYTES: u64 = 16 << 10;
 /// Status with which a full store rejects a block (507 Insufficient Storage).
 const FULL: u16 = 507;
 
@@ -61,7 +59,8 @@
         let config = Agent::config_builder()
             .timeout_global(Some(TIMEOUT))
             .http_status_as_error(false)
-            .max_idle_connections_per_host(16)
+            // On a kept connection, an answer that a server writes once more would be taken for the next one.
+            .max_idle_connections(0)
             .build();
         Self { agent: config.into(), engine, stores, piece_bytes, reading: Arc::default() }
     }
@@ -180,13 +179,10 @@
         }
     }
 
-    /// Sends a body; returns the status.
+    /// Sends a body; returns the status. The body of the response is not read.
     fn put(&self, url: &str, bytes: &[u8]) -> Option<u16> {
-        let mut response = self.agent.put(url).send(bytes).ok()?;
-        let status = response.status().as_u16();
-        // The connection is reused only once the body is read.
-        let _ = response.body_mut().with_config().limit(MAX_ANSWER_BYTES).read_to_vec();
-        Some(status)
+        let response = self.agent.put(url).send(bytes).ok()?;
+        Some(response.status().as_u16())
     }
 }
 
