The check of a store's incarnation has a connection of its own

A store writes a copy of an earlier answer on the connection of that answer. The check whether a store has restarted since the last save of a segment shared its connections with reads of events, so it took the incarnation from before the restart for the present one: the segment was offered, and callers' prompts fetched it, while it could be written again (MIXED).

Nothing in the answer tells such a copy: it names the same numbers. The check now has a connection of its own, as reports, orders, frees, list pages and complete inventories have.

--- a/crates/edge/src/direct.rs
+++ b/crates/edge/src/direct.rs
@@ -102,11 +102,15 @@
                 }
             }
             forward::ControlCall::ReadStore { addr, since } => {
-                let delta = self.read_store(addr, since, EVENTS_WAIT).await;
+                // Events are numbered, and `since` tells which of them are new.
+                let matched = if since.is_some() { Match::Content } else { Match::Connection };
+                let delta = self.read_store(addr, since, EVENTS_WAIT, matched).await;
                 Some(forward::Event::StoreRead { addr, since, delta })
             }
             forward::ControlCall::CheckStore { addr, since, began } => {
-                let delta = self.read_store(addr, Some(since), Duration::ZERO).await;
+                // A copy of an earlier response could name the incarnation before a restart.
+                let delta =
+                    self.read_store(addr, Some(since), Duration::ZERO, Match::Connection).await;
                 let epoch = delta.map(|delta| delta.epoch);
                 Some(forward::Event::StoreChecked { addr, began, epoch })
             }
@@ -189,10 +193,9 @@
         addr: SocketAddr,
         since: Option<u64>,
         wait: Duration,
+        matched: Match<'_>,
     ) -> Result<StoreDelta, String> {
         let call = self.protocol.store_request(since, wait);
-        // Events are numbered, and `since` tells which of them are new.
-        let matched = if since.is_some() { Match::Content } else { Match::Connection };
         let result = self.call(addr, call, matched, (wait + RESPONSE_TIMEOUT, MAX_RESPONSE)).await;
         let delta = success_body(result)
             .and_then(|body| self.protocol.parse_store_delta(since.is_none(), &body));
