Events of a store offer no segment by the time of their read

A segment of which several saves were permitted is offered when a read of its store that began after the last of them had ended shows it. Reads of events share connections, so their answer may be the true answer to an earlier read, after a copy was read in its place: it can show the segment in an incarnation that has ended since, while the last save writes it again.

Each read now says whether its answer must be known to be from after its start. Complete inventories must, also those that servers give as events from the first one on, and have connections of their own. Segments with one permit are offered at once, as before.

--- a/crates/edge/src/direct.rs
+++ b/crates/edge/src/direct.rs
@@ -101,9 +101,8 @@
                     }
                 }
             }
-            forward::ControlCall::ReadStore { addr, since } => {
-                // Events are numbered, and `since` tells which of them are new.
-                let matched = if since.is_some() { Match::Content } else { Match::Connection };
+            forward::ControlCall::ReadStore { addr, since, fresh } => {
+                let matched = if fresh { Match::Connection } else { Match::Content };
                 let delta = self.read_store(addr, since, EVENTS_WAIT, matched).await;
                 Some(forward::Event::StoreRead { addr, since, delta })
             }
--- a/crates/node/src/forward/event.rs
+++ b/crates/node/src/forward/event.rs
@@ -301,8 +301,11 @@
         addr: SocketAddr,
         /// Number of the first event; none for the complete inventory.
         since: Option<u64>,
+        /// Whether the response must be known to be from after the start of the call. Otherwise it may be a copy of an
+        /// earlier response without events.
+        fresh: bool,
     },
-    /// Read the incarnation of a store.
+    /// Read the incarnation of a store; the response must be known to be from after the start of the call.
     CheckStore {
         /// Its address.
         addr: SocketAddr,
--- a/crates/node/src/forward/reader.rs
+++ b/crates/node/src/forward/reader.rs
@@ -78,6 +78,8 @@
     closed: Option<Closed>,
     /// When the last read began.
     began: Time,
+    /// Whether the response to the last read is from after its start; otherwise it may be a copy of an earlier one.
+    fresh: bool,
     /// When its incarnation may be read again.
     next_check: Time,
     /// When reads began to fail, if the last one failed.
@@ -153,8 +155,10 @@
             }
             read.pending = true;
             read.began = cx.now;
-            let (addr, since) = (*addr, read.since);
-            out.push(Effect::Call(ControlCall::ReadStore { addr, since }));
+            // A server's events from the first one on can't be told from a copy of an earlier response.
+            read.fresh = read.is_full();
+            let (addr, since, fresh) = (*addr, read.since, read.fresh);
+            out.push(Effect::Call(ControlCall::ReadStore { addr, since, fresh }));
         }
     }
 
@@ -247,8 +251,8 @@
         if delta.segments.is_empty() && !full {
             return;
         }
-        let began = read.began;
-        let took = cx.now.since(began);
+        let took = cx.now.since(read.began);
+        let began = read.fresh.then_some(read.began);
         // The last event of a segment is its current state.
         let mut segments = BTreeMap::new();
         for segment in &delta.segments {
--- a/crates/node/src/forward/stores.rs
+++ b/crates/node/src/forward/stores.rs
@@ -460,10 +460,10 @@
     }
 
     /// As the leader: splits off the segments that a store has reported, in a read that began at this time, if a save of them
-    /// could begin since then.
+    /// could begin since then. Without a time, the response may be older than any save that could begin.
     pub(super) fn withhold(
         &mut self,
-        (store, epoch, began): (SocketAddr, u64, Time),
+        (store, epoch, began): (SocketAddr, u64, Option<Time>),
         full: bool,
         segments: &mut Vec<StoredSegment>,
         saves: &mut Saves,
@@ -478,7 +478,7 @@
             let offerable = segment.tokens == 0
                 || self.has_offered(save, epoch)
                 || saves.take_sole(save)
-                || saves.settled_at(save).is_some_and(|at| at <= began);
+                || saves.settled_at(save).zip(began).is_some_and(|(at, began)| at <= began);
             if !offerable {
                 self.withheld.insert(save, (epoch, *segment));
             }
--- a/crates/node/tests/fence.rs
+++ b/crates/node/tests/fence.rs
@@ -81,7 +81,7 @@
         leases.extend(harness.forward.take_fetch_leases());
         for effect in std::mem::take(&mut harness.out) {
             match effect {
-                Effect::Call(ControlCall::ReadStore { addr, since }) => {
+                Effect::Call(ControlCall::ReadStore { addr, since, .. }) => {
                     let delta = Ok(respond(harness, addr, since));
                     harness.event(Event::StoreRead { addr, since, delta });
                 }
@@ -268,7 +268,7 @@
     let reads = |harness: &mut Harness| {
         let reads =
             std::mem::take(&mut harness.out).into_iter().filter_map(|effect| match effect {
-                Effect::Call(ControlCall::ReadStore { addr, since }) if addr == store() => {
+                Effect::Call(ControlCall::ReadStore { addr, since, .. }) if addr == store() => {
                     Some(since)
                 }
                 _ => None,
@@ -667,7 +667,7 @@
             return;
         }
         for effect in std::mem::take(&mut harness.out) {
-            let Effect::Call(ControlCall::ReadStore { addr, since }) = effect else { continue };
+            let Effect::Call(ControlCall::ReadStore { addr, since, .. }) = effect else { continue };
             let clock_ms = harness.servers_clock_ms();
             let segments = if clock_ms < freed_ms { held(addr, since) } else { Vec::new() };
             let delta = Ok(delta(1, Some(clock_ms), segments));
@@ -1062,7 +1062,7 @@
     fn effects(&mut self, entry: usize) {
         for effect in std::mem::take(&mut self.entries[entry].out) {
             match effect {
-                Effect::Call(ControlCall::ReadStore { addr, since }) => {
+                Effect::Call(ControlCall::ReadStore { addr, since, .. }) => {
                     let delta = self.read(addr, since);
                     let delay = self.rng.random_range(10..120);
                     let read = Event::StoreRead { addr, since, delta: Ok(delta) };
--- a/crates/node/tests/forward.rs
+++ b/crates/node/tests/forward.rs
@@ -549,7 +549,7 @@
 /// The reads of stores and servers started since the last call, each with its first event.
 fn reads(harness: &mut Harness) -> Vec<(SocketAddr, Option<u64>)> {
     let found = harness.out.drain(..).filter_map(|effect| match effect {
-        Effect::Call(ControlCall::ReadStore { addr, since }) => Some((addr, since)),
+        Effect::Call(ControlCall::ReadStore { addr, since, .. }) => Some((addr, since)),
         _ => None,
     });
     found.collect()
