A new leader counts from a clock that was read after it began

A new leader offers a store that has restarted once the leases of its predecessors have ended, which it counts from the first clock that a store names after their leadership. Events name the clock, and a copy of an earlier answer names an earlier one: the store was offered while entries could still fetch by the inventory from before the restart.

Until that clock is known, events are read on connections of their own. All other uses of a clock take it for a lower bound, which a copy is too.

--- a/crates/node/src/forward/fence.rs
+++ b/crates/node/src/forward/fence.rs
@@ -110,22 +110,27 @@
         *self = Self { leases, term, since: now, ..Self::default() };
     }
 
-    /// As the leader: records the clock in the response of a store. `began` is the time at which the read began, and
-    /// `predecessor` how long a predecessor may still consider itself the leader.
+    /// As the leader: records the clock in the response of a store. `began` is the time at which the read began; none if
+    /// the response may be older. `predecessor` is how long a predecessor may still consider itself the leader.
     pub fn observe(
         &mut self,
         now: Time,
         store: SocketAddr,
         clock_ms: Option<u64>,
-        (began, predecessor): (Time, Duration),
+        (began, predecessor): (Option<Time>, Duration),
     ) {
         let Some(clock_ms) = clock_ms else { return };
         self.clocks.insert(store, (clock_ms, now));
-        if began >= self.since + predecessor {
+        if began.is_some_and(|began| began >= self.since + predecessor) {
             self.first_clock.get_or_insert((clock_ms, now));
         }
     }
 
+    /// Whether stores name their clock, and the first one since the predecessor's leadership ended is still to be observed.
+    pub fn awaits_first_clock(&self) -> bool {
+        self.first_clock.is_none() && !self.clocks.is_empty()
+    }
+
     /// Discards the clocks of other stores.
     pub fn retain_stores(&mut self, is_store: impl Fn(&SocketAddr) -> bool) {
         self.clocks.retain(|addr, _| is_store(addr));
--- a/crates/node/src/forward/reader.rs
+++ b/crates/node/src/forward/reader.rs
@@ -156,7 +156,7 @@
             read.pending = true;
             read.began = cx.now;
             // A server's events from the first one on can't be told from a copy of an earlier response.
-            read.fresh = read.is_full();
+            read.fresh = read.is_full() || read.store && self.fence.awaits_first_clock();
             let (addr, since, fresh) = (*addr, read.since, read.fresh);
             out.push(Effect::Call(ControlCall::ReadStore { addr, since, fresh }));
         }
@@ -225,7 +225,8 @@
         };
         read.failing_since = None;
         if read.store {
-            self.fence.observe(cx.now, addr, delta.clock_ms, (read.began, predecessor));
+            let began = read.fresh.then_some(read.began);
+            self.fence.observe(cx.now, addr, delta.clock_ms, (began, predecessor));
             if self.is_closed(cx.now, addr, &delta) {
                 return;
             }
--- a/crates/node/tests/earlier_responses.rs
+++ b/crates/node/tests/earlier_responses.rs
@@ -9,10 +9,10 @@
 use fleet::{Listed, StoreDelta, StoredSegment};
 use node::Effect;
 use node::forward::{ControlCall, Event};
-use wire::save;
+use wire::{Holdings, save};
 
 use forwarder::Harness;
-use forwarder::fixture::{STORE, listed};
+use forwarder::fixture::{STORE, config, listed};
 
 /// Interval between two ticks, milliseconds.
 const TICK_MS: u64 = 50;
@@ -20,6 +20,14 @@
 const START_MS: u64 = 20_000;
 /// Number of the next event when the store is read completely.
 const NEXT: u64 = 9;
+/// Longest lease, and the bound of the age of a clock; milliseconds.
+const LONGEST_LEASE_MS: u64 = 10_000;
+const CLOCK_AGE_MS: u64 = 2_000;
+/// How much older a copy is than the response to the read, milliseconds.
+const COPY_AGE_MS: u64 = 8_000;
+/// Time in which responses may be copies: a few reads.
+const COPIES_TIME: Duration = Duration::from_secs(1);
+
 fn store() -> SocketAddr {
     STORE.parse().expect("an address")
 }
@@ -136,3 +144,38 @@
     pass(&mut harness, TICK_MS, |harness, _, _| response(harness, 1, NEXT + 1, &[]));
     assert!(is_offered(&harness), "a check has shown the same incarnation");
 }
+
+// Guards against a store that is offered while entries still fetch by the inventory of an earlier leader: the new one counts
+// from a clock that the store named before.
+#[test]
+fn a_new_leader_counts_from_a_clock_that_was_read_after_it_began() {
+    let old = leader_of(&[segment(2_500)]);
+    let mut harness = leader(2);
+    harness.now = old.now;
+    harness.forward.inventory_advertised(&old.forward.inventory());
+    let began = harness.now;
+    let lease = config().lease;
+    let mut copied = false;
+    let mut offered = None;
+    for _ in 0..600 {
+        // The store has restarted while the leader changed.
+        pass(&mut harness, TICK_MS, |harness, _, fresh| {
+            let mut delta = response(harness, 2, NEXT, &[]);
+            let elapsed = harness.now.since(began);
+            if !fresh && elapsed >= lease && elapsed < lease + COPIES_TIME {
+                copied = true;
+                delta.clock_ms = delta.clock_ms.map(|clock_ms| clock_ms - COPY_AGE_MS);
+            }
+            delta
+        });
+        let inventory = harness.forward.inventory();
+        let is_offered = |held: &Holdings| held.store == store() && held.epoch == Some(2);
+        if inventory.holdings.iter().any(is_offered) {
+            offered = Some(harness.now.since(began));
+            break;
+        }
+    }
+    let wait = lease + Duration::from_millis(LONGEST_LEASE_MS + CLOCK_AGE_MS);
+    assert!(offered.is_some_and(|offered| offered > wait), "offered after {offered:?}");
+    assert!(copied, "no response was a copy");
+}
