Events of an earlier answer are not applied again

A store or server writes a copy of an earlier answer on the connection of that answer. Reads of events took it for theirs: a segment that the store had dropped was offered again and fetched by callers' prompts, and the next read began at an older number.

A reused connection now has to deliver what continues the events: a next number above the requested one, or the same one and no events. Otherwise the connection is closed and the read is repeated on one of its own, so that a gap or a restart is still seen. What passes has not been applied yet, or is empty. Only `next` is compared, since servers may number events from 0 or from 1. The reducer reads the complete inventory if an answer of the same incarnation names a number below the requested one. A connection whose answer is no success is closed.

--- a/crates/edge/src/direct.rs
+++ b/crates/edge/src/direct.rs
@@ -16,7 +16,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::body::Sendable;
-use crate::pool::{Match, Pool};
+use crate::pool::{Lease, Match, Pool};
 use crate::{Call, Input, Inputs, Protocol};
 
 /// Longest wait for a response; the list is read more often than a server may change unnoticed.
@@ -38,8 +38,18 @@
 /// Interval at which connections that were idle for too long are closed.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Status, body and headers of a response, or the error.
-type CallResult = Result<(u16, Bytes, HeaderMap), String>;
+/// A response that was read completely.
+#[derive(Debug)]
+struct Answer {
+    status: u16,
+    headers: HeaderMap,
+    body: Bytes,
+    /// Its connection, closed when dropped.
+    lease: Lease,
+}
+
+/// A response, or the error.
+type CallResult = Result<Answer, String>;
 
 /// Makes the calls.
 #[derive(Debug)]
@@ -117,7 +127,7 @@
                 let call = self.protocol.free_request(epoch, until_ms, &segments);
                 let limits = (RESPONSE_TIMEOUT, MAX_SMALL_RESPONSE);
                 let result = self.call(addr, call, Match::Connection, limits).await;
-                let status = result.as_ref().map_or(0, |(status, ..)| *status);
+                let status = result.as_ref().map_or(0, |answer| answer.status);
                 let error = result.err().unwrap_or_default();
                 // The store's events show what was freed.
                 log::info!(
@@ -132,7 +142,7 @@
                 let result = self.call(change.addr, call, Match::Connection, limits).await;
                 let notice = self.notice(&result);
                 let status = match &result {
-                    Ok((status, ..)) => *status,
+                    Ok(answer) => answer.status,
                     Err(error) => {
                         log::warn!(server:% = change.id, error:% = error; "weight version order failed");
                         0
@@ -152,8 +162,8 @@
     /// The notice in a server's response, unless another server than the intended one responded.
     fn notice(&self, result: &CallResult) -> Notice {
         match result {
-            Ok((status, _, headers)) if *status != forward::MISDIRECTED => {
-                self.protocol.parse_notice(*status, headers)
+            Ok(answer) if answer.status != forward::MISDIRECTED => {
+                self.protocol.parse_notice(answer.status, &answer.headers)
             }
             _ => Notice::default(),
         }
@@ -171,7 +181,7 @@
                     (RESPONSE_TIMEOUT, MAX_RESPONSE),
                 )
                 .await;
-            if matches!(&result, Ok((429 | 503, ..))) {
+            if matches!(&result, Ok(Answer { status: 429 | 503, .. })) {
                 // Other processes read the list too; the pages read so far remain valid.
                 sleep(BUSY_RETRY).await;
                 continue;
@@ -192,18 +202,48 @@
         addr: SocketAddr,
         since: Option<u64>,
         wait: Duration,
-        matched: Match<'_>,
+        mut matched: Match<'_>,
     ) -> Result<StoreDelta, String> {
-        let call = self.protocol.store_request(since, wait);
-        let result = self.call(addr, call, matched, (wait + RESPONSE_TIMEOUT, MAX_RESPONSE)).await;
-        let delta = success_body(result)
-            .and_then(|body| self.protocol.parse_store_delta(since.is_none(), &body));
+        let delta = loop {
+            match self.read_delta(addr, since, wait, matched).await {
+                Ok(Some(delta)) => break Ok(delta),
+                Ok(None) => {
+                    log::warn!(store:% = addr, since; "events of an earlier response ignored");
+                    matched = Match::Connection;
+                }
+                Err(error) => break Err(error),
+            }
+        };
         if let Err(error) = &delta {
             log::warn!(store:% = addr, error:% = error; "store inventory unavailable");
         }
         delta
     }
 
+    /// Makes one call for events or for the complete inventory. None if the connection had been used before and the response
+    /// may be a copy of an earlier one, since it does not continue at `since`; the connection is closed then.
+    async fn read_delta(
+        &self,
+        addr: SocketAddr,
+        since: Option<u64>,
+        wait: Duration,
+        matched: Match<'_>,
+    ) -> Result<Option<StoreDelta>, String> {
+        let call = self.protocol.store_request(since, wait);
+        let read = async {
+            let answer = self.send(addr, call, matched, MAX_RESPONSE).await?;
+            let reused = answer.lease.connection().carried > 0;
+            let (body, lease) = success(answer)?;
+            let delta = self.protocol.parse_store_delta(since.is_none(), &body)?;
+            let continues = since.is_none_or(|since| delta.continues(since));
+            if continues {
+                lease.done().await;
+            }
+            Ok((continues || !reused).then_some(delta))
+        };
+        with_timeout(wait + RESPONSE_TIMEOUT, read).await
+    }
+
     /// Makes a call with limits on the duration and on the size of the response.
     async fn call(
         &self,
@@ -233,19 +273,23 @@
         let (parts, body) = response.into_parts();
         let body = Limited::new(body, max_bytes).collect().await;
         let body = body.map_err(|error| error.to_string())?.to_bytes();
-        lease.done().await;
-        Ok((parts.status.as_u16(), body, parts.headers))
+        Ok(Answer { status: parts.status.as_u16(), headers: parts.headers, body, lease })
     }
 }
 
-/// The body of a successful response.
-fn success_body(result: CallResult) -> Result<Bytes, String> {
-    match result? {
-        (200, body, _) => Ok(body),
-        (status, ..) => Err(format!("status {status}")),
+/// The body and the connection of a successful response.
+fn success(answer: Answer) -> Result<(Bytes, Lease), String> {
+    match answer {
+        Answer { status: 200, body, lease, .. } => Ok((body, lease)),
+        Answer { status, .. } => Err(format!("status {status}")),
     }
 }
 
+/// The body of a successful response, whose connection is closed.
+fn success_body(result: CallResult) -> Result<Bytes, String> {
+    Ok(success(result?)?.0)
+}
+
 async fn with_timeout<T>(
     time: Duration,
     call: impl Future<Output = Result<T, String>>,
--- a/crates/fleet/src/store_delta.rs
+++ b/crates/fleet/src/store_delta.rs
@@ -25,3 +25,12 @@
     /// Segments that are complete now, or removed.
     pub segments: Vec<StoredSegment>,
 }
+
+impl StoreDelta {
+    /// Whether these are the events from this number on, of a target that has not restarted. Otherwise this may be the
+    /// response to an earlier read.
+    pub fn continues(&self, since: u64) -> bool {
+        let has_news = !self.segments.is_empty();
+        !self.gap && (self.next_event > since || self.next_event == since && !has_news)
+    }
+}
--- a/crates/node/src/forward/reader.rs
+++ b/crates/node/src/forward/reader.rs
@@ -235,7 +235,8 @@
             return;
         };
         let full = is_full(read.store, since);
-        let discontinuous = delta.epoch != read.epoch || delta.gap;
+        let goes_back = since.is_some_and(|since| delta.next_event < since);
+        let discontinuous = delta.epoch != read.epoch || delta.gap || goes_back;
         if discontinuous && !full {
             // The changes since the last read are incomplete, so the complete inventory is read.
             read.since = None;
--- a/crates/node/tests/earlier_responses.rs
+++ b/crates/node/tests/earlier_responses.rs
@@ -111,6 +111,22 @@
     panic!("no read of the store");
 }
 
+// Guards against a segment that is fetched although the store has dropped it: events of an earlier response are applied again.
+#[test]
+fn events_before_the_requested_one_are_not_applied() {
+    let mut harness = leader_of(&[segment(2_500)]);
+    assert!(is_offered(&harness));
+    let read = |harness: &mut Harness, since, next, segments: &[StoredSegment]| {
+        let delta = Ok(response(harness, 1, next, segments));
+        harness.event(Event::StoreRead { addr: store(), since: Some(since), delta });
+    };
+    read(&mut harness, NEXT, NEXT + 1, &[segment(0)]);
+    assert!(!is_offered(&harness), "it was dropped");
+    read(&mut harness, NEXT + 1, NEXT, &[segment(2_500)]);
+    assert!(!is_offered(&harness), "offered by an earlier response");
+    assert_eq!(next_read(&mut harness), (None, true), "the complete inventory is read");
+}
+
 // Guards against a store that is out of use for longer than one read, since another incarnation numbers its events anew.
 #[test]
 fn a_store_that_has_restarted_is_read_completely() {
