A response to another request says nothing of its server

An extra response to an earlier request set the load, the weight version and the misdirection of its server back to what they were then, although it was recognized as the response to another request; only its notices were left out. A version that changes also clears what the server is taken to have cached. Now nothing of it is used.

The new test failed before: version 1 instead of 2, six other runs instead of one. Found by review.

--- a/crates/node/src/forward/follow.rs
+++ b/crates/node/src/forward/follow.rs
@@ -110,6 +110,10 @@
         response: &ResponseHead,
         out: &mut Effects,
     ) {
+        // A response to another request may be of any age.
+        if !response.matches_request {
+            return;
+        }
         if let Some(server) = self.servers.get_mut(key) {
             if let Some(load) = response.load {
                 server.set_load(cx.now, load);
@@ -129,7 +133,7 @@
                 }
             }
         }
-        if response.matches_request && response.status != MISDIRECTED {
+        if response.status != MISDIRECTED {
             self.notice_from_response(cx, key, request, response.notice, out);
             if response.status < 500 && !response.not_run {
                 self.server_reachable(cx, key, request.1, out);
--- a/crates/node/tests/forward.rs
+++ b/crates/node/tests/forward.rs
@@ -173,6 +173,36 @@
     assert_eq!(harness.rejected(1), (Code::Unknown, 502, false));
 }
 
+// Guards against what an extra response says of its server being taken for current: a copy of an earlier response, which names
+// that request, arrives in place of the response to this one.
+#[test]
+fn a_response_to_another_request_says_nothing_of_its_server() {
+    let mut harness = Harness::new(1);
+    let load = |running| fleet::Load { running, slots: 8, ..fleet::Load::default() };
+    harness.request(1, "/safe/x");
+    harness.sent(1);
+    let response = ResponseHead {
+        status: 200,
+        matches_request: true,
+        load: Some(load(2)),
+        version: Some(2),
+        ..ResponseHead::default()
+    };
+    harness.event(Event::ResponseReceived { call: 1, response });
+    harness.event(Event::Completed { call: 1 });
+    harness.request(2, "/once/x");
+    harness.sent(2);
+    let believed = |harness: &Harness| {
+        let (_, server) = harness.forward.servers().iter().next().expect("a server");
+        (server.version, server.runs(harness.now) - server.in_flight)
+    };
+    let before = believed(&harness);
+    let copy =
+        ResponseHead { matches_request: false, load: Some(load(7)), version: Some(1), ..response };
+    harness.event(Event::ResponseReceived { call: 2, response: copy });
+    assert_eq!((before, believed(&harness)), ((2, 1), (2, 1)));
+}
+
 #[test]
 fn a_stream_resumes_at_another_server_and_keeps_its_deadline() {
     let mut harness = Harness::new(3);
