A caller cannot have the ID of its request removed

A caller that listed the header of its ID under Connection had it removed before the request was sent. The server then repeated no ID, the caller got 502, and the server was ejected as if it had failed: with one server, the next caller got 503. The ID is now set like the other headers that the response depends on.

Found by review.

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -390,7 +390,7 @@
         request.uri_mut().clone_from(&self.parts.uri);
         let after = self.events.as_ref().and_then(EventSplitter::last_event_id);
         *request.headers_mut() =
-            self.shared.protocol.upstream_headers(self.headers.clone(), to, after);
+            self.shared.protocol.upstream_headers(&self.id, self.headers.clone(), to, after);
         request
     }
 
--- a/crates/edge/src/protocol.rs
+++ b/crates/edge/src/protocol.rs
@@ -40,9 +40,15 @@
     /// A description of the error.
     fn parse_request(&self, request: &request::Parts) -> Result<RequestHead, String>;
 
-    /// Headers of an attempt, made from the caller's end-to-end headers; `after` is the ID of the last event that the
-    /// caller received.
-    fn upstream_headers(&self, headers: HeaderMap, to: &Attempt, after: Option<&str>) -> HeaderMap;
+    /// Headers of an attempt of the request with this ID, made from the caller's end-to-end headers; `after` is the ID of
+    /// the last event that the caller received.
+    fn upstream_headers(
+        &self,
+        id: &str,
+        headers: HeaderMap,
+        to: &Attempt,
+        after: Option<&str>,
+    ) -> HeaderMap;
 
     /// Parses the head of a server's response to the request with this ID; its connection is left empty.
     fn parse_response_head(&self, id: &str, response: &response::Parts) -> ResponseHead;
