Connections that are passed over or closed make room for new ones

Since connections remember IDs, a client that repeats an ID had a new connection opened, and kept, with each request: 20 for 20 requests, which count to the connections that a server accepts. One that is passed over is now closed in favor of the new one.

A keep-alive time beyond the clock panicked the task that returned the connection, and the call that waited for it never ended; it is limited to an hour. The wait for a connection whose request is still being read after the response has a limit; no test shows it.

Found by review.

--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -34,6 +34,8 @@
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time for which a server is assumed to keep an idle connection if it does not say.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(2);
+/// Longest keep-alive time of a server that is used.
+const MAX_KEEP_ALIVE: Duration = Duration::from_secs(3_600);
 /// Fraction of the server's keep-alive time for which an idle connection is reused.
 const REUSE_FRACTION: f64 = 0.5;
 /// Maximum number of idle connections to one server.
@@ -42,7 +44,7 @@
 const MAX_IDS: usize = 1_024;
 /// Largest body in bytes that is read only to reuse its connection.
 const MAX_DISCARDED: usize = 64 << 10;
-/// Longest wait for such a body.
+/// Longest wait for such a body, and for a request to be read whose response is complete.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// What tells the response to a request from copies of earlier responses on its connection.
@@ -212,11 +214,15 @@
         let now = Instant::now();
         let mut all = self.idle.borrow_mut();
         let idle = all.get_mut(&group)?;
-        let fits = |found: &Idle| {
-            found.is_usable(now) && id.is_none_or(|id| !found.conn.ids.contains(&id))
-        };
-        let found = idle.iter().rposition(fits)?;
-        Some(idle.remove(found).conn)
+        idle.retain(|found| found.is_usable(now));
+        let fits = |found: &Idle| id.is_none_or(|id| !found.conn.ids.contains(&id));
+        if let Some(found) = idle.iter().rposition(fits) {
+            return Some(idle.remove(found).conn);
+        }
+        // The new connection takes the place of one that was passed over, so that their number does not grow with the
+        // requests of a client that repeats its ID.
+        idle.pop();
+        None
     }
 
     async fn connect(&self, addr: SocketAddr) -> std::io::Result<Conn> {
@@ -249,8 +255,10 @@
         if self.conn.ids.len() >= MAX_IDS {
             return;
         }
-        // The end of the body may be visible before the connection is free.
-        if self.conn.sender.ready().await.is_err() {
+        // The end of the body may be visible before the connection is free: the server may respond before it has read the
+        // request.
+        let ready = timeout(DISCARD_TIMEOUT, self.conn.sender.ready());
+        if !matches!(ready.await, Ok(Ok(()))) {
             return;
         }
         let mut all = self.pool.idle.borrow_mut();
@@ -304,5 +312,6 @@
     let seconds = keep_alive.and_then(|value| {
         value.split(',').find_map(|part| part.trim().strip_prefix("timeout=")?.parse::<u64>().ok())
     });
-    Some(seconds.map_or(DEFAULT_KEEP_ALIVE, Duration::from_secs).mul_f64(REUSE_FRACTION))
+    let keep_alive = seconds.map_or(DEFAULT_KEEP_ALIVE, Duration::from_secs).min(MAX_KEEP_ALIVE);
+    Some(keep_alive.mul_f64(REUSE_FRACTION))
 }
