The pages of the server list fit into the memory of a process

Cause: a page of 4 MB was parsed into a tree of JSON values, which takes up to ninety times the memory of its text, and 200 pages were kept together. All pages of one reading are limited to 8 MB.

--- a/crates/edge/src/direct.rs
+++ b/crates/edge/src/direct.rs
@@ -31,6 +31,8 @@
 const EVENTS_WAIT: Duration = Duration::from_secs(1);
 /// Largest response in bytes: some thousand servers.
 const MAX_RESPONSE: usize = 4 << 20;
+/// Largest size of all pages of the list together, in bytes: some thousand servers with some models each.
+const MAX_LIST: usize = 8 << 20;
 /// Largest response to a report request or an order, in bytes.
 const MAX_SMALL_RESPONSE: usize = 64 << 10;
 /// Maximum number of pages of the list; more are taken for a list without an end.
@@ -172,13 +174,14 @@
     async fn read_list(&self, addr: SocketAddr) -> Result<Vec<Listed>, String> {
         let mut servers = Vec::new();
         let mut from = None;
+        let mut bytes_left = MAX_LIST;
         for _ in 0..MAX_PAGES {
             let result = self
                 .call(
                     addr,
                     self.protocol.list_request(from.as_deref()),
                     Match::Connection,
-                    (RESPONSE_TIMEOUT, MAX_RESPONSE),
+                    (RESPONSE_TIMEOUT, MAX_RESPONSE.min(bytes_left)),
                 )
                 .await;
             if matches!(&result, Ok(Answer { status: 429 | 503, .. })) {
@@ -186,7 +189,9 @@
                 sleep(BUSY_RETRY).await;
                 continue;
             }
-            let page = self.protocol.parse_list_page(&success_body(result)?)?;
+            let body = success_body(result)?;
+            bytes_left -= body.len();
+            let page = self.protocol.parse_list_page(&body)?;
             servers.extend(page.servers);
             from = page.next;
             if from.is_none() {
