Responses of servers and stores to a process's own calls fit into its memory together

Cause: each response to the process's own calls was limited, all together were not. A response kept the read buffers of its frames, and was parsed into a tree of JSON values. The leader added events to what it knows of a store or server without a limit, and kept the text of every salt that it had ever read. Change: responses are read into blocks of a budget, as clients' bodies are: a sixteenth of the memory, at least room for two of the largest; the list has its own. Events that add up to more than 100,000 segments cause a complete read; texts of 50,000 salts are kept, and those without a segment make room. Segments of further salts are not freed as stale.

--- a/crates/cache/src/inventory.rs
+++ b/crates/cache/src/inventory.rs
@@ -92,6 +92,11 @@
         self.stores.get(&store).map_or(0, |holdings| holdings.tokens)
     }
 
+    /// Number of segments on a store.
+    pub fn segments(&self, store: SocketAddr) -> usize {
+        self.stores.get(&store).map_or(0, |holdings| holdings.segments.len())
+    }
+
     /// Incarnation of a store and the segments on it.
     pub fn holdings(&self, store: SocketAddr) -> Option<(u64, impl Iterator<Item = Location>)> {
         let holdings = self.stores.get(&store)?;
--- a/crates/edge/src/body.rs
+++ b/crates/edge/src/body.rs
@@ -1,4 +1,5 @@
-//! Bodies of requests: read into blocks of the process's budget, and sent from them.
+//! Bodies of requests, and of responses to the process's own calls: read into blocks of a budget. Requests are also
+//! sent from them.
 //!
 //! Frames are copied, since a frame is a slice that retains the read buffer of its connection.
 
@@ -154,12 +155,26 @@
     blocks: Blocks,
     arrival: Arrival,
     budget: &'a Budget,
-    state: &'a State,
+    /// State of the client's connection, if a client sends the body.
+    state: Option<&'a State>,
     last: Time,
     limit: usize,
 }
 
-impl Reader<'_> {
+impl<'a> Reader<'a> {
+    fn new(body: Counted, limit: usize, budget: &'a Arc<Budget>, state: Option<&'a State>) -> Self {
+        Self {
+            body,
+            rest: Bytes::new(),
+            blocks: Blocks::default(),
+            arrival: budget.begin(),
+            budget,
+            state,
+            last: budget.now(),
+            limit,
+        }
+    }
+
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), Failure>> {
         loop {
             while !self.rest.is_empty() {
@@ -196,7 +211,9 @@
             }
             self.last = self.budget.now();
             self.arrival.advance(self.last);
-            self.state.advance();
+            if let Some(state) = self.state {
+                state.advance();
+            }
             self.blocks.length += bytes.remaining();
             if self.blocks.length > self.limit {
                 return Poll::Ready(Err(Failure::TooLarge));
@@ -229,17 +246,8 @@
     if body.size_hint().lower() > limits.size as u64 {
         return Err(Failure::TooLarge);
     }
-    let began = budget.now();
-    let mut reader = Reader {
-        body,
-        rest: Bytes::new(),
-        blocks: Blocks::default(),
-        arrival: budget.begin(),
-        budget,
-        state,
-        last: began,
-        limit: limits.size,
-    };
+    let mut reader = Reader::new(body, limits.size, budget, Some(state));
+    let began = reader.last;
     // Not registered with the timer unless the body has to be waited for.
     let mut timer = pin!(sleep(limits.time));
     poll_fn(|cx| {
@@ -262,3 +270,33 @@
     .await?;
     Ok(reader.blocks)
 }
+
+/// Reads the body of a response completely; the caller limits the time. What is returned keeps its bytes reserved.
+///
+/// # Errors
+/// The body is not valid, ended early, is larger than `max` bytes or finds no room in the budget.
+pub(crate) async fn read_response(
+    body: Counted,
+    max: usize,
+    budget: &Arc<Budget>,
+) -> Result<Bytes, Failure> {
+    if body.size_hint().lower() > max as u64 {
+        return Err(Failure::TooLarge);
+    }
+    let mut reader = Reader::new(body, max, budget, None);
+    poll_fn(|cx| reader.poll(cx)).await?;
+    let (bytes, reservation) = reader.blocks.into_contiguous(budget);
+    Ok(Bytes::from_owner(Reserved { bytes, _reservation: reservation }))
+}
+
+/// Bytes and their reservation.
+struct Reserved {
+    bytes: Vec<u8>,
+    _reservation: Reservation,
+}
+
+impl AsRef<[u8]> for Reserved {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
--- a/crates/edge/src/direct.rs
+++ b/crates/edge/src/direct.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use base::Name;
@@ -9,13 +10,13 @@
 use fleet::rollout::Reply;
 use fleet::{Listed, Notice, StoreDelta};
 use http::{HeaderMap, HeaderValue, Request, header};
-use http_body_util::{BodyExt, Limited};
 use node::{Event, forward};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
-use crate::body::Sendable;
+use crate::body::{self, Sendable};
+use crate::budget::Budget;
 use crate::pool::{Lease, Match, Pool};
 use crate::{Call, Input, Inputs, Protocol};
 
@@ -35,6 +36,9 @@
 const MAX_LIST: usize = 8 << 20;
 /// Largest response to a report request or an order, in bytes.
 const MAX_SMALL_RESPONSE: usize = 64 << 10;
+/// Divisor of the memory for bodies for the part that responses to calls to servers and stores may use together. They are
+/// parsed into at most five times their size.
+const MEMORY_DIVISOR: u64 = 4;
 /// Maximum number of pages of the list; more are taken for a list without an end.
 const MAX_PAGES: usize = 200;
 /// Interval at which connections that were idle for too long are closed.
@@ -66,6 +70,28 @@
     pub list: Option<SocketAddr>,
     /// Name of this process in orders.
     pub holder: Name,
+    /// Memory for responses.
+    pub memory: Memory,
+}
+
+/// Memory for the responses to the process's own calls, apart from that for clients' bodies, so that neither takes the
+/// other's.
+#[derive(Debug)]
+pub struct Memory {
+    /// For the responses of servers and stores.
+    servers: Arc<Budget>,
+    /// For the pages of the list, which is read once at a time: servers and stores don't take its memory.
+    list: Arc<Budget>,
+}
+
+impl Memory {
+    /// A part of the bytes that the process may use.
+    pub fn new(memory: u64) -> Self {
+        Self {
+            servers: Budget::new(memory / MEMORY_DIVISOR, MAX_RESPONSE),
+            list: Budget::new(0, MAX_RESPONSE),
+        }
+    }
 }
 
 /// Makes calls until the host is gone.
@@ -276,8 +302,10 @@
         let sent = self.pool.send(addr, matched, request).await;
         let (response, lease) = sent.map_err(|failed| format!("{:?}", failed.failure))?;
         let (parts, body) = response.into_parts();
-        let body = Limited::new(body, max_bytes).collect().await;
-        let body = body.map_err(|error| error.to_string())?.to_bytes();
+        let is_list = self.list == Some(addr);
+        let budget = if is_list { &self.memory.list } else { &self.memory.servers };
+        let body = body::read_response(body, max_bytes, budget).await;
+        let body = body.map_err(|failure| failure.code().1.to_owned())?;
         Ok(Answer { status: parts.status.as_u16(), headers: parts.headers, body, lease })
     }
 }
--- a/crates/edge/src/single.rs
+++ b/crates/edge/src/single.rs
@@ -108,6 +108,7 @@
         inputs: inputs.clone(),
         list: ports.list,
         holder: settings.name.clone(),
+        memory: direct::Memory::new(memory),
     });
     let operators = |protocol| {
         Rc::new(Control {
--- a/crates/node/src/forward/reader.rs
+++ b/crates/node/src/forward/reader.rs
@@ -7,7 +7,7 @@
 //! A store that restarted is offered again only after the last lease has expired that was issued before all entries
 //! were told: an entry with the earlier inventory could otherwise fetch a segment that another one is saving again.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::net::SocketAddr;
 
 use base::prelude::*;
@@ -30,6 +30,12 @@
 /// Maximum number of concurrent reads of complete inventories: a new leader reads all of them, and the
 /// responses share its link and CPU with the heartbeats that renew its lease.
 const MAX_FULL_READS: usize = 4;
+/// Maximum number of segments that events may add up to on one store or server; about as many fit into a complete
+/// inventory.
+const MAX_SEGMENTS: usize = 100_000;
+/// Maximum number of salts whose texts are kept: some thousand tenants with some models each. Segments with other salts
+/// are not freed.
+const MAX_SALTS: usize = 50_000;
 /// Duration of failing reads after which the inventory of a target is dropped: longer than one read may take.
 const MAX_SILENCE: Duration = Duration::from_millis(1_500);
 /// Time between two reads of the complete inventory of a store, since single events may be lost.
@@ -236,7 +242,9 @@
         };
         let full = is_full(read.store, since);
         let goes_back = since.is_some_and(|since| delta.next_event < since);
-        let discontinuous = delta.epoch != read.epoch || delta.gap || goes_back;
+        let count = self.inventory.segments(addr) + delta.segments.len();
+        let is_too_large = count > MAX_SEGMENTS;
+        let discontinuous = delta.epoch != read.epoch || delta.gap || goes_back || is_too_large;
         if discontinuous && !full {
             // The changes since the last read are incomplete, so the complete inventory is read.
             read.since = None;
@@ -255,11 +263,20 @@
         }
         let took = cx.now.since(read.began);
         let began = read.fresh.then_some(read.began);
+        if self.salts.len() >= MAX_SALTS {
+            // Those of which no segment is left make room.
+            let held = self.inventory.stores().filter_map(|store| self.inventory.holdings(store));
+            let held: HashSet<u64> =
+                held.flat_map(|(_, locations)| locations).map(|location| location.salt).collect();
+            self.salts.retain(|salt, _| held.contains(salt));
+        }
         // The last event of a segment is its current state.
         let mut segments = BTreeMap::new();
         for segment in &delta.segments {
             let salt = salt_number(&segment.salt);
-            self.salts.entry(salt).or_insert_with(|| Name::new(&segment.salt));
+            if self.salts.len() < MAX_SALTS {
+                self.salts.entry(salt).or_insert_with(|| Name::new(&segment.salt));
+            }
             segments.insert((salt, segment.id), segment.tokens);
         }
         let stored = |((salt, id), tokens)| StoredSegment { salt, id, tokens };
