Commands fail or end when a response does not end

What operators saw: nothing yet; found while looking for places that read without a limit. `tamarack dump` of a process whose response breaks off, or is larger than 10 MB, printed null and succeeded. `tamarack bench load` kept a line without end until it ran out of memory, and did not end while a response trickled. Cause: an error while a body was read counted as an empty body. Lines and the time of a request under load had no limit. Change: a response that can't be read is an error (code 2), and may have 16 MB. Lines of `bench load` may have 256 KB; its requests end 30 s after the load at the latest and count as failed. Bodies of plain calls are not kept, and count as failed if they break off.

--- a/bin/tamarack/src/bench/load.rs
+++ b/bin/tamarack/src/bench/load.rs
@@ -1,6 +1,6 @@
 //! Load on the callers' address of entries, or directly on engines for comparison.
 
-use std::io::{BufRead, BufReader, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::TcpStream;
 use std::sync::mpsc::channel;
 use std::thread;
@@ -13,6 +13,10 @@
 use crate::client::Error;
 
 const STACK_BYTES: usize = 128 << 10;
+/// Longest time for which a request may continue after the load has ended.
+const GRACE: Duration = Duration::from_secs(30);
+/// Largest line of a response in bytes.
+const MAX_LINE: u64 = 256 << 10;
 
 #[derive(Default)]
 struct Counts {
@@ -39,7 +43,8 @@
             let mut count = 0;
             while Instant::now() < deadline {
                 count += 1;
-                send(&agent, &load, place, count, &mut counts);
+                let timeout = deadline + GRACE - Instant::now();
+                send(&agent, &load, (place, count), timeout, &mut counts);
             }
             let _ = sender.send(counts);
         };
@@ -73,7 +78,13 @@
 }
 
 /// Sends one request and counts its result.
-fn send(agent: &ureq::Agent, load: &args::Load, place: usize, count: u64, counts: &mut Counts) {
+fn send(
+    agent: &ureq::Agent,
+    load: &args::Load,
+    (place, count): (usize, u64),
+    timeout: Duration,
+    counts: &mut Counts,
+) {
     let body = json!({
         "model": load.model,
         "prompt": format!("prompt {place} {count} {}", "x".repeat(load.prompt_bytes)),
@@ -83,7 +94,8 @@
     let path = if load.call.is_empty() { "/v1/completions" } else { load.call.as_str() };
     let addresses: Vec<&str> = load.to.split(',').collect();
     let url = format!("http://{}{path}", addresses[place % addresses.len()]);
-    let mut request = agent.post(&url).header("authorization", format!("Bearer {}", load.bearer));
+    let request = agent.post(&url).config().timeout_global(Some(timeout)).build();
+    let mut request = request.header("authorization", format!("Bearer {}", load.bearer));
     if load.once {
         request = request.header("idempotency-key", format!("{place}-{count}-{}", load.seed));
     }
@@ -98,13 +110,16 @@
         return;
     }
     if !load.call.is_empty() {
-        let complete = response.body_mut().read_to_vec().is_ok();
+        let mut body = response.body_mut().as_reader();
+        let complete = std::io::copy(&mut body, &mut std::io::sink()).is_ok();
         counts.first.push(start.elapsed());
         counts.completed += u64::from(complete);
+        counts.failed += u64::from(!complete);
         return;
     }
     let mut last: Option<Instant> = None;
-    for line in BufReader::new(response.body_mut().as_reader()).lines().map_while(Result::ok) {
+    let mut reader = BufReader::new(response.body_mut().as_reader());
+    while let Some(line) = line(&mut reader) {
         if line == "data: [DONE]" {
             counts.completed += 1;
             return;
@@ -123,6 +138,14 @@
     counts.failed += 1;
 }
 
+/// Reads a line; `None` at the end of the body, or if it breaks off or the line is too large.
+fn line(reader: &mut impl BufRead) -> Option<String> {
+    let mut line = String::new();
+    reader.take(MAX_LINE).read_line(&mut line).ok()?;
+    let is_complete = !line.is_empty() && (line.len() as u64) < MAX_LINE;
+    is_complete.then(|| line.trim_end_matches(['\r', '\n']).to_owned())
+}
+
 /// Opens connections that send an incomplete request, and holds them.
 pub fn idle(idle: &args::Idle) -> Value {
     let mut open = Vec::new();
--- a/bin/tamarack/src/client.rs
+++ b/bin/tamarack/src/client.rs
@@ -6,6 +6,8 @@
 use ureq::Agent;
 
 const TIMEOUT: Duration = Duration::from_secs(30);
+/// Largest response in bytes: a dump of some thousand records and servers.
+const MAX_RESPONSE: u64 = 16 << 20;
 
 /// Why a command failed.
 #[derive(Debug)]
@@ -68,7 +70,8 @@
             builder.body(body.to_owned()).map_err(|error| unreachable(error.to_string()))?;
         let mut response = self.agent.run(built).map_err(|error| unreachable(error.to_string()))?;
         let status = response.status().as_u16();
-        let text = response.body_mut().read_to_string().unwrap_or_default();
+        let body = response.body_mut().with_config().limit(MAX_RESPONSE).read_to_string();
+        let text = body.map_err(|error| unreachable(error.to_string()))?;
         let value: Value = serde_json::from_str(&text).unwrap_or(Value::Null);
         if (200..300).contains(&status) {
             return Ok(value);
