Signal handlers are installed before a hosted process opens anything

Until then the signal ends the process. The handlers are now the first thing that the runtime does; the time before the runtime remains.

--- a/crates/edge/src/single.rs
+++ b/crates/edge/src/single.rs
@@ -12,7 +12,7 @@
 use conf::Settings;
 use node::{Config, Event, Node};
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::mpsc::unbounded_channel;
 use tokio::sync::watch;
 use tokio::task::{LocalSet, spawn_local};
@@ -71,6 +71,10 @@
     protocol: &Rc<dyn Protocol>,
     reload: Reload,
 ) -> io::Result<Exit> {
+    // Before anything that takes time: without handlers, these signals end the process.
+    let hangup = signal(SignalKind::hangup())?;
+    let terminate = signal(SignalKind::terminate())?;
+    let interrupt = signal(SignalKind::interrupt())?;
     let link = TcpListener::bind(settings.link).await?;
     let callers = TcpListener::bind(ports.callers).await?;
     let own_operators = TcpListener::bind(settings.operators).await?;
@@ -83,7 +87,7 @@
     let (keeper, files) = start::keeper(settings, &process, &inputs)?.unzip();
     let seeds: Vec<SocketAddr> = settings.seeds.iter().map(|seed| seed.addr).collect();
     let _ = inputs.send(Input::Event(Event::Seeds(seeds.clone())));
-    spawn_local(follow_seeds(inputs.clone(), seeds, reload));
+    spawn_local(follow_seeds(inputs.clone(), seeds, reload, hangup));
 
     let (phases, phase) = watch::channel(Phase::Serving);
     let memory = settings.memory_mb << 20;
@@ -135,7 +139,7 @@
         spawn_local(control::run(TcpListener::bind(addr).await?, operators));
     }
     let drain_delay = config.forward.as_ref().map_or(Duration::ZERO, |forward| forward.drain_delay);
-    spawn_local(stop_on_signals(inputs.clone(), phases, drain_delay));
+    spawn_local(stop_on_signals(inputs.clone(), phases, drain_delay, [terminate, interrupt]));
     let sinks = Sinks { net: commands, server: None, files, direct: Some(calls), metrics, exit };
     spawn_local(host::run(Node::new(process, config, keeper), Clock::default(), sinks, inputs_out));
     spawn_local(forward::run(callers, shared));
@@ -150,8 +154,8 @@
     inputs: Inputs,
     mut seeds: Vec<SocketAddr>,
     reload: Reload,
+    mut hangup: Signal,
 ) -> io::Result<()> {
-    let mut hangup = signal(SignalKind::hangup())?;
     loop {
         let signaled = timeout(RELOAD_INTERVAL, hangup.recv()).await.is_ok();
         match reload() {
@@ -173,9 +177,8 @@
     inputs: Inputs,
     phases: watch::Sender<Phase>,
     drain_delay: Duration,
+    [mut terminate, mut interrupt]: [Signal; 2],
 ) -> io::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
     let mut stopping = false;
     loop {
         tokio::select! {
