--- a/crates/edge/src/pool.rs
+++ b/crates/edge/src/pool.rs
@@ -130,8 +130,8 @@
     connect_timeout: Duration,
     max_idle: usize,
     idle: RefCell<HashMap<Group, Vec<Idle>>>,
-    /// Number of connections established so far.
-    established: Cell<u64>,
+    /// Number of the latest connection, established or not.
+    latest: Cell<u64>,
     /// Keyed at random, so that clients can't choose IDs with equal hashes.
     hasher: RandomState,
 }
@@ -153,7 +153,7 @@
             connect_timeout,
             max_idle,
             idle: RefCell::default(),
-            established: Cell::default(),
+            latest: Cell::default(),
             hasher: RandomState::new(),
         }
     }
@@ -226,8 +226,8 @@
     }
 
     async fn connect(&self, addr: SocketAddr) -> std::io::Result<Conn> {
-        let number = self.established.get() + 1;
-        self.established.set(number);
+        let number = self.latest.get() + 1;
+        self.latest.set(number);
         connect(addr, number, self.connect_timeout).await
     }
 
--- a/crates/node/src/forward/event.rs
+++ b/crates/node/src/forward/event.rs
@@ -97,7 +97,7 @@
 /// The connection of an attempt, before it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Connection {
-    /// Number of the connection among those that this process has established.
+    /// Number of the connection in this process; 0 if there was none.
     pub number: u64,
     /// Number of requests that it had carried; 0 for a new one.
     pub carried: u32,
