--- a/review/stand-ins-2/src/http.rs
+++ b/review/stand-ins-2/src/http.rs
@@ -6,10 +6,8 @@
 use std::time::Duration;
 
 pub struct Request {
-    pub method: String,
     pub path: String,
     pub headers: Vec<(String, String)>,
-    pub body: Vec<u8>,
 }
 
 impl Request {
@@ -22,17 +20,10 @@
 pub struct Answer {
     /// 0: no answer, or one that can't be read.
     pub status: u16,
-    pub headers: Vec<(String, String)>,
     pub body: Vec<u8>,
     pub complete: bool,
 }
 
-impl Answer {
-    pub fn header(&self, name: &str) -> Option<&str> {
-        find(&self.headers, name)
-    }
-}
-
 fn find<'a>(headers: &'a [(String, String)], name: &str) -> Option<&'a str> {
     let mut found = headers.iter().filter(|(known, _)| known.eq_ignore_ascii_case(name));
     found.next().map(|(_, value)| value.as_str())
@@ -91,10 +82,11 @@
 pub fn read_request(reader: &mut impl BufRead) -> Option<Request> {
     let first = line(reader)?;
     let mut words = first.split(' ');
-    let (method, path) = (words.next()?.to_owned(), words.next()?.to_owned());
+    let _method = words.next()?;
+    let path = words.next()?.to_owned();
     let headers = head(reader)?;
-    let (body, complete) = body(reader, &headers, false);
-    complete.then_some(Request { method, path, headers, body })
+    let (_, complete) = body(reader, &headers, false);
+    complete.then_some(Request { path, headers })
 }
 
 /// One call on a connection of its own.
@@ -111,7 +103,7 @@
     let status = first.split(' ').nth(1).and_then(|word| word.parse().ok()).unwrap_or(0);
     let Some(headers) = head(&mut reader) else { return Answer::default() };
     let (body, complete) = body(&mut reader, &headers, true);
-    Answer { status, headers, body, complete }
+    Answer { status, body, complete }
 }
 
 /// Text of a request with a body of known length.
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -6,9 +6,11 @@
 mod http;
 mod isolation;
 mod listing;
+mod poison;
 mod replica;
 mod system;
 mod versions;
+mod writer;
 
 use std::fs::File;
 use std::io::Write;
@@ -44,6 +46,8 @@
         "listing" => listing::run(record, trouble),
         "isolation" => isolation::run(record, trouble),
         "versions" => versions::run(record, trouble),
+        "writer" => writer::run(record, trouble),
+        "poison" => poison::run(record, trouble),
         other => Err(Unable(format!("no case {other}"))),
     }
 }
--- a/review/stand-ins-2/src/replica.rs
+++ b/review/stand-ins-2/src/replica.rs
@@ -16,7 +16,6 @@
     pub at: Instant,
     pub path: String,
     pub headers: Vec<(String, String)>,
-    pub body: Vec<u8>,
 }
 
 impl Arrival {
@@ -65,7 +64,15 @@
         software: &str,
         respond: impl Fn(&Self, &Request, &mut TcpStream) -> io::Result<()> + Send + Sync + 'static,
     ) -> Result<Self, Unable> {
-        let listener = TcpListener::bind(addr)?;
+        let end = Instant::now() + Duration::from_secs(2);
+        let listener = loop {
+            match TcpListener::bind(addr) {
+                Ok(listener) => break listener,
+                // The port of an earlier replica may not be closed yet.
+                Err(_) if Instant::now() < end => thread::sleep(Duration::from_millis(5)),
+                Err(error) => return Err(error.into()),
+            }
+        };
         listener.set_nonblocking(true)?;
         let replica = Self {
             id: id.to_owned(),
@@ -127,7 +134,6 @@
                 at: Instant::now(),
                 path: request.path.clone(),
                 headers: request.headers.clone(),
-                body: request.body.clone(),
             });
         }
         (self.respond)(self, request, writer)
@@ -149,6 +155,12 @@
         self.arrivals.lock().unwrap().clone()
     }
 
+    /// Has what an earlier replica at this place saw among its arrivals.
+    pub fn keep_arrivals_of(&self, earlier: &Self) {
+        let before = earlier.arrivals();
+        self.arrivals.lock().unwrap().splice(0..0, before);
+    }
+
     pub fn has_ended(&self) -> bool {
         self.ended.load(Ordering::SeqCst)
     }
--- a/review/stand-ins-2/src/system.rs
+++ b/review/stand-ins-2/src/system.rs
@@ -118,27 +118,12 @@
         Ok(())
     }
 
-    pub fn runs(&mut self) -> bool {
-        self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
-    }
-
-    pub fn memory_mb(&self) -> u64 {
-        let Some(child) = &self.child else { return 0 };
-        let text = fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap_or_default();
-        let line = text.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap_or("0");
-        line.trim().trim_end_matches(" kB").parse::<u64>().unwrap_or(0) / 1_024
-    }
-
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
             let _ = child.wait();
         }
     }
-
-    pub fn log(&self) -> String {
-        String::from_utf8_lossy(&fs::read(self.folder.join("log")).unwrap_or_default()).into_owned()
-    }
 }
 
 /// The front machines of a small deployment.
