--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -4,13 +4,11 @@
 //! if the case couldn't run. With `TROUBLE=0` the case runs without its disruption.
 
 mod http;
-mod isolation;
-mod listing;
 mod poison;
+mod readers;
 mod replica;
 mod system;
 mod versions;
-mod writer;
 
 use std::fs::File;
 use std::io::Write;
@@ -43,11 +41,9 @@
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     record.line(if trouble { "with the disruption" } else { "without the disruption" });
     match case {
-        "listing" => listing::run(record, trouble),
-        "isolation" => isolation::run(record, trouble),
         "versions" => versions::run(record, trouble),
-        "writer" => writer::run(record, trouble),
         "poison" => poison::run(record, trouble),
+        "readers" => readers::run(record, trouble),
         other => Err(Unable(format!("no case {other}"))),
     }
 }
--- a/review/stand-ins-2/src/poison.rs
+++ b/review/stand-ins-2/src/poison.rs
@@ -59,11 +59,18 @@
 impl Fleet {
     fn show(&self) {
         let replicas = self.replicas.lock().unwrap();
-        let entry = |(replica, starts): &(Replica, u64)| replica.entry("ready", FIRST_BORN + starts * 10_000, "");
+        let entry = |(replica, starts): &(Replica, u64)| {
+            replica.entry("ready", FIRST_BORN + starts * 10_000, "")
+        };
         self.list.show(replicas.iter().map(entry).collect());
     }
 
-    fn respond(self: &Arc<Self>, replica: &Replica, request: &Request, writer: &mut TcpStream) -> io::Result<()> {
+    fn respond(
+        self: &Arc<Self>,
+        replica: &Replica,
+        request: &Request,
+        writer: &mut TcpStream,
+    ) -> io::Result<()> {
         if request.path == POISON && self.harmful {
             let (fleet, crashed) = (self.clone(), replica.clone());
             thread::spawn(move || fleet.crash(&crashed));
@@ -100,7 +107,12 @@
     }
 }
 
-fn client(addr: SocketAddr, number: usize, over: &AtomicBool, sent: &Mutex<Vec<(String, Instant, u16)>>) {
+fn client(
+    addr: SocketAddr,
+    number: usize,
+    over: &AtomicBool,
+    sent: &Mutex<Vec<(String, Instant, u16)>>,
+) {
     for turn in 0.. {
         if over.load(Ordering::SeqCst) {
             return;
@@ -123,7 +135,9 @@
         crashes: Mutex::default(),
         record: record.clone(),
     });
-    for (number, id, zone) in [(101, "i-5a", "za"), (102, "i-5b", "zb"), (103, "i-5c", "zc"), (104, "i-5d", "za")] {
+    for (number, id, zone) in
+        [(101, "i-5a", "za"), (102, "i-5b", "zb"), (103, "i-5c", "zc"), (104, "i-5d", "za")]
+    {
         let serving = fleet.clone();
         let respond = move |replica: &Replica, request: &Request, writer: &mut TcpStream| {
             serving.respond(replica, request, writer)
@@ -151,9 +165,12 @@
     for coming in 0..COMINGS {
         let id = format!("poison-{coming}");
         let at = Instant::now();
-        let answer = http::call(front, &request(&id, POISON, "the same each time"), Duration::from_secs(6));
+        let answer =
+            http::call(front, &request(&id, POISON, "the same each time"), Duration::from_secs(6));
         let reached = |replicas: &[(Replica, u64)]| {
-            replicas.iter().any(|(replica, _)| replica.arrivals().iter().any(|found| found.id() == id))
+            replicas
+                .iter()
+                .any(|(replica, _)| replica.arrivals().iter().any(|found| found.id() == id))
         };
         let reached = reached(&fleet.replicas.lock().unwrap());
         let third_crash = fleet.crashes.lock().unwrap().get(2).copied();
--- a/review/stand-ins-2/src/replica.rs
+++ b/review/stand-ins-2/src/replica.rs
@@ -13,7 +13,6 @@
 /// A request as it arrived.
 #[derive(Clone)]
 pub struct Arrival {
-    pub at: Instant,
     pub path: String,
     pub headers: Vec<(String, String)>,
 }
@@ -130,17 +129,22 @@
             return writer.write_all(&http::answer(421, &headers, b""));
         }
         if !request.path.starts_with("/v1/") {
-            self.arrivals.lock().unwrap().push(Arrival {
-                at: Instant::now(),
-                path: request.path.clone(),
-                headers: request.headers.clone(),
-            });
+            self.arrivals
+                .lock()
+                .unwrap()
+                .push(Arrival { path: request.path.clone(), headers: request.headers.clone() });
         }
         (self.respond)(self, request, writer)
     }
 
     /// A complete answer with what identifies it.
-    pub fn answer(&self, request: &Request, status: u16, more: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    pub fn answer(
+        &self,
+        request: &Request,
+        status: u16,
+        more: &[(&str, &str)],
+        body: &[u8],
+    ) -> Vec<u8> {
         let id = request.header("x-tamarackbank-request-id").unwrap_or_default();
         let signature = format!("{}.{id}", self.id);
         let mut headers = vec![
--- a/review/stand-ins-2/src/system.rs
+++ b/review/stand-ins-2/src/system.rs
@@ -56,7 +56,6 @@
 #[derive(Clone, Default)]
 pub struct List {
     entries: Arc<Mutex<Vec<Vec<u8>>>>,
-    reads: Arc<Mutex<Vec<Instant>>>,
 }
 
 impl List {
@@ -68,7 +67,6 @@
             if !request.path.starts_with("/instances") {
                 return Some(http::answer(404, &[], b""));
             }
-            list.reads.lock().unwrap().push(Instant::now());
             let entries = list.entries.lock().unwrap().join(&b","[..]);
             let body = [&b"{\"instances\":["[..], &entries, b"],\"next\":null}"].concat();
             Some(http::answer(200, &[("Content-Type", "application/json")], &body))
@@ -79,10 +77,6 @@
     pub fn show(&self, entries: Vec<Vec<u8>>) {
         *self.entries.lock().unwrap() = entries;
     }
-
-    pub fn reads(&self) -> usize {
-        self.reads.lock().unwrap().len()
-    }
 }
 
 /// One machine, with the settings of a small deployment.
@@ -118,6 +112,14 @@
         Ok(())
     }
 
+    /// Memory that the process uses.
+    pub fn memory_mb(&self) -> u64 {
+        let Some(child) = &self.child else { return 0 };
+        let text = fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap_or_default();
+        let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap_or("0");
+        line.trim().trim_end_matches(" kB").parse::<u64>().unwrap_or(0) / 1_024
+    }
+
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
--- a/review/stand-ins-2/src/versions.rs
+++ b/review/stand-ins-2/src/versions.rs
@@ -79,7 +79,12 @@
     writer.write_all(b"0\r\n\r\n")
 }
 
-fn client((machine, addr): (usize, SocketAddr), number: usize, over: &AtomicBool, streams: &Mutex<Vec<Stream>>) {
+fn client(
+    (machine, addr): (usize, SocketAddr),
+    number: usize,
+    over: &AtomicBool,
+    streams: &Mutex<Vec<Stream>>,
+) {
     // Streams begin at all times.
     thread::sleep(Duration::from_millis(430 * number as u64 + 50 * machine as u64));
     for turn in 0.. {
