--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -5,7 +5,6 @@
 
 mod http;
 mod poison;
-mod readers;
 mod replica;
 mod system;
 mod versions;
@@ -43,7 +42,6 @@
     match case {
         "versions" => versions::run(record, trouble),
         "poison" => poison::run(record, trouble),
-        "readers" => readers::run(record, trouble),
         other => Err(Unable(format!("no case {other}"))),
     }
 }
--- a/review/stand-ins-2/src/system.rs
+++ b/review/stand-ins-2/src/system.rs
@@ -112,14 +112,6 @@
         Ok(())
     }
 
-    /// Memory that the process uses.
-    pub fn memory_mb(&self) -> u64 {
-        let Some(child) = &self.child else { return 0 };
-        let text = fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap_or_default();
-        let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap_or("0");
-        line.trim().trim_end_matches(" kB").parse::<u64>().unwrap_or(0) / 1_024
-    }
-
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
